Serve a request from one end to the other in separate processes

Cause: the project starts; DESIGN's shape needs a path that runs before its parts grow. Change: the workspace with its crates; settings and service documents checked whole; the object API with a stand-in; a steward that takes terms, plans by rendezvous hash and grants leases; a gate that routes by slice and token; bayctl apply and zone; a test that runs all of them as processes. Not yet there: takeover of terms, membership, streaming, limits, hedges, zones in routing.

--- /dev/null
+++ b/crates/conf/src/lib.rs
@@ -0,0 +1,27 @@
+//! Settings and service documents in INI, checked whole.
+
+mod cluster_key_file;
+mod document;
+mod keyed_rules;
+mod limits;
+mod method;
+mod mistake;
+mod pair_reader;
+mod request_rules;
+mod server_doc;
+mod service_doc;
+mod settings;
+mod value;
+mod zone_doc;
+
+pub use cluster_key_file::{KeyFileError, read_cluster_secret};
+pub use document::{Document, Section};
+pub use keyed_rules::{KeySource, KeyedRules};
+pub use limits::Limits;
+pub use method::Method;
+pub use mistake::{Mistake, Mistakes};
+pub use request_rules::RequestRules;
+pub use server_doc::ServerDoc;
+pub use service_doc::{ServiceDoc, ServiceKind};
+pub use settings::{GateSettings, LogLevel, Settings, StewardSettings};
+pub use zone_doc::{ZoneDoc, ZoneState};
--- /dev/null
+++ b/crates/conf/src/zone_doc.rs
@@ -0,0 +1,54 @@
+use bay_types::ZoneName;
+
+use crate::{Document, Mistakes, value};
+
+/// What operators say of a zone.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct ZoneDoc {
+    /// The zone.
+    pub zone: ZoneName,
+    /// Whether it takes work.
+    pub state: ZoneState,
+    /// The operator who said so last.
+    pub operator: String,
+}
+
+/// Whether a zone takes work.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum ZoneState {
+    /// The zone takes work.
+    In,
+    /// The zone gets no new work.
+    Out,
+}
+
+impl ZoneDoc {
+    /// Reads and checks a zone's object.
+    ///
+    /// # Errors
+    /// Returns every mistake found.
+    pub fn parse(file: &str, bytes: &[u8]) -> Result<ZoneDoc, Mistakes> {
+        let document = Document::parse(file, bytes)?;
+        let section = document.section("zone");
+        let zone = section.required("name", value::name);
+        let state = section.required("state", |text| match text {
+            "in" => Ok(ZoneState::In),
+            "out" => Ok(ZoneState::Out),
+            _ => Err(String::from("`in` or `out`")),
+        });
+        let operator = section.required("operator", |text| Ok(text.to_owned()));
+        let doc = || Some(ZoneDoc { zone: zone?, state: state?, operator: operator? });
+        let doc = doc();
+        document.finish(doc)
+    }
+
+    /// Writes the zone's object.
+    pub fn to_text(&self) -> String {
+        let state = match self.state {
+            ZoneState::In => "in",
+            ZoneState::Out => "out",
+        };
+        let operator: String = self.operator.chars().filter(|c| !c.is_control()).collect();
+        format!("[zone]\nname = {}\nstate = {state}\noperator = {operator}\n", self.zone)
+    }
+}
--- /dev/null
+++ b/crates/ctl/src/main.rs
@@ -0,0 +1,7 @@
+//! The `bayctl` binary.
+
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    bay_ctl::run(std::env::args().skip(1))
+}
--- /dev/null
+++ b/crates/fakes/src/mem_store.rs
@@ -0,0 +1,150 @@
+use std::collections::{BTreeMap, VecDeque};
+
+use bay_store::{
+    Change, ChangesBody, Expect, Host, Object, ObjectKey, ObjectsBody, StoreError, StoreReply,
+    StoreRequest, StoreResult,
+};
+use bay_types::Revision;
+
+/// Longest value, in bytes.
+const MAX_VALUE_BYTES: usize = 1 << 20;
+/// Changes kept for watchers that lag.
+const KEPT_CHANGES: usize = 4_096;
+
+/// The platform's object API in memory, without I/O.
+#[derive(Debug, Default)]
+pub struct MemStore {
+    objects: BTreeMap<ObjectKey, Object>,
+    changes: VecDeque<Change>,
+    dropped: Revision,
+    revision: Revision,
+    hosts: Vec<Host>,
+    fault: StoreFault,
+    calls: u64,
+}
+
+/// How the store misbehaves.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum StoreFault {
+    /// The store works.
+    #[default]
+    None,
+    /// The store refuses each call.
+    Down,
+    /// Calls take effect but their answers are lost.
+    AnswersLost,
+}
+
+impl MemStore {
+    /// An empty store.
+    pub fn new() -> MemStore {
+        MemStore::default()
+    }
+
+    /// Sets how the store misbehaves from now on.
+    pub fn set_fault(&mut self, fault: StoreFault) {
+        self.fault = fault;
+    }
+
+    /// Sets the list of hosts.
+    pub fn set_hosts(&mut self, hosts: Vec<Host>) {
+        self.hosts = hosts;
+    }
+
+    /// How many calls were made.
+    pub fn calls(&self) -> u64 {
+        self.calls
+    }
+
+    /// The revision of the last write.
+    pub fn revision(&self) -> Revision {
+        self.revision
+    }
+
+    /// Answers one call.
+    ///
+    /// A watch answers at once with what has changed so far; the caller repeats it.
+    ///
+    /// # Errors
+    /// Returns an error if the call is malformed or the store misbehaves.
+    pub fn call(&mut self, request: StoreRequest) -> StoreResult {
+        self.calls += 1;
+        if self.fault == StoreFault::Down {
+            return Err(StoreError::Unavailable);
+        }
+        let result = self.answer(request);
+        if self.fault == StoreFault::AnswersLost {
+            return Err(StoreError::Unknown);
+        }
+        result
+    }
+
+    fn answer(&mut self, request: StoreRequest) -> StoreResult {
+        match request {
+            StoreRequest::Get { key } => Ok(StoreReply::Object(self.objects.get(&key).cloned())),
+            StoreRequest::List { prefix } => Ok(StoreReply::Objects(self.list(&prefix))),
+            StoreRequest::Put { key, body, expect } => self.put(key, body, expect),
+            StoreRequest::Delete { key, expect } => self.delete(key, expect),
+            StoreRequest::Watch { prefix, since, .. } => {
+                Ok(StoreReply::Changes(self.changes_since(&prefix, since)))
+            }
+            StoreRequest::Hosts => Ok(StoreReply::Hosts(self.hosts.clone())),
+        }
+    }
+
+    fn list(&self, prefix: &str) -> ObjectsBody {
+        let objects =
+            self.objects.values().filter(|object| object.key.as_str().starts_with(prefix));
+        ObjectsBody { revision: self.revision, objects: objects.cloned().collect() }
+    }
+
+    fn put(&mut self, key: ObjectKey, body: String, expect: Expect) -> StoreResult {
+        if body.len() > MAX_VALUE_BYTES {
+            return Err(StoreError::Rejected);
+        }
+        if let Some(conflict) = self.conflict(&key, expect) {
+            return conflict;
+        }
+        self.revision.0 += 1;
+        let revision = self.revision;
+        let object = Object { key: key.clone(), revision, body: body.clone() };
+        self.objects.insert(key.clone(), object);
+        self.record(Change { key, revision, body: Some(body) });
+        Ok(StoreReply::Written(revision))
+    }
+
+    fn delete(&mut self, key: ObjectKey, expect: Expect) -> StoreResult {
+        if let Some(conflict) = self.conflict(&key, expect) {
+            return conflict;
+        }
+        self.revision.0 += 1;
+        self.objects.remove(&key);
+        self.record(Change { key, revision: self.revision, body: None });
+        Ok(StoreReply::Written(self.revision))
+    }
+
+    fn conflict(&self, key: &ObjectKey, expect: Expect) -> Option<StoreResult> {
+        let current = self.objects.get(key);
+        let holds = match expect {
+            Expect::Absent => current.is_none(),
+            Expect::Revision(revision) => current.is_some_and(|object| object.revision == revision),
+        };
+        (!holds).then(|| Ok(StoreReply::Conflict(current.cloned())))
+    }
+
+    fn record(&mut self, change: Change) {
+        self.changes.push_back(change);
+        if self.changes.len() > KEPT_CHANGES
+            && let Some(oldest) = self.changes.pop_front()
+        {
+            self.dropped = oldest.revision;
+        }
+    }
+
+    fn changes_since(&self, prefix: &str, since: Revision) -> ChangesBody {
+        let wanted =
+            |change: &&Change| change.revision > since && change.key.as_str().starts_with(prefix);
+        let changes = self.changes.iter().filter(wanted).cloned().collect();
+        ChangesBody { revision: self.revision, compacted: since < self.dropped, changes }
+    }
+}
--- /dev/null
+++ b/crates/load/src/lib.rs
@@ -0,0 +1,1 @@
+//! Limits, target choice and cold starts.
--- /dev/null
+++ b/crates/member/src/lib.rs
@@ -0,0 +1,1 @@
+//! Membership and the spread of versioned items.
--- /dev/null
+++ b/crates/node/src/backend.rs
@@ -0,0 +1,23 @@
+use std::net::SocketAddr;
+
+use async_net::TcpStream;
+use bay_wire::{Order, OrderReply};
+use http_types::{Method, Request, StatusCode, Url};
+
+/// Sends an order to a server and reads its answer.
+pub(crate) async fn post_order(to: SocketAddr, order: &Order) -> Option<OrderReply> {
+    let url = Url::parse(&format!("http://{to}/bay/order")).ok()?;
+    let mut req = Request::new(Method::Post, url);
+    req.set_body(serde_json::to_string(order).ok()?);
+    let stream = TcpStream::connect(to).await.ok()?;
+    let mut res = async_h1::connect(stream, req).await.ok()?;
+    if res.status() != StatusCode::Ok {
+        return None;
+    }
+    let declared = res.len();
+    let body = res.body_string().await.ok()?;
+    if declared != Some(body.len()) {
+        return None;
+    }
+    serde_json::from_str(&body).ok()
+}
--- /dev/null
+++ b/crates/node/src/command_line.rs
@@ -0,0 +1,77 @@
+use std::fmt;
+
+use getopts::Options;
+
+/// What the command line asks for.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum Command {
+    /// Prints the help text.
+    Help(String),
+    /// Prints the version.
+    Version,
+    /// Checks the settings and ends.
+    Check {
+        /// The settings file.
+        settings: String,
+    },
+    /// Runs a gate.
+    Gate {
+        /// The settings file.
+        settings: String,
+    },
+    /// Runs a steward.
+    Steward {
+        /// The settings file.
+        settings: String,
+    },
+}
+
+/// A wrong command line.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct CommandError(pub String);
+
+impl fmt::Display for CommandError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}; see --help", self.0)
+    }
+}
+
+impl std::error::Error for CommandError {}
+
+/// Reads the command line without the program's name.
+///
+/// # Errors
+/// Returns an error if an option, the subcommand or `--settings` is wrong or missing.
+pub fn parse_command<I>(args: I) -> Result<Command, CommandError>
+where
+    I: IntoIterator<Item = String>,
+{
+    let mut options = Options::new();
+    options.optopt("", "settings", "the settings file", "FILE");
+    options.optflag("", "check", "checks the settings and ends");
+    options.optflag("h", "help", "prints this help");
+    options.optflag("V", "version", "prints the version");
+    let matches = options.parse(args).map_err(|error| CommandError(error.to_string()))?;
+    if matches.opt_present("help") {
+        let brief = "Usage: dragonflybay gate|steward --settings FILE [--check]";
+        return Ok(Command::Help(options.usage(brief)));
+    }
+    if matches.opt_present("version") {
+        return Ok(Command::Version);
+    }
+    let settings = matches.opt_str("settings");
+    let settings =
+        settings.ok_or_else(|| CommandError(String::from("expected --settings FILE")))?;
+    let process = match matches.free.as_slice() {
+        [process] => process.as_str(),
+        _ => {
+            return Err(CommandError(String::from("expected one of `gate` and `steward`")));
+        }
+    };
+    match (process, matches.opt_present("check")) {
+        ("gate" | "steward", true) => Ok(Command::Check { settings }),
+        ("gate", false) => Ok(Command::Gate { settings }),
+        ("steward", false) => Ok(Command::Steward { settings }),
+        (other, _) => Err(CommandError(format!("expected `gate` or `steward`, found `{other}`"))),
+    }
+}
--- /dev/null
+++ b/crates/node/src/lib.rs
@@ -0,0 +1,18 @@
+//! The async shell: moves bytes and time for the gate and the steward.
+
+mod backend;
+mod command_line;
+mod framed;
+mod gate_shell;
+mod http_head;
+mod refusal;
+mod run;
+mod shell_error;
+mod steward_link;
+mod steward_shell;
+
+pub use command_line::{Command, CommandError, parse_command};
+pub use gate_shell::GateShell;
+pub use run::run;
+pub use shell_error::ShellError;
+pub use steward_shell::StewardShell;
--- /dev/null
+++ b/crates/node/src/run.rs
@@ -0,0 +1,111 @@
+use std::fs;
+use std::process::ExitCode;
+use std::sync::Arc;
+
+use async_executor::Executor;
+use async_signal::{Signal, Signals};
+use bay_conf::{LogLevel, Settings, read_cluster_secret};
+use bay_obs::{Counters, init_log};
+use bay_wire::ClusterKey;
+use futures_lite::{StreamExt, future};
+
+use crate::{Command, GateShell, ShellError, StewardShell, parse_command};
+
+const EXIT_FAILED: u8 = 1;
+const EXIT_USAGE: u8 = 2;
+
+/// Runs the binary with its arguments and returns its exit code.
+pub fn run<I>(args: I) -> ExitCode
+where
+    I: IntoIterator<Item = String>,
+{
+    let command = match parse_command(args) {
+        Ok(command) => command,
+        Err(error) => {
+            eprintln!("dragonflybay: {error}");
+            return ExitCode::from(EXIT_USAGE);
+        }
+    };
+    match execute(command) {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("dragonflybay: {error}");
+            ExitCode::from(EXIT_FAILED)
+        }
+    }
+}
+
+fn execute(command: Command) -> Result<(), ShellError> {
+    match command {
+        Command::Help(text) => print!("{text}"),
+        Command::Version => println!("dragonflybay {}", env!("CARGO_PKG_VERSION")),
+        Command::Check { settings } => {
+            load(&settings)?;
+            println!("{settings}: no mistakes");
+        }
+        Command::Gate { settings } => run_gate(&settings)?,
+        Command::Steward { settings } => run_steward(&settings)?,
+    }
+    Ok(())
+}
+
+fn load(path: &str) -> Result<(Settings, ClusterKey), ShellError> {
+    let bytes = fs::read(path).map_err(|_| ShellError::SettingsUnreadable(path.to_owned()))?;
+    let settings = Settings::parse(path, &bytes).map_err(ShellError::Settings)?;
+    let secret = read_cluster_secret(&settings.key_file).map_err(ShellError::KeyFile)?;
+    let too_short =
+        || ShellError::KeyFile(bay_conf::KeyFileError::TooShort(settings.key_file.clone()));
+    let key = ClusterKey::derive(&secret).ok_or_else(too_short)?;
+    Ok((settings, key))
+}
+
+fn run_gate(path: &str) -> Result<(), ShellError> {
+    let (settings, key) = load(path)?;
+    start_log(&settings, "gate");
+    let counters = Counters::new("gate", settings.metrics).map_err(ShellError::Metrics)?;
+    let executor = Arc::new(Executor::new());
+    let work = async {
+        let mut signals = stop_signals()?;
+        let shell = GateShell::bind(&settings, key, counters, Arc::clone(&executor)).await?;
+        log::info!(address:% = settings.gate.listen; "gate listens");
+        shell.start();
+        signals.next().await;
+        log::info!("gate stops");
+        shell.stop().await;
+        Ok(())
+    };
+    future::block_on(executor.run(work))
+}
+
+fn run_steward(path: &str) -> Result<(), ShellError> {
+    let (settings, key) = load(path)?;
+    start_log(&settings, "steward");
+    let counters = Counters::new("steward", settings.metrics).map_err(ShellError::Metrics)?;
+    let executor = Arc::new(Executor::new());
+    let work = async {
+        let mut signals = stop_signals()?;
+        let shell = StewardShell::bind(&settings, key, counters, Arc::clone(&executor)).await?;
+        log::info!(address:% = settings.steward.listen; "steward listens");
+        shell.start();
+        signals.next().await;
+        log::info!("steward stops");
+        shell.stop().await;
+        Ok(())
+    };
+    future::block_on(executor.run(work))
+}
+
+fn stop_signals() -> Result<Signals, ShellError> {
+    Signals::new([Signal::Term, Signal::Int]).map_err(ShellError::Signals)
+}
+
+fn start_log(settings: &Settings, process: &'static str) {
+    let level = match settings.log_level {
+        LogLevel::Error => bay_obs::LogLevel::Error,
+        LogLevel::Warn => bay_obs::LogLevel::Warn,
+        LogLevel::Info => bay_obs::LogLevel::Info,
+        LogLevel::Debug => bay_obs::LogLevel::Debug,
+    };
+    // A process that already has a log keeps it.
+    let _ = init_log(level, process);
+}
--- /dev/null
+++ b/crates/obs/src/counters.rs
@@ -0,0 +1,50 @@
+use std::collections::BTreeMap;
+use std::net::{SocketAddr, UdpSocket};
+use std::sync::{Mutex, PoisonError};
+
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+
+/// The process's counters: sent to a StatsD address, if there is one, and kept for the admin page.
+#[derive(Debug)]
+pub struct Counters {
+    client: StatsdClient,
+    totals: Mutex<BTreeMap<String, u64>>,
+}
+
+impl Counters {
+    /// Counters whose names start with `dragonflybay.PROCESS`.
+    ///
+    /// # Errors
+    /// Returns an error if no socket can be opened for the address.
+    pub fn new(process: &str, address: Option<SocketAddr>) -> std::io::Result<Counters> {
+        let prefix = format!("dragonflybay.{process}");
+        let client = match address {
+            Some(address) => {
+                let socket = UdpSocket::bind(("0.0.0.0", 0))?;
+                let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+                StatsdClient::from_sink(&prefix, QueuingMetricSink::from(sink))
+            }
+            None => StatsdClient::from_sink(&prefix, NopMetricSink),
+        };
+        Ok(Counters { client, totals: Mutex::default() })
+    }
+
+    /// Adds to the counter with a name such as `refused.no-owner`.
+    pub fn add(&self, name: &str, count: u64) {
+        let mut totals = self.totals.lock().unwrap_or_else(PoisonError::into_inner);
+        match totals.get_mut(name) {
+            Some(total) => *total += count,
+            None => {
+                totals.insert(name.to_owned(), count);
+            }
+        }
+        drop(totals);
+        // A counter that cannot be sent is still in the totals.
+        let _ = self.client.count(name, count);
+    }
+
+    /// The counters since the start of the process.
+    pub fn totals(&self) -> BTreeMap<String, u64> {
+        self.totals.lock().unwrap_or_else(PoisonError::into_inner).clone()
+    }
+}
--- /dev/null
+++ b/crates/store/src/codec.rs
@@ -0,0 +1,98 @@
+use std::time::Duration;
+
+use bay_types::Revision;
+use http_types::{Method, Request, Url};
+
+use crate::{Expect, ObjectKey, StoreError, StoreRequest};
+
+const IF_MATCH: &str = "if-match";
+const IF_NONE_MATCH: &str = "if-none-match";
+
+/// The path and query of a call.
+pub fn request_path(request: &StoreRequest) -> String {
+    match request {
+        StoreRequest::Get { key } | StoreRequest::Put { key, .. } => format!("/objects/{key}"),
+        StoreRequest::Delete { key, .. } => format!("/objects/{key}"),
+        StoreRequest::List { prefix } => format!("/objects?prefix={prefix}"),
+        StoreRequest::Watch { prefix, since, wait } => {
+            format!("/watch?prefix={prefix}&since={}&wait_ms={}", since.0, wait.as_millis())
+        }
+        StoreRequest::Hosts => "/hosts".to_owned(),
+    }
+}
+
+/// Writes a call as an HTTP request.
+///
+/// # Errors
+/// Returns [`StoreError::Rejected`] if the address does not make a URL.
+pub fn encode_request(
+    address: std::net::SocketAddr,
+    request: StoreRequest,
+) -> Result<Request, StoreError> {
+    let text = format!("http://{address}{}", request_path(&request));
+    let url = Url::parse(&text).map_err(|_| StoreError::Rejected)?;
+    let method = match request {
+        StoreRequest::Put { .. } => Method::Put,
+        StoreRequest::Delete { .. } => Method::Delete,
+        _ => Method::Get,
+    };
+    let mut req = Request::new(method, url);
+    match request {
+        StoreRequest::Put { body, expect, .. } => {
+            set_expect(&mut req, expect);
+            req.set_body(body);
+        }
+        StoreRequest::Delete { expect, .. } => set_expect(&mut req, expect),
+        _ => {}
+    }
+    Ok(req)
+}
+
+/// Reads a call from an HTTP request and its body.
+///
+/// # Errors
+/// Returns [`StoreError::Rejected`] if the request is not a call of the object API.
+pub fn decode_request(req: &Request, body: String) -> Result<StoreRequest, StoreError> {
+    let url = req.url();
+    let query = |name: &str| {
+        let found = url.query_pairs().find(|(key, _)| key == name);
+        found.map(|(_, value)| value.into_owned())
+    };
+    let number = |name: &str| query(name).and_then(|text| text.parse::<u64>().ok());
+    let prefix = || query("prefix").ok_or(StoreError::Rejected);
+    if let Some(key) = url.path().strip_prefix("/objects/") {
+        let key = ObjectKey::new(key).ok_or(StoreError::Rejected)?;
+        return match req.method() {
+            Method::Get => Ok(StoreRequest::Get { key }),
+            Method::Put => Ok(StoreRequest::Put { key, body, expect: expect_of(req)? }),
+            Method::Delete => Ok(StoreRequest::Delete { key, expect: expect_of(req)? }),
+            _ => Err(StoreError::Rejected),
+        };
+    }
+    match (req.method(), url.path()) {
+        (Method::Get, "/objects") => Ok(StoreRequest::List { prefix: prefix()? }),
+        (Method::Get, "/watch") => Ok(StoreRequest::Watch {
+            prefix: prefix()?,
+            since: Revision(number("since").ok_or(StoreError::Rejected)?),
+            wait: Duration::from_millis(number("wait_ms").ok_or(StoreError::Rejected)?),
+        }),
+        (Method::Get, "/hosts") => Ok(StoreRequest::Hosts),
+        _ => Err(StoreError::Rejected),
+    }
+}
+
+fn set_expect(req: &mut Request, expect: Expect) {
+    match expect {
+        Expect::Absent => req.insert_header(IF_NONE_MATCH, "*"),
+        Expect::Revision(revision) => req.insert_header(IF_MATCH, revision.0.to_string()),
+    };
+}
+
+fn expect_of(req: &Request) -> Result<Expect, StoreError> {
+    if req.header(IF_NONE_MATCH).is_some() {
+        return Ok(Expect::Absent);
+    }
+    let value = req.header(IF_MATCH).ok_or(StoreError::Rejected)?;
+    let revision = value.as_str().parse().map_err(|_| StoreError::Rejected)?;
+    Ok(Expect::Revision(Revision(revision)))
+}
--- /dev/null
+++ b/crates/time/src/boot_clock.rs
@@ -0,0 +1,14 @@
+use rustix::time::{ClockId, clock_gettime};
+
+use crate::{Clock, Time};
+
+/// The clock of the machine, which goes on while the machine is suspended (`CLOCK_BOOTTIME`).
+#[derive(Debug, Clone, Copy)]
+pub struct BootClock;
+
+impl Clock for BootClock {
+    fn now(&self) -> Time {
+        let reading = clock_gettime(ClockId::Boottime);
+        Time::from_nanos(reading.tv_sec as u64 * 1_000_000_000 + reading.tv_nsec as u64)
+    }
+}
--- /dev/null
+++ b/crates/wire/src/lib.rs
@@ -0,0 +1,15 @@
+//! Messages between the system's processes and their framing.
+
+mod auth;
+mod frame;
+mod item;
+mod link;
+mod order;
+mod routes;
+
+pub use auth::{AuthError, ClusterKey, Opener, Sealer};
+pub use frame::{FRAME_HEAD_BYTES, FrameError, MAX_FRAME_BYTES, decode, encode, frame_len};
+pub use item::{Item, ItemKey, ItemVersion};
+pub use link::{Interest, LinkMessage, Role};
+pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
+pub use routes::{HotKey, RouteRow, Routes};
--- /dev/null
+++ b/crates/wire/src/link.rs
@@ -0,0 +1,44 @@
+use bay_types::NodeId;
+use serde::{Deserialize, Serialize};
+
+use crate::{Item, ItemKey, ItemVersion};
+
+/// A message on a TCP connection to a steward.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub enum LinkMessage {
+    /// Opens the connection and says what the sender already has.
+    Hello {
+        /// The sender's host.
+        node: NodeId,
+        /// The sender's role.
+        role: Role,
+        /// The items that the sender has.
+        have: Vec<Interest>,
+    },
+    /// Carries items to the receiver.
+    Items(Vec<Item>),
+    /// Says which versions the sender has in force.
+    InForce(Vec<Interest>),
+    /// Shows that the sender is there.
+    Heartbeat,
+}
+
+/// An item and the version of it that a node has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Interest {
+    /// The item.
+    pub key: ItemKey,
+    /// The version.
+    pub version: ItemVersion,
+}
+
+/// The role of a process.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub enum Role {
+    /// Takes callers' requests.
+    Gate,
+    /// Keeps membership, leases and configuration.
+    Steward,
+    /// An operator's tool.
+    Operator,
+}
