--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -1,4 +1,6 @@
-use bay_types::NodeId;
+use std::net::SocketAddr;
+
+use bay_types::{NodeId, ZoneName};
 use serde::{Deserialize, Serialize};
 
 use crate::{Item, ItemKey, ItemVersion};
@@ -17,12 +19,25 @@
     },
     /// Carries items to the receiver.
     Items(Vec<Item>),
+    /// Lists the gates that are up, for a gate.
+    Gates(Vec<GateAddress>),
     /// Says which versions the sender has in force.
     InForce(Vec<Interest>),
     /// Shows that the sender is there.
     Heartbeat,
 }
 
+/// Where a gate takes the datagrams of other gates.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct GateAddress {
+    /// The gate's host.
+    pub node: NodeId,
+    /// The host's zone.
+    pub zone: ZoneName,
+    /// The address.
+    pub address: SocketAddr,
+}
+
 /// An item and the version of it that a node has.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Interest {
