Give each gate a pool of targets behind a fixed interface

Cause: calls need a target, a slot and a way to give it back before the policy is settled. Change: Pool picks the least loaded target by what this gate alone has in flight, up to the slots of a target; a permit's drop returns its slot; retries and hedges draw on token buckets. Ruled out: a policy of its own in each caller, which could not be measured.

--- /dev/null
+++ b/crates/load/src/permit.rs
@@ -0,0 +1,53 @@
+use std::net::SocketAddr;
+use std::sync::mpsc::Sender;
+
+use crate::TargetId;
+
+/// Holds a slot of a target; dropping it gives the slot back.
+#[derive(Debug)]
+pub struct Permit {
+    target: TargetId,
+    address: SocketAddr,
+    fresh: bool,
+    release: Release,
+    releases: Sender<Release>,
+}
+
+/// A slot that its request no longer needs.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Release {
+    pub(crate) target: TargetId,
+}
+
+impl Permit {
+    pub(crate) fn new(
+        address: SocketAddr,
+        fresh: bool,
+        release: Release,
+        releases: Sender<Release>,
+    ) -> Permit {
+        Permit { target: release.target, address, fresh, release, releases }
+    }
+
+    /// The target.
+    pub fn target(&self) -> TargetId {
+        self.target
+    }
+
+    /// The target's address.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Whether a new connection is to be used, as the target's idle ones are under suspicion.
+    pub fn fresh(&self) -> bool {
+        self.fresh
+    }
+}
+
+impl Drop for Permit {
+    fn drop(&mut self) {
+        // The pool may be gone before its permits; there is nothing to give back then.
+        let _ = self.releases.send(self.release);
+    }
+}
--- /dev/null
+++ b/crates/load/tests/pool.rs
@@ -0,0 +1,53 @@
+//! The pool's choice among targets.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_load::{Pick, Pool, PoolConfig, TargetLimits, TargetSpec, Wish};
+use bay_time::Time;
+use bay_types::{ErrorKind, NodeId, ZoneName};
+
+fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).unwrap()
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], port))
+}
+
+fn pool(targets: u16) -> Pool {
+    let limits =
+        TargetLimits { slots: 4, connections: 50, cold_slots: 1, warmup: Duration::from_secs(10) };
+    let config = PoolConfig {
+        node: NodeId(1),
+        zone: zone("a"),
+        limits,
+        retry_budget: 0.1,
+        hedge_budget: 0.05,
+        seed: 1,
+    };
+    let specs: Vec<TargetSpec> = (1..=targets)
+        .map(|port| TargetSpec { address: address(port), zone: zone("a"), accepts: true })
+        .collect();
+    let mut pool = Pool::new(config, Time::ZERO);
+    pool.set_targets(Time::ZERO, &specs);
+    pool
+}
+
+#[test]
+fn a_dropped_permit_gives_its_slot_back() {
+    let mut pool = pool(1);
+    let wish = Wish::new(Time::from_millis(1_000));
+    let permits: Vec<Pick> = (0..4).map(|_| pool.pick(Time::ZERO, &wish)).collect();
+    assert!(permits.iter().all(|pick| matches!(pick, Pick::Go(_))));
+    assert!(matches!(pool.pick(Time::ZERO, &wish), Pick::Wait { .. }));
+    drop(permits);
+    assert!(matches!(pool.pick(Time::ZERO, &wish), Pick::Go(_)));
+}
+
+#[test]
+fn a_pool_without_targets_refuses_at_once() {
+    let mut pool = pool(0);
+    let pick = pool.pick(Time::ZERO, &Wish::new(Time::from_millis(1_000)));
+    assert!(matches!(pick, Pick::Refuse { kind: ErrorKind::NoTarget, .. }));
+}
