Lend targets' slots to gates by demand

Cause: nine gates with a limit each cannot keep a target's four slots. Change: each target has a home among the gates, by rendezvous hash within its zone; the home lends slots one by one for a term, renews them while they are in use and takes over those of an earlier home. With it: bearing after a cold start, slow targets left alone, a bounded queue with fair shares, spaced times to come back.

--- /dev/null
+++ b/crates/load/src/bearing.rs
@@ -0,0 +1,56 @@
+use bay_time::Time;
+
+use crate::TargetLimits;
+
+/// How many requests a target bears at once: few after a cold start, more as time passes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Bearing {
+    limits: TargetLimits,
+    cold_since: Option<Time>,
+}
+
+impl Bearing {
+    /// The bearing of a target that is taken to be in a cold start.
+    pub(crate) fn cold(limits: TargetLimits, now: Time) -> Bearing {
+        Bearing { limits, cold_since: Some(now) }
+    }
+
+    /// Takes the target to be in a cold start that began just now.
+    pub(crate) fn restart(&mut self, now: Time) {
+        self.cold_since = Some(now);
+    }
+
+    /// Takes another gate's word that the target bears this many requests at once.
+    pub(crate) fn vouch(&mut self, now: Time, bearing: u32) {
+        if bearing >= self.limits.slots {
+            self.cold_since = None;
+            return;
+        }
+        if bearing <= self.slots(now) {
+            return;
+        }
+        let steps = self.limits.slots - self.limits.cold_slots;
+        let done = bearing - self.limits.cold_slots;
+        let elapsed = self.limits.warmup * done / steps;
+        self.cold_since = Some(now - elapsed);
+    }
+
+    /// Whether the bearing rises as time passes.
+    pub(crate) fn rises(&self, now: Time) -> bool {
+        self.slots(now) < self.limits.slots
+    }
+
+    /// Requests that the target bears at once.
+    pub(crate) fn slots(&self, now: Time) -> u32 {
+        let Some(since) = self.cold_since else {
+            return self.limits.slots;
+        };
+        let elapsed = now.since(since);
+        if elapsed >= self.limits.warmup {
+            return self.limits.slots;
+        }
+        let part = elapsed.as_secs_f64() / self.limits.warmup.as_secs_f64();
+        let steps = f64::from(self.limits.slots - self.limits.cold_slots);
+        self.limits.cold_slots + (steps * part) as u32
+    }
+}
--- /dev/null
+++ b/crates/load/src/home.rs
@@ -0,0 +1,51 @@
+use std::net::SocketAddr;
+
+use bay_time::Time;
+use bay_types::{NodeId, ZoneName};
+use bay_wire::GateAddress;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Another gate, as a lender.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Home {
+    /// Whether it is in this gate's zone.
+    pub(crate) near: bool,
+    /// Slots that it has left to lend, as it last said, less those asked for since.
+    pub(crate) spare: u32,
+    /// Slots asked for and not yet lent.
+    pub(crate) asked: u32,
+    /// When what was asked counts as lost.
+    pub(crate) asked_until: Time,
+    /// When loans may next be renewed.
+    pub(crate) renew_at: Time,
+}
+
+impl Home {
+    /// Slots that a home is taken to have before it has said so.
+    const UNKNOWN_SPARE: u32 = 1;
+
+    pub(crate) fn new(near: bool) -> Home {
+        Home {
+            near,
+            spare: Home::UNKNOWN_SPARE,
+            asked: 0,
+            asked_until: Time::ZERO,
+            renew_at: Time::ZERO,
+        }
+    }
+
+    /// Slots asked for whose answer may still come.
+    pub(crate) fn outstanding(&self, now: Time) -> u32 {
+        if now < self.asked_until { self.asked } else { 0 }
+    }
+}
+
+/// The home of a target: the highest in rendezvous order (Thaler and Ravishankar 1998) among
+/// the gates in the target's zone, or among all if that zone has none.
+pub(crate) fn home_of(gates: &[GateAddress], target: SocketAddr, zone: ZoneName) -> Option<NodeId> {
+    let score = |gate: &&GateAddress| {
+        let hash = xxh3_64_with_seed(target.to_string().as_bytes(), gate.node.0);
+        (gate.zone == zone, hash, gate.node)
+    };
+    gates.iter().max_by_key(score).map(|gate| gate.node)
+}
--- /dev/null
+++ b/crates/load/src/latencies.rs
@@ -0,0 +1,74 @@
+use std::time::Duration;
+
+use bay_time::Time;
+use hdrhistogram::Histogram;
+
+use crate::ReportedLoad;
+
+/// The latencies of a service's answers over the last seconds.
+#[derive(Debug)]
+pub(crate) struct Latencies {
+    current: Histogram<u32>,
+    hedge_after: Option<Duration>,
+    slow_after: Option<Duration>,
+    refresh_at: Time,
+    clear_at: Time,
+}
+
+impl Latencies {
+    /// Largest latency told apart, in microseconds.
+    const MAX_MICROS: u64 = 60_000_000;
+    /// Answers needed before percentiles are used.
+    const MIN_ANSWERS: u64 = 50;
+    /// Time between two readings of the percentiles.
+    const REFRESH: Duration = Duration::from_millis(100);
+    /// Time after which old answers count for nothing.
+    const WINDOW: Duration = Duration::from_secs(10);
+    /// An attempt slower than this percentile is hedged.
+    const HEDGE_PERCENTILE: f64 = 95.0;
+    /// An attempt slower than this many times the hedge time shows a slow target.
+    const SLOW_FACTOR: u32 = 3;
+
+    /// No latencies yet.
+    pub(crate) fn new() -> Latencies {
+        let current = Histogram::new_with_bounds(1, Latencies::MAX_MICROS, 2);
+        Latencies {
+            current: current.expect("the bounds and the precision are constants that fit"),
+            hedge_after: None,
+            slow_after: None,
+            refresh_at: Time::ZERO,
+            clear_at: Time::ZERO,
+        }
+    }
+
+    /// Notes the latency of an answer.
+    pub(crate) fn record(&mut self, now: Time, latency: Duration) {
+        let micros = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
+        self.current.saturating_record(micros.max(1));
+        if now < self.refresh_at || self.current.len() < Latencies::MIN_ANSWERS {
+            return;
+        }
+        self.refresh_at = now + Latencies::REFRESH;
+        let micros = self.current.value_at_percentile(Latencies::HEDGE_PERCENTILE);
+        let hedge_after = Duration::from_micros(micros);
+        self.hedge_after = Some(hedge_after);
+        self.slow_after = Some(hedge_after * Latencies::SLOW_FACTOR);
+        if now >= self.clear_at {
+            self.current.reset();
+            self.clear_at = now + Latencies::WINDOW;
+        }
+    }
+
+    /// Time after which an attempt is hedged, once latencies are known.
+    pub(crate) fn hedge_after(&self) -> Option<Duration> {
+        self.hedge_after
+    }
+
+    /// Whether an attempt that took this long shows a slow target. A target's report that it is
+    /// full lowers the bar, but shows nothing by itself, as reports are late or wrong.
+    pub(crate) fn is_slow(&self, latency: Duration, reported: Option<ReportedLoad>) -> bool {
+        let full = reported.is_some_and(|load| load.in_flight >= load.slots);
+        let bar = if full { self.hedge_after.map(|after| after * 2) } else { self.slow_after };
+        bar.is_some_and(|bar| latency > bar)
+    }
+}
--- /dev/null
+++ b/crates/load/src/lending.rs
@@ -0,0 +1,209 @@
+use std::net::SocketAddr;
+
+use bay_time::Time;
+use bay_types::NodeId;
+use bay_wire::{Condition, LoadMessage, Loan, LoanId};
+use rand::RngExt;
+
+use crate::borrowing::{ASK_TIMEOUT, clamp_count};
+use crate::lender::{LOAN_TERM, Lent};
+use crate::{Pool, TargetId};
+
+/// Gates that a home lets wait for a slot.
+const MAX_ASKERS: usize = 256;
+
+/// Slots that a home keeps for requests that wait, when it lends ahead.
+const AHEAD_RESERVE: u32 = 1;
+
+/// A gate that waits for slots.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Asker {
+    gate: NodeId,
+    want: u32,
+    only: Option<SocketAddr>,
+    asked: u64,
+    since: Time,
+}
+
+impl Asker {
+    pub(crate) fn new(
+        now: Time,
+        gate: NodeId,
+        asked: u64,
+        want: u32,
+        only: Option<SocketAddr>,
+    ) -> Asker {
+        Asker { gate, want, only, asked, since: now }
+    }
+}
+
+impl Pool {
+    pub(crate) fn on_borrow(&mut self, now: Time, asker: Asker, ahead: bool) {
+        let reserve = if ahead { AHEAD_RESERVE } else { 0 };
+        let loans = self.grant(now, &asker, reserve);
+        let missing = asker.want - loans.len() as u32;
+        self.send_loans(now, &asker, loans);
+        if missing > 0 && !ahead && self.askers.len() < MAX_ASKERS {
+            self.askers.push_back(Asker { want: missing, ..asker });
+        }
+    }
+
+    /// Lends slots that have become free to the gates that wait, in the order of their wishes
+    /// and of the requests that wait at this gate.
+    pub(crate) fn serve_askers(&mut self, now: Time) {
+        self.askers.retain(|asker| now.since(asker.since) < ASK_TIMEOUT);
+        let own = self.queue.oldest();
+        for _ in 0..self.askers.len() {
+            let Some(asker) = self.askers.pop_front() else {
+                return;
+            };
+            if asker.only.is_none() && own.is_some_and(|own| own < asker.since) {
+                self.askers.push_back(asker);
+                continue;
+            }
+            let loans = self.grant(now, &asker, 0);
+            let missing = asker.want - loans.len() as u32;
+            if !loans.is_empty() {
+                self.send_loans(now, &asker, loans);
+            }
+            if missing > 0 {
+                self.askers.push_back(Asker { want: missing, ..asker });
+            }
+        }
+    }
+
+    fn send_loans(&mut self, now: Time, asker: &Asker, loans: Vec<Loan>) {
+        let spare = self.spare(now);
+        let asked = asker.asked;
+        self.send(asker.gate, LoadMessage::Lend { asked, loans, spare });
+    }
+
+    /// Lends what a gate wants, as far as there are free slots.
+    fn grant(&mut self, now: Time, asker: &Asker, reserve: u32) -> Vec<Loan> {
+        let mut loans = Vec::new();
+        if let Some(address) = asker.only {
+            if let Some(id) = self.by_address.get(&address).copied() {
+                self.lend_of(now, id, asker, &mut loans);
+            }
+            return loans;
+        }
+        let mut spare = u32::from(self.spare(now)).saturating_sub(reserve);
+        let count = self.homed.len();
+        let start = if count == 0 { 0 } else { self.rng.random_range(0..count) };
+        for place in 0..count {
+            let id = self.homed[(start + place) % count];
+            while spare > 0 && (loans.len() as u32) < asker.want {
+                if !self.targets[id].ready(now) || !self.lend_one(now, id, asker.gate, &mut loans) {
+                    break;
+                }
+                spare -= 1;
+            }
+        }
+        loans
+    }
+
+    fn lend_of(&mut self, now: Time, id: TargetId, asker: &Asker, loans: &mut Vec<Loan>) {
+        while (loans.len() as u32) < asker.want && self.lend_one(now, id, asker.gate, loans) {}
+    }
+
+    fn lend_one(&mut self, now: Time, id: TargetId, to: NodeId, loans: &mut Vec<Loan>) -> bool {
+        let target = &mut self.targets[id];
+        if target.free(now) == 0 {
+            return false;
+        }
+        let address = target.spec.address;
+        let Some(lender) = &mut target.lender else {
+            return false;
+        };
+        self.next_loan = self.next_loan.wrapping_add(1);
+        let number = LoanId(self.next_loan);
+        lender.lent.push(Lent { id: number, to, until: now + LOAN_TERM });
+        loans.push(Loan { id: number, target: address, bearing: lender.bearing.slots(now) });
+        self.ready.refresh(&mut self.targets, id, now);
+        true
+    }
+
+    /// Free slots of the targets that this gate is home to.
+    fn spare(&self, now: Time) -> u16 {
+        let homed = self.homed.iter().map(|id| &self.targets[*id]);
+        let ready = homed.filter(|target| target.ready(now));
+        clamp_count(ready.map(|target| target.free(now)).sum())
+    }
+
+    pub(crate) fn on_renew(&mut self, now: Time, from: NodeId, asked: u64, loans: &[Loan]) {
+        let mut renewed = Vec::new();
+        let mut refused = Vec::new();
+        for loan in loans {
+            let list = if self.renew(now, from, *loan) { &mut renewed } else { &mut refused };
+            list.push(loan.id);
+        }
+        let spare = self.spare(now);
+        self.send(from, LoadMessage::Renewed { asked, renewed, refused, spare });
+    }
+
+    fn renew(&mut self, now: Time, from: NodeId, loan: Loan) -> bool {
+        let Some(id) = self.by_address.get(&loan.target).copied() else {
+            return false;
+        };
+        let target = &mut self.targets[id];
+        let own = target.own_busy();
+        let renewed = match &mut target.lender {
+            Some(lender) => lender.renew(now, from, loan, own),
+            None => false,
+        };
+        self.ready.refresh(&mut self.targets, id, now);
+        renewed
+    }
+
+    pub(crate) fn on_return(&mut self, now: Time, from: NodeId, loans: &[Loan]) {
+        for loan in loans {
+            let Some(id) = self.by_address.get(&loan.target).copied() else {
+                continue;
+            };
+            if let Some(lender) = &mut self.targets[id].lender {
+                lender.give_back(from, loan.id);
+            }
+            self.ready.refresh(&mut self.targets, id, now);
+        }
+        self.serve_askers(now);
+    }
+
+    pub(crate) fn on_seen(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        address: SocketAddr,
+        condition: Condition,
+    ) {
+        let Some(id) = self.by_address.get(&address).copied() else {
+            return;
+        };
+        let Some(lender) = &mut self.targets[id].lender else {
+            return;
+        };
+        let acts = match condition {
+            Condition::Cold => {
+                lender.bearing.restart(now);
+                true
+            }
+            Condition::Slow => lender.report_slow(now, from),
+        };
+        if acts {
+            self.recall(id, Some(from));
+        }
+        self.ready.refresh(&mut self.targets, id, now);
+    }
+
+    /// Asks all borrowers of a target, but for one that knows, to give its slots back.
+    pub(crate) fn recall(&mut self, id: TargetId, but: Option<NodeId>) {
+        let target = &self.targets[id];
+        let address = target.spec.address;
+        let Some(lender) = &target.lender else { return };
+        let mut holders: Vec<NodeId> = lender.lent.iter().map(|lent| lent.to).collect();
+        holders.sort_unstable();
+        holders.dedup();
+        for holder in holders.into_iter().filter(|holder| Some(*holder) != but) {
+            self.send(holder, LoadMessage::Recall { target: address });
+        }
+    }
+}
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -1,16 +1,32 @@
 //! Limits, target choice and cold starts.
+//!
+//! Each target of a service has one home among the gates. The home lends the target's slots to
+//! gates by demand, for a short time, so that the limit holds over all gates.
 
+mod bearing;
+mod borrowing;
 mod budget;
 mod config;
+mod health;
+mod home;
+mod latencies;
+mod lender;
+mod lending;
+mod membership;
 mod observation;
 mod output;
 mod permit;
 mod pick;
 mod pool;
+mod queue;
+mod ready;
+mod return_times;
+mod sweep;
 mod target;
 mod wish;
 
 pub use config::{PoolConfig, TargetLimits};
+pub use lender::LOAN_TERM;
 pub use observation::{NotRun, Observation, ReportedLoad, Seen};
 pub use output::LoadOutput;
 pub use permit::Permit;
--- /dev/null
+++ b/crates/load/src/membership.rs
@@ -0,0 +1,142 @@
+use bay_time::Time;
+use bay_types::NodeId;
+use bay_wire::{GateAddress, LoanId};
+use rand::RngExt;
+
+use crate::home::{Home, home_of};
+use crate::lender::{DRIFT_MARGIN, LOAN_TERM, Lender};
+use crate::target::{HeldLoan, Target};
+use crate::{Pool, TargetId, TargetSpec};
+
+impl Pool {
+    /// Sets the targets in place of the earlier ones.
+    pub fn set_targets(&mut self, now: Time, specs: &[TargetSpec]) {
+        self.drain_releases(now);
+        self.remove_targets_not_in(now, specs);
+        for spec in specs {
+            match self.by_address.get(&spec.address) {
+                Some(id) => self.update_target(now, *id, *spec),
+                None => {
+                    let near = spec.zone == self.config.zone;
+                    let id = self.targets.insert(Target::new(*spec, near));
+                    self.by_address.insert(spec.address, id);
+                }
+            }
+        }
+        self.assign_homes(now);
+    }
+
+    /// Sets the gates that share the targets, this one among them.
+    pub fn set_gates(&mut self, now: Time, gates: &[GateAddress]) {
+        self.drain_releases(now);
+        let node = self.config.node;
+        let zone = self.config.zone;
+        self.gates = gates.to_vec();
+        let others = || gates.iter().filter(|gate| gate.node != node);
+        self.homes.retain(|home, _| others().any(|gate| gate.node == *home));
+        for gate in others() {
+            self.homes.entry(gate.node).or_insert_with(|| Home::new(gate.zone == zone));
+        }
+        self.assign_homes(now);
+    }
+
+    fn remove_targets_not_in(&mut self, now: Time, specs: &[TargetSpec]) {
+        let kept = |target: &Target| specs.iter().any(|s| s.address == target.spec.address);
+        let gone: Vec<TargetId> =
+            self.targets.iter().filter(|(_, t)| !kept(t)).map(|(id, _)| id).collect();
+        for id in gone {
+            self.targets[id].spec.accepts = false;
+            self.ready.refresh(&mut self.targets, id, now);
+            self.give_back_all(now, id);
+            if let Some(target) = self.targets.remove(id) {
+                self.by_address.remove(&target.spec.address);
+            }
+        }
+    }
+
+    fn update_target(&mut self, now: Time, id: TargetId, spec: TargetSpec) {
+        let target = &mut self.targets[id];
+        let returns = spec.accepts && !target.spec.accepts;
+        let leaves = !spec.accepts && target.spec.accepts;
+        target.spec.accepts = spec.accepts;
+        if let (true, Some(lender)) = (returns, &mut target.lender) {
+            lender.bearing.restart(now);
+        }
+        if leaves {
+            self.give_back_all(now, id);
+        }
+        self.ready.refresh(&mut self.targets, id, now);
+    }
+
+    /// Gives each target the home that it has among the gates that are up.
+    fn assign_homes(&mut self, now: Time) {
+        let ids: Vec<TargetId> = self.targets.keys().collect();
+        for id in ids {
+            let spec = self.targets[id].spec;
+            let home = home_of(&self.gates, spec.address, spec.zone).unwrap_or(self.config.node);
+            if self.targets[id].home != Some(home) {
+                self.move_home(now, id, home);
+            }
+            self.ready.refresh(&mut self.targets, id, now);
+        }
+        let node = self.config.node;
+        let open = self.targets.iter().filter(|(_, target)| target.spec.accepts);
+        let homes = open.map(|(id, target)| (id, target.home));
+        let (own, others): (Vec<_>, Vec<_>) = homes.partition(|(_, home)| *home == Some(node));
+        self.homed = own.into_iter().map(|(id, _)| id).collect();
+        self.lenders = others.into_iter().filter_map(|(_, home)| home).collect();
+        self.lenders.sort_unstable();
+        self.lenders.dedup();
+        self.arm(now);
+    }
+
+    fn move_home(&mut self, now: Time, id: TargetId, home: NodeId) {
+        let earlier = self.targets[id].home.replace(home);
+        if home == self.config.node {
+            self.become_home(now, id, earlier);
+        } else {
+            self.leave_home(now, id);
+            let target = &mut self.targets[id];
+            target.moved = !target.loans.is_empty();
+        }
+    }
+
+    /// Opens the account of a target, with the slots that this gate had borrowed of it.
+    fn become_home(&mut self, now: Time, id: TargetId, earlier: Option<NodeId>) {
+        let limits = self.config.limits;
+        let alone = earlier.is_none() && self.gates.len() <= 1;
+        let mut lender = match alone {
+            true => Lender::first(limits, now),
+            false => Lender::successor(limits, now),
+        };
+        let target = &mut self.targets[id];
+        for loan in target.loans.drain(..).filter(|loan| loan.until > now) {
+            lender.adopt_own(now, loan.bearing);
+        }
+        for busy in &mut target.busy {
+            busy.loan = None;
+        }
+        target.lender = Some(lender);
+    }
+
+    /// Closes the account of a target; the gate's own requests in flight become loans, for the
+    /// new home to take over.
+    fn leave_home(&mut self, now: Time, id: TargetId) {
+        let bearing = self.targets[id].bearing(now);
+        let target = &mut self.targets[id];
+        if target.lender.take().is_none() {
+            return;
+        }
+        for busy in &mut target.busy {
+            let number = LoanId(self.rng.random());
+            busy.loan = Some(number);
+            target.loans.push(HeldLoan {
+                id: number,
+                until: now + LOAN_TERM - DRIFT_MARGIN,
+                bearing,
+                idle_since: None,
+                recalled: false,
+            });
+        }
+    }
+}
--- a/crates/load/src/permit.rs
+++ b/crates/load/src/permit.rs
@@ -1,12 +1,13 @@
 use std::net::SocketAddr;
 use std::sync::mpsc::Sender;
 
+use bay_types::CustomerName;
+
 use crate::TargetId;
 
 /// Holds a slot of a target; dropping it gives the slot back.
 #[derive(Debug)]
 pub struct Permit {
-    target: TargetId,
     address: SocketAddr,
     fresh: bool,
     release: Release,
@@ -17,6 +18,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Release {
     pub(crate) target: TargetId,
+    pub(crate) number: u64,
+    pub(crate) customer: Option<CustomerName>,
 }
 
 impl Permit {
@@ -26,12 +29,12 @@
         release: Release,
         releases: Sender<Release>,
     ) -> Permit {
-        Permit { target: release.target, address, fresh, release, releases }
+        Permit { address, fresh, release, releases }
     }
 
     /// The target.
     pub fn target(&self) -> TargetId {
-        self.target
+        self.release.target
     }
 
     /// The target's address.
--- /dev/null
+++ b/crates/load/src/queue.rs
@@ -0,0 +1,160 @@
+use std::collections::{BTreeMap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::CustomerName;
+
+use crate::Ticket;
+
+/// The requests that wait for a slot at one gate, bounded in number and time.
+#[derive(Debug, Default)]
+pub(crate) struct Queue {
+    entries: BTreeMap<Ticket, Entry>,
+    next_ticket: u64,
+    in_flight: HashMap<CustomerName, u32>,
+}
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Entry {
+    pub(crate) customer: Option<CustomerName>,
+    pub(crate) only: Option<SocketAddr>,
+    pub(crate) since: Time,
+    pub(crate) called: bool,
+    pub(crate) displaced: bool,
+    asked_at: Time,
+}
+
+impl Queue {
+    /// Longest wait for a slot.
+    pub(crate) const MAX_WAIT: Duration = Duration::from_millis(200);
+    /// Time after which a request that does not ask again counts as gone.
+    const GONE_AFTER: Duration = Duration::from_millis(100);
+
+    pub(crate) fn len(&self) -> usize {
+        self.entries.len()
+    }
+
+    pub(crate) fn is_empty(&self) -> bool {
+        self.entries.is_empty()
+    }
+
+    pub(crate) fn get_mut(&mut self, ticket: Ticket) -> Option<&mut Entry> {
+        self.entries.get_mut(&ticket)
+    }
+
+    /// Notes that a request has asked again.
+    pub(crate) fn touch(&mut self, now: Time, ticket: Ticket) {
+        if let Some(entry) = self.entries.get_mut(&ticket) {
+            entry.asked_at = now;
+        }
+    }
+
+    pub(crate) fn push(
+        &mut self,
+        now: Time,
+        customer: Option<CustomerName>,
+        only: Option<SocketAddr>,
+    ) -> Ticket {
+        self.next_ticket += 1;
+        let ticket = Ticket(self.next_ticket);
+        let entry =
+            Entry { customer, only, since: now, called: false, displaced: false, asked_at: now };
+        self.entries.insert(ticket, entry);
+        ticket
+    }
+
+    pub(crate) fn remove(&mut self, ticket: Ticket) {
+        self.entries.remove(&ticket);
+    }
+
+    /// Drops the requests that are gone, and lets those called in vain be called again.
+    pub(crate) fn sweep(&mut self, now: Time) {
+        self.entries.retain(|_, entry| now.since(entry.asked_at) < Queue::GONE_AFTER);
+        for entry in self.entries.values_mut() {
+            entry.called = false;
+        }
+    }
+
+    /// Makes room for a customer's request in a full queue, at the cost of a customer that has
+    /// more requests waiting and in flight; says whether there is room.
+    pub(crate) fn make_room(&mut self, customer: Option<CustomerName>) -> bool {
+        let mut shares: BTreeMap<Option<CustomerName>, u32> = BTreeMap::new();
+        for entry in self.entries.values().filter(|entry| !entry.displaced) {
+            *shares.entry(entry.customer).or_insert_with(|| self.running(entry.customer)) += 1;
+        }
+        let own = shares.get(&customer).copied().unwrap_or_else(|| self.running(customer));
+        let Some((largest, share)) = shares.into_iter().max_by_key(|(_, share)| *share) else {
+            return false;
+        };
+        if share <= own + 1 {
+            return false;
+        }
+        let last = self
+            .entries
+            .values_mut()
+            .rev()
+            .find(|entry| entry.customer == largest && !entry.displaced);
+        if let Some(entry) = last {
+            entry.displaced = true;
+        }
+        true
+    }
+
+    /// The request to serve next: that of the customer with the fewest in flight, then the
+    /// oldest. A displaced request comes first, to be refused at once.
+    pub(crate) fn next<F>(&self, can_start: F) -> Option<Ticket>
+    where
+        F: Fn(&Entry) -> bool,
+    {
+        let waiting = self.entries.iter().filter(|(_, entry)| !entry.called);
+        waiting
+            .filter(|(_, entry)| entry.displaced || can_start(entry))
+            .min_by_key(|(ticket, entry)| {
+                (!entry.displaced, self.running(entry.customer), **ticket)
+            })
+            .map(|(ticket, _)| *ticket)
+    }
+
+    /// When the oldest request that any target may serve began to wait.
+    pub(crate) fn oldest(&self) -> Option<Time> {
+        self.entries.values().find(|entry| entry.only.is_none()).map(|entry| entry.since)
+    }
+
+    /// The requests that wait for one target, or for any.
+    pub(crate) fn waiting_for(&self, only: Option<SocketAddr>) -> u32 {
+        let waiting = self.entries.values();
+        waiting.filter(|entry| entry.only == only && !entry.displaced).count() as u32
+    }
+
+    /// The targets for which requests wait that no other may serve.
+    pub(crate) fn only_addresses(&self) -> Vec<SocketAddr> {
+        let mut addresses: Vec<_> = self.entries.values().filter_map(|entry| entry.only).collect();
+        addresses.sort_unstable();
+        addresses.dedup();
+        addresses
+    }
+
+    /// Counts a customer's request as in flight.
+    pub(crate) fn started(&mut self, customer: Option<CustomerName>) {
+        if let Some(customer) = customer {
+            *self.in_flight.entry(customer).or_default() += 1;
+        }
+    }
+
+    /// Counts a customer's request as ended.
+    pub(crate) fn ended(&mut self, customer: Option<CustomerName>) {
+        let Some(customer) = customer else { return };
+        if let Some(count) = self.in_flight.get_mut(&customer) {
+            *count -= 1;
+            if *count == 0 {
+                self.in_flight.remove(&customer);
+            }
+        }
+    }
+
+    fn running(&self, customer: Option<CustomerName>) -> u32 {
+        customer.and_then(|name| self.in_flight.get(&name).copied()).unwrap_or(0)
+    }
+}
--- a/crates/load/src/target.rs
+++ b/crates/load/src/target.rs
@@ -1,6 +1,11 @@
 use std::net::SocketAddr;
 
-use bay_types::ZoneName;
+use bay_time::Time;
+use bay_types::{NodeId, ZoneName};
+use bay_wire::LoanId;
+
+use crate::health::Health;
+use crate::lender::Lender;
 
 slotmap::new_key_type! {
     /// Identifies a target of a pool.
@@ -22,5 +27,109 @@
 #[derive(Debug)]
 pub(crate) struct Target {
     pub(crate) spec: TargetSpec,
-    pub(crate) in_flight: u32,
+    /// Whether it is in the gate's own zone.
+    pub(crate) near: bool,
+    /// The gate that lends its slots.
+    pub(crate) home: Option<NodeId>,
+    /// The account of its slots, if this gate is its home.
+    pub(crate) lender: Option<Lender>,
+    /// Slots that its home has lent to this gate.
+    pub(crate) loans: Vec<HeldLoan>,
+    /// The gate's requests in flight.
+    pub(crate) busy: Vec<Busy>,
+    pub(crate) health: Health,
+    /// Whether a connection to it has gone silent since it last answered.
+    pub(crate) silent: bool,
+    /// Whether its loans are still to be taken over by a new home.
+    pub(crate) moved: bool,
+    /// Slots asked for and not yet lent, for requests that only it may serve.
+    pub(crate) asked: u32,
+    /// When what was asked counts as lost.
+    pub(crate) asked_until: Time,
+    /// Its place in the list of targets with a free slot.
+    pub(crate) ready_at: Option<usize>,
+}
+
+/// A slot that another gate has lent to this one.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct HeldLoan {
+    pub(crate) id: LoanId,
+    /// When it runs out, on this gate's clock.
+    pub(crate) until: Time,
+    pub(crate) bearing: u32,
+    /// Since when no request uses it, or `None` while one does.
+    pub(crate) idle_since: Option<Time>,
+    /// Whether it goes back as soon as it is idle.
+    pub(crate) recalled: bool,
+}
+
+/// A request in flight.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Busy {
+    pub(crate) number: u64,
+    pub(crate) since: Time,
+    pub(crate) loan: Option<LoanId>,
+}
+
+impl HeldLoan {
+    /// Whether a request may start on it.
+    pub(crate) fn free(&self, now: Time) -> bool {
+        self.idle_since.is_some() && !self.recalled && now < self.until
+    }
+}
+
+impl Target {
+    pub(crate) fn new(spec: TargetSpec, near: bool) -> Target {
+        Target {
+            spec,
+            near,
+            home: None,
+            lender: None,
+            loans: Vec::new(),
+            busy: Vec::new(),
+            health: Health::default(),
+            silent: false,
+            moved: false,
+            asked: 0,
+            asked_until: Time::ZERO,
+            ready_at: None,
+        }
+    }
+
+    /// Requests in flight on the home's own slots.
+    pub(crate) fn own_busy(&self) -> u32 {
+        self.busy.iter().filter(|busy| busy.loan.is_none()).count() as u32
+    }
+
+    /// Slots on which a request may start now.
+    pub(crate) fn free(&self, now: Time) -> u32 {
+        if !self.spec.accepts {
+            return 0;
+        }
+        match &self.lender {
+            Some(lender) => lender.free(now, self.own_busy()),
+            None => self.loans.iter().filter(|loan| loan.free(now)).count() as u32,
+        }
+    }
+
+    /// Takes a free loan into use, or none if the gate is the target's home.
+    pub(crate) fn use_loan(&mut self, now: Time) -> Option<LoanId> {
+        let free = self.loans.iter_mut().filter(|loan| loan.free(now));
+        let loan = free.max_by_key(|loan| loan.idle_since)?;
+        loan.idle_since = None;
+        Some(loan.id)
+    }
+
+    /// Whether a request that any target may serve goes here.
+    pub(crate) fn ready(&self, now: Time) -> bool {
+        self.health.usable(now, self.busy.len()) && self.free(now) > 0
+    }
+
+    /// What the target bears, as far as this gate knows.
+    pub(crate) fn bearing(&self, now: Time) -> u32 {
+        match &self.lender {
+            Some(lender) => lender.bearing.slots(now),
+            None => self.loans.iter().map(|loan| loan.bearing).max().unwrap_or(0),
+        }
+    }
 }
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -13,7 +13,7 @@
 pub use frame::{FRAME_HEAD_BYTES, FrameError, MAX_FRAME_BYTES, decode, encode, frame_len};
 pub use item::{Item, ItemKey, ItemVersion};
 pub use link::{GateAddress, Interest, LinkMessage, Role};
-pub use load_message::LoadMessage;
+pub use load_message::{Condition, LoadMessage, Loan, LoanId};
 pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
 pub use peer_message::PeerMessage;
 pub use routes::{HotKey, RouteRow, Routes};
--- a/crates/wire/src/load_message.rs
+++ b/crates/wire/src/load_message.rs
@@ -1,5 +1,91 @@
+use std::net::SocketAddr;
+
 use serde::{Deserialize, Serialize};
 
-/// A message between gates about the load of a service's targets.
+/// A message between gates about the slots of a service's targets.
+///
+/// Each target has one home among the gates. The home lends the target's slots to gates for a
+/// short time. A time named `asked` is a reading of the borrower's clock; the home returns it
+/// unchanged, and the borrower counts a loan's term from it.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
-pub enum LoadMessage {}
+pub enum LoadMessage {
+    /// Asks a home for slots.
+    Borrow {
+        /// When the borrower asked, in nanoseconds on its clock.
+        asked: u64,
+        /// Slots wanted.
+        want: u16,
+        /// The only target that will do.
+        only: Option<SocketAddr>,
+        /// Whether no request waits for the slots yet, so that only spare ones are lent.
+        ahead: bool,
+    },
+    /// Lends slots to a borrower; it may hold fewer loans than wanted, or none.
+    Lend {
+        /// When the borrower asked.
+        asked: u64,
+        /// The loans, one a slot.
+        loans: Vec<Loan>,
+        /// Slots that the home has left to lend.
+        spare: u16,
+    },
+    /// Asks a home to renew loans, or to take over those of an earlier home.
+    Renew {
+        /// When the borrower asked, in nanoseconds on its clock.
+        asked: u64,
+        /// The loans that the borrower holds.
+        loans: Vec<Loan>,
+    },
+    /// Answers [`LoadMessage::Renew`].
+    Renewed {
+        /// When the borrower asked.
+        asked: u64,
+        /// The loans that run for another term.
+        renewed: Vec<LoanId>,
+        /// The loans that are not to be used again.
+        refused: Vec<LoanId>,
+        /// Slots that the home has left to lend.
+        spare: u16,
+    },
+    /// Gives loans back before they run out.
+    Return {
+        /// The loans.
+        loans: Vec<Loan>,
+    },
+    /// Asks a borrower to give back its loans of a target as soon as they are idle.
+    Recall {
+        /// The target.
+        target: SocketAddr,
+    },
+    /// Tells a target's home what a gate saw of it.
+    Seen {
+        /// The target.
+        target: SocketAddr,
+        /// What was seen.
+        condition: Condition,
+    },
+}
+
+/// The right to run one request at a time on a target, for a while.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Loan {
+    /// The loan's number.
+    pub id: LoanId,
+    /// The target.
+    pub target: SocketAddr,
+    /// Requests that the target bears at once, as its home last knew.
+    pub bearing: u32,
+}
+
+/// Numbers the loans of a home.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct LoanId(pub u32);
+
+/// What a gate saw of a target.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Condition {
+    /// It is in a cold start, by its own word, by shedding or by a lost connection.
+    Cold,
+    /// It answers much later than other targets.
+    Slow,
+}
