--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod mem_store;
 mod owner_server;
+pub mod queueing;
 mod store_server;
 mod target_server;
 
--- /dev/null
+++ b/crates/fakes/src/queueing.rs
@@ -0,0 +1,19 @@
+//! A queueing model of the two sites on virtual time, for comparing ways to share targets.
+
+mod central;
+mod forward;
+mod lending;
+mod network;
+mod policy;
+mod report;
+mod scenario;
+mod sim;
+mod simple;
+mod site;
+mod target;
+
+pub use policy::Policy;
+pub use report::Report;
+pub use scenario::{ColdStart, GateLoss, Scenario, Stragglers, ZoneOut};
+pub use sim::run;
+pub use site::Site;
--- /dev/null
+++ b/crates/fakes/src/queueing/site.rs
@@ -0,0 +1,79 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_types::ZoneName;
+
+/// A service of a site, with the gates in front of it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Site {
+    /// The name in tables.
+    pub name: &'static str,
+    /// Zones, over which gates and targets are spread evenly.
+    pub zones: usize,
+    /// One-way delay between hosts of different zones.
+    pub one_way: Duration,
+    /// Targets of the service.
+    pub targets: usize,
+    /// Connections that a target takes.
+    pub connections: u32,
+    /// Gates.
+    pub gates: usize,
+}
+
+impl Site {
+    /// Requests that a target runs at once.
+    pub const SLOTS: u32 = 4;
+    /// Requests that a target runs at once right after a cold start.
+    pub const COLD_SLOTS: u32 = 1;
+    /// Time from a cold start to full speed.
+    pub const WARMUP: Duration = Duration::from_secs(10);
+    /// One-way delay between hosts of one zone.
+    pub const NEAR: Duration = Duration::from_micros(250);
+    /// Gates of each site.
+    pub const GATES: usize = 9;
+
+    /// Swanline Tagaway's service of this many targets.
+    pub const fn swanline(name: &'static str, targets: usize) -> Site {
+        let one_way = Duration::from_millis(1);
+        Site { name, zones: 4, one_way, targets, connections: 110, gates: Site::GATES }
+    }
+
+    /// Puhas Kott's service of this many targets.
+    pub const fn puhas_kott(name: &'static str, targets: usize) -> Site {
+        let one_way = Duration::from_micros(1_500);
+        Site { name, zones: 3, one_way, targets, connections: 50, gates: Site::GATES }
+    }
+
+    /// The services of both sites.
+    pub const ALL: [Site; 6] = [
+        Site::swanline("swanline lookup", 17),
+        Site::swanline("swanline booking", 8),
+        Site::swanline("swanline photos", 8),
+        Site::puhas_kott("puhas-kott tracking", 14),
+        Site::puhas_kott("puhas-kott booking", 8),
+        Site::puhas_kott("puhas-kott photos", 6),
+    ];
+
+    /// The address of a target.
+    pub fn address(target: usize) -> SocketAddr {
+        SocketAddr::from(([10, 0, (target >> 8) as u8, target as u8], 80))
+    }
+
+    /// The name of a zone.
+    ///
+    /// # Panics
+    /// Never; every such name is valid.
+    pub fn zone(zone: usize) -> ZoneName {
+        ZoneName::new(&format!("zone-{zone}")).expect("a letter, a hyphen and digits are a name")
+    }
+
+    /// The zone of the gate or target with this number.
+    pub fn zone_of(&self, number: usize) -> usize {
+        number % self.zones
+    }
+
+    /// One-way delay between two zones.
+    pub fn delay(&self, from: usize, to: usize) -> Duration {
+        if from == to { Site::NEAR } else { self.one_way }
+    }
+}
--- a/crates/load/tests/pool.rs
+++ b/crates/load/tests/pool.rs
@@ -40,8 +40,13 @@
     let wish = Wish::new(Time::from_millis(1_000));
     let permits: Vec<Pick> = (0..4).map(|_| pool.pick(Time::ZERO, &wish)).collect();
     assert!(permits.iter().all(|pick| matches!(pick, Pick::Go(_))));
-    assert!(matches!(pool.pick(Time::ZERO, &wish), Pick::Wait { .. }));
+    let Pick::Wait { ticket, .. } = pool.pick(Time::ZERO, &wish) else {
+        panic!("a request was let through above the target's slots");
+    };
     drop(permits);
+    let again = Wish { ticket: Some(ticket), ..wish };
+    assert_eq!(pool.pop_ready(Time::ZERO), Some(ticket));
+    assert!(matches!(pool.pick(Time::ZERO, &again), Pick::Go(_)));
     assert!(matches!(pool.pick(Time::ZERO, &wish), Pick::Go(_)));
 }
 
