Add membership, spread of items and a store watch behind their interfaces

Cause: stewards neither know each other nor pass configuration on; each polls the store. Change: bay_member::Peers puts Membership (probes, suspicion, incarnations, after SWIM) and Spread (versioned items, differences, comparison by bucket hashes, a survey for operators) together on one datagram; bay_steward::StoreWatch lists and watches prefixes and drops what is older than known. Ruled out: spreading what each node has in force by rumor, whose cost grows with nodes times changes; nodes are asked once when an operator asks.

--- /dev/null
+++ b/crates/member/src/held_item.rs
@@ -0,0 +1,135 @@
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddr;
+
+use bay_types::SliceId;
+use bay_wire::{HotKey, Item, ItemKey, ItemVersion, RouteRow, Routes, decode, encode};
+
+/// Differences that are kept for receivers that lag a little.
+const KEPT_DIFFERENCES: usize = 16;
+
+/// One item at its highest version.
+#[derive(Debug)]
+pub(crate) struct HeldItem {
+    version: ItemVersion,
+    body: Body,
+    differences: VecDeque<Item>,
+}
+
+#[derive(Debug)]
+enum Body {
+    Plain(Vec<u8>),
+    Routes(RouteSet),
+}
+
+impl HeldItem {
+    /// Holds a whole item; `None` if it is a difference or does not decode.
+    pub(crate) fn new(item: &Item) -> Option<HeldItem> {
+        let whole = item.base.is_none();
+        let body = if whole { Body::read(item) } else { None };
+        Some(HeldItem { version: item.version, body: body?, differences: VecDeque::new() })
+    }
+
+    pub(crate) fn version(&self) -> ItemVersion {
+        self.version
+    }
+
+    /// Whether a difference can be applied to what is held.
+    ///
+    /// Versions under one major number have one maker, so a difference from an earlier one of
+    /// them holds all that has changed since.
+    pub(crate) fn builds_on(&self, base: ItemVersion) -> bool {
+        base == self.version || base.major == self.version.major && base < self.version
+    }
+
+    /// Applies a difference that builds on what is held; returns whether it decoded.
+    pub(crate) fn apply(&mut self, item: &Item) -> bool {
+        let Body::Routes(routes) = &mut self.body else {
+            return false;
+        };
+        let Ok(difference) = decode::<Routes>(&item.body) else {
+            return false;
+        };
+        routes.apply(&difference);
+        self.version = item.version;
+        self.differences.push_back(item.clone());
+        if self.differences.len() > KEPT_DIFFERENCES {
+            self.differences.pop_front();
+        }
+        true
+    }
+
+    /// The whole item.
+    pub(crate) fn whole(&self, key: ItemKey) -> Item {
+        let body = match &self.body {
+            Body::Plain(bytes) => bytes.clone(),
+            Body::Routes(routes) => encode(&routes.to_routes()).unwrap_or_default(),
+        };
+        Item { key, version: self.version, base: None, body }
+    }
+
+    /// What a receiver at a version lacks: differences if they are kept, else the whole.
+    pub(crate) fn since(&self, key: ItemKey, version: ItemVersion) -> Vec<Item> {
+        if version >= self.version {
+            return Vec::new();
+        }
+        match self.differences_since(version) {
+            Some(differences) => differences,
+            None => vec![self.whole(key)],
+        }
+    }
+
+    fn differences_since(&self, version: ItemVersion) -> Option<Vec<Item>> {
+        let start = self.differences.iter().position(|item| item.base == Some(version))?;
+        Some(self.differences.iter().skip(start).cloned().collect())
+    }
+}
+
+impl Body {
+    fn read(item: &Item) -> Option<Body> {
+        match item.key {
+            ItemKey::Routes(..) => {
+                let routes: Routes = decode(&item.body).ok()?;
+                let mut set = RouteSet::default();
+                set.apply(&routes);
+                Some(Body::Routes(set))
+            }
+            ItemKey::Document(_) | ItemKey::Zone(_) => Some(Body::Plain(item.body.clone())),
+        }
+    }
+}
+
+/// The rows of a map, by slice.
+#[derive(Debug, Default)]
+struct RouteSet {
+    servers: Vec<SocketAddr>,
+    rows: BTreeMap<SliceId, RouteRow>,
+    hot: BTreeMap<SliceId, HotKey>,
+}
+
+impl RouteSet {
+    fn apply(&mut self, routes: &Routes) {
+        let indexes: Vec<u16> = routes.servers.iter().map(|server| self.index(*server)).collect();
+        for row in &routes.rows {
+            let server = row.server.and_then(|index| indexes.get(usize::from(index)).copied());
+            self.rows.insert(row.slice, RouteRow { server, ..*row });
+        }
+        self.hot.extend(routes.hot.iter().map(|hot| (hot.slice, *hot)));
+    }
+
+    fn index(&mut self, server: SocketAddr) -> u16 {
+        let known = self.servers.iter().position(|other| *other == server);
+        let index = known.unwrap_or_else(|| {
+            self.servers.push(server);
+            self.servers.len() - 1
+        });
+        u16::try_from(index).unwrap_or(u16::MAX)
+    }
+
+    fn to_routes(&self) -> Routes {
+        Routes {
+            servers: self.servers.clone(),
+            rows: self.rows.values().copied().collect(),
+            hot: self.hot.values().copied().collect(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/membership.rs
@@ -0,0 +1,507 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_time::{Time, Timers};
+use bay_types::NodeId;
+use rand::rngs::SmallRng;
+use rand::seq::{IndexedRandom, SliceRandom};
+use rand::{RngExt, SeedableRng};
+
+use crate::buckets::{BUCKETS, Buckets};
+use crate::packet::{Outgoing, PacketKind};
+use crate::probe::{INDIRECT_PROBES, PERIOD, Prober};
+use crate::record::{Health, Record, Rumor, Standing};
+use crate::rumor_queue::{RumorQueue, transmissions};
+use crate::{Member, MemberConfig, PeerCounts, Seed};
+
+/// Suspicion time in periods for each decade of members.
+const SUSPICION_PERIODS: u32 = 4;
+/// Time between two attempts to reach nodes that are dead or were never heard.
+const RECONNECT: Duration = Duration::from_secs(1);
+/// Nodes contacted in one attempt while no member is known.
+const JOIN_CONTACTS: usize = 3;
+/// How long a dead node is remembered and contacted, so that regions that lost each other meet
+/// again.
+const DEAD_KEPT: Duration = Duration::from_secs(4 * 3_600);
+/// A tick that comes this much too late shows that this process was paused.
+const PAUSE: Duration = Duration::from_millis(700);
+/// Time between two comparisons of the whole membership.
+const COMPARE: Duration = Duration::from_secs(5);
+/// Time between two comparisons while they still bring members.
+const COMPARE_JOINING: Duration = Duration::from_millis(200);
+/// Most members that are remembered.
+const MAX_MEMBERS: usize = 8_192;
+/// Records in one datagram.
+const RECORDS_PER_PACKET: usize = 14;
+/// Datagrams that answer one comparison.
+const PACKETS_PER_COMPARISON: usize = 4;
+
+/// Which nodes are up, by probes and rumors (SWIM: Das, Gupta, Motivala 2002).
+///
+/// Each period a node probes one other, itself and then through others. A node that nobody reaches
+/// is suspected, and dead once it has not refuted the suspicion in time. The cost of a node does
+/// not grow with the number of nodes.
+#[derive(Debug)]
+pub struct Membership {
+    own: Record,
+    others: BTreeMap<NodeId, Record>,
+    died: BTreeMap<NodeId, Time>,
+    seeds: Vec<Seed>,
+    buckets: Buckets,
+    rumors: RumorQueue<NodeId>,
+    order: Vec<NodeId>,
+    prober: Prober,
+    suspicions: Timers<NodeId>,
+    next_reconnect: Time,
+    next_compare: Time,
+    due: Time,
+    rng: SmallRng,
+    changed: Vec<NodeId>,
+    pub(crate) counts: PeerCounts,
+}
+
+impl Membership {
+    /// The membership of a node that knows of no other.
+    pub fn new(config: MemberConfig, now: Time) -> Membership {
+        let standing =
+            Standing { incarnation: config.incarnation, revision: 0, health: Health::Alive };
+        let own = Record {
+            node: config.node,
+            zone: config.zone,
+            steward: config.steward,
+            gate: config.gate,
+            leaving: false,
+            standing,
+        };
+        let mut rng = SmallRng::seed_from_u64(config.seed);
+        // Nodes that start together do not probe together.
+        let first = now + PERIOD.mul_f64(rng.random_range(0.0..1.0));
+        let mut membership = Membership {
+            own,
+            others: BTreeMap::new(),
+            died: BTreeMap::new(),
+            seeds: Vec::new(),
+            buckets: Buckets::new(),
+            rumors: RumorQueue::new(),
+            order: Vec::new(),
+            prober: Prober::new(),
+            suspicions: Timers::new(),
+            next_reconnect: now,
+            next_compare: now,
+            due: first,
+            rng,
+            changed: Vec::new(),
+            counts: PeerCounts::default(),
+        };
+        membership.toggle(&own);
+        membership
+    }
+
+    /// Takes the platform's list of hosts; it only says whom to contact.
+    pub fn seed(&mut self, seeds: &[Seed]) {
+        self.seeds.clear();
+        let others = seeds.iter().filter(|seed| seed.node != self.own.node);
+        self.seeds.extend(others.copied().take(MAX_MEMBERS));
+    }
+
+    /// This node and every node that it knows of.
+    pub fn members(&self) -> impl Iterator<Item = Member> + '_ {
+        std::iter::once(&self.own).chain(self.others.values()).map(Member::of)
+    }
+
+    /// The node with this identifier.
+    pub fn member(&self, node: NodeId) -> Option<Member> {
+        self.record(node).map(Member::of)
+    }
+
+    /// Sets where the host's gate takes datagrams of other gates.
+    pub fn set_gate(&mut self, gate: Option<SocketAddr>) {
+        if self.own.gate != gate {
+            self.update_own(|own| own.gate = gate);
+        }
+    }
+
+    /// Tells the others that this node will stop.
+    pub fn leave(&mut self) {
+        if !self.own.leaving {
+            self.update_own(|own| own.leaving = true);
+        }
+    }
+
+    /// The time of the next tick.
+    pub fn next_deadline(&mut self) -> Time {
+        let mut next = self.due.min(self.next_reconnect);
+        if let Some(at) = self.prober.current.as_ref().and_then(|probe| probe.ask_others_at) {
+            next = next.min(at);
+        }
+        self.suspicions.next_deadline().map_or(next, |at| next.min(at))
+    }
+
+    /// Does what is due.
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        if now.since(self.next_deadline()) > PAUSE {
+            self.forgive(now);
+        }
+        self.ask_others(now, out);
+        if now >= self.due {
+            self.next_period(now, out);
+        }
+        while let Some(node) = self.suspicions.pop_due(now) {
+            self.bury(now, node);
+        }
+        if now >= self.next_reconnect {
+            self.next_reconnect = now + RECONNECT;
+            self.reconnect(now, out);
+        }
+    }
+
+    pub(crate) fn own(&self) -> &Record {
+        &self.own
+    }
+
+    pub(crate) fn summary(&self) -> u64 {
+        self.buckets.summary()
+    }
+
+    /// The members whose state has changed since the last call.
+    pub(crate) fn take_changed(&mut self) -> Vec<Member> {
+        let changed = std::mem::take(&mut self.changed);
+        changed.into_iter().filter_map(|node| self.member(node)).collect()
+    }
+
+    pub(crate) fn take_rumors(&mut self, budget: usize) -> Vec<Rumor> {
+        let limit = transmissions(self.others.len());
+        let (own, others) = (&self.own, &self.others);
+        let load = |node| {
+            let record = if node == own.node { Some(own) } else { others.get(&node) };
+            record.map(Record::rumor)
+        };
+        self.rumors.take(limit, budget, load)
+    }
+
+    /// Random nodes that are not dead.
+    pub(crate) fn sample(&mut self, count: usize) -> Vec<SocketAddr> {
+        let live: Vec<SocketAddr> =
+            self.others.values().filter(|record| !record.is_dead()).map(|r| r.steward).collect();
+        live.sample(&mut self.rng, count).copied().collect()
+    }
+
+    /// Takes the sender's record; returns whether its rumors are worth hearing.
+    pub(crate) fn on_sender(&mut self, now: Time, sender: &Record) -> bool {
+        if sender.node == self.own.node {
+            self.meet_self(sender.standing);
+            return false;
+        }
+        self.merge(now, Rumor::Record(*sender));
+        self.others.get(&sender.node).is_some_and(|record| !record.is_dead())
+    }
+
+    pub(crate) fn on_rumors(&mut self, now: Time, rumors: &[Rumor]) {
+        for rumor in rumors {
+            self.merge(now, *rumor);
+        }
+    }
+
+    /// Answers a comparison of the whole membership.
+    pub(crate) fn on_buckets(&mut self, from: SocketAddr, cells: &[u32], out: &mut Vec<Outgoing>) {
+        let start = self.rng.random_range(0..BUCKETS);
+        let differing = |record: &&Record| self.buckets.differs(Buckets::of(&record.node), cells);
+        let mut records: Vec<Record> = std::iter::once(&self.own)
+            .chain(self.others.values())
+            .filter(differing)
+            .copied()
+            .collect();
+        // A different bucket comes first each time, so that an answer cut short is completed.
+        records.sort_by_key(|record| (Buckets::of(&record.node) + start) % BUCKETS);
+        for chunk in records.chunks(RECORDS_PER_PACKET).take(PACKETS_PER_COMPARISON) {
+            out.push(Outgoing { to: from, kind: PacketKind::MemberRecords(chunk.to_vec()) });
+        }
+    }
+
+    pub(crate) fn on_records(&mut self, now: Time, records: &[Record]) {
+        let before = self.others.len();
+        for record in records {
+            self.merge(now, Rumor::Record(*record));
+        }
+        if self.others.len() > before {
+            self.next_compare = self.next_compare.min(now + COMPARE_JOINING);
+        }
+    }
+
+    /// Compares the membership with a peer whose hash differs, unless that was done lately.
+    pub(crate) fn on_summary(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        summary: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if summary == self.summary() || now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + COMPARE;
+        let kind = PacketKind::MemberBuckets(self.buckets.cells().to_vec());
+        out.push(Outgoing { to: from, kind });
+    }
+
+    pub(crate) fn on_ping(
+        &mut self,
+        from: SocketAddr,
+        sequence: u32,
+        known: Option<Standing>,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if let Some(standing) = known {
+            self.meet_self(standing);
+        }
+        out.push(Outgoing { to: from, kind: PacketKind::Ack { sequence, node: self.own.node } });
+    }
+
+    pub(crate) fn on_ack(&mut self, sequence: u32, node: NodeId, out: &mut Vec<Outgoing>) {
+        if let Some((to, sequence)) = self.prober.acknowledge(sequence) {
+            out.push(Outgoing { to, kind: PacketKind::Ack { sequence, node } });
+        }
+    }
+
+    pub(crate) fn on_ping_request(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        sequence: u32,
+        target: (NodeId, SocketAddr),
+        out: &mut Vec<Outgoing>,
+    ) {
+        let sequence = self.prober.relay(now, from, sequence);
+        let receiver = self.others.get(&target.0).map(|record| record.standing);
+        out.push(Outgoing { to: target.1, kind: PacketKind::Ping { sequence, receiver } });
+    }
+
+    fn record(&self, node: NodeId) -> Option<&Record> {
+        if node == self.own.node { Some(&self.own) } else { self.others.get(&node) }
+    }
+
+    fn ask_others(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        let Some(probe) = &mut self.prober.current else {
+            return;
+        };
+        if probe.ask_others_at.is_none_or(|at| now < at) {
+            return;
+        }
+        probe.ask_others_at = None;
+        if probe.acknowledged {
+            return;
+        }
+        let (target, sequence) = (probe.target, probe.sequence);
+        let Some(address) = self.others.get(&target).map(|record| record.steward) else {
+            return;
+        };
+        let helpers = self.sample(INDIRECT_PROBES + 1);
+        for to in helpers.into_iter().filter(|to| *to != address).take(INDIRECT_PROBES) {
+            let kind = PacketKind::PingRequest { sequence, target, address };
+            out.push(Outgoing { to, kind });
+        }
+    }
+
+    fn next_period(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        if let Some(target) = self.prober.finish() {
+            self.suspect(now, target);
+        }
+        self.due = now + PERIOD;
+        let Some(target) = self.next_target() else {
+            return;
+        };
+        let Some(record) = self.others.get(&target).copied() else {
+            return;
+        };
+        let sequence = self.prober.start(now, target);
+        if let Some(probe) = &self.prober.current {
+            self.due = probe.ends_at;
+        }
+        let kind = PacketKind::Ping { sequence, receiver: Some(record.standing) };
+        out.push(Outgoing { to: record.steward, kind });
+    }
+
+    /// The next node of a round in random order over all nodes that are not dead (SWIM,
+    /// section 4.3).
+    fn next_target(&mut self) -> Option<NodeId> {
+        loop {
+            if self.order.is_empty() {
+                let live = self.others.values().filter(|record| !record.is_dead());
+                self.order.extend(live.map(|record| record.node));
+                self.order.shuffle(&mut self.rng);
+            }
+            let node = self.order.pop()?;
+            if self.others.get(&node).is_some_and(|record| !record.is_dead()) {
+                return Some(node);
+            }
+        }
+    }
+
+    fn suspect(&mut self, now: Time, node: NodeId) {
+        let Some(record) = self.others.get(&node) else {
+            return;
+        };
+        if record.standing.health != Health::Alive {
+            return;
+        }
+        self.counts.suspected += 1;
+        let standing = record.standing.with(Health::Suspect);
+        self.merge(now, Rumor::Standing(node, standing));
+    }
+
+    fn bury(&mut self, now: Time, node: NodeId) {
+        let Some(record) = self.others.get(&node) else {
+            return;
+        };
+        if record.standing.health != Health::Suspect {
+            return;
+        }
+        self.counts.found_dead += 1;
+        let standing = record.standing.with(Health::Dead);
+        self.merge(now, Rumor::Standing(node, standing));
+    }
+
+    fn suspicion_time(&self) -> Duration {
+        let decades = ((self.others.len() + 1) as f64).log10().max(1.0);
+        let stretch = self.prober.stretch().min(2);
+        (PERIOD * SUSPICION_PERIODS * stretch).mul_f64(decades)
+    }
+
+    /// After a pause of this process, takes its missed answers as its own fault.
+    fn forgive(&mut self, now: Time) {
+        self.counts.paused += 1;
+        self.prober.current = None;
+        self.due = now;
+        let suspects: Vec<NodeId> = self
+            .others
+            .values()
+            .filter(|record| record.standing.health == Health::Suspect)
+            .map(|record| record.node)
+            .collect();
+        let until = now + self.suspicion_time();
+        for node in suspects {
+            self.suspicions.set(node, until);
+        }
+    }
+
+    /// Contacts nodes that are dead or were never heard, to heal a cut.
+    fn reconnect(&mut self, now: Time, out: &mut Vec<Outgoing>) {
+        self.forget_dead(now);
+        let lost = self.others.values().filter(|record| record.is_dead());
+        let mut contacts: Vec<(SocketAddr, Option<Standing>)> =
+            lost.map(|record| (record.steward, Some(record.standing))).collect();
+        let unheard = self.seeds.iter().filter(|seed| !self.others.contains_key(&seed.node));
+        contacts.extend(unheard.map(|seed| (seed.steward, None)));
+        let alone = self.others.values().all(Record::is_dead);
+        let count = if alone { JOIN_CONTACTS } else { 1 };
+        let chosen: Vec<_> = contacts.sample(&mut self.rng, count).copied().collect();
+        for (to, receiver) in chosen {
+            let sequence = self.prober.next_sequence();
+            out.push(Outgoing { to, kind: PacketKind::Ping { sequence, receiver } });
+        }
+    }
+
+    fn forget_dead(&mut self, now: Time) {
+        let old = |since: &Time| now.since(*since) > DEAD_KEPT;
+        let forgotten: Vec<NodeId> =
+            self.died.iter().filter(|(_, since)| old(since)).map(|(node, _)| *node).collect();
+        for node in forgotten {
+            self.died.remove(&node);
+            self.others.remove(&node);
+        }
+    }
+
+    /// Takes news of a node if it is newer than what is known.
+    fn merge(&mut self, now: Time, rumor: Rumor) {
+        let (node, standing) = match rumor {
+            Rumor::Record(record) => (record.node, record.standing),
+            Rumor::Standing(node, standing) => (node, standing),
+        };
+        if node == self.own.node {
+            self.meet_self(standing);
+            return;
+        }
+        let known = self.others.get(&node).copied();
+        if known.is_some_and(|known| known.standing >= standing) {
+            return;
+        }
+        let record = match (rumor, known) {
+            (Rumor::Record(record), _) => record,
+            (Rumor::Standing(..), Some(known)) => Record { standing, ..known },
+            (Rumor::Standing(..), None) => return,
+        };
+        if known.is_none() && self.others.len() >= MAX_MEMBERS {
+            return;
+        }
+        self.replace(now, known, record);
+    }
+
+    fn replace(&mut self, now: Time, known: Option<Record>, record: Record) {
+        let node = record.node;
+        if let Some(known) = known {
+            self.toggle(&known);
+        }
+        self.toggle(&record);
+        self.others.insert(node, record);
+        self.rumors.push(node);
+        match record.standing.health {
+            Health::Alive => self.suspicions.cancel(node),
+            Health::Suspect => {
+                let until = now + self.suspicion_time();
+                self.suspicions.set(node, until);
+            }
+            Health::Dead => self.suspicions.cancel(node),
+        }
+        match record.is_dead() {
+            true => self.died.insert(node, now),
+            false => self.died.remove(&node),
+        };
+        if known.map(|known| Member::of(&known)) != Some(Member::of(&record)) {
+            self.changed.push(node);
+        }
+        if known.is_none_or(|known| known.is_dead()) && !record.is_dead() {
+            let at = self.rng.random_range(0..=self.order.len());
+            self.order.insert(at, node);
+        }
+    }
+
+    /// Adds a record to the hashes or takes it out; dead nodes are forgotten at different times,
+    /// so that they do not count.
+    fn toggle(&mut self, record: &Record) {
+        let Standing { incarnation, revision, health } = record.standing;
+        if health != Health::Dead {
+            self.buckets.toggle(&record.node, &(incarnation, revision));
+        }
+    }
+
+    /// Hears what another thinks of this node, and refutes it if it is wrong.
+    fn meet_self(&mut self, standing: Standing) {
+        let own = self.own.standing;
+        if standing.incarnation > own.incarnation {
+            // Another start of this host was heard later; this start goes on above it.
+            self.counts.refuted += 1;
+            let above = standing.incarnation.0.saturating_add(1);
+            self.update_own(|own| own.standing.incarnation.0 = above);
+        } else if standing > own {
+            self.counts.refuted += 1;
+            self.update_own(|own| own.standing.revision = standing.revision);
+        }
+    }
+
+    fn update_own<F>(&mut self, change: F)
+    where
+        F: FnOnce(&mut Record),
+    {
+        let before = self.own;
+        self.toggle(&before);
+        change(&mut self.own);
+        self.own.standing.revision = self.own.standing.revision.saturating_add(1);
+        let after = self.own;
+        self.toggle(&after);
+        self.rumors.push(after.node);
+        if Member::of(&before) != Member::of(&after) {
+            self.changed.push(after.node);
+        }
+    }
+}
--- /dev/null
+++ b/crates/member/src/record.rs
@@ -0,0 +1,60 @@
+use std::net::SocketAddr;
+
+use bay_types::{Incarnation, NodeId, ZoneName};
+use serde::{Deserialize, Serialize};
+
+/// What is known of one node, as it spreads.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) struct Record {
+    pub(crate) node: NodeId,
+    pub(crate) zone: ZoneName,
+    pub(crate) steward: SocketAddr,
+    pub(crate) gate: Option<SocketAddr>,
+    pub(crate) leaving: bool,
+    pub(crate) standing: Standing,
+}
+
+/// How a node stands; a higher one replaces a lower one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) struct Standing {
+    pub(crate) incarnation: Incarnation,
+    /// Raised by the node itself to change its record or to refute a suspicion.
+    pub(crate) revision: u32,
+    pub(crate) health: Health,
+}
+
+/// What others think of a node's health.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
+pub(crate) enum Health {
+    Alive,
+    Suspect,
+    Dead,
+}
+
+/// News of a node.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub(crate) enum Rumor {
+    /// The node's whole record.
+    Record(Record),
+    /// The standing of a node whose record the receiver has.
+    Standing(NodeId, Standing),
+}
+
+impl Record {
+    pub(crate) fn rumor(&self) -> Rumor {
+        match self.standing.health {
+            Health::Alive => Rumor::Record(*self),
+            Health::Suspect | Health::Dead => Rumor::Standing(self.node, self.standing),
+        }
+    }
+
+    pub(crate) fn is_dead(&self) -> bool {
+        self.standing.health == Health::Dead
+    }
+}
+
+impl Standing {
+    pub(crate) fn with(self, health: Health) -> Standing {
+        Standing { health, ..self }
+    }
+}
--- /dev/null
+++ b/crates/member/src/spread.rs
@@ -0,0 +1,345 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_wire::{Interest, Item, ItemKey, ItemVersion, LinkMessage};
+
+use crate::buckets::Buckets;
+use crate::held_item::HeldItem;
+use crate::packet::{Outgoing, PacketKind};
+use crate::rumor_queue::{RumorQueue, transmissions};
+use crate::spread_links::{SpreadLinks, send_items};
+use crate::{LinkHandle, PeerCounts, PeersOutput};
+
+/// Time that a peer has to send an item before another one is asked.
+const FETCH_TIMEOUT: Duration = Duration::from_secs(2);
+/// Peers remembered as sources of one item.
+const MAX_SOURCES: usize = 4;
+/// Time between two comparisons of all versions.
+const COMPARE: Duration = Duration::from_secs(1);
+/// Versions in one datagram.
+const VERSIONS_PER_PACKET: usize = 16;
+/// Datagrams that answer one comparison.
+const PACKETS_PER_COMPARISON: usize = 4;
+/// Pause before news is sent on, in which it is gathered.
+const NEWS_PAUSE: Duration = Duration::from_millis(10);
+/// Shortest time between two rounds of news.
+const NEWS_SPACING: Duration = Duration::from_millis(250);
+/// Longest item that is sent in a datagram, in bytes.
+const SMALL_BODY: usize = 600;
+/// Bytes of items in one datagram.
+const ITEMS_PER_PACKET_BYTES: usize = 900;
+
+/// What an offered item came to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Offered {
+    /// The item is newer and now held.
+    Newer,
+    /// The item is not newer than what is held, and was dropped.
+    Stale,
+    /// The item is a difference from a version that is not held, and was dropped; the whole is
+    /// needed.
+    Gap,
+}
+
+/// The versioned items of a node; versions only go up.
+#[derive(Debug)]
+pub struct Spread {
+    items: BTreeMap<ItemKey, HeldItem>,
+    buckets: Buckets,
+    news: RumorQueue<ItemKey>,
+    fresh: Vec<Item>,
+    fetches: BTreeMap<ItemKey, Fetch>,
+    next_fetch: Option<Time>,
+    next_compare: Time,
+    news_due: Option<Time>,
+    last_news: Option<Time>,
+    pub(crate) links: SpreadLinks,
+    pub(crate) counts: PeerCounts,
+}
+
+/// An item that a peer was asked for.
+#[derive(Debug)]
+struct Fetch {
+    version: ItemVersion,
+    sources: Vec<SocketAddr>,
+    asked: Time,
+}
+
+impl Spread {
+    /// A spread without items.
+    pub fn new(now: Time) -> Spread {
+        Spread {
+            items: BTreeMap::new(),
+            buckets: Buckets::new(),
+            news: RumorQueue::new(),
+            fresh: Vec::new(),
+            fetches: BTreeMap::new(),
+            next_fetch: None,
+            next_compare: now,
+            news_due: None,
+            last_news: None,
+            links: SpreadLinks::new(),
+            counts: PeerCounts::default(),
+        }
+    }
+
+    /// Takes an item from any source, unless it is not newer than what is held.
+    pub fn offer(&mut self, item: &Item) -> Offered {
+        let offered = self.take(item);
+        match offered {
+            Offered::Newer => {}
+            Offered::Stale => self.counts.stale_items += 1,
+            Offered::Gap => self.counts.gaps += 1,
+        }
+        offered
+    }
+
+    /// An item, whole.
+    pub fn item(&self, key: ItemKey) -> Option<Item> {
+        self.items.get(&key).map(|held| held.whole(key))
+    }
+
+    /// The version of an item; the lowest one if it is not known.
+    pub fn version(&self, key: ItemKey) -> ItemVersion {
+        self.items.get(&key).map(HeldItem::version).unwrap_or_default()
+    }
+
+    /// The version of each item.
+    pub fn versions(&self) -> impl Iterator<Item = Interest> + '_ {
+        self.items.iter().map(|(key, held)| Interest { key: *key, version: held.version() })
+    }
+
+    /// The version of each item that is configuration.
+    pub(crate) fn configuration(&self) -> Vec<Interest> {
+        self.versions().filter(|have| have.key.is_configuration()).collect()
+    }
+
+    pub(crate) fn summary(&self) -> u64 {
+        self.buckets.summary()
+    }
+
+    /// The items that a receiver at these versions lacks.
+    pub(crate) fn since(&self, have: &[Interest]) -> Vec<Item> {
+        let lacking = |have: &Interest| {
+            let held = self.items.get(&have.key);
+            held.map(|held| held.since(have.key, have.version)).unwrap_or_default()
+        };
+        have.iter().flat_map(lacking).collect()
+    }
+
+    /// Takes items and tells the driver, the gates and, in time, the peers of what is new.
+    /// Returns the keys of which the whole is needed.
+    pub(crate) fn on_items(
+        &mut self,
+        now: Time,
+        items: Vec<Item>,
+        out: &mut Vec<PeersOutput>,
+    ) -> Vec<Interest> {
+        let mut gaps = Vec::new();
+        for item in items {
+            match self.offer(&item) {
+                Offered::Newer => self.publish(now, item, out),
+                Offered::Stale => {}
+                Offered::Gap => {
+                    gaps.push(Interest { key: item.key, version: ItemVersion::default() });
+                }
+            }
+        }
+        gaps
+    }
+
+    /// Hears which versions a peer has and asks it for what is newer.
+    pub(crate) fn on_news(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        news: &[Interest],
+        out: &mut Vec<PeersOutput>,
+    ) {
+        let mut wanted = Vec::new();
+        for theirs in news {
+            let version = self.version(theirs.key);
+            if theirs.version > version && self.fetch(now, from, *theirs) {
+                wanted.push(Interest { key: theirs.key, version });
+            }
+        }
+        self.ask(from, wanted, out);
+    }
+
+    /// Compares all versions with a peer whose hash differs, unless that was done lately.
+    pub(crate) fn on_summary(
+        &mut self,
+        now: Time,
+        from: SocketAddr,
+        summary: u64,
+        out: &mut Vec<Outgoing>,
+    ) {
+        if summary == self.summary() || now < self.next_compare {
+            return;
+        }
+        self.next_compare = now + COMPARE;
+        let kind = PacketKind::ItemBuckets(self.buckets.cells().to_vec());
+        out.push(Outgoing { to: from, kind });
+    }
+
+    /// Answers a comparison.
+    pub(crate) fn on_buckets(&self, from: SocketAddr, cells: &[u32], out: &mut Vec<Outgoing>) {
+        let differing = |have: &Interest| self.buckets.differs(Buckets::of(&have.key), cells);
+        let versions: Vec<Interest> = self.versions().filter(differing).collect();
+        for chunk in versions.chunks(VERSIONS_PER_PACKET).take(PACKETS_PER_COMPARISON) {
+            out.push(Outgoing { to: from, kind: PacketKind::ItemVersions(chunk.to_vec()) });
+        }
+    }
+
+    pub(crate) fn next_deadline(&self) -> Option<Time> {
+        [self.next_fetch, self.news_due].into_iter().flatten().min()
+    }
+
+    /// Asks other peers for what has not come.
+    pub(crate) fn tick(&mut self, now: Time, out: &mut Vec<PeersOutput>) {
+        if self.next_fetch.is_none_or(|at| now < at) {
+            return;
+        }
+        let late: Vec<ItemKey> = self
+            .fetches
+            .iter()
+            .filter(|(_, fetch)| now.since(fetch.asked) >= FETCH_TIMEOUT)
+            .map(|(key, _)| *key)
+            .collect();
+        for key in late {
+            self.ask_next(now, key, out);
+        }
+        self.set_next_fetch();
+    }
+
+    /// Takes the small items to send to a few peers at once, if a round of news is due.
+    pub(crate) fn take_round(&mut self, now: Time) -> Option<Vec<Item>> {
+        if self.news_due.is_none_or(|at| now < at) {
+            return None;
+        }
+        self.news_due = None;
+        self.last_news = Some(now);
+        let mut budget = ITEMS_PER_PACKET_BYTES;
+        let mut round = Vec::new();
+        for item in self.fresh.drain(..) {
+            if item.body.len() <= budget {
+                budget -= item.body.len();
+                round.push(item);
+            }
+        }
+        Some(round)
+    }
+
+    pub(crate) fn take_news(&mut self, members: usize, budget: usize) -> Vec<Interest> {
+        let items = &self.items;
+        let load = |key| items.get(&key).map(|held| Interest { key, version: held.version() });
+        self.news.take(transmissions(members), budget, load)
+    }
+
+    fn take(&mut self, item: &Item) -> Offered {
+        let held = self.items.get_mut(&item.key);
+        let before = held.as_ref().map(|held| held.version());
+        if before.is_some_and(|before| before >= item.version) {
+            return Offered::Stale;
+        }
+        let taken = match (item.base, held) {
+            (None, _) => {
+                HeldItem::new(item).map(|held| self.items.insert(item.key, held)).is_some()
+            }
+            (Some(base), Some(held)) => held.builds_on(base) && held.apply(item),
+            (Some(_), None) => false,
+        };
+        if !taken {
+            return Offered::Gap;
+        }
+        if let Some(before) = before {
+            self.buckets.toggle(&item.key, &before);
+        }
+        self.buckets.toggle(&item.key, &item.version);
+        Offered::Newer
+    }
+
+    fn publish(&mut self, now: Time, item: Item, out: &mut Vec<PeersOutput>) {
+        let key = item.key;
+        if self.fetches.get(&key).is_some_and(|fetch| fetch.version <= item.version) {
+            self.fetches.remove(&key);
+            self.set_next_fetch();
+        }
+        self.news.push(key);
+        let earliest = self.last_news.map_or(Time::ZERO, |last| last + NEWS_SPACING);
+        let due = earliest.max(now + NEWS_PAUSE);
+        self.news_due = Some(self.news_due.map_or(due, |at| at.min(due)));
+        let Some(held) = self.items.get(&key) else {
+            return;
+        };
+        self.links.push(key, held, out);
+        out.push(PeersOutput::ItemChanged(held.whole(key)));
+        if item.body.len() <= SMALL_BODY {
+            self.fresh.push(item);
+        }
+    }
+
+    /// Notes a source of an item; returns whether it has to be asked now.
+    fn fetch(&mut self, now: Time, from: SocketAddr, theirs: Interest) -> bool {
+        if let Some(fetch) = self.fetches.get_mut(&theirs.key) {
+            if !fetch.sources.contains(&from) && fetch.sources.len() < MAX_SOURCES {
+                fetch.sources.push(from);
+            }
+            fetch.version = fetch.version.max(theirs.version);
+            return false;
+        }
+        let fetch = Fetch { version: theirs.version, sources: vec![from], asked: now };
+        self.fetches.insert(theirs.key, fetch);
+        self.set_next_fetch();
+        true
+    }
+
+    fn ask_next(&mut self, now: Time, key: ItemKey, out: &mut Vec<PeersOutput>) {
+        let Some(fetch) = self.fetches.get_mut(&key) else {
+            return;
+        };
+        fetch.sources.remove(0);
+        fetch.asked = now;
+        let Some(source) = fetch.sources.first().copied() else {
+            // The next comparison finds another source.
+            self.fetches.remove(&key);
+            return;
+        };
+        let version = self.version(key);
+        self.ask(source, vec![Interest { key, version }], out);
+    }
+
+    fn ask(&mut self, to: SocketAddr, wanted: Vec<Interest>, out: &mut Vec<PeersOutput>) {
+        if wanted.is_empty() {
+            return;
+        }
+        self.counts.wanted += wanted.len() as u64;
+        out.push(PeersOutput::Steward { to, message: LinkMessage::Want(wanted) });
+    }
+
+    fn set_next_fetch(&mut self) {
+        let earliest = self.fetches.values().map(|fetch| fetch.asked).min();
+        self.next_fetch = earliest.map(|asked| asked + FETCH_TIMEOUT);
+    }
+
+    /// Sends a gate all that it lacks.
+    pub(crate) fn bring_up_to_date(&mut self, link: LinkHandle, out: &mut Vec<PeersOutput>) {
+        let mut items = Vec::new();
+        for (key, held) in &self.items {
+            items.extend(self.links.send(link, *key, held));
+        }
+        send_items(link, items, out);
+    }
+
+    /// Answers a message of a connection with what its sender lacks.
+    pub(crate) fn answer_want(
+        &self,
+        link: LinkHandle,
+        have: &[Interest],
+        out: &mut Vec<PeersOutput>,
+    ) {
+        send_items(link, self.since(have), out);
+    }
+}
--- a/crates/wire/src/item.rs
+++ b/crates/wire/src/item.rs
@@ -1,3 +1,5 @@
+use std::fmt;
+
 use bay_types::{ServiceName, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -35,3 +37,23 @@
     /// Counts the versions made under it.
     pub minor: u64,
 }
+
+impl ItemKey {
+    /// Whether the item is configuration, and not a map that the system makes itself.
+    pub fn is_configuration(self) -> bool {
+        match self {
+            ItemKey::Document(_) | ItemKey::Zone(_) => true,
+            ItemKey::Routes(..) => false,
+        }
+    }
+}
+
+impl fmt::Display for ItemKey {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            ItemKey::Document(service) => write!(f, "service/{service}"),
+            ItemKey::Zone(zone) => write!(f, "zone/{zone}"),
+            ItemKey::Routes(service, zone) => write!(f, "routes/{service}/{zone}"),
+        }
+    }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,12 +8,16 @@
 mod order;
 mod peer_message;
 mod routes;
+mod status;
 
 pub use auth::{AuthError, ClusterKey, Opener, Sealer};
 pub use frame::{FRAME_HEAD_BYTES, FrameError, MAX_FRAME_BYTES, decode, encode, frame_len};
 pub use item::{Item, ItemKey, ItemVersion};
-pub use link::{GateAddress, Interest, LinkMessage, Role};
+pub use link::{GateAddress, Interest, LinkMessage, NodeVersions, Role};
 pub use load_message::LoadMessage;
 pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
 pub use peer_message::PeerMessage;
 pub use routes::{HotKey, RouteRow, Routes};
+pub use status::{
+    ClusterStatus, ItemStatus, LaggingItem, LaggingProcess, MemberStatus, TermStatus,
+};
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -17,6 +17,9 @@
         /// The items that the sender has.
         have: Vec<Interest>,
     },
+    /// Asks for items; each version is the one that the sender has, or the lowest one if it has
+    /// none or needs the whole.
+    Want(Vec<Interest>),
     /// Carries items to the receiver.
     Items(Vec<Item>),
     /// Lists the gates that are up, for a gate.
@@ -48,7 +51,7 @@
 }
 
 /// The role of a process.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub enum Role {
     /// Takes callers' requests.
     Gate,
@@ -57,3 +60,14 @@
     /// An operator's tool.
     Operator,
 }
+
+/// The configuration that one process has in force.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct NodeVersions {
+    /// The process's host.
+    pub node: NodeId,
+    /// The process's role.
+    pub role: Role,
+    /// The versions, or `None` if they are those that were asked about.
+    pub versions: Option<Vec<Interest>>,
+}
