Prove membership on virtual time under loss, cuts, pauses, restarts and zone loss

Cause: membership had no tests. Change: a small driver of many nodes on virtual time and ten failures with seeds.

--- /dev/null
+++ b/crates/member/tests/driver/mod.rs
@@ -0,0 +1,439 @@
+//! Drives many [`Peers`] on virtual time over a network that loses, repeats, delays and cuts.
+
+#![allow(dead_code)]
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_member::{LinkHandle, MemberConfig, MemberState, Peers, PeersOutput, Seed};
+use bay_time::Time;
+use bay_types::{Incarnation, NodeId, ServiceName, ZoneName};
+use bay_wire::{Interest, Item, ItemKey, ItemVersion, LinkMessage, Role, encode};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+/// Bytes that the seal and the IP and UDP heads add to a datagram.
+const DATAGRAM_HEADS: u64 = 45 + 28;
+/// Bytes that the frame, its code and the IP and TCP heads, both ways, add to a link message.
+const LINK_HEADS: u64 = 20 + 120;
+/// Bytes of a new connection: TCP's own and the handshake.
+const LINK_OPEN: u64 = 600;
+/// Time after which an idle connection is closed.
+const LINK_IDLE: Duration = Duration::from_secs(30);
+/// Handle of the connection of a node's own gate.
+const GATE_LINK: LinkHandle = LinkHandle(u64::MAX);
+
+#[derive(Debug, PartialEq, Eq, PartialOrd, Ord)]
+enum Event {
+    Tick { node: usize, at: Time },
+    Datagram { from: usize, to: usize, payload: Vec<u8> },
+    Link { from: usize, to: usize, reply: bool, bytes: Vec<u8> },
+}
+
+/// What crossed the network.
+#[derive(Debug, Default, Clone, Copy)]
+pub struct Traffic {
+    pub messages: u64,
+    pub bytes: u64,
+}
+
+pub struct Node {
+    pub peers: Peers,
+    pub id: NodeId,
+    pub zone: ZoneName,
+    pub address: SocketAddr,
+    pub up: bool,
+    pub paused: bool,
+    pub traffic: Traffic,
+    /// Highest version that this start of the node has shown, for the check that none reverts.
+    seen: BTreeMap<ItemKey, ItemVersion>,
+    /// When each item last changed here.
+    pub changed: BTreeMap<ItemKey, Time>,
+    gate: BTreeMap<ItemKey, ItemVersion>,
+    gate_linked: bool,
+    held_back: Vec<Event>,
+    tick_at: Time,
+    incarnation: u64,
+    pub surveyed: bool,
+}
+
+pub struct Net {
+    pub now: Time,
+    pub nodes: Vec<Node>,
+    pub loss: f64,
+    pub duplicated: f64,
+    /// Whether a datagram from one node to another is cut off.
+    pub cut: Box<dyn Fn(&Node, &Node) -> bool>,
+    /// Nodes found dead while they were up, as seen by all nodes together.
+    pub false_deaths: u64,
+    queue: BinaryHeap<Reverse<(Time, u64, Event)>>,
+    order: u64,
+    rng: SmallRng,
+    opened: HashMap<(usize, usize), Time>,
+    by_address: HashMap<SocketAddr, usize>,
+}
+
+impl Net {
+    /// Nodes spread evenly over zones, of which each group of three makes a region.
+    pub fn new(count: usize, zones: usize, seed: u64) -> Net {
+        let mut net = Net {
+            now: Time::from_millis(1_000),
+            nodes: Vec::new(),
+            loss: 0.0,
+            duplicated: 0.0,
+            cut: Box::new(|_, _| false),
+            false_deaths: 0,
+            queue: BinaryHeap::new(),
+            order: 0,
+            rng: SmallRng::seed_from_u64(seed),
+            opened: HashMap::new(),
+            by_address: HashMap::new(),
+        };
+        for index in 0..count {
+            net.add(index, zones);
+        }
+        let seeds = net.seeds();
+        for node in &mut net.nodes {
+            node.peers.seed(&seeds);
+        }
+        net
+    }
+
+    fn add(&mut self, index: usize, zones: usize) {
+        let number = index as u64;
+        let id = NodeId(number.wrapping_mul(0x9e37_79b9_7f4a_7c15) | 1);
+        let zone = ZoneName::new(&format!("zone-{}", index % zones)).unwrap();
+        let octets = [10, 0, (index / 250) as u8, (index % 250) as u8 + 1];
+        let address = SocketAddr::from((octets, 7_000));
+        self.by_address.insert(address, index);
+        let peers = Peers::new(config(id, zone, address, 1, self.rng.random()), self.now);
+        self.nodes.push(Node {
+            peers,
+            id,
+            zone,
+            address,
+            up: true,
+            paused: false,
+            traffic: Traffic::default(),
+            seen: BTreeMap::new(),
+            changed: BTreeMap::new(),
+            gate: BTreeMap::new(),
+            gate_linked: false,
+            held_back: Vec::new(),
+            tick_at: Time::MAX,
+            incarnation: 1,
+            surveyed: false,
+        });
+        self.schedule(index);
+    }
+
+    pub fn seeds(&self) -> Vec<Seed> {
+        self.nodes.iter().map(|node| Seed { node: node.id, steward: node.address }).collect()
+    }
+
+    /// Ends a node without a word.
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].up = false;
+        self.nodes[index].gate_linked = false;
+        self.opened.retain(|(from, to), _| *from != index && *to != index);
+    }
+
+    /// Starts a node afresh; it has forgotten everything.
+    pub fn restart(&mut self, index: usize) {
+        self.kill(index);
+        let seeds = self.seeds();
+        let seed = self.rng.random();
+        let node = &mut self.nodes[index];
+        node.incarnation += 1;
+        let config = config(node.id, node.zone, node.address, node.incarnation, seed);
+        node.peers = Peers::new(config, self.now);
+        node.peers.seed(&seeds);
+        node.up = true;
+        node.paused = false;
+        node.seen.clear();
+        node.changed.clear();
+        node.gate.clear();
+        node.tick_at = Time::MAX;
+        self.schedule(index);
+    }
+
+    /// Stops a node's process; what is sent to it waits.
+    pub fn pause(&mut self, index: usize) {
+        self.nodes[index].paused = true;
+    }
+
+    /// Lets a paused process go on.
+    pub fn resume(&mut self, index: usize) {
+        self.nodes[index].paused = false;
+        for event in std::mem::take(&mut self.nodes[index].held_back) {
+            self.push(self.now, event);
+        }
+        self.nodes[index].tick_at = Time::MAX;
+        self.schedule(index);
+    }
+
+    /// Connects a gate to each node.
+    pub fn link_gates(&mut self) {
+        for index in 0..self.nodes.len() {
+            self.nodes[index].gate_linked = true;
+            let node = self.nodes[index].id;
+            let hello = LinkMessage::Hello { node, role: Role::Gate, have: Vec::new() };
+            self.handle(index, |peers, now, out| peers.on_link(now, GATE_LINK, hello, out));
+        }
+    }
+
+    /// Offers an item at a node, as if read from the store or made there.
+    pub fn offer(&mut self, index: usize, item: Item) {
+        self.handle(index, |peers, now, out| {
+            peers.offer(now, item, out);
+        });
+    }
+
+    pub fn survey(&mut self, index: usize) {
+        self.nodes[index].surveyed = false;
+        self.handle(index, |peers, now, out| peers.survey(now, out));
+    }
+
+    pub fn leave(&mut self, index: usize) {
+        self.handle(index, |peers, now, out| peers.leave(now, out));
+    }
+
+    /// Sends a datagram that some node sent before.
+    pub fn deliver(&mut self, from: usize, to: usize, payload: Vec<u8>) {
+        self.push(self.now, Event::Datagram { from, to, payload });
+    }
+
+    /// Lets virtual time pass.
+    pub fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while let Some(Reverse((at, ..))) = self.queue.peek() {
+            if *at > until {
+                break;
+            }
+            let Reverse((at, _, event)) = self.queue.pop().unwrap();
+            self.now = self.now.max(at);
+            self.dispatch(event);
+        }
+        self.now = until;
+    }
+
+    /// Lets virtual time pass until a condition holds; returns how long it took.
+    pub fn run_until<F>(&mut self, limit: Duration, holds: F) -> Option<Duration>
+    where
+        F: Fn(&Net) -> bool,
+    {
+        let start = self.now;
+        while !holds(self) {
+            if self.now.since(start) > limit {
+                return None;
+            }
+            self.run(Duration::from_millis(10));
+        }
+        Some(self.now.since(start))
+    }
+
+    /// Whether every node that is up has an item at a version.
+    pub fn everywhere(&self, key: ItemKey, version: ItemVersion) -> bool {
+        let mut up = self.nodes.iter().filter(|node| node.up && !node.paused);
+        up.all(|node| node.peers.spread().version(key) == version)
+    }
+
+    /// Whether every node that is up sees exactly those that are up as alive.
+    pub fn agreed(&self) -> bool {
+        let up: Vec<NodeId> =
+            self.nodes.iter().filter(|node| node.up && !node.paused).map(|node| node.id).collect();
+        let sees = |node: &Node| {
+            let alive = node.peers.membership().members();
+            let alive = alive.filter(|member| member.state == MemberState::Alive).count();
+            let all = up.iter().all(|other| {
+                let member = node.peers.membership().member(*other);
+                member.is_some_and(|member| member.state == MemberState::Alive)
+            });
+            all && alive == up.len()
+        };
+        self.nodes.iter().filter(|node| node.up && !node.paused).all(sees)
+    }
+
+    fn dispatch(&mut self, event: Event) {
+        let index = match &event {
+            Event::Tick { node, .. } => *node,
+            Event::Datagram { to, .. } | Event::Link { to, .. } => *to,
+        };
+        let node = &mut self.nodes[index];
+        if !node.up {
+            return;
+        }
+        if node.paused {
+            node.held_back.push(event);
+            return;
+        }
+        match event {
+            Event::Tick { at, .. } => {
+                if node.tick_at == at {
+                    node.tick_at = Time::MAX;
+                    self.handle(index, |peers, now, out| peers.tick(now, out));
+                }
+            }
+            Event::Datagram { from, payload, .. } => {
+                node.traffic.messages += 1;
+                node.traffic.bytes += payload.len() as u64 + DATAGRAM_HEADS;
+                let from = self.nodes[from].address;
+                self.handle(index, |peers, now, out| peers.on_datagram(now, from, &payload, out));
+            }
+            Event::Link { from, reply, bytes, .. } => {
+                node.traffic.messages += 1;
+                node.traffic.bytes += bytes.len() as u64 + LINK_HEADS;
+                let message = bay_wire::decode(&bytes).unwrap();
+                let link = link_handle(from, reply);
+                self.handle(index, |peers, now, out| peers.on_link(now, link, message, out));
+            }
+        }
+    }
+
+    fn handle<F>(&mut self, index: usize, input: F)
+    where
+        F: FnOnce(&mut Peers, Time, &mut Vec<PeersOutput>),
+    {
+        let mut out = Vec::new();
+        input(&mut self.nodes[index].peers, self.now, &mut out);
+        for output in out {
+            self.perform(index, output);
+        }
+        self.schedule(index);
+    }
+
+    fn perform(&mut self, index: usize, output: PeersOutput) {
+        match output {
+            PeersOutput::Datagram { to, payload } => self.send_datagram(index, to, payload),
+            PeersOutput::Steward { to, message } => {
+                let to = self.by_address[&to];
+                self.send_link(index, to, false, &message);
+            }
+            PeersOutput::Link { link: GATE_LINK, message } => self.at_gate(index, message),
+            PeersOutput::Link { link, message } => {
+                let (to, reply) = ((link.0 / 2) as usize, link.0 % 2 == 0);
+                self.send_link(index, to, reply, &message);
+            }
+            PeersOutput::MemberChanged(member) => {
+                let up = |node: &Node| node.id == member.node && node.up && !node.paused;
+                if member.state == MemberState::Dead && self.nodes.iter().any(up) {
+                    self.false_deaths += 1;
+                }
+            }
+            PeersOutput::ItemChanged(item) => {
+                let node = &mut self.nodes[index];
+                let before = node.seen.insert(item.key, item.version);
+                assert!(before < Some(item.version), "a version reverted at node {index}");
+                node.changed.insert(item.key, self.now);
+            }
+            PeersOutput::Surveyed => self.nodes[index].surveyed = true,
+        }
+    }
+
+    fn at_gate(&mut self, index: usize, message: LinkMessage) {
+        let LinkMessage::Items(items) = message else {
+            return;
+        };
+        if !self.nodes[index].gate_linked {
+            return;
+        }
+        let mut in_force = Vec::new();
+        for item in items {
+            let known = self.nodes[index].gate.entry(item.key).or_default();
+            assert!(*known < item.version, "a version reverted at the gate of node {index}");
+            assert!(item.base.is_none_or(|base| base == *known), "a gate was sent a gap");
+            *known = item.version;
+            in_force.push(Interest { key: item.key, version: item.version });
+        }
+        let message = LinkMessage::InForce(in_force);
+        self.handle(index, |peers, now, out| peers.on_link(now, GATE_LINK, message, out));
+    }
+
+    fn send_datagram(&mut self, from: usize, to: SocketAddr, payload: Vec<u8>) {
+        let node = &mut self.nodes[from];
+        node.traffic.messages += 1;
+        node.traffic.bytes += payload.len() as u64 + DATAGRAM_HEADS;
+        let Some(to) = self.by_address.get(&to).copied() else {
+            return;
+        };
+        if (self.cut)(&self.nodes[from], &self.nodes[to]) || self.rng.random_bool(self.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.duplicated) { 2 } else { 1 };
+        for _ in 0..copies {
+            let latency = self.latency(from, to).mul_f64(self.rng.random_range(1.0..1.5));
+            let payload = payload.clone();
+            self.push(self.now + latency, Event::Datagram { from, to, payload });
+        }
+    }
+
+    fn send_link(&mut self, from: usize, to: usize, reply: bool, message: &LinkMessage) {
+        let (a, b) = (&self.nodes[from], &self.nodes[to]);
+        if !b.up || (self.cut)(a, b) || (self.cut)(b, a) {
+            return;
+        }
+        let bytes = encode(message).unwrap();
+        let mut size = bytes.len() as u64 + LINK_HEADS;
+        let opened = self.opened.insert((from.min(to), from.max(to)), self.now);
+        if opened.is_none_or(|at| self.now.since(at) > LINK_IDLE) {
+            size += LINK_OPEN;
+        }
+        let traffic = &mut self.nodes[from].traffic;
+        traffic.messages += 1;
+        traffic.bytes += size;
+        let latency = self.latency(from, to) * 3;
+        self.push(self.now + latency, Event::Link { from, to, reply, bytes });
+    }
+
+    fn latency(&self, from: usize, to: usize) -> Duration {
+        let number = |index: usize| {
+            let zone = self.nodes[index].zone;
+            zone.as_str().trim_start_matches("zone-").parse::<usize>().unwrap()
+        };
+        let (a, b) = (number(from), number(to));
+        let micros = match (a == b, a / 3 == b / 3) {
+            (true, _) => 300,
+            (false, true) => 1_500,
+            (false, false) => 40_000,
+        };
+        Duration::from_micros(micros)
+    }
+
+    fn schedule(&mut self, index: usize) {
+        let at = self.nodes[index].peers.next_deadline().max(self.now);
+        if at < self.nodes[index].tick_at {
+            self.nodes[index].tick_at = at;
+            self.push(at, Event::Tick { node: index, at });
+        }
+    }
+
+    fn push(&mut self, at: Time, event: Event) {
+        self.order += 1;
+        self.queue.push(Reverse((at, self.order, event)));
+    }
+}
+
+/// The handle of the connection with a node; even if this node opened it.
+fn link_handle(other: usize, opened_here: bool) -> LinkHandle {
+    LinkHandle(other as u64 * 2 + u64::from(!opened_here))
+}
+
+fn config(
+    node: NodeId,
+    zone: ZoneName,
+    steward: SocketAddr,
+    incarnation: u64,
+    seed: u64,
+) -> MemberConfig {
+    let gate = Some(SocketAddr::new(steward.ip(), 7_001));
+    MemberConfig { node, zone, steward, gate, incarnation: Incarnation(incarnation), seed }
+}
+
+/// A service's document at a version.
+pub fn document(name: &str, major: u64, bytes: usize) -> Item {
+    let key = ItemKey::Document(ServiceName::new(name).unwrap());
+    let version = ItemVersion { major, minor: 0 };
+    Item { key, version, base: None, body: vec![b'x'; bytes] }
+}
--- /dev/null
+++ b/crates/member/tests/membership.rs
@@ -0,0 +1,148 @@
+//! Membership under loss, cuts, pauses and restarts.
+
+mod driver;
+
+use std::time::Duration;
+
+use bay_member::MemberState;
+use driver::Net;
+use test_case::test_case;
+
+fn secs(count: u64) -> Duration {
+    Duration::from_secs(count)
+}
+
+fn joined(count: usize, zones: usize, seed: u64) -> Net {
+    let mut net = Net::new(count, zones, seed);
+    assert!(net.run_until(secs(30), Net::agreed).is_some(), "the nodes did not find each other");
+    net
+}
+
+#[test_case(9, 3, 1)]
+#[test_case(40, 6, 2)]
+#[test_case(100, 8, 3)]
+fn nodes_find_each_other_from_the_host_list(count: usize, zones: usize, seed: u64) {
+    joined(count, zones, seed);
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn a_lost_node_is_found_dead_by_all(seed: u64) {
+    let mut net = joined(40, 6, seed);
+    net.kill(5);
+    assert!(net.run_until(secs(25), Net::agreed).is_some());
+    assert_eq!(net.false_deaths, 0);
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn five_percent_loss_finds_no_live_node_dead(seed: u64) {
+    let mut net = joined(40, 6, seed);
+    net.loss = 0.05;
+    net.duplicated = 0.05;
+    net.run(secs(600));
+    assert_eq!(net.false_deaths, 0);
+    net.loss = 0.0;
+    assert!(net.run_until(secs(30), Net::agreed).is_some());
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn a_one_way_cut_between_two_nodes_harms_neither(seed: u64) {
+    let mut net = joined(20, 4, seed);
+    let (a, b) = (net.nodes[3].id, net.nodes[8].id);
+    net.cut = Box::new(move |from, to| from.id == a && to.id == b);
+    net.run(secs(120));
+    assert_eq!(net.false_deaths, 0);
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn a_node_that_hears_nothing_does_not_bring_others_down(seed: u64) {
+    let mut net = joined(30, 6, seed);
+    let deaf = net.nodes[4].id;
+    net.cut = Box::new(move |_, to| to.id == deaf);
+    net.run(secs(90));
+    let others = net.nodes.iter().filter(|node| node.id != deaf);
+    for node in others {
+        for member in node.peers.membership().members() {
+            assert_eq!(member.state == MemberState::Dead, member.node == deaf, "{member:?}");
+        }
+    }
+    net.cut = Box::new(|_, _| false);
+    assert!(net.run_until(secs(60), Net::agreed).is_some());
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+#[test_case(3; "seed 3")]
+fn a_paused_node_returns_and_blames_nobody(seed: u64) {
+    let mut net = joined(30, 6, seed);
+    net.pause(7);
+    net.run(secs(60));
+    let id = net.nodes[7].id;
+    assert_eq!(net.nodes[0].peers.membership().member(id).unwrap().state, MemberState::Dead);
+    let before = net.false_deaths;
+    net.resume(7);
+    assert!(net.run_until(secs(60), Net::agreed).is_some());
+    net.run(secs(60));
+    assert_eq!(net.false_deaths, before);
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+fn a_restarted_node_is_known_by_its_higher_incarnation(seed: u64) {
+    let mut net = joined(30, 6, seed);
+    net.restart(7);
+    let id = net.nodes[7].id;
+    let renewed = net.run_until(secs(30), move |net| {
+        let incarnation =
+            |node: &driver::Node| node.peers.membership().member(id).map(|m| m.incarnation.0);
+        net.agreed() && net.nodes.iter().all(|node| incarnation(node) == Some(2))
+    });
+    assert!(renewed.is_some());
+    assert_eq!(net.false_deaths, 0);
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+fn regions_that_lost_each_other_for_an_hour_meet_again(seed: u64) {
+    let mut net = joined(24, 6, seed);
+    let first = |node: &driver::Node| node.zone.as_str() < "zone-3";
+    net.cut = Box::new(move |from, to| first(from) != first(to));
+    net.run(secs(3_600));
+    let alive = |node: &driver::Node| {
+        let members = node.peers.membership().members();
+        members.filter(|member| member.state == MemberState::Alive).count()
+    };
+    assert!(net.nodes.iter().all(|node| alive(node) == 12));
+    net.cut = Box::new(|_, _| false);
+    assert!(net.run_until(secs(60), Net::agreed).is_some());
+}
+
+#[test_case(1; "seed 1")]
+#[test_case(2; "seed 2")]
+fn the_loss_of_a_whole_zone_is_noticed_everywhere(seed: u64) {
+    let mut net = joined(80, 8, seed);
+    for index in (0..80).filter(|index| index % 8 == 2) {
+        net.kill(index);
+    }
+    assert!(net.run_until(secs(40), Net::agreed).is_some());
+    assert_eq!(net.false_deaths, 0);
+}
+
+#[test]
+fn a_leaving_node_is_known_as_leaving_within_seconds() {
+    let mut net = joined(40, 6, 1);
+    net.leave(9);
+    let id = net.nodes[9].id;
+    let known = net.run_until(secs(5), move |net| {
+        let state = |node: &driver::Node| node.peers.membership().member(id).map(|m| m.state);
+        net.nodes.iter().all(|node| state(node) == Some(MemberState::Leaving))
+    });
+    assert!(known.is_some());
+}
