Put the gate's decisions together: attempts, hedges, claims, quarantine, waits

Cause: the thin gate knew one attempt at a time, dropped routes that came before their document, held no deadline and no limits. Ruled out: a queue of the gate's own (the pool has one), polling for routes. Change: Call keeps the truth of not-run over all attempts; Claims, Quarantine, HotKeys and Tally are parts of their own; the gate places requests through bay_load::Pool, wakes those without an owner on new routes, and refuses beyond its limits.

--- a/crates/call/src/lib.rs
+++ b/crates/call/src/lib.rs
@@ -1,17 +1,29 @@
 //! Attempts, retries, hedges, outcomes and quarantine.
 
 mod action;
+mod attempt;
 mod call;
+mod claims;
 mod counter;
 mod event;
+mod fingerprint;
+mod hot_keys;
 mod load_report;
+mod quarantine;
 mod request_head;
+mod retry_reason;
 mod tally;
 
 pub use action::{Action, AttemptId, CallId};
-pub use call::{Call, Step};
+pub use attempt::{Attempt, AttemptEnd, EndedAttempt};
+pub use call::{Call, Decision, Step};
+pub use claims::{Claimant, Claims};
 pub use counter::{Count, CountName, Counter};
 pub use event::{AttemptFailure, Event, NotRunReason};
+pub use fingerprint::Fingerprint;
+pub use hot_keys::{HotKeyRate, HotKeys};
 pub use load_report::LoadReport;
+pub use quarantine::{LossVerdict, Quarantine, Standing};
 pub use request_head::RequestHead;
+pub use retry_reason::RetryReason;
 pub use tally::Tally;
--- /dev/null
+++ b/crates/call/src/quarantine.rs
@@ -0,0 +1,237 @@
+use std::collections::{HashMap, HashSet};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_time::Time;
+
+use crate::Fingerprint;
+
+/// Finds requests that crash the targets which run them, and refuses them.
+///
+/// A request whose connection its target closed is a suspect; it runs again only on a new
+/// connection, and beside no other suspect. If it is lost a second time it is banned. A request
+/// that ran to the end is no suspect, so those that merely ran beside a crashing one clear
+/// themselves.
+#[derive(Debug, Default)]
+pub struct Quarantine {
+    suspects: HashMap<Fingerprint, Suspect>,
+    banned: HashMap<Fingerprint, Time>,
+    explained: Vec<Crash>,
+    recent: Recent,
+}
+
+/// What is known of a request's fingerprint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Nothing.
+    Clear,
+    /// A target that ran it crashed.
+    Suspect,
+    /// Two targets that ran it crashed.
+    Banned {
+        /// When it may run again.
+        until: Time,
+    },
+}
+
+/// What a loss leads to.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LossVerdict {
+    /// Nothing new.
+    Known,
+    /// The fingerprint is under suspicion from now on.
+    Suspected,
+    /// The fingerprint is refused from now on.
+    Banned,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Suspect {
+    crash: Crash,
+    until: Time,
+}
+
+/// A target's crash, as one request showed it.
+#[derive(Debug, Clone, Copy)]
+struct Crash {
+    target: SocketAddr,
+    at: Time,
+}
+
+impl Quarantine {
+    /// Most suspects kept, and most banned fingerprints.
+    pub const MAX_ENTRIES: usize = 1_024;
+    /// How long a fingerprint stays under suspicion.
+    pub const SUSPICION: Duration = Duration::from_secs(600);
+    /// How long a fingerprint is refused.
+    pub const BAN: Duration = Duration::from_secs(300);
+    /// Losses at one target within this time show the same crash.
+    pub const CRASH_WINDOW: Duration = Duration::from_secs(1);
+    /// Crashes kept that a banned fingerprint explains.
+    const MAX_EXPLAINED: usize = 64;
+
+    /// What is known of a fingerprint.
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+        if let Some(until) = self.banned.get(&fingerprint).copied() {
+            return if now < until { Standing::Banned { until } } else { Standing::Suspect };
+        }
+        let suspect = self.suspects.get(&fingerprint);
+        if suspect.is_some_and(|suspect| now < suspect.until) {
+            return Standing::Suspect;
+        }
+        Standing::Clear
+    }
+
+    /// Takes note that a target closed the connection of a request that was started then.
+    pub fn lost(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        target: SocketAddr,
+        started: Time,
+    ) -> LossVerdict {
+        let crash = Crash { target, at: now };
+        match self.standing(now, fingerprint) {
+            Standing::Banned { .. } => {
+                self.explain(crash);
+                LossVerdict::Known
+            }
+            Standing::Clear if self.is_explained(crash) => LossVerdict::Known,
+            Standing::Clear => {
+                self.suspect(fingerprint, crash);
+                LossVerdict::Suspected
+            }
+            Standing::Suspect if self.same_crash(fingerprint, crash, started) => LossVerdict::Known,
+            Standing::Suspect => {
+                self.convict(now, fingerprint, crash);
+                LossVerdict::Banned
+            }
+        }
+    }
+
+    /// Takes note that a request ran to the end; returns whether it was a suspect.
+    pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
+        self.recent.insert(now, fingerprint);
+        !self.suspects.is_empty() && self.suspects.remove(&fingerprint).is_some()
+    }
+
+    /// Takes another gate's word that a fingerprint is under suspicion.
+    pub fn hear_suspected(&mut self, now: Time, fingerprint: Fingerprint, target: SocketAddr) {
+        if self.standing(now, fingerprint) == Standing::Clear {
+            self.suspect(fingerprint, Crash { target, at: now });
+        }
+    }
+
+    /// Takes another gate's word that a fingerprint is refused.
+    pub fn hear_banned(&mut self, now: Time, fingerprint: Fingerprint, span: Duration) {
+        let until = now + span.min(Quarantine::BAN);
+        self.suspects.remove(&fingerprint);
+        self.ban(fingerprint, until);
+    }
+
+    /// Places a suspect among those of its service, so that gates which know the same suspects
+    /// send each to another target.
+    pub fn rank(&self, fingerprint: Fingerprint) -> usize {
+        let before = |other: &&Fingerprint| {
+            other.service == fingerprint.service && other.digest < fingerprint.digest
+        };
+        self.suspects.keys().filter(before).count()
+    }
+
+    /// How many fingerprints are kept.
+    pub fn len(&self) -> usize {
+        self.suspects.len() + self.banned.len()
+    }
+
+    /// Whether no fingerprint is kept.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+
+    fn suspect(&mut self, fingerprint: Fingerprint, crash: Crash) {
+        if self.suspects.len() >= Quarantine::MAX_ENTRIES {
+            let oldest = self.suspects.iter().min_by_key(|(key, suspect)| (suspect.until, **key));
+            if let Some(key) = oldest.map(|(key, _)| *key) {
+                self.suspects.remove(&key);
+            }
+        }
+        let until = crash.at + Quarantine::SUSPICION;
+        self.suspects.insert(fingerprint, Suspect { crash, until });
+    }
+
+    fn convict(&mut self, now: Time, fingerprint: Fingerprint, crash: Crash) {
+        if let Some(first) = self.suspects.remove(&fingerprint) {
+            self.explain(first.crash);
+        }
+        self.explain(crash);
+        self.ban(fingerprint, now + Quarantine::BAN);
+    }
+
+    fn ban(&mut self, fingerprint: Fingerprint, until: Time) {
+        if self.banned.len() >= Quarantine::MAX_ENTRIES && !self.banned.contains_key(&fingerprint) {
+            let oldest = self.banned.iter().min_by_key(|(key, until)| (**until, **key));
+            if let Some(key) = oldest.map(|(key, _)| *key) {
+                self.banned.remove(&key);
+            }
+        }
+        self.banned.insert(fingerprint, until);
+    }
+
+    /// Drops the suspects that were lost in a crash for which a fingerprint was banned.
+    fn explain(&mut self, crash: Crash) {
+        self.suspects.retain(|_, suspect| !same(suspect.crash, crash));
+        if self.explained.len() >= Quarantine::MAX_EXPLAINED {
+            self.explained.remove(0);
+        }
+        self.explained.push(crash);
+    }
+
+    fn is_explained(&self, crash: Crash) -> bool {
+        self.explained.iter().any(|other| same(*other, crash))
+    }
+
+    /// Whether a suspect's loss adds nothing to the crash that brought it under suspicion.
+    ///
+    /// A copy that was under way before is lost once more without a new crash at the same target;
+    /// at another target it says nothing if copies ran to the end a moment ago, as those of a
+    /// frequent request do.
+    fn same_crash(&self, fingerprint: Fingerprint, crash: Crash, started: Time) -> bool {
+        let Some(suspect) = self.suspects.get(&fingerprint) else {
+            return false;
+        };
+        let before = started <= suspect.crash.at;
+        before && (same(suspect.crash, crash) || self.recent.contains(fingerprint))
+    }
+}
+
+/// The fingerprints that ran to the end a moment ago, in two generations.
+#[derive(Debug, Default)]
+struct Recent {
+    young: HashSet<Fingerprint>,
+    old: HashSet<Fingerprint>,
+    since: Time,
+}
+
+impl Recent {
+    /// Most fingerprints of a generation.
+    const MAX_ENTRIES: usize = 4_096;
+    /// How long a generation is young.
+    const SPAN: Duration = Duration::from_secs(10);
+
+    fn insert(&mut self, now: Time, fingerprint: Fingerprint) {
+        if now.since(self.since) >= Recent::SPAN || self.young.len() >= Recent::MAX_ENTRIES {
+            self.old = std::mem::take(&mut self.young);
+            self.since = now;
+        }
+        self.young.insert(fingerprint);
+    }
+
+    fn contains(&self, fingerprint: Fingerprint) -> bool {
+        self.young.contains(&fingerprint) || self.old.contains(&fingerprint)
+    }
+}
+
+fn same(a: Crash, b: Crash) -> bool {
+    let apart = a.at.since(b.at).max(b.at.since(a.at));
+    a.target == b.target && apart < Quarantine::CRASH_WINDOW
+}
--- /dev/null
+++ b/crates/gate/src/bounds.rs
@@ -0,0 +1,19 @@
+use std::time::Duration;
+
+/// Most attempts of a request.
+pub(crate) const MAX_ATTEMPTS: u32 = 8;
+/// Longest time that a request waits for its key's next owner.
+pub(crate) const OWNER_WAIT: Duration = Duration::from_millis(300);
+/// Pause before a key's owner gets a request again that it did not take.
+pub(crate) const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// Least time that a request stays in a pool's queue before it asks again by itself.
+pub(crate) const QUEUE_PAUSE: Duration = Duration::from_millis(1);
+/// Time that owners which leave or whose zone is out still get their keys' requests, while the
+/// keys move.
+pub(crate) const MOVE_GRACE: Duration = Duration::from_secs(3);
+/// Time before a claim that was not answered is sent again.
+pub(crate) const CLAIM_RESEND: Duration = Duration::from_millis(10);
+/// Longest time that a request waits for the answers to its claim.
+pub(crate) const CLAIM_WAIT: Duration = Duration::from_millis(30);
+/// Longest time after which the sender of a copy is told to come back.
+pub(crate) const COPY_RETRY: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/gate/src/claiming.rs
@@ -0,0 +1,185 @@
+use std::time::Duration;
+
+use bay_call::{Action, CallId, Claimant, Claims, Counter};
+use bay_time::Time;
+use bay_types::{ErrorKind, NodeId};
+use bay_wire::{ClaimVerdict, PeerMessage};
+
+use crate::Gate;
+use crate::bounds::{CLAIM_RESEND, CLAIM_WAIT, COPY_RETRY};
+use crate::gate::key_of;
+use crate::pending::{ClaimState, Phase};
+
+impl Gate {
+    /// Asks for the sole right to run a request with an idempotency key.
+    pub(crate) fn claim(&mut self, now: Time, id: CallId, digest: u64, out: &mut Vec<Action>) {
+        let hold = self.calls[key_of(id)].call.deadline().since(now);
+        let by = self.claimant(id);
+        match self.claims.claim(now, digest, by, hold) {
+            ClaimVerdict::Granted => self.claim_at_homes(now, id, digest, out),
+            ClaimVerdict::Held { for_ms } => self.refuse_copy(now, id, for_ms, out),
+        }
+    }
+
+    fn claim_at_homes(&mut self, now: Time, id: CallId, digest: u64, out: &mut Vec<Action>) {
+        let mut open = [None; Claims::HOMES];
+        let mut granted = 0;
+        for (index, home) in self.homes(digest).into_iter().enumerate() {
+            if home == self.config.node {
+                granted += 1;
+            } else {
+                open[index] = Some(home);
+            }
+        }
+        if open.iter().all(Option::is_none) {
+            self.set_phase(id, Phase::Placing);
+            return self.place(now, id, out);
+        }
+        let resend_at = Some(now + CLAIM_RESEND);
+        let claim = ClaimState { open, granted, resend_at, until: now + CLAIM_WAIT };
+        self.send_claim(now, id, digest, open, out);
+        self.wait(now, id, Phase::Claiming(claim), out);
+    }
+
+    /// Sends a claim again, or goes on without the homes that did not answer.
+    pub(crate) fn claim_due(
+        &mut self,
+        now: Time,
+        id: CallId,
+        mut claim: ClaimState,
+        out: &mut Vec<Action>,
+    ) {
+        if now >= claim.until {
+            return self.claim_settled(now, id, claim, out);
+        }
+        claim.resend_at = None;
+        self.set_phase(id, Phase::Claiming(claim));
+        if let Some(digest) = self.calls[key_of(id)].claim {
+            self.send_claim(now, id, digest, claim.open, out);
+        }
+    }
+
+    /// Takes another gate's answer to a claim.
+    pub(crate) fn claim_answered(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        id: CallId,
+        digest: u64,
+        verdict: ClaimVerdict,
+        out: &mut Vec<Action>,
+    ) {
+        let Some(pending) = self.calls.get(key_of(id)).filter(|call| call.claim == Some(digest))
+        else {
+            return;
+        };
+        if let ClaimVerdict::Held { for_ms } = verdict {
+            // An answer after the wait still counts as long as nothing was sent.
+            if !pending.call.may_have_run() {
+                self.refuse_copy(now, id, for_ms, out);
+            }
+            return;
+        }
+        let Phase::Claiming(mut claim) = pending.phase else {
+            return;
+        };
+        let Some(home) = claim.open.iter_mut().find(|home| **home == Some(from)) else {
+            return;
+        };
+        *home = None;
+        claim.granted += 1;
+        self.set_phase(id, Phase::Claiming(claim));
+        if claim.open.iter().all(Option::is_none) {
+            self.claim_settled(now, id, claim, out);
+        }
+    }
+
+    /// Claims again what is in flight, after the gates have changed.
+    pub(crate) fn reclaim(&mut self, now: Time, out: &mut Vec<Action>) {
+        let claimed: Vec<(CallId, u64)> = self
+            .calls
+            .iter()
+            .filter_map(|(key, pending)| Some((crate::gate::id_of(key), pending.claim?)))
+            .collect();
+        for (id, digest) in claimed {
+            if matches!(self.calls[key_of(id)].phase, Phase::Claiming(_)) {
+                self.claim_at_homes(now, id, digest, out);
+                continue;
+            }
+            let others = self.homes(digest).into_iter().filter(|home| *home != self.config.node);
+            let mut open = [None; Claims::HOMES];
+            open.iter_mut().zip(others).for_each(|(slot, home)| *slot = Some(home));
+            self.send_claim(now, id, digest, open, out);
+        }
+    }
+
+    /// Gives back the claim of a request that cannot be running at a target any more.
+    ///
+    /// Other claims run out with their request's deadline.
+    pub(crate) fn release_claim(
+        &mut self,
+        now: Time,
+        id: CallId,
+        digest: u64,
+        out: &mut Vec<Action>,
+    ) {
+        let by = self.claimant(id);
+        self.claims.expire(now);
+        self.claims.release(digest, by);
+        for home in self.homes(digest) {
+            self.send(home, PeerMessage::Release { digest, call: by.call }, out);
+        }
+    }
+
+    /// This gate's name for a request towards other gates; it differs at each start of the
+    /// process, so that an earlier start's claim is not taken for one of this.
+    pub(crate) fn claimant(&self, id: CallId) -> Claimant {
+        Claimant { gate: self.config.node, call: id.0 ^ self.config.seed }
+    }
+
+    /// Sends a message to another gate, if it is up.
+    pub(crate) fn send(&mut self, to: NodeId, message: PeerMessage, out: &mut Vec<Action>) {
+        if to == self.config.node {
+            return;
+        }
+        if let Some(gate) = self.gates.get(&to) {
+            out.push(Action::Peer { to: gate.address, message });
+        }
+    }
+
+    fn claim_settled(&mut self, now: Time, id: CallId, claim: ClaimState, out: &mut Vec<Action>) {
+        if claim.granted == 0 {
+            return self.give_up(now, id, ErrorKind::ClaimUnanswered, None, out);
+        }
+        self.set_phase(id, Phase::Placing);
+        self.place(now, id, out);
+    }
+
+    fn refuse_copy(&mut self, now: Time, id: CallId, for_ms: u64, out: &mut Vec<Action>) {
+        let span = Duration::from_millis(for_ms).min(COPY_RETRY);
+        self.give_up(now, id, ErrorKind::DuplicateInFlight, Some(span), out);
+    }
+
+    fn homes(&self, digest: u64) -> Vec<NodeId> {
+        let me = self.config.node;
+        let others = self.gates.keys().copied().filter(|gate| *gate != me);
+        Claims::homes(digest, others.chain([me]))
+    }
+
+    fn send_claim(
+        &mut self,
+        now: Time,
+        id: CallId,
+        digest: u64,
+        open: [Option<NodeId>; Claims::HOMES],
+        out: &mut Vec<Action>,
+    ) {
+        let hold = self.calls[key_of(id)].call.deadline().since(now);
+        let hold_ms = hold.as_millis() as u64 + 1;
+        let call = self.claimant(id).call;
+        for home in open.into_iter().flatten() {
+            self.count(Counter::Claims);
+            self.send(home, PeerMessage::Claim { digest, call, hold_ms }, out);
+        }
+    }
+}
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -1,14 +1,16 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::time::Duration;
 
-use bay_call::{Action, AttemptId, Call, CallId, Count, Counter, Event, RequestHead, Step, Tally};
-use bay_conf::ServiceDoc;
+use bay_call::{Action, AttemptId, CallId, Claims, Count, Counter, HotKeyRate, Quarantine, Tally};
 use bay_time::{Time, Timers};
-use bay_types::{ErrorKind, KeyHash, NodeId, ServiceName, ZoneName};
-use bay_wire::{GateAddress, Item, ItemKey, ItemVersion, PeerMessage, Routes, decode};
+use bay_types::{ErrorKind, NodeId, ServiceName, ZoneName};
+use bay_wire::{GateAddress, ItemKey, ItemVersion, Routes};
+use slotmap::{Key, KeyData, SlotMap};
 
-use crate::HotKeyRate;
-use crate::service::Service;
+use crate::GateLimits;
+use crate::notices::Notices;
+use crate::pending::Pending;
+use crate::service::{Service, ServiceId};
 
 /// When a caller may come back where nothing better is known.
 const RETRY_AFTER: Duration = Duration::from_secs(1);
@@ -20,41 +22,43 @@
     pub node: NodeId,
     /// The host's zone.
     pub zone: ZoneName,
-    /// Seeds the gate's random choices.
+    /// Seeds the gate's random choices; differs at each start of the process.
     pub seed: u64,
 }
 
-/// Takes callers' requests, picks a server or target and answers for the outcome.
-#[derive(Debug)]
-pub struct Gate {
-    config: GateConfig,
-    versions: BTreeMap<ItemKey, ItemVersion>,
-    services: BTreeMap<ServiceName, Service>,
-    hosts: HashMap<String, ServiceName>,
-    calls: HashMap<CallId, Pending>,
-    timers: Timers<CallId>,
-    next_call: u64,
-    tally: Tally,
-    admitting: bool,
-    gates: Vec<GateAddress>,
+slotmap::new_key_type! {
+    /// Identifies a request within the gate.
+    pub(crate) struct CallKey;
 }
 
+/// Takes callers' requests, picks a server or target and answers for the outcome.
 #[derive(Debug)]
-struct Pending {
-    service: ServiceName,
-    key: Option<KeyHash>,
-    call: Call,
-}
-
-/// What became of an item that was offered to a gate.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Applied {
-    /// The item is in force.
-    Newer,
-    /// The gate already has this version or a later one.
-    Stale,
-    /// The item cannot be read.
-    Invalid,
+pub struct Gate {
+    pub(crate) config: GateConfig,
+    pub(crate) limits: GateLimits,
+    pub(crate) admitting: bool,
+    pub(crate) versions: BTreeMap<ItemKey, ItemVersion>,
+    pub(crate) services: SlotMap<ServiceId, Service>,
+    pub(crate) names: BTreeMap<ServiceName, ServiceId>,
+    pub(crate) hosts: HashMap<String, ServiceId>,
+    pub(crate) zones_out: BTreeSet<ZoneName>,
+    /// Routes that came before the document of their service.
+    pub(crate) early_routes: BTreeMap<(ServiceName, ZoneName), Routes>,
+    pub(crate) gates: BTreeMap<NodeId, GateAddress>,
+    pub(crate) calls: SlotMap<CallKey, Pending>,
+    /// How many requests were not admitted.
+    pub(crate) turned_away: u64,
+    /// How many of the requests wait without an attempt.
+    pub(crate) waiting: usize,
+    pub(crate) timers: Timers<CallId>,
+    pub(crate) claims: Claims,
+    pub(crate) quarantine: Quarantine,
+    pub(crate) notices: Notices,
+    pub(crate) tally: Tally,
+    /// Requests to place before the gate returns to its shell.
+    pub(crate) awake: Vec<CallId>,
+    /// Services whose pools have something to say.
+    pub(crate) touched: Vec<ServiceId>,
 }
 
 impl Gate {
@@ -62,18 +66,33 @@
     pub fn new(config: GateConfig) -> Gate {
         Gate {
             config,
+            limits: GateLimits::default(),
+            admitting: true,
             versions: BTreeMap::new(),
-            services: BTreeMap::new(),
+            services: SlotMap::with_key(),
+            names: BTreeMap::new(),
             hosts: HashMap::new(),
-            calls: HashMap::new(),
+            zones_out: BTreeSet::new(),
+            early_routes: BTreeMap::new(),
+            gates: BTreeMap::new(),
+            calls: SlotMap::with_key(),
+            turned_away: 0,
+            waiting: 0,
             timers: Timers::new(),
-            next_call: 0,
+            claims: Claims::default(),
+            quarantine: Quarantine::default(),
+            notices: Notices::default(),
             tally: Tally::new(),
-            admitting: true,
-            gates: Vec::new(),
+            awake: Vec::new(),
+            touched: Vec::new(),
         }
     }
 
+    /// Sets what the gate bears.
+    pub fn set_limits(&mut self, limits: GateLimits) {
+        self.limits = limits;
+    }
+
     /// The host that the gate runs on.
     pub fn node(&self) -> NodeId {
         self.config.node
@@ -94,37 +113,29 @@
         self.calls.len()
     }
 
+    /// The versions in force.
+    pub fn versions(&self) -> &BTreeMap<ItemKey, ItemVersion> {
+        &self.versions
+    }
+
     /// Takes what was counted since the last time.
     pub fn take_counts(&mut self, out: &mut Vec<Count>) {
         self.tally.take(out);
     }
 
-    /// Counts an answer that the shell gives by itself, before there is a request to begin.
+    /// Counts an answer that the shell gives by itself, before there is a request to begin;
+    /// returns when the caller may come back.
     pub fn refused_by_shell(&mut self, kind: ErrorKind) -> Option<Duration> {
         self.tally.refused(kind);
-        retry_after(kind)
+        retry_after(kind, None)
     }
 
     /// The keys of a service that this gate sees most, the hottest first.
-    pub fn hot_keys(&self, _service: ServiceName) -> Vec<HotKeyRate> {
-        Vec::new()
-    }
-
-    /// Takes the list of the gates that are up.
-    pub fn set_gates(&mut self, _now: Time, gates: &[GateAddress], _out: &mut Vec<Action>) {
-        self.gates = gates.to_vec();
-    }
-
-    /// Takes a datagram of another gate.
-    pub fn on_peer(
-        &mut self,
-        _now: Time,
-        from: NodeId,
-        _message: PeerMessage,
-        _out: &mut Vec<Action>,
-    ) {
-        if !self.gates.iter().any(|gate| gate.node == from) {
-            self.tally.add(Counter::StrangePeers);
+    pub fn hot_keys(&mut self, now: Time, service: ServiceName) -> &[HotKeyRate] {
+        let id = self.names.get(&service);
+        match id.and_then(|id| self.services.get_mut(*id)) {
+            Some(service) => service.hot_keys.rates(now),
+            None => &[],
         }
     }
 
@@ -132,167 +143,64 @@
     ///
     /// From then on the target may have run the request; if the answer is no, the shell sends
     /// nothing.
-    pub fn may_send(&mut self, _now: Time, call: CallId, _attempt: AttemptId) -> bool {
-        self.calls.contains_key(&call)
-    }
-
-    /// The versions in force.
-    pub fn versions(&self) -> &BTreeMap<ItemKey, ItemVersion> {
-        &self.versions
-    }
-
-    /// Takes an item that is newer than what the gate has.
-    ///
-    /// Requests that wait for it go on; what is to be done for them is appended.
-    pub fn apply(&mut self, _now: Time, item: &Item, _out: &mut Vec<Action>) -> Applied {
-        if self.versions.get(&item.key).is_some_and(|version| *version >= item.version) {
-            return Applied::Stale;
-        }
-        let applied = match item.key {
-            ItemKey::Document(name) => self.apply_document(name, &item.body),
-            ItemKey::Routes(name, _) => self.apply_routes(name, &item.body),
-            ItemKey::Zone(_) => Applied::Newer,
-        };
-        if applied == Applied::Newer {
-            self.versions.insert(item.key, item.version);
-        }
-        applied
-    }
-
-    fn apply_document(&mut self, name: ServiceName, body: &[u8]) -> Applied {
-        let Ok(doc) = ServiceDoc::parse(name.as_str(), body) else {
-            return Applied::Invalid;
-        };
-        self.hosts.retain(|_, service| *service != name);
-        for host in &doc.hosts {
-            self.hosts.insert(host.clone(), name);
-        }
-        match self.services.get_mut(&name) {
-            Some(service) => service.doc = doc,
-            None => {
-                self.services.insert(name, Service::new(doc));
-            }
-        }
-        Applied::Newer
-    }
-
-    fn apply_routes(&mut self, name: ServiceName, body: &[u8]) -> Applied {
-        let Ok(routes) = decode::<Routes>(body) else {
-            return Applied::Invalid;
-        };
-        let service = self.services.get_mut(&name);
-        match service.and_then(|service| service.routes.as_mut()) {
-            Some(table) => {
-                table.merge(&routes);
-                Applied::Newer
-            }
-            None => Applied::Invalid,
-        }
-    }
-
-    /// Takes a request and appends what is to be done for it.
-    pub fn begin<H>(&mut self, now: Time, head: &H, out: &mut Vec<Action>) -> CallId
-    where
-        H: RequestHead,
-    {
-        self.next_call += 1;
-        let id = CallId(self.next_call);
-        match self.admit(now, head) {
-            Ok(pending) => {
-                self.calls.insert(id, pending);
-                self.attempt(now, id, out);
-            }
-            Err(kind) => {
-                self.tally.refused(kind);
-                out.push(refusal(id, kind));
-            }
-        }
-        id
-    }
-
-    fn admit<H>(&self, now: Time, head: &H) -> Result<Pending, ErrorKind>
-    where
-        H: RequestHead,
-    {
-        if !self.ready() {
-            return Err(ErrorKind::NotReady);
-        }
-        let host = head.host().ok_or(ErrorKind::BadRequest)?;
-        let name = *self.hosts.get(host).ok_or(ErrorKind::UnknownHost)?;
-        let service = self.services.get(&name).ok_or(ErrorKind::UnknownHost)?;
-        let method = head.method().ok_or(ErrorKind::MethodNotAllowed)?;
-        let key = service.key_of(head);
-        if service.routes.is_some() && key.is_none() {
-            return Err(ErrorKind::KeyMissing);
-        }
-        let deadline = now + service.doc.requests.timeout;
-        let call = Call::new(service.idempotent(method), deadline);
-        Ok(Pending { service: name, key, call })
-    }
-
-    /// Takes an event of a request and appends what is to be done.
-    pub fn event(&mut self, now: Time, id: CallId, event: Event, out: &mut Vec<Action>) {
-        let Some(pending) = self.calls.get_mut(&id) else {
-            return;
-        };
-        match pending.call.on(now, event) {
-            Step::Wait => {}
-            Step::Attempt { at } => self.timers.set(id, at),
-            Step::Forward(attempt) => out.push(Action::Forward { call: id, attempt }),
-            Step::Refuse(kind) => self.refuse(id, kind, out),
-            Step::End => self.end(id),
-        }
+    pub fn may_send(&mut self, now: Time, call: CallId, attempt: AttemptId) -> bool {
+        let pending = self.calls.get_mut(key_of(call));
+        pending.is_some_and(|pending| pending.call.may_send(now, attempt))
     }
 
     /// The time of the next [`Gate::tick`].
     pub fn next_deadline(&mut self) -> Option<Time> {
-        self.timers.next_deadline()
+        let pools = self.services.values_mut().filter_map(|service| service.pool.next_deadline());
+        let others = self.timers.next_deadline().into_iter().chain(self.notices.next_deadline());
+        pools.chain(others).min()
     }
 
     /// Does what is due.
     pub fn tick(&mut self, now: Time, out: &mut Vec<Action>) {
         while let Some(id) = self.timers.pop_due(now) {
-            self.attempt(now, id, out);
+            self.call_due(now, id, out);
         }
+        self.claims.expire(now);
+        self.touched.extend(self.services.keys());
+        self.settle(now, out);
     }
 
-    fn attempt(&mut self, now: Time, id: CallId, out: &mut Vec<Action>) {
-        let Some(pending) = self.calls.get_mut(&id) else {
-            return;
-        };
-        let Some(service) = self.services.get_mut(&pending.service) else {
-            return;
-        };
-        let Some(destination) = service.destination(pending.key) else {
-            let kind = if pending.key.is_some() { ErrorKind::NoOwner } else { ErrorKind::NoTarget };
-            return self.refuse(id, kind, out);
-        };
-        out.push(Action::Attempt {
-            call: id,
-            attempt: pending.call.next_attempt(),
-            to: destination.to,
-            grant: destination.grant,
-            time_left: pending.call.deadline().since(now),
-            fresh: false,
-        });
+    /// Finishes what a change has set off, before the gate returns to its shell.
+    pub(crate) fn settle(&mut self, now: Time, out: &mut Vec<Action>) {
+        self.touched.sort_unstable();
+        self.touched.dedup();
+        for index in 0..self.touched.len() {
+            self.wake_queued(now, self.touched[index]);
+        }
+        while let Some(id) = self.awake.pop() {
+            self.place(now, id, out);
+        }
+        let mut touched = std::mem::take(&mut self.touched);
+        touched.sort_unstable();
+        touched.dedup();
+        for id in touched {
+            self.send_load_messages(now, id, out);
+        }
+        self.send_notices(now, out);
     }
 
-    fn refuse(&mut self, id: CallId, kind: ErrorKind, out: &mut Vec<Action>) {
-        self.end(id);
-        self.tally.refused(kind);
-        out.push(refusal(id, kind));
+    /// Counts something.
+    pub(crate) fn count(&mut self, counter: Counter) {
+        self.tally.add(counter);
     }
+}
 
-    fn end(&mut self, id: CallId) {
-        self.calls.remove(&id);
-        self.timers.cancel(id);
-    }
+/// The number of a request outside the gate.
+pub(crate) fn id_of(key: CallKey) -> CallId {
+    CallId(key.data().as_ffi())
 }
 
-fn refusal(call: CallId, kind: ErrorKind) -> Action {
-    Action::Refuse { call, kind, retry_after: retry_after(kind) }
+/// The place of a request within the gate.
+pub(crate) fn key_of(id: CallId) -> CallKey {
+    CallKey::from(KeyData::from_ffi(id.0))
 }
 
-fn retry_after(kind: ErrorKind) -> Option<Duration> {
-    kind.retry_after().then_some(RETRY_AFTER)
+/// When a caller may come back after an answer of this kind.
+pub(crate) fn retry_after(kind: ErrorKind, known: Option<Duration>) -> Option<Duration> {
+    kind.retry_after().then_some(known.unwrap_or(RETRY_AFTER))
 }
--- /dev/null
+++ b/crates/gate/src/items.rs
@@ -0,0 +1,201 @@
+use std::collections::BTreeMap;
+
+use bay_call::{Action, Counter};
+use bay_conf::{ServiceDoc, ZoneDoc, ZoneState};
+use bay_time::Time;
+use bay_types::{ServiceName, ZoneName};
+use bay_wire::{Item, ItemKey, Routes, decode};
+
+use crate::Gate;
+use crate::service::{Service, ServiceId};
+
+/// What became of an item that was offered to a gate.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Applied {
+    /// The item is in force.
+    Newer,
+    /// The gate already has this version or a later one.
+    Stale,
+    /// The item builds on a version that the gate does not have; the whole item is needed.
+    Gap,
+    /// The item cannot be read.
+    Invalid,
+}
+
+impl Gate {
+    /// Most routes kept for services whose document has not come yet.
+    const MAX_EARLY_ROUTES: usize = 256;
+    /// Most rows kept of each, over its changes.
+    const MAX_EARLY_ROWS: usize = 131_072;
+
+    /// Takes an item that is newer than what the gate has.
+    ///
+    /// Requests that wait for it go on; what is to be done for them is appended.
+    pub fn apply(&mut self, now: Time, item: &Item, out: &mut Vec<Action>) -> Applied {
+        let version = self.versions.get(&item.key).copied();
+        if version.is_some_and(|version| version >= item.version) {
+            self.count(Counter::StaleItems);
+            return Applied::Stale;
+        }
+        if item.base.is_some() && item.base != version {
+            return Applied::Gap;
+        }
+        let valid = match item.key {
+            ItemKey::Document(name) if item.body.is_empty() => self.delete_service(name),
+            ItemKey::Document(name) => self.apply_document(now, name, &item.body),
+            ItemKey::Routes(name, zone) => self.apply_routes(name, zone, item),
+            ItemKey::Zone(zone) => self.apply_zone(now, zone, &item.body),
+        };
+        if !valid {
+            self.count(Counter::InvalidItems);
+            return Applied::Invalid;
+        }
+        self.versions.insert(item.key, item.version);
+        self.settle(now, out);
+        Applied::Newer
+    }
+
+    fn apply_document(&mut self, now: Time, name: ServiceName, body: &[u8]) -> bool {
+        let Ok(doc) = ServiceDoc::parse(name.as_str(), body) else {
+            return false;
+        };
+        if doc.name != name {
+            return false;
+        }
+        let hosts = doc.hosts.clone();
+        let id = match self.names.get(&name) {
+            Some(id) => self.replace_document(now, *id, doc),
+            None => self.add_service(now, doc),
+        };
+        self.hosts.retain(|_, service| *service != id);
+        self.hosts.extend(hosts.into_iter().map(|host| (host, id)));
+        self.update_targets(now, id);
+        self.wake_all(id);
+        true
+    }
+
+    fn replace_document(&mut self, now: Time, id: ServiceId, doc: ServiceDoc) -> ServiceId {
+        if let Some(service) = self.services.get_mut(id) {
+            let queued: Vec<_> = service.queued.values().copied().collect();
+            service.replace(&self.config, doc, now);
+            if service.queued.is_empty() {
+                self.awake.extend(queued);
+            }
+        }
+        id
+    }
+
+    fn add_service(&mut self, now: Time, doc: ServiceDoc) -> ServiceId {
+        let name = doc.name;
+        let mut service = Service::new(&self.config, doc, now);
+        let of_service = |(service, _): &(ServiceName, ZoneName)| *service == name;
+        let (early, others): (BTreeMap<_, _>, _) =
+            std::mem::take(&mut self.early_routes).into_iter().partition(|(k, _)| of_service(k));
+        self.early_routes = others;
+        if let Some(table) = &mut service.routes {
+            early.values().for_each(|routes| table.merge(routes));
+        }
+        let gates: Vec<_> = self.gates.values().copied().collect();
+        service.pool.set_gates(now, &gates);
+        let id = self.services.insert(service);
+        self.names.insert(name, id);
+        id
+    }
+
+    /// Drops a service; its requests that run go on, and those that wait are refused.
+    fn delete_service(&mut self, name: ServiceName) -> bool {
+        let Some(id) = self.names.remove(&name) else {
+            return true;
+        };
+        self.hosts.retain(|_, service| *service != id);
+        self.wake_all(id);
+        self.services.remove(id);
+        true
+    }
+
+    fn apply_routes(&mut self, name: ServiceName, zone: ZoneName, item: &Item) -> bool {
+        let Ok(routes) = decode::<Routes>(&item.body) else {
+            return false;
+        };
+        let Some(id) = self.names.get(&name).copied() else {
+            return self.keep_early((name, zone), routes, item.base.is_none());
+        };
+        let table = self.services.get_mut(id).and_then(|service| service.routes.as_mut());
+        if let Some(table) = table {
+            table.merge(&routes);
+        }
+        self.wake_ownerless(id);
+        true
+    }
+
+    /// Keeps routes until the document of their service comes.
+    fn keep_early(&mut self, key: (ServiceName, ZoneName), routes: Routes, whole: bool) -> bool {
+        let full = self.early_routes.len() >= Gate::MAX_EARLY_ROUTES;
+        match self.early_routes.get_mut(&key) {
+            Some(earlier) if whole => *earlier = routes,
+            Some(earlier) if earlier.rows.len() < Gate::MAX_EARLY_ROWS => append(earlier, routes),
+            None if !full => {
+                self.early_routes.insert(key, routes);
+            }
+            _ => return false,
+        }
+        true
+    }
+
+    fn apply_zone(&mut self, now: Time, zone: ZoneName, body: &[u8]) -> bool {
+        let out = if body.is_empty() {
+            false
+        } else {
+            match ZoneDoc::parse(zone.as_str(), body) {
+                Ok(doc) if doc.zone == zone => doc.state == ZoneState::Out,
+                _ => return false,
+            }
+        };
+        if out {
+            self.zones_out.insert(zone);
+        } else {
+            self.zones_out.remove(&zone);
+        }
+        let ids: Vec<_> = self.services.keys().collect();
+        for id in ids {
+            self.update_targets(now, id);
+            self.wake_ownerless(id);
+        }
+        true
+    }
+
+    fn update_targets(&mut self, now: Time, id: ServiceId) {
+        let zones_out = &self.zones_out;
+        if let Some(service) = self.services.get_mut(id) {
+            service.update_targets(now, |zone| zones_out.contains(&zone));
+        }
+        self.touched.push(id);
+    }
+
+    /// Places the requests of a service that wait for an owner again.
+    fn wake_ownerless(&mut self, id: ServiceId) {
+        if let Some(service) = self.services.get_mut(id) {
+            self.awake.extend(std::mem::take(&mut service.ownerless));
+        }
+    }
+
+    /// Places all requests of a service that wait again.
+    fn wake_all(&mut self, id: ServiceId) {
+        self.wake_ownerless(id);
+        if let Some(service) = self.services.get_mut(id) {
+            self.awake.extend(std::mem::take(&mut service.held_back));
+            self.awake.extend(service.queued.values().copied());
+        }
+    }
+}
+
+/// Adds routes to earlier ones, which build a table in the order of their rows.
+fn append(earlier: &mut Routes, mut later: Routes) {
+    let base = earlier.servers.len();
+    earlier.servers.append(&mut later.servers);
+    for row in &mut later.rows {
+        row.server = row.server.and_then(|index| u16::try_from(base + usize::from(index)).ok());
+    }
+    earlier.rows.append(&mut later.rows);
+    earlier.hot.append(&mut later.hot);
+}
--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,8 +1,20 @@
 //! The gate without I/O, put together from its parts.
 
+mod admission;
+mod bounds;
+mod claiming;
+mod events;
+mod fastest;
 mod gate;
-mod hot_key_rate;
+mod items;
+mod limits;
+mod notices;
+mod peers;
+mod pending;
+mod placing;
 mod service;
+mod suspects;
 
-pub use gate::{Applied, Gate, GateConfig};
-pub use hot_key_rate::HotKeyRate;
+pub use gate::{Gate, GateConfig};
+pub use items::Applied;
+pub use limits::GateLimits;
--- /dev/null
+++ b/crates/gate/src/suspects.rs
@@ -0,0 +1,129 @@
+use std::net::SocketAddr;
+
+use bay_call::{Action, CallId, Counter, Fingerprint, LossVerdict, Quarantine};
+use bay_time::Time;
+use bay_types::ErrorKind;
+use bay_wire::{PeerMessage, QuarantineNotice, QuarantineVerdict};
+
+use crate::Gate;
+use crate::notices::Notices;
+use crate::pending::Pending;
+use crate::placing::{Place, place_at};
+use crate::service::{Service, ServiceId};
+
+impl Gate {
+    /// Takes note that a target closed the connection of a request.
+    pub(crate) fn note_loss(
+        &mut self,
+        now: Time,
+        fingerprint: Fingerprint,
+        target: SocketAddr,
+        started: Time,
+    ) {
+        let verdict = match self.quarantine.lost(now, fingerprint, target, started) {
+            LossVerdict::Known => return,
+            LossVerdict::Suspected => {
+                self.count(Counter::Suspected);
+                QuarantineVerdict::Suspected { target }
+            }
+            LossVerdict::Banned => {
+                self.count(Counter::Quarantined);
+                let for_ms = Quarantine::BAN.as_millis() as u64;
+                QuarantineVerdict::Quarantined { for_ms }
+            }
+        };
+        self.tell(now, fingerprint, verdict);
+    }
+
+    /// Takes note that a request ran to the end.
+    pub(crate) fn note_completion(&mut self, now: Time, fingerprint: Fingerprint) {
+        if self.quarantine.completed(now, fingerprint) {
+            self.count(Counter::Cleared);
+            self.tell(now, fingerprint, QuarantineVerdict::Cleared);
+        }
+    }
+
+    /// Takes what another gate learned about crashing requests.
+    pub(crate) fn hear_notices(&mut self, now: Time, notices: &[QuarantineNotice]) {
+        for notice in notices {
+            let QuarantineNotice { service, fingerprint: digest, verdict } = *notice;
+            let fingerprint = Fingerprint { service, digest };
+            match verdict {
+                QuarantineVerdict::Suspected { target } => {
+                    self.quarantine.hear_suspected(now, fingerprint, target);
+                }
+                QuarantineVerdict::Quarantined { for_ms } => {
+                    let span = std::time::Duration::from_millis(for_ms);
+                    self.quarantine.hear_banned(now, fingerprint, span);
+                }
+                QuarantineVerdict::Cleared => {
+                    self.quarantine.completed(now, fingerprint);
+                }
+            }
+            if let Some(id) = self.names.get(&service).copied() {
+                self.wake_held_back(id);
+            }
+        }
+    }
+
+    /// Sends the notices that are due to the other gates.
+    pub(crate) fn send_notices(&mut self, now: Time, out: &mut Vec<Action>) {
+        let due = self.notices.take_due(now);
+        for notices in due.chunks(Notices::MAX_PER_MESSAGE) {
+            let others = self.gates.values().filter(|gate| gate.node != self.config.node);
+            for gate in others {
+                let message = PeerMessage::Quarantine { notices: notices.to_vec() };
+                out.push(Action::Peer { to: gate.address, message });
+            }
+        }
+    }
+
+    /// Places the suspects that wait for another suspect's run to end.
+    pub(crate) fn wake_held_back(&mut self, id: ServiceId) {
+        if let Some(service) = self.services.get_mut(id) {
+            self.awake.extend(std::mem::take(&mut service.held_back));
+        }
+    }
+
+    fn tell(&mut self, now: Time, fingerprint: Fingerprint, verdict: QuarantineVerdict) {
+        let Fingerprint { service, digest } = fingerprint;
+        self.notices.push(now, QuarantineNotice { service, fingerprint: digest, verdict });
+    }
+}
+
+/// Looks for a target that runs no other suspect.
+///
+/// Gates that know the same suspects send each to another target first, so that a second crash
+/// has only one of them in flight.
+pub(crate) fn place_suspect(
+    service: &mut Service,
+    pending: &mut Pending,
+    now: Time,
+    id: CallId,
+    only: Option<SocketAddr>,
+    rank: usize,
+) -> Place {
+    if let Some(ticket) = pending.ticket.take() {
+        service.queued.remove(&ticket);
+        service.pool.leave_queue(ticket);
+    }
+    let targets = match only {
+        Some(owner) => vec![owner],
+        None => service.open_targets(),
+    };
+    let mut refusal = Place::Refuse(ErrorKind::NoTarget, None);
+    for turn in 0..targets.len() {
+        let target = targets[(rank + turn) % targets.len()];
+        if service.runs_suspect(target, id) {
+            refusal = Place::HoldBack;
+            continue;
+        }
+        match place_at(service, pending, now, Some(target), None) {
+            Place::Refuse(..) if turn + 1 < targets.len() => {}
+            place @ Place::Refuse(..) if matches!(refusal, Place::Refuse(..)) => return place,
+            Place::Refuse(..) => return refusal,
+            place => return place,
+        }
+    }
+    refusal
+}
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use bay_types::ServiceName;
 use serde::{Deserialize, Serialize};
 
@@ -71,8 +73,11 @@
 /// What a fingerprint is taken for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum QuarantineVerdict {
-    /// Requests with it were in flight as one target crashed.
-    Suspected,
+    /// Requests with it were in flight as a target crashed.
+    Suspected {
+        /// The target.
+        target: SocketAddr,
+    },
     /// Requests with it are refused for a while.
     Quarantined {
         /// The time, in milliseconds.
