Test the gate's promises and keep suspects of a crash apart

Cause: with retries sent at once, a crashing request and a neighbour lost with it met again at the next target and both were quarantined. Change: a lost request waits 20 ms so that gates know the same suspects, each suspect ranks to a target of its own, those beyond the targets take turns 10 ms apart and are not woken early; runs are announced.

--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -16,6 +16,8 @@
 pub struct Quarantine {
     suspects: HashMap<Fingerprint, Suspect>,
     banned: HashMap<Fingerprint, Time>,
+    /// The suspects that run at other gates, by target.
+    running: HashMap<SocketAddr, Run>,
     explained: Vec<Crash>,
     recent: Recent,
 }
@@ -26,7 +28,10 @@
     /// Nothing.
     Clear,
     /// A target that ran it crashed.
-    Suspect,
+    Suspect {
+        /// The target, if it is still known.
+        crashed: Option<SocketAddr>,
+    },
     /// Two targets that ran it crashed.
     Banned {
         /// When it may run again.
@@ -49,6 +54,15 @@
 struct Suspect {
     crash: Crash,
     until: Time,
+    /// When it ran to the end; it then keeps its rank for a moment.
+    cleared: Option<Time>,
+}
+
+/// A suspect's run at another gate.
+#[derive(Debug, Clone, Copy)]
+struct Run {
+    fingerprint: Fingerprint,
+    until: Time,
 }
 
 /// A target's crash, as one request showed it.
@@ -67,28 +81,37 @@
     pub const BAN: Duration = Duration::from_secs(300);
     /// Losses at one target within this time show the same crash.
     pub const CRASH_WINDOW: Duration = Duration::from_secs(1);
+    /// How long another gate's word that a suspect runs holds.
+    const RUN_HOLD: Duration = Duration::from_secs(1);
+    /// How long a suspect that ran to the end keeps its rank, so that the others keep theirs.
+    const RANK_HOLD: Duration = Duration::from_secs(1);
     /// Crashes kept that a banned fingerprint explains.
     const MAX_EXPLAINED: usize = 64;
 
     /// What is known of a fingerprint.
     pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
         if let Some(until) = self.banned.get(&fingerprint).copied() {
-            return if now < until { Standing::Banned { until } } else { Standing::Suspect };
+            if now < until {
+                return Standing::Banned { until };
+            }
+            return Standing::Suspect { crashed: None };
         }
-        let suspect = self.suspects.get(&fingerprint);
-        if suspect.is_some_and(|suspect| now < suspect.until) {
-            return Standing::Suspect;
+        match self.suspects.get(&fingerprint) {
+            Some(suspect) if suspect.cleared.is_none() && now < suspect.until => {
+                Standing::Suspect { crashed: Some(suspect.crash.target) }
+            }
+            _ => Standing::Clear,
         }
-        Standing::Clear
     }
 
-    /// Takes note that a target closed the connection of a request that was started then.
+    /// Takes note that a target closed the connection of a request, which was sent as a suspect
+    /// or before it became one.
     pub fn lost(
         &mut self,
         now: Time,
         fingerprint: Fingerprint,
         target: SocketAddr,
-        started: Time,
+        as_suspect: bool,
     ) -> LossVerdict {
         let crash = Crash { target, at: now };
         match self.standing(now, fingerprint) {
@@ -101,8 +124,10 @@
                 self.suspect(fingerprint, crash);
                 LossVerdict::Suspected
             }
-            Standing::Suspect if self.same_crash(fingerprint, crash, started) => LossVerdict::Known,
-            Standing::Suspect => {
+            Standing::Suspect { .. } if !as_suspect && self.same_crash(fingerprint, crash) => {
+                LossVerdict::Known
+            }
+            Standing::Suspect { .. } => {
                 self.convict(now, fingerprint, crash);
                 LossVerdict::Banned
             }
@@ -112,7 +137,14 @@
     /// Takes note that a request ran to the end; returns whether it was a suspect.
     pub fn completed(&mut self, now: Time, fingerprint: Fingerprint) -> bool {
         self.recent.insert(now, fingerprint);
-        !self.suspects.is_empty() && self.suspects.remove(&fingerprint).is_some()
+        self.stopped(fingerprint);
+        match self.suspects.get_mut(&fingerprint) {
+            Some(suspect) if suspect.cleared.is_none() => {
+                suspect.cleared = Some(now);
+                true
+            }
+            _ => false,
+        }
     }
 
     /// Takes another gate's word that a fingerprint is under suspicion.
@@ -122,20 +154,37 @@
         }
     }
 
+    /// Takes another gate's word that a suspect runs at a target.
+    pub fn hear_running(&mut self, now: Time, fingerprint: Fingerprint, target: SocketAddr) {
+        self.running.retain(|_, run| now < run.until);
+        if self.running.len() < Quarantine::MAX_ENTRIES {
+            self.running.insert(target, Run { fingerprint, until: now + Quarantine::RUN_HOLD });
+        }
+    }
+
+    /// Whether another suspect runs at a target through another gate.
+    pub fn occupied(&self, now: Time, fingerprint: Fingerprint, target: SocketAddr) -> bool {
+        let run = self.running.get(&target);
+        run.is_some_and(|run| run.fingerprint != fingerprint && now < run.until)
+    }
+
     /// Takes another gate's word that a fingerprint is refused.
     pub fn hear_banned(&mut self, now: Time, fingerprint: Fingerprint, span: Duration) {
         let until = now + span.min(Quarantine::BAN);
         self.suspects.remove(&fingerprint);
+        self.stopped(fingerprint);
         self.ban(fingerprint, until);
     }
 
     /// Places a suspect among those of its service, so that gates which know the same suspects
     /// send each to another target.
-    pub fn rank(&self, fingerprint: Fingerprint) -> usize {
-        let before = |other: &&Fingerprint| {
-            other.service == fingerprint.service && other.digest < fingerprint.digest
+    pub fn rank(&self, now: Time, fingerprint: Fingerprint) -> usize {
+        let before = |(other, suspect): &(&Fingerprint, &Suspect)| {
+            other.service == fingerprint.service
+                && other.digest < fingerprint.digest
+                && suspect.ranks(now)
         };
-        self.suspects.keys().filter(before).count()
+        self.suspects.iter().filter(before).count()
     }
 
     /// How many fingerprints are kept.
@@ -148,6 +197,10 @@
         self.len() == 0
     }
 
+    fn stopped(&mut self, fingerprint: Fingerprint) {
+        self.running.retain(|_, run| run.fingerprint != fingerprint);
+    }
+
     fn suspect(&mut self, fingerprint: Fingerprint, crash: Crash) {
         if self.suspects.len() >= Quarantine::MAX_ENTRIES {
             let oldest = self.suspects.iter().min_by_key(|(key, suspect)| (suspect.until, **key));
@@ -155,8 +208,9 @@
                 self.suspects.remove(&key);
             }
         }
+        self.suspects.retain(|_, suspect| suspect.ranks(crash.at));
         let until = crash.at + Quarantine::SUSPICION;
-        self.suspects.insert(fingerprint, Suspect { crash, until });
+        self.suspects.insert(fingerprint, Suspect { crash, until, cleared: None });
     }
 
     fn convict(&mut self, now: Time, fingerprint: Fingerprint, crash: Crash) {
@@ -190,17 +244,26 @@
         self.explained.iter().any(|other| same(*other, crash))
     }
 
-    /// Whether a suspect's loss adds nothing to the crash that brought it under suspicion.
+    /// Whether the loss of a copy that was under way before adds nothing to the crash that brought
+    /// the suspect under suspicion.
     ///
-    /// A copy that was under way before is lost once more without a new crash at the same target;
-    /// at another target it says nothing if copies ran to the end a moment ago, as those of a
-    /// frequent request do.
-    fn same_crash(&self, fingerprint: Fingerprint, crash: Crash, started: Time) -> bool {
+    /// It is the same crash at the same target; at another target it says nothing if copies ran
+    /// to the end a moment ago, as those of a frequent request do.
+    fn same_crash(&self, fingerprint: Fingerprint, crash: Crash) -> bool {
         let Some(suspect) = self.suspects.get(&fingerprint) else {
             return false;
         };
-        let before = started <= suspect.crash.at;
-        before && (same(suspect.crash, crash) || self.recent.contains(fingerprint))
+        same(suspect.crash, crash) || self.recent.contains(fingerprint)
+    }
+}
+
+impl Suspect {
+    /// Whether the suspect counts among those that are spread over the targets.
+    fn ranks(&self, now: Time) -> bool {
+        match self.cleared {
+            Some(at) => now.since(at) < Quarantine::RANK_HOLD,
+            None => now < self.until,
+        }
     }
 }
 
--- a/crates/gate/src/bounds.rs
+++ b/crates/gate/src/bounds.rs
@@ -6,6 +6,15 @@
 pub(crate) const OWNER_WAIT: Duration = Duration::from_millis(300);
 /// Pause before a key's owner gets a request again that it did not take.
 pub(crate) const OWNER_PAUSE: Duration = Duration::from_millis(20);
+/// Pause before a request that a target may have crashed on is sent again, in which the other
+/// gates learn of it.
+pub(crate) const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
+/// Time between the runs of suspects for which there are too few targets.
+pub(crate) const SUSPECT_TURN: Duration = Duration::from_millis(10);
+/// Most such times that a suspect waits.
+pub(crate) const MAX_TURNS: u32 = 20;
+/// Time after which a suspect that found every target taken looks again.
+pub(crate) const SUSPECT_WAIT: Duration = Duration::from_millis(50);
 /// Least time that a request stays in a pool's queue before it asks again by itself.
 pub(crate) const QUEUE_PAUSE: Duration = Duration::from_millis(1);
 /// Time that owners which leave or whose zone is out still get their keys' requests, while the
--- a/crates/gate/src/events.rs
+++ b/crates/gate/src/events.rs
@@ -9,7 +9,7 @@
 use bay_types::ErrorKind;
 
 use crate::Gate;
-use crate::bounds::{MAX_ATTEMPTS, OWNER_PAUSE};
+use crate::bounds::{MAX_ATTEMPTS, OWNER_PAUSE, SUSPECT_PAUSE};
 use crate::gate::{key_of, retry_after};
 use crate::pending::Phase;
 
@@ -121,11 +121,14 @@
         }
         pending.paid = true;
         self.count(reason.counter());
-        if keyed {
-            let until = now + OWNER_PAUSE * attempts;
-            return self.wait(now, id, Phase::Queued { until }, out);
-        }
-        self.place(now, id, out);
+        let lost =
+            matches!(reason, RetryReason::Failed(AttemptFailure::Lost | AttemptFailure::Cut));
+        let pause = match (keyed, lost) {
+            (true, _) => OWNER_PAUSE * attempts,
+            (false, true) => SUSPECT_PAUSE,
+            (false, false) => return self.place(now, id, out),
+        };
+        self.wait(now, id, Phase::Queued { until: now + pause }, out);
     }
 
     fn forward(
@@ -200,6 +203,7 @@
         let pending = &mut self.calls[key_of(id)];
         let fingerprint = pending.fingerprint;
         let service_id = pending.service;
+        let as_suspect = pending.suspect;
         let permit = pending.take_permit(ended.attempt.id);
         if let Some(permit) = &permit {
             if let Some(service) = self.services.get_mut(service_id)
@@ -217,7 +221,7 @@
         drop(permit);
         match ended.end {
             AttemptEnd::Failed(AttemptFailure::Lost | AttemptFailure::Cut) => {
-                self.note_loss(now, fingerprint, ended.attempt.to, ended.attempt.started);
+                self.note_loss(now, fingerprint, ended.attempt.to, as_suspect);
             }
             AttemptEnd::Completed => self.note_completion(now, fingerprint),
             _ => {}
--- a/crates/gate/src/placing.rs
+++ b/crates/gate/src/placing.rs
@@ -21,8 +21,10 @@
     Go(Permit),
     /// Into the pool's queue.
     Queue(Ticket, Time),
-    /// Nowhere until another suspect's run has ended.
-    HoldBack,
+    /// Nowhere until this time, so that other suspects run before.
+    Turn(Time),
+    /// Nowhere until another suspect's run has ended, or until this time.
+    HoldBack(Time),
     /// Nowhere; the request is refused.
     Refuse(ErrorKind, Option<Duration>),
 }
@@ -66,10 +68,9 @@
             Standing::Banned { until } => {
                 Place::Refuse(ErrorKind::Quarantined, Some(until.since(now)))
             }
-            Standing::Suspect => {
-                let rank = self.quarantine.rank(pending.fingerprint);
-                pending.suspect = true;
-                place_suspect(service, pending, now, id, only, rank)
+            Standing::Suspect { crashed } => {
+                let quarantine = &self.quarantine;
+                place_suspect(service, pending, quarantine, now, id, only, crashed)
             }
             Standing::Clear => {
                 pending.suspect = false;
@@ -83,9 +84,10 @@
                 service.queued.insert(ticket, id);
                 self.wait(now, id, Phase::Queued { until }, out);
             }
-            Place::HoldBack => {
+            Place::Turn(until) => self.wait(now, id, Phase::Queued { until }, out),
+            Place::HoldBack(until) => {
                 service.held_back.insert(id);
-                self.wait(now, id, Phase::Queued { until: Time::MAX }, out);
+                self.wait(now, id, Phase::Queued { until }, out);
             }
             Place::Refuse(kind, span) => self.give_up(now, id, kind, span, out),
         }
@@ -161,8 +163,12 @@
             time_left: pending.call.deadline().since(now),
             fresh,
         });
+        let run = pending.suspect.then_some(pending.fingerprint);
         self.count(Counter::Attempts);
         self.set_phase(id, Phase::Running);
+        if let Some(fingerprint) = run {
+            self.note_run(now, fingerprint, to);
+        }
     }
 
     /// Has a request wait for its key's next owner, within a bound.
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -133,6 +133,11 @@
         targets
     }
 
+    /// Whether a target takes new work.
+    pub(crate) fn is_open(&self, target: SocketAddr) -> bool {
+        self.closed.get(&target).is_some_and(Option::is_none)
+    }
+
     /// Whether a target runs a suspect other than this request.
     pub(crate) fn runs_suspect(&self, target: SocketAddr, call: CallId) -> bool {
         self.suspects.iter().any(|(at, other)| *at == target && *other != call)
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -6,6 +6,7 @@
 use bay_wire::{PeerMessage, QuarantineNotice, QuarantineVerdict};
 
 use crate::Gate;
+use crate::bounds::{MAX_TURNS, SUSPECT_TURN, SUSPECT_WAIT};
 use crate::notices::Notices;
 use crate::pending::Pending;
 use crate::placing::{Place, place_at};
@@ -18,9 +19,9 @@
         now: Time,
         fingerprint: Fingerprint,
         target: SocketAddr,
-        started: Time,
+        as_suspect: bool,
     ) {
-        let verdict = match self.quarantine.lost(now, fingerprint, target, started) {
+        let verdict = match self.quarantine.lost(now, fingerprint, target, as_suspect) {
             LossVerdict::Known => return,
             LossVerdict::Suspected => {
                 self.count(Counter::Suspected);
@@ -56,6 +57,9 @@
                     let span = std::time::Duration::from_millis(for_ms);
                     self.quarantine.hear_banned(now, fingerprint, span);
                 }
+                QuarantineVerdict::Running { target } => {
+                    self.quarantine.hear_running(now, fingerprint, target);
+                }
                 QuarantineVerdict::Cleared => {
                     self.quarantine.completed(now, fingerprint);
                 }
@@ -85,45 +89,76 @@
         }
     }
 
+    /// Tells the other gates that a suspect runs at a target.
+    pub(crate) fn note_run(&mut self, now: Time, fingerprint: Fingerprint, target: SocketAddr) {
+        self.tell(now, fingerprint, QuarantineVerdict::Running { target });
+    }
+
     fn tell(&mut self, now: Time, fingerprint: Fingerprint, verdict: QuarantineVerdict) {
         let Fingerprint { service, digest } = fingerprint;
         self.notices.push(now, QuarantineNotice { service, fingerprint: digest, verdict });
     }
 }
 
-/// Looks for a target that runs no other suspect.
+/// Has a suspect wait for its turn, or looks for a target that runs no other suspect.
 ///
-/// Gates that know the same suspects send each to another target first, so that a second crash
-/// has only one of them in flight.
+/// Gates that know the same suspects send each to another target first, or at another time, so
+/// that a second crash has only one of them in flight.
 pub(crate) fn place_suspect(
     service: &mut Service,
     pending: &mut Pending,
+    quarantine: &Quarantine,
     now: Time,
     id: CallId,
     only: Option<SocketAddr>,
-    rank: usize,
+    crashed: Option<SocketAddr>,
 ) -> Place {
     if let Some(ticket) = pending.ticket.take() {
         service.queued.remove(&ticket);
         service.pool.leave_queue(ticket);
     }
-    let targets = match only {
-        Some(owner) => vec![owner],
-        None => service.open_targets(),
-    };
+    let fingerprint = pending.fingerprint;
+    let rank = quarantine.rank(now, fingerprint);
+    let targets = targets_for_suspect(service, only, crashed, rank);
+    let spread = targets.iter().filter(|target| Some(**target) != crashed).count();
+    let turn = rank / spread.max(1);
+    if !pending.suspect && turn > 0 {
+        pending.suspect = true;
+        let turn = u32::try_from(turn).unwrap_or(MAX_TURNS).min(MAX_TURNS);
+        return Place::Turn(now + SUSPECT_TURN * turn);
+    }
+    pending.suspect = true;
     let mut refusal = Place::Refuse(ErrorKind::NoTarget, None);
-    for turn in 0..targets.len() {
-        let target = targets[(rank + turn) % targets.len()];
-        if service.runs_suspect(target, id) {
-            refusal = Place::HoldBack;
+    for target in targets {
+        if service.runs_suspect(target, id) || quarantine.occupied(now, fingerprint, target) {
+            refusal = Place::HoldBack(now + SUSPECT_WAIT);
             continue;
         }
         match place_at(service, pending, now, Some(target), None) {
-            Place::Refuse(..) if turn + 1 < targets.len() => {}
-            place @ Place::Refuse(..) if matches!(refusal, Place::Refuse(..)) => return place,
-            Place::Refuse(..) => return refusal,
+            place @ Place::Refuse(..) if matches!(refusal, Place::Refuse(..)) => refusal = place,
+            Place::Refuse(..) => {}
             place => return place,
         }
     }
     refusal
 }
+
+/// The targets for a suspect in the order of choice, the one that it may have crashed last.
+fn targets_for_suspect(
+    service: &Service,
+    only: Option<SocketAddr>,
+    crashed: Option<SocketAddr>,
+    rank: usize,
+) -> Vec<SocketAddr> {
+    if let Some(owner) = only {
+        return vec![owner];
+    }
+    let mut targets = service.open_targets();
+    targets.retain(|target| Some(*target) != crashed);
+    if !targets.is_empty() {
+        let first = rank % targets.len();
+        targets.rotate_left(first);
+    }
+    targets.extend(crashed.filter(|target| service.is_open(*target)));
+    targets
+}
--- /dev/null
+++ b/crates/gate/tests/gate/claims.rs
@@ -0,0 +1,142 @@
+//! Copies of a request with one idempotency key, at one gate and at several.
+
+use std::time::Duration;
+
+use bay_call::{AttemptFailure, CallId, Claims};
+use bay_conf::Method;
+use bay_types::{ErrorKind, Outcome};
+use test_case::test_case;
+
+use crate::support::{Bed, Fleet, Head, node};
+
+const MS: Duration = Duration::from_millis(1);
+
+fn copy() -> Head {
+    Head::new(Method::Post, "/").with("idempotency-key", "k-1")
+}
+
+impl Fleet {
+    fn copy(&mut self, gate: usize) -> CallId {
+        let call = self.beds[gate].begin(&copy());
+        self.deliver();
+        call
+    }
+}
+
+#[test]
+fn a_copy_at_the_same_gate_is_refused_until_the_first_has_ended() {
+    let mut bed = Bed::with("pooled", 3);
+    bed.begin(&copy());
+    let first = bed.attempt();
+    let second = bed.begin(&copy());
+    assert_eq!(bed.refusal(second), Some(ErrorKind::DuplicateInFlight));
+    assert_eq!(ErrorKind::DuplicateInFlight.outcome(), Outcome::Unknown);
+    bed.complete(first);
+    bed.begin(&copy());
+    bed.attempt();
+}
+
+#[test]
+fn copies_at_other_gates_are_refused_until_the_first_has_ended() {
+    let mut fleet = Fleet::new(9, "pooled", 3);
+    fleet.copy(0);
+    let first = fleet.beds[0].attempt();
+    for gate in 1..9 {
+        let call = fleet.copy(gate);
+        assert_eq!(fleet.beds[gate].refusal(call), Some(ErrorKind::DuplicateInFlight));
+        assert!(fleet.beds[gate].attempts().is_empty());
+    }
+    fleet.beds[0].complete(first);
+    fleet.deliver();
+    fleet.copy(5);
+    fleet.beds[5].attempt();
+}
+
+#[test_case(&[0, 1, 2, 3, 4, 5, 6, 7, 8]; "any one gate")]
+fn a_gate_s_loss_lets_no_copy_run_beside_the_first(losses: &[usize]) {
+    for lost in losses {
+        let mut fleet = Fleet::new(9, "pooled", 3);
+        fleet.copy(0);
+        let first = fleet.beds[0].attempt();
+        assert!(fleet.beds[0].may_send(first));
+        fleet.lost.push(*lost);
+        // Before the loss is noticed, after it, and with the gate back without its memory.
+        let others: Vec<u8> = (1..=9).filter(|n| usize::from(*n) != lost + 1).collect();
+        for listed in [None, Some(others), Some((1..=9).collect())] {
+            if let Some(listed) = listed {
+                if listed.len() == 9 {
+                    fleet.beds[*lost] = Fleet::new(9, "pooled", 3).beds.remove(*lost);
+                    fleet.lost.clear();
+                }
+                fleet.set_gates(&listed);
+            }
+            let gate = (1..9).find(|gate| gate != lost).unwrap();
+            let call = fleet.copy(gate);
+            fleet.pass(MS * 100);
+            let refused = fleet.beds[gate].refusal(call);
+            assert_eq!(refused, Some(ErrorKind::DuplicateInFlight), "lost {lost}");
+        }
+    }
+}
+
+#[test]
+fn a_copy_may_run_once_the_lost_gate_s_request_has_run_out() {
+    let mut fleet = Fleet::new(3, "pooled", 3);
+    fleet.copy(0);
+    fleet.lost.push(0);
+    fleet.set_gates(&[2, 3]);
+    fleet.pass(MS * 2_100);
+    fleet.copy(1);
+    fleet.beds[1].attempt();
+}
+
+#[test]
+fn a_request_that_may_still_run_keeps_its_claim_until_its_deadline() {
+    let mut fleet = Fleet::new(3, "pooled", 3);
+    fleet.copy(0);
+    let first = fleet.beds[0].attempt();
+    assert!(fleet.beds[0].may_send(first));
+    fleet.beds[0].fail(first, AttemptFailure::Silent);
+    fleet.deliver();
+    let call = fleet.copy(1);
+    assert_eq!(fleet.beds[1].refusal(call), Some(ErrorKind::DuplicateInFlight));
+    fleet.pass(MS * 2_100);
+    fleet.copy(2);
+    fleet.beds[2].attempt();
+}
+
+#[test]
+fn copies_that_refuse_each_other_leave_no_claim_behind() {
+    let mut fleet = Fleet::new(9, "pooled", 3);
+    let calls = [fleet.beds[0].begin(&copy()), fleet.beds[1].begin(&copy())];
+    fleet.deliver();
+    let refused = (0..2).filter(|n| fleet.beds[*n].refusal(calls[*n]).is_some()).count();
+    let running: Vec<_> = (0..2).flat_map(|n| fleet.beds[n].attempts()).collect();
+    assert!(running.len() <= 1);
+    assert_eq!(refused + running.len(), 2);
+    if running.is_empty() {
+        fleet.copy(2);
+        fleet.beds[2].attempt();
+    }
+}
+
+#[test]
+fn a_gate_that_hears_no_other_refuses_what_it_cannot_claim() {
+    let homes = Claims::homes(7, (1..=9).map(node));
+    assert_eq!(homes.len(), 2);
+    let mut refused = 0;
+    for gate in 0..9 {
+        let mut fleet = Fleet::new(9, "pooled", 3);
+        fleet.lost = (0..9).filter(|other| *other != gate).collect();
+        let call = fleet.copy(gate);
+        fleet.pass(MS * 100);
+        match fleet.beds[gate].refusal(call) {
+            Some(kind) => {
+                assert_eq!(kind, ErrorKind::ClaimUnanswered);
+                refused += 1;
+            }
+            None => assert_eq!(fleet.beds[gate].attempts().len(), 1),
+        }
+    }
+    assert_eq!(refused, 7, "all but the two homes of the key");
+}
--- a/crates/wire/src/peer_message.rs
+++ b/crates/wire/src/peer_message.rs
@@ -78,6 +78,11 @@
         /// The target.
         target: SocketAddr,
     },
+    /// A suspect runs at a target, so that no other suspect is to be sent there.
+    Running {
+        /// The target.
+        target: SocketAddr,
+    },
     /// Requests with it are refused for a while.
     Quarantined {
         /// The time, in milliseconds.
