Let the gate's tests run over the pool that lends slots

Cause: the pool hedges only once it knows latencies, and a gate borrows slots from the targets' homes. Ruled out: a stub pool in the tests.

--- a/crates/gate/tests/gate/attempts.rs
+++ b/crates/gate/tests/gate/attempts.rs
@@ -90,6 +90,7 @@
 #[test]
 fn a_caller_that_hangs_up_cancels_every_attempt() {
     let mut bed = Bed::with("pooled", 3);
+    bed.warm_up();
     let call = bed.get("/");
     bed.pass(MS * 500);
     let attempts = bed.attempts();
@@ -106,6 +107,7 @@
 #[test]
 fn a_hedge_runs_elsewhere_and_the_loser_is_cancelled() {
     let mut bed = Bed::with("pooled", 3);
+    bed.warm_up();
     let call = bed.get("/");
     bed.pass(MS * 500);
     let attempts = bed.attempts();
@@ -125,6 +127,7 @@
 #[test]
 fn requests_that_may_not_run_twice_are_not_hedged() {
     let mut bed = Bed::with("pooled", 3);
+    bed.warm_up();
     bed.post("/");
     bed.pass(MS * 1_500);
     assert_eq!(bed.attempts().len(), 1);
--- a/crates/gate/tests/gate/crashes.rs
+++ b/crates/gate/tests/gate/crashes.rs
@@ -195,6 +195,7 @@
     let mut fleet = Fleet::new(2, "pooled", 4);
     for gate in [0, 1] {
         fleet.beds[gate].begin(&Head::new(Method::Post, "/poison"));
+        fleet.deliver();
         let sent = fleet.beds[gate].attempt();
         fleet.beds[gate].may_send(sent);
         fleet.beds[gate].fail(sent, AttemptFailure::Lost);
@@ -207,5 +208,6 @@
     fleet.pass(Duration::from_secs(1));
     fleet.pass(Duration::from_secs(301));
     fleet.beds[0].begin(&Head::new(Method::Post, "/poison"));
+    fleet.deliver();
     assert!(fleet.beds[0].attempt().fresh, "still under suspicion");
 }
--- a/crates/gate/tests/gate/support.rs
+++ b/crates/gate/tests/gate/support.rs
@@ -173,6 +173,19 @@
         self.event(sent.call, Event::Completed { attempt: sent.attempt });
     }
 
+    /// Lets enough requests be answered in 10 ms each that the pool knows when to hedge.
+    pub fn warm_up(&mut self) {
+        for _ in 0..100 {
+            self.get("/");
+            let sent = self.attempt();
+            self.may_send(sent);
+            self.pass(Duration::from_millis(10));
+            self.complete(sent);
+            self.out.clear();
+        }
+        self.count("attempt.started");
+    }
+
     pub fn fail(&mut self, sent: Sent, failure: AttemptFailure) {
         let attempt = sent.attempt;
         self.event(sent.call, Event::Failed { attempt, failure, replayable: true });
