Stream bodies through the gate and check lengths on both sides

Cause: the thin shell kept whole bodies in memory, opened one connection an attempt and trusted the HTTP library's body readers. Reading the library's source showed what they do: a body cut short of its length is a success; an answer without length or chunks is an empty one; an interim 100 is taken for the answer; a HEAD's length is waited for; a missing date is replaced by a value with line ends in it; a header value that is not ASCII panics; `Expect` starts a thread pool; trailers that come in two parts are never woken for; bytes after a body are swallowed.

Ruled out: `async_h1::accept` and `connect` with the streams wrapped. The library reads ahead and keeps its reader, so that neither pipelined requests nor connection reuse can be right.

Change: the gate reads each raw head itself, checks it with `httparse`, and only then lets `async-h1` decode it; the library encodes all heads. Bodies are moved by the gate with their ends counted, chunk heads and trailers parsed by `httparse`.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -190,6 +190,12 @@
         }
     }
 
+    /// Longest body, in bytes, that the service with this host name takes.
+    pub fn max_body(&self, host: &str) -> Option<u64> {
+        let service = self.services.get(self.hosts.get(host)?)?;
+        Some(service.doc.requests.max_body)
+    }
+
     /// Takes a request and appends what is to be done for it.
     pub fn begin<H>(&mut self, now: Time, head: &H, out: &mut Vec<Action>) -> CallId
     where
--- /dev/null
+++ b/crates/node/src/gate_shell/admin.rs
@@ -0,0 +1,52 @@
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use async_executor::Executor;
+use async_net::TcpListener;
+use futures_lite::StreamExt;
+use http_types::{Request, Response, StatusCode};
+
+use super::shared::Shared;
+
+/// Answers the platform's balancer and operators.
+pub(crate) async fn serve_admin(
+    shared: Arc<Shared>,
+    listener: TcpListener,
+    executor: Arc<Executor<'static>>,
+) {
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        let Ok(stream) = stream else { continue };
+        let serving = Arc::clone(&shared);
+        let work = async move {
+            // A connection that breaks concerns its caller only.
+            let _ = async_h1::accept(stream, |req| answer(Arc::clone(&serving), req)).await;
+        };
+        executor.spawn(work).detach();
+    }
+}
+
+async fn answer(shared: Arc<Shared>, req: Request) -> http_types::Result<Response> {
+    let mut res = Response::new(StatusCode::Ok);
+    match req.url().path() {
+        "/live" => res.set_body("live\n"),
+        "/ready" if shared.ready() => res.set_body("ready\n"),
+        "/ready" => {
+            res.set_status(StatusCode::ServiceUnavailable);
+            res.set_body("not ready\n");
+        }
+        "/counters" => res.set_body(serde_json::to_string(&counters(&shared))?),
+        _ => res.set_status(StatusCode::NotFound),
+    }
+    Ok(res)
+}
+
+fn counters(shared: &Shared) -> BTreeMap<String, u64> {
+    shared.take_counts();
+    let mut totals = shared.counters.totals();
+    let buffers = &shared.meters.buffers;
+    totals.insert(String::from("buffers.held_bytes"), buffers.held());
+    totals.insert(String::from("buffers.peak_bytes"), buffers.peak());
+    totals.insert(String::from("connections.callers"), u64::from(shared.admission.open()));
+    totals
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/answer.rs
@@ -0,0 +1,177 @@
+use std::future::poll_fn;
+use std::sync::Mutex;
+use std::task::{Context, Poll};
+
+use bay_call::{AttemptFailure, AttemptId, Event, LoadReport, NotRunReason};
+use http_types::{Method, Response};
+
+use super::answer_check::AnswerFacts;
+use super::attempt::body_failure;
+use super::buffer_gauge::HeldBytes;
+use super::caller_side::{CallerSide, poll_gone};
+use super::framing::{BodyError, BodyReader, Framing};
+use super::headers::remove_hop_headers;
+use super::http_limits::HttpLimits;
+use super::lock;
+use super::messages::encode_answer;
+use super::pool::Leased;
+use super::upload::{LAST_CHUNK, append};
+use super::watchdog::Patience;
+
+/// A target's answer, in whole or up to what is kept of it.
+#[derive(Debug)]
+pub(crate) struct Answer {
+    /// The head.
+    pub(crate) res: Response,
+    /// What else the head says.
+    pub(crate) facts: AnswerFacts,
+    /// The first part of the body.
+    pub(crate) kept: Vec<u8>,
+    /// Reads the rest.
+    pub(crate) reader: BodyReader,
+    /// The connection that brings the answer.
+    pub(crate) leased: Leased,
+    /// Whether the target has the whole request.
+    pub(crate) upload_done: bool,
+    /// Counts the kept bytes.
+    pub(crate) held: HeldBytes,
+}
+
+/// Why an answer was not passed on in whole.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PassError {
+    /// The answer did not come in whole.
+    Target(AttemptFailure),
+    /// The caller hung up or reads too slowly.
+    Caller,
+    /// The gate broke it off.
+    Aborted,
+}
+
+impl Answer {
+    /// Reads the first part of the body, up to this many bytes.
+    ///
+    /// # Errors
+    /// Returns an error if the answer turns out not to be whole.
+    pub(crate) async fn read_kept(&mut self, most: usize) -> Result<(), BodyError> {
+        while self.kept.len() < most {
+            let count = poll_fn(|cx| self.poll_body(cx)).await?;
+            if count == 0 {
+                return Ok(());
+            }
+            let count = count.min(most - self.kept.len());
+            self.kept.extend_from_slice(&self.leased.connection.unused()[..count]);
+            self.consume(count);
+            self.held.set(self.kept.capacity());
+        }
+        Ok(())
+    }
+
+    /// What the answer tells the gate.
+    pub(crate) fn event(&self, attempt: AttemptId) -> Event {
+        let header = |name: &str| self.res.header(name).map(|values| values.as_str());
+        let reason = header("bay-reason").and_then(NotRunReason::parse);
+        let not_run = reason.filter(|_| header("bay-outcome") == Some("not-run"));
+        let load = header("bay-load").and_then(LoadReport::parse);
+        Event::Answered { attempt, status: self.facts.status, not_run, load }
+    }
+
+    /// Passes the answer on to the caller.
+    ///
+    /// # Errors
+    /// Returns an error if the caller does not have the whole answer; its connection must then be
+    /// broken off if anything was written to it.
+    pub(crate) async fn pass_on(
+        mut self,
+        caller: &Mutex<CallerSide>,
+        method: Method,
+        close: bool,
+        limits: &HttpLimits,
+    ) -> Result<(), PassError> {
+        self.check_end()?;
+        remove_hop_headers(&mut self.res);
+        self.res.insert_header("bay-outcome", "done");
+        if close {
+            self.res.insert_header("connection", "close");
+        }
+        let framing = if self.reader.is_done() && self.facts.framing != Framing::Empty {
+            Framing::Length(self.kept.len() as u64)
+        } else {
+            self.facts.framing
+        };
+        let chunked = framing == Framing::Chunked;
+        let res = std::mem::replace(&mut self.res, Response::new(200));
+        let head = encode_answer(res, method, &self.facts, framing).await;
+        let mut out = head.ok_or(PassError::Target(AttemptFailure::BadAnswer))?;
+        append(&mut out, &self.kept, chunked);
+        self.kept = Vec::new();
+        self.held.set(out.capacity());
+        while !self.reader.is_done() {
+            write(caller, &out, limits).await?;
+            out.clear();
+            let count = poll_fn(|cx| self.poll_next(caller, cx)).await?;
+            append(&mut out, &self.leased.connection.unused()[..count], chunked);
+            self.consume(count);
+            self.check_end()?;
+        }
+        if chunked {
+            out.extend_from_slice(LAST_CHUNK);
+        }
+        write(caller, &out, limits).await?;
+        if self.upload_done && !self.facts.close {
+            self.leased.give_back();
+        }
+        Ok(())
+    }
+
+    fn poll_next(
+        &mut self,
+        caller: &Mutex<CallerSide>,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<usize, PassError>> {
+        if let Poll::Ready(result) = self.poll_body(cx) {
+            return Poll::Ready(result.map_err(|error| PassError::Target(body_failure(error))));
+        }
+        poll_gone(caller, cx).map(|()| Err(PassError::Caller))
+    }
+
+    /// Rejects an answer that goes on after its end, as far as that shows already.
+    fn check_end(&self) -> Result<(), PassError> {
+        if self.reader.is_done() && !self.leased.connection.unused().is_empty() {
+            return Err(PassError::Target(AttemptFailure::BadAnswer));
+        }
+        Ok(())
+    }
+
+    fn poll_body(&mut self, cx: &mut Context<'_>) -> Poll<Result<usize, BodyError>> {
+        match self.reader.poll_available(&mut self.leased.connection, cx) {
+            Poll::Ready(Ok(0)) if !self.leased.connection.unused().is_empty() => {
+                Poll::Ready(Err(BodyError::Malformed))
+            }
+            polled => polled,
+        }
+    }
+
+    fn consume(&mut self, count: usize) {
+        self.reader.consume(&mut self.leased.connection, count);
+    }
+}
+
+/// Writes to a caller, as long as it reads fast enough.
+///
+/// # Errors
+/// Returns an error if the caller hung up or reads too slowly.
+pub(crate) async fn write(
+    caller: &Mutex<CallerSide>,
+    bytes: &[u8],
+    limits: &HttpLimits,
+) -> Result<(), PassError> {
+    let mut at = 0;
+    lock(caller).connection.be_patient(limits.body_patience());
+    while at < bytes.len() {
+        let polled = poll_fn(|cx| lock(caller).connection.poll_write(cx, &bytes[at..])).await;
+        at += polled.map_err(|_| PassError::Caller)?;
+    }
+    lock(caller).connection.be_patient(Patience::Endless);
+    Ok(())
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/answer_check.rs
@@ -0,0 +1,103 @@
+use super::framing::Framing;
+use super::request_check::parse_length;
+
+/// Most headers that the parser has room for.
+const MAX_HEADERS: usize = 128;
+
+/// What the gate has to know of an answer's head besides what the HTTP library tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct AnswerFacts {
+    /// The HTTP status.
+    pub(crate) status: u16,
+    /// How the body ends.
+    pub(crate) framing: Framing,
+    /// The body's length as the head says it, also if no body follows.
+    pub(crate) said_length: Option<u64>,
+    /// Whether the target closes the connection after the answer.
+    pub(crate) close: bool,
+    /// Whether the head has a date; without one the library adds a malformed one.
+    pub(crate) has_date: bool,
+    /// Whether the head says what the body is.
+    pub(crate) has_content_type: bool,
+}
+
+/// Why an answer's head is not taken.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct BadHead;
+
+impl AnswerFacts {
+    /// Whether another answer to the same request follows.
+    pub(crate) fn is_interim(&self) -> bool {
+        (100..200).contains(&self.status)
+    }
+}
+
+/// Checks the raw head of an answer to a request.
+///
+/// # Errors
+/// Returns an error if the answer's end could not be told from the end of its connection, or if
+/// two parsers might read the head differently.
+pub(crate) fn check_answer(head: &[u8], to_head_request: bool) -> Result<AnswerFacts, BadHead> {
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    match response.parse(head) {
+        Ok(httparse::Status::Complete(len)) if len == head.len() => {}
+        _ => return Err(BadHead),
+    }
+    // The library panics on header values that are not ASCII.
+    if response.version != Some(1) || !head.is_ascii() {
+        return Err(BadHead);
+    }
+    let status = response.code.ok_or(BadHead)?;
+    let mut facts = AnswerFacts {
+        status,
+        framing: Framing::Empty,
+        said_length: None,
+        close: false,
+        has_date: false,
+        has_content_type: false,
+    };
+    let mut chunked = false;
+    for header in response.headers.iter() {
+        let value = header.value;
+        match header.name {
+            name if name.eq_ignore_ascii_case("content-length") => {
+                let length = parse_length(value).ok_or(BadHead)?;
+                if facts.said_length.replace(length).is_some() {
+                    return Err(BadHead);
+                }
+            }
+            name if name.eq_ignore_ascii_case("transfer-encoding") => {
+                if chunked || !value.eq_ignore_ascii_case(b"chunked") {
+                    return Err(BadHead);
+                }
+                chunked = true;
+            }
+            name if name.eq_ignore_ascii_case("connection") => {
+                let mut options = value.split(|byte| *byte == b',').map(<[u8]>::trim_ascii);
+                facts.close |= options.any(|option| option.eq_ignore_ascii_case(b"close"));
+            }
+            name if name.eq_ignore_ascii_case("date") => facts.has_date = true,
+            name if name.eq_ignore_ascii_case("content-type") => facts.has_content_type = true,
+            _ => {}
+        }
+    }
+    facts.framing = framing(&facts, chunked, to_head_request)?;
+    Ok(facts)
+}
+
+fn framing(facts: &AnswerFacts, chunked: bool, to_head_request: bool) -> Result<Framing, BadHead> {
+    if chunked && facts.said_length.is_some() {
+        return Err(BadHead);
+    }
+    let bodiless = to_head_request || matches!(facts.status, 100..200 | 204 | 304);
+    match (bodiless, facts.status, facts.said_length, chunked) {
+        // The gate asks for no change of protocols.
+        (_, 101, _, _) => Err(BadHead),
+        (true, _, _, _) | (false, _, Some(0), _) => Ok(Framing::Empty),
+        (false, _, Some(length), _) => Ok(Framing::Length(length)),
+        (false, _, None, true) => Ok(Framing::Chunked),
+        // The body would end with the connection, however that ends.
+        (false, _, None, false) => Err(BadHead),
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/caller_side.rs
@@ -0,0 +1,111 @@
+use std::future::poll_fn;
+use std::sync::Mutex;
+use std::task::{Context, Poll, ready};
+
+use bay_types::ErrorKind;
+
+use super::buffer_gauge::HeldBytes;
+use super::connection::Connection;
+use super::framing::{BodyError, BodyReader, Framing};
+use super::http_limits::HttpLimits;
+use super::lock;
+use super::request_check::RequestFacts;
+use super::watchdog::Patience;
+
+/// Tells a caller that it may send its body.
+const GO_AHEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
+
+/// A caller's connection while one of its requests is served.
+#[derive(Debug)]
+pub(crate) struct CallerSide {
+    /// The connection.
+    pub(crate) connection: Connection,
+    /// Reads the request's body.
+    pub(crate) reader: BodyReader,
+    most: u64,
+}
+
+/// The first part of a request's body, which is kept for all attempts.
+#[derive(Debug)]
+pub(crate) struct KeptBody {
+    /// The bytes.
+    pub(crate) bytes: Vec<u8>,
+    /// How the body is sent on.
+    pub(crate) framing: Framing,
+    /// Whether the body is longer than what is kept.
+    pub(crate) has_more: bool,
+    /// Counts the bytes.
+    pub(crate) _held: HeldBytes,
+}
+
+impl CallerSide {
+    /// A request whose body has not been read.
+    pub(crate) fn new(connection: Connection, framing: Framing, most: u64) -> CallerSide {
+        CallerSide { connection, reader: BodyReader::new(framing), most }
+    }
+
+    /// Reads the first part of the body.
+    ///
+    /// # Errors
+    /// Returns why the body cannot be taken, or `None` if the caller is gone.
+    pub(crate) async fn read_kept(
+        &mut self,
+        facts: &RequestFacts,
+        limits: &HttpLimits,
+        mut held: HeldBytes,
+    ) -> Result<KeptBody, Option<ErrorKind>> {
+        let mut bytes = Vec::new();
+        if facts.framing == Framing::Empty {
+            return Ok(KeptBody { bytes, framing: Framing::Empty, has_more: false, _held: held });
+        }
+        if facts.expects_continue && self.connection.unused().is_empty() {
+            self.connection.write_all(GO_AHEAD).await.map_err(|_| None)?;
+        }
+        self.connection.be_patient(limits.body_patience());
+        while bytes.len() < limits.kept_body {
+            let count = poll_fn(|cx| self.poll_body(cx)).await?;
+            if count == 0 {
+                break;
+            }
+            let count = count.min(limits.kept_body - bytes.len());
+            bytes.extend_from_slice(&self.connection.unused()[..count]);
+            self.consume_body(count);
+            held.set(bytes.capacity());
+        }
+        self.connection.be_patient(Patience::Endless);
+        let has_more = !self.reader.is_done();
+        let whole = Framing::Length(bytes.len() as u64);
+        let framing = if has_more { facts.framing } else { whole };
+        Ok(KeptBody { bytes, framing, has_more, _held: held })
+    }
+
+    /// How many bytes of the body can be used at once; zero means that it is complete.
+    pub(crate) fn poll_body(
+        &mut self,
+        cx: &mut Context<'_>,
+    ) -> Poll<Result<usize, Option<ErrorKind>>> {
+        let available = ready!(self.reader.poll_available(&mut self.connection, cx));
+        let count = match available {
+            Ok(count) => count,
+            Err(BodyError::Cut) => return Poll::Ready(Err(None)),
+            Err(BodyError::Silent) => return Poll::Ready(Err(Some(ErrorKind::SlowCaller))),
+            Err(BodyError::Malformed) => return Poll::Ready(Err(Some(ErrorKind::BadRequest))),
+        };
+        if self.reader.received() + count as u64 > self.most {
+            return Poll::Ready(Err(Some(ErrorKind::BodyTooLarge)));
+        }
+        Poll::Ready(Ok(count))
+    }
+}
+
+impl CallerSide {
+    /// Marks bytes of the body as used.
+    pub(crate) fn consume_body(&mut self, count: usize) {
+        self.reader.consume(&mut self.connection, count);
+    }
+}
+
+/// Waits until the caller has hung up.
+pub(crate) fn poll_gone(caller: &Mutex<CallerSide>, cx: &mut Context<'_>) -> Poll<()> {
+    lock(caller).connection.poll_gone(cx)
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/connection.rs
@@ -0,0 +1,223 @@
+use std::future::poll_fn;
+use std::io::{self, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::task::{Context, Poll, ready};
+
+use async_io::Async;
+
+use super::buffer_gauge::{BufferGauge, HeldBytes};
+use super::watchdog::{Patience, ProgressClock, Watchdog};
+
+/// Bytes read from a socket at once.
+const READ_BYTES: usize = 16 * 1024;
+
+/// A TCP connection with the bytes that were read from it and not yet used.
+///
+/// Without such bytes it holds no buffer, so that an idle connection costs little.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    stream: Async<TcpStream>,
+    buf: Vec<u8>,
+    used: usize,
+    ended: bool,
+    clock: Arc<ProgressClock>,
+    held: HeldBytes,
+}
+
+/// What watches over a gate's connections.
+#[derive(Debug, Default)]
+pub(crate) struct Meters {
+    /// Finds those whose peers are waited for too long.
+    pub(crate) watchdog: Watchdog,
+    /// Counts their buffers.
+    pub(crate) buffers: Arc<BufferGauge>,
+}
+
+impl Connection {
+    /// Takes over a connection.
+    pub(crate) fn new(stream: Async<TcpStream>, meters: &Meters) -> Connection {
+        // A connection that cannot be set up this way is slower, not wrong.
+        let _ = stream.get_ref().set_nodelay(true);
+        let clock = meters.watchdog.clock();
+        let held = meters.buffers.share();
+        Connection { stream, buf: Vec::new(), used: 0, ended: false, clock, held }
+    }
+
+    /// Opens a connection.
+    ///
+    /// # Errors
+    /// Returns an error if the target does not take it.
+    pub(crate) async fn open(to: SocketAddr, meters: &Meters) -> io::Result<Connection> {
+        let stream = Async::<TcpStream>::connect(to).await?;
+        Ok(Connection::new(stream, meters))
+    }
+
+    /// Says how long the peer may be waited for from now on.
+    pub(crate) fn be_patient(&self, patience: Patience) {
+        self.clock.restart(patience);
+    }
+
+    /// Whether the peer was waited for too long.
+    pub(crate) fn expired(&self) -> bool {
+        self.clock.expired()
+    }
+
+    /// The bytes that were read and not yet used.
+    pub(crate) fn unused(&self) -> &[u8] {
+        &self.buf[self.used..]
+    }
+
+    /// Marks bytes as used.
+    pub(crate) fn consume(&mut self, count: usize) {
+        self.used += count;
+        debug_assert!(self.used <= self.buf.len());
+        if self.used == self.buf.len() {
+            self.buf.clear();
+            self.used = 0;
+        }
+    }
+
+    /// Reads more bytes; zero means that the peer has ended the connection.
+    pub(crate) fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
+        if self.ended {
+            return Poll::Ready(Ok(0));
+        }
+        loop {
+            if self.buf.capacity() == 0 {
+                // Waits without a buffer.
+                match self.stream.poll_readable(cx) {
+                    Poll::Ready(result) => result?,
+                    Poll::Pending => return self.pending(cx),
+                }
+            }
+            match self.read_some() {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    self.release();
+                    match self.stream.poll_readable(cx) {
+                        Poll::Ready(result) => result?,
+                        Poll::Pending => return self.pending(cx),
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(count) => {
+                    self.ended = count == 0;
+                    self.clock.moved(count);
+                    return Poll::Ready(Ok(count));
+                }
+            }
+        }
+    }
+
+    fn pending<T>(&self, cx: &Context<'_>) -> Poll<io::Result<T>> {
+        if self.clock.wait(cx) {
+            return Poll::Ready(Err(io::ErrorKind::TimedOut.into()));
+        }
+        Poll::Pending
+    }
+
+    fn read_some(&mut self) -> io::Result<usize> {
+        if self.used > 0 {
+            self.buf.drain(..self.used);
+            self.used = 0;
+        }
+        let filled = self.buf.len();
+        self.buf.resize(filled + READ_BYTES, 0);
+        self.held.set(self.buf.capacity());
+        let result = self.stream.get_ref().read(&mut self.buf[filled..]);
+        self.buf.truncate(filled + result.as_ref().map_or(0, |count| *count));
+        result
+    }
+
+    /// Gives the buffer back if it is empty.
+    pub(crate) fn release(&mut self) {
+        if self.unused().is_empty() {
+            self.buf = Vec::new();
+            self.used = 0;
+            self.held.set(0);
+        }
+    }
+
+    /// Reads more bytes; zero means that the peer has ended the connection.
+    ///
+    /// # Errors
+    /// Returns an error if the connection broke or the peer was waited for too long.
+    pub(crate) async fn fill(&mut self) -> io::Result<usize> {
+        poll_fn(|cx| self.poll_fill(cx)).await
+    }
+
+    /// Writes some of the bytes.
+    pub(crate) fn poll_write(
+        &mut self,
+        cx: &mut Context<'_>,
+        bytes: &[u8],
+    ) -> Poll<io::Result<usize>> {
+        loop {
+            match self.stream.get_ref().write(bytes) {
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+                    match self.stream.poll_writable(cx) {
+                        Poll::Ready(result) => result?,
+                        Poll::Pending => return self.pending(cx),
+                    }
+                }
+                Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
+                Err(error) => return Poll::Ready(Err(error)),
+                Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
+                Ok(count) => {
+                    self.clock.moved(count);
+                    return Poll::Ready(Ok(count));
+                }
+            }
+        }
+    }
+
+    /// Writes all of the bytes.
+    ///
+    /// # Errors
+    /// Returns an error if the connection broke or the peer was waited for too long.
+    pub(crate) async fn write_all(&mut self, mut bytes: &[u8]) -> io::Result<()> {
+        while !bytes.is_empty() {
+            let count = poll_fn(|cx| self.poll_write(cx, bytes)).await?;
+            bytes = &bytes[count..];
+        }
+        Ok(())
+    }
+
+    /// Whether the peer has neither sent anything nor ended the connection.
+    pub(crate) fn is_quiet(&self) -> bool {
+        if self.ended || !self.unused().is_empty() {
+            return false;
+        }
+        let peeked = self.stream.get_ref().peek(&mut [0; 1]);
+        peeked.is_err_and(|error| error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Ends the direction to the peer and reads what it still sends, so that it gets to read what
+    /// was written before.
+    pub(crate) async fn linger(&mut self, patience: Patience, most: usize) {
+        // The peer may have closed first.
+        let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
+        self.be_patient(patience);
+        let mut discarded = 0;
+        while discarded <= most {
+            self.consume(self.unused().len());
+            match self.fill().await {
+                Ok(0) | Err(_) => return,
+                Ok(count) => discarded += count,
+            }
+        }
+    }
+
+    /// Completes when the peer has ended or broken the connection; keeps what it sends until then.
+    pub(crate) fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        while self.unused().len() < READ_BYTES {
+            match ready!(self.poll_fill(cx)) {
+                Ok(0) | Err(_) => return Poll::Ready(()),
+                Ok(_) => {}
+            }
+        }
+        // A peer that pipelines this much is not watched any more.
+        Poll::Pending
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/request_check.rs
@@ -0,0 +1,183 @@
+use bay_conf::Method;
+use bay_types::ErrorKind;
+
+use super::framing::Framing;
+
+/// Most headers that the parser has room for.
+const MAX_HEADERS: usize = 128;
+
+/// Replaces the name of the header `Expect`, which the gate serves itself; headers that start
+/// with `bay-` are not passed on.
+const EXPECT_REPLACEMENT: &[u8; 6] = b"bay-ex";
+
+/// What the gate has to know of a request's head besides what the HTTP library tells.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) struct RequestFacts {
+    /// How the body ends.
+    pub(crate) framing: Framing,
+    /// Whether the caller waits for a go-ahead before it sends the body.
+    pub(crate) expects_continue: bool,
+    /// Whether the caller wants the connection closed after the answer.
+    pub(crate) close: bool,
+    /// Whether the caller said what its body is.
+    pub(crate) has_content_type: bool,
+}
+
+/// Checks a raw head for all that two parsers might read differently.
+///
+/// # Errors
+/// Returns why the request is not passed on.
+pub(crate) fn check_request(
+    head: &mut [u8],
+    most_headers: usize,
+) -> Result<RequestFacts, ErrorKind> {
+    check_lines(head)?;
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut request = httparse::Request::new(&mut headers);
+    match request.parse(head) {
+        Ok(httparse::Status::Complete(len)) if len == head.len() => {}
+        Err(httparse::Error::TooManyHeaders) => return Err(ErrorKind::HeadTooLarge),
+        _ => return Err(ErrorKind::BadRequest),
+    }
+    if request.headers.len() > most_headers {
+        return Err(ErrorKind::HeadTooLarge);
+    }
+    if request.version != Some(1) {
+        return Err(ErrorKind::BadRequest);
+    }
+    let method = request.method.ok_or(ErrorKind::BadRequest)?;
+    Method::parse(method).ok_or(ErrorKind::MethodNotAllowed)?;
+    check_target(request.path.ok_or(ErrorKind::BadRequest)?)?;
+    let mut reading = Reading::default();
+    for header in request.headers.iter() {
+        reading.take(header)?;
+    }
+    let expects = reading.expects.is_some();
+    let facts = reading.finish()?;
+    if expects {
+        hide_expect(head);
+    }
+    Ok(facts)
+}
+
+/// Rejects lines that do not end in CR LF, and what is not ASCII, on which the library panics.
+fn check_lines(head: &[u8]) -> Result<(), ErrorKind> {
+    let mut last = 0;
+    for &byte in head {
+        if !byte.is_ascii() || (byte == b'\n' && last != b'\r') || (last == b'\r' && byte != b'\n')
+        {
+            return Err(ErrorKind::BadRequest);
+        }
+        last = byte;
+    }
+    Ok(())
+}
+
+/// Takes only a path that means the same to every reader; the library resolves dot segments.
+fn check_target(target: &str) -> Result<(), ErrorKind> {
+    let path = target.split('?').next().unwrap_or_default();
+    if !target.starts_with('/') || target.contains(['#', '\\']) {
+        return Err(ErrorKind::BadRequest);
+    }
+    let is_dots = |segment: &str| {
+        let plain = segment.to_ascii_lowercase().replace("%2e", ".");
+        plain == "." || plain == ".."
+    };
+    let may_have_dots = path.contains("/.") || path.contains('%');
+    if may_have_dots && path.split('/').any(is_dots) {
+        return Err(ErrorKind::BadRequest);
+    }
+    Ok(())
+}
+
+/// Collects the headers that decide about framing.
+#[derive(Debug, Default)]
+struct Reading<'a> {
+    host: Option<&'a [u8]>,
+    length: Option<u64>,
+    chunked: bool,
+    expects: Option<&'a [u8]>,
+    close: bool,
+    has_content_type: bool,
+}
+
+impl<'a> Reading<'a> {
+    fn take(&mut self, header: &httparse::Header<'a>) -> Result<(), ErrorKind> {
+        let name = header.name;
+        let value = header.value;
+        if name.eq_ignore_ascii_case("host") {
+            return set_once(&mut self.host, value, is_host(value));
+        }
+        if name.eq_ignore_ascii_case("content-length") {
+            let length = parse_length(value).ok_or(ErrorKind::BadRequest)?;
+            return set_once(&mut self.length, length, true);
+        }
+        if name.eq_ignore_ascii_case("transfer-encoding") {
+            if self.chunked || !value.eq_ignore_ascii_case(b"chunked") {
+                return Err(ErrorKind::BadRequest);
+            }
+            self.chunked = true;
+        }
+        if name.eq_ignore_ascii_case("expect") {
+            return set_once(&mut self.expects, value, value.eq_ignore_ascii_case(b"100-continue"));
+        }
+        if name.eq_ignore_ascii_case("connection") {
+            let mut options = value.split(|byte| *byte == b',').map(<[u8]>::trim_ascii);
+            self.close |= options.any(|option| option.eq_ignore_ascii_case(b"close"));
+        }
+        self.has_content_type |= name.eq_ignore_ascii_case("content-type");
+        Ok(())
+    }
+
+    fn finish(self) -> Result<RequestFacts, ErrorKind> {
+        self.host.ok_or(ErrorKind::BadRequest)?;
+        let framing = match (self.length, self.chunked) {
+            (Some(_), true) => return Err(ErrorKind::BadRequest),
+            (None, true) => Framing::Chunked,
+            (None | Some(0), false) => Framing::Empty,
+            (Some(length), false) => Framing::Length(length),
+        };
+        Ok(RequestFacts {
+            framing,
+            expects_continue: self.expects.is_some() && framing != Framing::Empty,
+            close: self.close,
+            has_content_type: self.has_content_type,
+        })
+    }
+}
+
+fn set_once<T>(slot: &mut Option<T>, value: T, valid: bool) -> Result<(), ErrorKind> {
+    if slot.is_some() || !valid {
+        return Err(ErrorKind::BadRequest);
+    }
+    *slot = Some(value);
+    Ok(())
+}
+
+fn is_host(value: &[u8]) -> bool {
+    let allowed = |byte: &u8| byte.is_ascii_alphanumeric() || b"-._:[]".contains(byte);
+    !value.is_empty() && value.iter().all(allowed)
+}
+
+/// Reads a length of digits alone; the library also takes a plus sign.
+pub(crate) fn parse_length(value: &[u8]) -> Option<u64> {
+    if value.is_empty() || !value.iter().all(u8::is_ascii_digit) {
+        return None;
+    }
+    std::str::from_utf8(value).ok()?.parse().ok()
+}
+
+/// Renames the header `Expect`, for which the library would start a thread pool of its own.
+fn hide_expect(head: &mut [u8]) {
+    let mut at = 0;
+    while let Some(line) = head[at..].iter().position(|byte| *byte == b'\n') {
+        let len = EXPECT_REPLACEMENT.len();
+        if head[at..].len() > len
+            && head[at..at + len].eq_ignore_ascii_case(b"expect")
+            && head[at + len] == b':'
+        {
+            head[at..at + len].copy_from_slice(EXPECT_REPLACEMENT);
+        }
+        at += line + 1;
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/shared.rs
@@ -0,0 +1,236 @@
+use std::collections::HashMap;
+use std::sync::atomic::{AtomicU8, AtomicU64, Ordering};
+use std::sync::{Arc, Mutex};
+
+use async_channel::{Receiver, Sender};
+use async_io::Timer;
+use bay_call::{Action, AttemptId, CallId, Event, RequestHead};
+use bay_gate::Gate;
+use bay_obs::Counters;
+use bay_time::{BootClock, Clock, Time};
+use bay_types::{ErrorKind, Incarnation, NodeId};
+use bay_wire::{GateAddress, Item, PeerMessage};
+use futures_lite::future;
+use http_types::Response;
+
+use super::admission::Admission;
+use super::connection::Meters;
+use super::http_limits::HttpLimits;
+use super::lock;
+use super::mailbox::Mailbox;
+use super::peers::PeerSender;
+use super::pool::ConnectionPool;
+use crate::refusal::refusal;
+
+/// What all tasks of a gate have in common.
+#[derive(Debug)]
+pub(crate) struct Shared {
+    pub(crate) counters: Counters,
+    pub(crate) limits: HttpLimits,
+    pub(crate) meters: Arc<Meters>,
+    pub(crate) pool: Arc<ConnectionPool>,
+    pub(crate) admission: Arc<Admission>,
+    pub(crate) peers: PeerSender,
+    pub(crate) node: NodeId,
+    pub(crate) incarnation: Incarnation,
+    gate: Mutex<Gate>,
+    mailboxes: Mutex<HashMap<CallId, Arc<Mailbox>>>,
+    phase: AtomicU8,
+    wake: (Sender<()>, Receiver<()>),
+    sleeping_until: AtomicU64,
+}
+
+/// How far a planned stop has come.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Phase {
+    /// The gate serves.
+    Serving,
+    /// The gate says that it is not ready, and serves.
+    Draining,
+    /// The gate finishes what it has.
+    Closing,
+}
+
+impl Shared {
+    /// What the tasks of a gate share.
+    pub(crate) fn new(
+        gate: Gate,
+        counters: Counters,
+        limits: HttpLimits,
+        admission: Admission,
+        peers: PeerSender,
+        incarnation: Incarnation,
+    ) -> Shared {
+        let meters = Arc::new(Meters::default());
+        let pool = ConnectionPool::new(limits.clone(), Arc::clone(&meters));
+        Shared {
+            counters,
+            limits,
+            meters,
+            pool: Arc::new(pool),
+            admission: Arc::new(admission),
+            peers,
+            node: gate.node(),
+            incarnation,
+            gate: Mutex::new(gate),
+            mailboxes: Mutex::default(),
+            phase: AtomicU8::new(Phase::Serving as u8),
+            wake: async_channel::bounded(1),
+            sleeping_until: AtomicU64::new(0),
+        }
+    }
+
+    /// Lets the gate decide about something, and does what it asks for.
+    pub(crate) fn decide<F, R>(&self, decide: F) -> R
+    where
+        F: FnOnce(&mut Gate, Time, &mut Vec<Action>) -> R,
+    {
+        let mut actions = Vec::new();
+        let (result, next) = {
+            let mut gate = lock(&self.gate);
+            let result = decide(&mut gate, BootClock.now(), &mut actions);
+            (result, gate.next_deadline())
+        };
+        self.perform(actions);
+        if next.is_some_and(|at| at.as_nanos() < self.sleeping_until.load(Ordering::Relaxed)) {
+            // A full channel means that a wake-up is already under way.
+            let _ = self.wake.0.try_send(());
+        }
+        result
+    }
+
+    /// Takes a request; its actions go to the mailbox.
+    pub(crate) fn begin<H>(&self, head: &H, mailbox: &Arc<Mailbox>) -> CallId
+    where
+        H: RequestHead,
+    {
+        self.decide(|gate, now, actions| {
+            let call = gate.begin(now, head, actions);
+            lock(&self.mailboxes).insert(call, Arc::clone(mailbox));
+            call
+        })
+    }
+
+    /// Tells the gate what happened to a request.
+    pub(crate) fn event(&self, call: CallId, event: Event) {
+        self.decide(|gate, now, actions| gate.event(now, call, event, actions));
+    }
+
+    /// Forgets a request that has ended.
+    pub(crate) fn end(&self, call: CallId) {
+        lock(&self.mailboxes).remove(&call);
+    }
+
+    /// Whether an attempt may hand its first byte to a connection.
+    pub(crate) fn may_send(&self, call: CallId, attempt: AttemptId) -> bool {
+        lock(&self.gate).may_send(BootClock.now(), call, attempt)
+    }
+
+    /// Counts a refusal of the shell's own and makes its answer.
+    pub(crate) fn refuse(&self, kind: ErrorKind) -> Response {
+        let retry_after = lock(&self.gate).refused_by_shell(kind);
+        refusal(kind, retry_after)
+    }
+
+    /// Takes items that are newer than what the gate has.
+    pub(crate) fn apply(&self, items: &[Item]) {
+        self.decide(|gate, now, actions| {
+            for item in items {
+                gate.apply(now, item, actions);
+            }
+        });
+    }
+
+    /// Takes the list of the gates that are up.
+    pub(crate) fn set_gates(&self, gates: &[GateAddress]) {
+        self.decide(|gate, now, actions| gate.set_gates(now, gates, actions));
+    }
+
+    /// Takes a datagram of another gate.
+    pub(crate) fn take_peer(&self, from: NodeId, message: PeerMessage) {
+        self.decide(|gate, now, actions| gate.on_peer(now, from, message, actions));
+    }
+
+    /// Passes what the gate has counted on to the counters.
+    pub(crate) fn take_counts(&self) {
+        let mut counts = Vec::new();
+        lock(&self.gate).take_counts(&mut counts);
+        for count in counts {
+            self.counters.add(count.name.as_str(), count.count);
+        }
+    }
+
+    /// Longest body that the service with this host name takes, in bytes.
+    pub(crate) fn max_body(&self, host: &str) -> u64 {
+        lock(&self.gate).max_body(host).unwrap_or_default()
+    }
+
+    /// How far a planned stop has come.
+    pub(crate) fn phase(&self) -> Phase {
+        match self.phase.load(Ordering::Relaxed) {
+            0 => Phase::Serving,
+            1 => Phase::Draining,
+            _ => Phase::Closing,
+        }
+    }
+
+    /// Goes on with a planned stop.
+    pub(crate) fn set_phase(&self, phase: Phase) {
+        self.phase.store(phase as u8, Ordering::Relaxed);
+    }
+
+    /// Whether the gate takes requests and says so.
+    pub(crate) fn ready(&self) -> bool {
+        self.phase() == Phase::Serving && lock(&self.gate).ready()
+    }
+
+    fn perform(&self, actions: Vec<Action>) {
+        for action in actions {
+            let call = match action {
+                Action::Attempt { call, .. }
+                | Action::Cancel { call, .. }
+                | Action::Forward { call, .. }
+                | Action::Refuse { call, .. }
+                | Action::Abort { call } => call,
+                Action::Peer { to, ref message } => {
+                    if !self.peers.send(to, message) {
+                        self.counters.add("peer.unsent", 1);
+                    }
+                    continue;
+                }
+            };
+            // A request that has ended takes no more actions.
+            let mailbox = lock(&self.mailboxes).get(&call).cloned();
+            if let Some(mailbox) = mailbox {
+                mailbox.push(action);
+            }
+        }
+    }
+
+    /// Does what is due, for as long as the task lives.
+    pub(crate) async fn drive(&self) {
+        loop {
+            let now = BootClock.now();
+            let deadline = self.decide(|gate, now, actions| {
+                gate.tick(now, actions);
+                let deadline = gate.next_deadline();
+                let until = deadline.unwrap_or(Time::MAX);
+                self.sleeping_until.store(until.as_nanos(), Ordering::Relaxed);
+                deadline
+            });
+            let woken = async {
+                // The channel lives as long as the gate.
+                let _ = self.wake.1.recv().await;
+            };
+            match deadline {
+                Some(at) => {
+                    let sleep = async {
+                        Timer::after(at.since(now)).await;
+                    };
+                    future::or(sleep, woken).await;
+                }
+                None => woken.await,
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/src/gate_shell/upload.rs
@@ -0,0 +1,143 @@
+use std::io::{self, Write};
+use std::sync::Mutex;
+use std::task::{Context, Poll};
+
+use bay_types::ErrorKind;
+
+use super::buffer_gauge::HeldBytes;
+use super::caller_side::{CallerSide, KeptBody};
+use super::connection::Connection;
+use super::framing::Framing;
+use super::http_limits::HttpLimits;
+use super::lock;
+use super::watchdog::Patience;
+
+/// The end of a body in chunks.
+pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
+
+/// Moves a request to a target: its head, what is kept of its body, and the rest as it comes.
+#[derive(Debug)]
+pub(crate) struct Upload<'a> {
+    caller: &'a Mutex<CallerSide>,
+    chunked: bool,
+    out: Vec<u8>,
+    at: usize,
+    reading: bool,
+    held: HeldBytes,
+}
+
+/// How an upload ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum UploadEnd {
+    /// The whole request was handed to the connection.
+    Sent,
+    /// The target answers, or ends the connection, before it has the whole request.
+    Answered,
+    /// The rest of the caller's request cannot be taken.
+    CallerFailed(ErrorKind),
+    /// The caller hung up in the middle of its request.
+    CallerGone,
+}
+
+impl<'a> Upload<'a> {
+    /// An upload that starts with an encoded head.
+    pub(crate) fn new(
+        caller: &'a Mutex<CallerSide>,
+        mut head: Vec<u8>,
+        body: &KeptBody,
+        limits: &HttpLimits,
+        mut held: HeldBytes,
+    ) -> Upload<'a> {
+        let chunked = body.framing == Framing::Chunked;
+        append(&mut head, &body.bytes, chunked);
+        if body.has_more {
+            lock(caller).connection.be_patient(limits.body_patience());
+        }
+        held.set(head.capacity());
+        Upload { caller, chunked, out: head, at: 0, reading: body.has_more, held }
+    }
+
+    /// Moves bytes until the upload has ended.
+    pub(crate) fn poll(
+        &mut self,
+        target: &mut Connection,
+        cx: &mut Context<'_>,
+    ) -> Poll<UploadEnd> {
+        loop {
+            if self.at < self.out.len() {
+                match target.poll_write(cx, &self.out[self.at..]) {
+                    Poll::Ready(Ok(count)) => self.at += count,
+                    Poll::Ready(Err(_)) => return Poll::Ready(UploadEnd::Answered),
+                    Poll::Pending => return self.poll_answer(target, cx),
+                }
+                continue;
+            }
+            if !self.reading {
+                return Poll::Ready(UploadEnd::Sent);
+            }
+            match self.read(cx) {
+                Poll::Ready(Ok(())) => {}
+                Poll::Ready(Err(end)) => return Poll::Ready(end),
+                Poll::Pending => return self.poll_answer(target, cx),
+            }
+        }
+    }
+
+    fn read(&mut self, cx: &mut Context<'_>) -> Poll<Result<(), UploadEnd>> {
+        let mut caller = lock(self.caller);
+        let count = match caller.poll_body(cx) {
+            Poll::Ready(Ok(count)) => count,
+            Poll::Ready(Err(Some(kind))) => {
+                return Poll::Ready(Err(UploadEnd::CallerFailed(kind)));
+            }
+            Poll::Ready(Err(None)) => return Poll::Ready(Err(UploadEnd::CallerGone)),
+            Poll::Pending => return Poll::Pending,
+        };
+        self.out.clear();
+        self.at = 0;
+        if count == 0 {
+            self.reading = false;
+            caller.connection.be_patient(Patience::Endless);
+            if self.chunked {
+                self.out.extend_from_slice(LAST_CHUNK);
+            }
+            return Poll::Ready(Ok(()));
+        }
+        append(&mut self.out, &caller.connection.unused()[..count], self.chunked);
+        caller.consume_body(count);
+        self.held.set(self.out.capacity());
+        Poll::Ready(Ok(()))
+    }
+
+    /// Looks whether the target answers before it has the whole request.
+    fn poll_answer(&self, target: &mut Connection, cx: &mut Context<'_>) -> Poll<UploadEnd> {
+        match target.poll_fill(cx) {
+            Poll::Ready(_) => Poll::Ready(UploadEnd::Answered),
+            Poll::Pending => Poll::Pending,
+        }
+    }
+}
+
+impl Drop for Upload<'_> {
+    fn drop(&mut self) {
+        if self.reading {
+            // Nobody waits for the rest of the body any more.
+            lock(self.caller).connection.be_patient(Patience::Endless);
+        }
+    }
+}
+
+/// Appends a part of a body, as a chunk of its own if the body is chunked.
+pub(crate) fn append(out: &mut Vec<u8>, bytes: &[u8], chunked: bool) {
+    if bytes.is_empty() {
+        return;
+    }
+    if !chunked {
+        out.extend_from_slice(bytes);
+        return;
+    }
+    // Writing to a vector does not fail.
+    let _: io::Result<()> = write!(out, "{:x}\r\n", bytes.len());
+    out.extend_from_slice(bytes);
+    out.extend_from_slice(b"\r\n");
+}
--- a/crates/node/src/http_head.rs
+++ b/crates/node/src/http_head.rs
@@ -12,8 +12,7 @@
     }
 
     fn host(&self) -> Option<&str> {
-        let value = self.0.header("host")?.as_str();
-        Some(value.split(':').next().unwrap_or(value))
+        host_name(self.0)
     }
 
     fn path(&self) -> &str {
@@ -24,3 +23,9 @@
         self.0.header(name).map(|values| values.as_str())
     }
 }
+
+/// The host name that a request asks for, without its port.
+pub(crate) fn host_name(req: &Request) -> Option<&str> {
+    let value = req.header("host")?.as_str();
+    Some(value.split(':').next().unwrap_or(value))
+}
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -12,7 +12,7 @@
 mod steward_shell;
 
 pub use command_line::{Command, CommandError, parse_command};
-pub use gate_shell::GateShell;
+pub use gate_shell::{GateAddresses, GateShell, HttpLimits};
 pub use run::run;
 pub use shell_error::ShellError;
 pub use steward_shell::StewardShell;
