Give the target stand-in its faults, cold starts, freezes, crashes and a log of runs

Cause: the thin stand-in could only answer well or shed, so that no test could bring about the failures that the gate is meant for.

Change: the stand-in reads and answers over a raw connection, since the HTTP library cannot be made to answer wrongly, and gets flags for each fault, a handle to kill, freeze and restart it in process, and counts of what it ran.

--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -3,9 +3,19 @@
 mod mem_store;
 mod owner_server;
 mod store_server;
+mod switch;
+mod target_answer;
+mod target_connection;
+mod target_handle;
+mod target_options;
 mod target_server;
+mod target_service;
+mod target_state;
 
 pub use mem_store::{MemStore, StoreFault};
 pub use owner_server::{Admission, OwnerServer};
 pub use store_server::StoreServer;
-pub use target_server::{TargetOptions, TargetServer};
+pub use target_handle::TargetHandle;
+pub use target_options::{AnswerFault, ColdStart, Freeze, LoadReporting, TargetOptions};
+pub use target_server::TargetServer;
+pub use target_state::TargetCounts;
--- a/crates/fakes/src/target_server.rs
+++ b/crates/fakes/src/target_server.rs
@@ -1,42 +1,21 @@
 use std::net::SocketAddr;
-use std::sync::{Arc, Mutex, PoisonError};
-use std::time::Duration;
+use std::sync::Arc;
 
+use async_executor::Executor;
 use async_io::Timer;
-use async_net::{TcpListener, TcpStream};
-use bay_time::{BootClock, Clock};
-use bay_types::{SliceId, Token};
-use bay_wire::Order;
-use futures_lite::StreamExt;
-use http_types::{Method, Request, Response, StatusCode};
+use async_net::TcpListener;
+use futures_lite::{StreamExt, future};
 
-use crate::{Admission, OwnerServer};
-
-/// How a target behaves.
-#[derive(Debug, Clone)]
-pub struct TargetOptions {
-    /// Whether it owns keys and takes orders.
-    pub owner: bool,
-    /// Whether it checks fencing tokens.
-    pub fenced: bool,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Time that a request takes.
-    pub service_time: Duration,
-}
+use crate::target_service::serve_connection;
+use crate::target_state::{TargetState, lock};
+use crate::{Freeze, TargetHandle, TargetOptions};
 
 /// A server or target over HTTP.
 #[derive(Debug)]
 pub struct TargetServer {
     listener: TcpListener,
-    state: Arc<State>,
-}
-
-#[derive(Debug)]
-struct State {
-    options: TargetOptions,
-    owner: Mutex<OwnerServer>,
-    running: Mutex<u32>,
+    address: SocketAddr,
+    state: Arc<TargetState>,
 }
 
 impl TargetServer {
@@ -49,10 +28,8 @@
         options: TargetOptions,
     ) -> std::io::Result<TargetServer> {
         let listener = TcpListener::bind(address).await?;
-        let boot = BootClock.now().as_nanos();
-        let owner = Mutex::new(OwnerServer::new(boot, options.fenced));
-        let state = Arc::new(State { options, owner, running: Mutex::new(0) });
-        Ok(TargetServer { listener, state })
+        let address = listener.local_addr()?;
+        Ok(TargetServer { listener, address, state: Arc::new(TargetState::new(options)) })
     }
 
     /// Where it listens.
@@ -60,94 +37,67 @@
     /// # Errors
     /// Returns an error if the socket has no address.
     pub fn address(&self) -> std::io::Result<SocketAddr> {
-        self.listener.local_addr()
-    }
-
-    /// Serves until the task is dropped.
-    pub async fn serve(self, executor: Arc<async_executor::Executor<'static>>) {
-        let mut incoming = self.listener.incoming();
-        while let Some(stream) = incoming.next().await {
-            let Ok(stream) = stream else { continue };
-            executor.spawn(serve_connection(stream, Arc::clone(&self.state))).detach();
-        }
+        Ok(self.address)
     }
-}
 
-async fn serve_connection(stream: TcpStream, state: Arc<State>) {
-    // A connection that breaks concerns its caller only.
-    let _ = async_h1::accept(stream, |req| answer(req, Arc::clone(&state))).await;
-}
-
-async fn answer(mut req: Request, state: Arc<State>) -> http_types::Result<Response> {
-    if req.method() == Method::Post && req.url().path() == "/bay/order" {
-        return answer_order(&mut req, &state).await;
-    }
-    let body = req.body_bytes().await?;
-    if state.options.owner && admit(&req, &state) == Admission::NotOwner {
-        return Ok(not_run("not-owner"));
+    /// Controls the target while it runs.
+    pub fn handle(&self) -> TargetHandle {
+        TargetHandle::new(Arc::clone(&self.state))
     }
-    let Some(_slot) = Slot::take(&state) else {
-        return Ok(not_run("shed"));
-    };
-    Timer::after(state.options.service_time).await;
-    let mut res = Response::new(StatusCode::Ok);
-    if let Some(id) = req.header("bay-request") {
-        res.insert_header("bay-request", id.as_str());
-    }
-    res.set_body(format!("{} {} {}\n", req.method(), req.url().path(), body.len()));
-    Ok(res)
-}
-
-async fn answer_order(req: &mut Request, state: &State) -> http_types::Result<Response> {
-    let body = req.body_string().await?;
-    let Ok(order) = serde_json::from_str::<Order>(&body) else {
-        return Ok(Response::new(StatusCode::BadRequest));
-    };
-    let reply = lock(&state.owner).order(BootClock.now(), &order);
-    let mut res = Response::new(StatusCode::Ok);
-    res.set_body(serde_json::to_string(&reply)?);
-    Ok(res)
-}
 
-fn admit(req: &Request, state: &State) -> Admission {
-    let number = |name: &str| req.header(name).and_then(|value| value.as_str().parse::<u64>().ok());
-    match (number("bay-slice"), number("bay-token")) {
-        (Some(slice), Some(token)) => {
-            lock(&state.owner).admit(BootClock.now(), SliceId(slice as u32), Token(token))
+    /// Serves until the task is dropped, with pauses while the target is killed.
+    pub async fn serve(self, executor: Arc<Executor<'static>>) {
+        let TargetServer { listener, address, state } = self;
+        if let Some(freeze) = state.options.freeze {
+            executor.spawn(freeze_once(Arc::clone(&state), freeze)).detach();
+        }
+        let mut listening = Some(listener);
+        loop {
+            if let Some(listener) = listening.take() {
+                let accepting = accept(listener, &state, &executor);
+                future::or(accepting, state.down.wait(true)).await;
+            }
+            lock(&state.connections).clear();
+            if state.crashed.is_on() {
+                recover(&state).await;
+            }
+            state.down.wait(false).await;
+            // The address is free as soon as the old socket is closed.
+            listening = TcpListener::bind(address).await.ok();
         }
-        _ => Admission::NotOwner,
     }
 }
 
-fn not_run(reason: &str) -> Response {
-    let mut res = Response::new(StatusCode::ServiceUnavailable);
-    res.insert_header("bay-outcome", "not-run");
-    res.insert_header("bay-reason", reason);
-    res
-}
-
-fn lock<T>(mutex: &Mutex<T>) -> std::sync::MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
-
-/// Holds one of the target's slots.
-struct Slot<'a> {
-    state: &'a State,
+async fn accept(listener: TcpListener, state: &Arc<TargetState>, executor: &Executor<'static>) {
+    let mut incoming = listener.incoming();
+    loop {
+        let Some(Ok(stream)) = state.frozen.while_off(incoming.next()).await else { continue };
+        lock(&state.counts).connections += 1;
+        let serving = Arc::clone(state);
+        let task = executor.spawn(async move {
+            let frozen = &serving.frozen;
+            // A connection that breaks concerns its caller only.
+            let _ = frozen.while_off(serve_connection(stream, Arc::clone(&serving))).await;
+        });
+        let mut connections = lock(&state.connections);
+        connections.retain(|task| !task.is_finished());
+        connections.push(task);
+    }
 }
 
-impl<'a> Slot<'a> {
-    fn take(state: &'a State) -> Option<Slot<'a>> {
-        let mut running = lock(&state.running);
-        if *running >= state.options.slots {
-            return None;
-        }
-        *running += 1;
-        Some(Slot { state })
+/// Starts a crashed target again, if its options say so.
+async fn recover(state: &TargetState) {
+    state.crashed.set(false);
+    if let Some(pause) = state.options.restart_after {
+        Timer::after(pause).await;
+        state.restart();
+        state.down.set(false);
     }
 }
 
-impl Drop for Slot<'_> {
-    fn drop(&mut self) {
-        *lock(&self.state.running) -= 1;
-    }
+async fn freeze_once(state: Arc<TargetState>, freeze: Freeze) {
+    Timer::after(freeze.after).await;
+    state.frozen.set(true);
+    Timer::after(freeze.length).await;
+    state.frozen.set(false);
 }
--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -9,7 +9,7 @@
 use bay_obs::Counters;
 use bay_time::{BootClock, Clock};
 use bay_types::{Incarnation, NodeId};
-use bay_wire::ClusterKey;
+use bay_wire::{ClusterKey, Item};
 
 use crate::ShellError;
 use crate::steward_link::follow_steward;
@@ -207,6 +207,11 @@
         }
     }
 
+    /// Takes documents, zones and routes that are newer than what the gate has.
+    pub fn apply(&self, items: &[Item]) {
+        self.shared.apply(items);
+    }
+
     /// Whether the gate takes requests.
     pub fn ready(&self) -> bool {
         self.shared.ready()
