--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -134,7 +134,7 @@
         return Left::Refused(connection, ErrorKind::BadRequest);
     };
     let most = shared.max_body(host_name(&req).unwrap_or_default());
-    let mut caller = CallerSide::new(connection, facts.framing, most);
+    let mut caller = CallerSide::new(connection, facts.framing, most.unwrap_or_default());
     let body = match read_kept(shared, &mut caller, &facts, most).await {
         Ok(body) => body,
         Err(Some(kind)) => return Left::Refused(caller.connection, kind),
@@ -151,13 +151,14 @@
     let mut run = CallRun::new(shared, call.call, mailbox, &request, &caller);
     let end = poll_fn(|cx| run.poll(cx)).await;
     drop(run);
-    let close = facts.close || shared.phase() != Phase::Serving;
+    let unread = !lock(&caller).reader.is_done();
+    let close = unread || facts.close || shared.phase() != Phase::Serving;
     let written = match end {
         CallEnd::Forward(attempt, answer) => {
             pass_on(&call, attempt, *answer, &caller, method, close).await
         }
-        CallEnd::Refuse { kind, retry_after } => {
-            let res = refusal(kind, retry_after);
+        CallEnd::Refuse { kind, retry_after, outcome } => {
+            let res = refusal(kind, outcome, retry_after);
             write_refusal(shared, &caller, res, method, close).await
         }
         CallEnd::Gone => false,
@@ -165,7 +166,7 @@
     drop(call);
     drop(request);
     let caller = caller.into_inner().unwrap_or_else(PoisonError::into_inner);
-    match (written, close || !caller.reader.is_done()) {
+    match (written, close) {
         (false, _) => Left::Broken,
         (true, true) => Left::Closing(caller.connection),
         (true, false) => Left::Open(caller.connection),
@@ -192,12 +193,16 @@
     shared: &Shared,
     caller: &mut CallerSide,
     facts: &RequestFacts,
-    most: u64,
+    most: Option<u64>,
 ) -> Result<KeptBody, Option<ErrorKind>> {
+    let held = shared.meters.buffers.share();
+    let Some(most) = most else {
+        // The gate is about to refuse the request.
+        return Ok(KeptBody::unread(facts.framing, held));
+    };
     if facts.framing.len().is_some_and(|length| length > most) {
         return Err(Some(ErrorKind::BodyTooLarge));
     }
-    let held = shared.meters.buffers.share();
     caller.read_kept(facts, &shared.limits, held).await
 }
 
@@ -233,7 +238,6 @@
     method: Method,
     close: bool,
 ) -> bool {
-    let close = close || !lock(caller).reader.is_done();
     let Some(bytes) = encode_refusal(res, method, close).await else {
         return false;
     };
--- a/crates/node/src/gate_shell/caller_side.rs
+++ b/crates/node/src/gate_shell/caller_side.rs
@@ -38,6 +38,14 @@
     pub(crate) _held: HeldBytes,
 }
 
+impl KeptBody {
+    /// A body of which nothing has been read.
+    pub(crate) fn unread(framing: Framing, held: HeldBytes) -> KeptBody {
+        let has_more = framing != Framing::Empty;
+        KeptBody { bytes: Vec::new(), framing, has_more, _held: held }
+    }
+}
+
 impl CallerSide {
     /// A request whose body has not been read.
     pub(crate) fn new(connection: Connection, framing: Framing, most: u64) -> CallerSide {
@@ -56,7 +64,7 @@
     ) -> Result<KeptBody, Option<ErrorKind>> {
         let mut bytes = Vec::new();
         if facts.framing == Framing::Empty {
-            return Ok(KeptBody { bytes, framing: Framing::Empty, has_more: false, _held: held });
+            return Ok(KeptBody::unread(Framing::Empty, held));
         }
         if facts.expects_continue && self.connection.unused().is_empty() {
             self.connection.write_all(GO_AHEAD).await.map_err(|_| None)?;
--- a/crates/node/src/gate_shell/shared.rs
+++ b/crates/node/src/gate_shell/shared.rs
@@ -129,7 +129,7 @@
     /// Counts a refusal of the shell's own and makes its answer.
     pub(crate) fn refuse(&self, kind: ErrorKind) -> Response {
         let retry_after = lock(&self.gate).refused_by_shell(kind);
-        refusal(kind, retry_after)
+        refusal(kind, kind.outcome(), retry_after)
     }
 
     /// Takes items that are newer than what the gate has.
@@ -160,9 +160,9 @@
         }
     }
 
-    /// Longest body that the service with this host name takes, in bytes.
-    pub(crate) fn max_body(&self, host: &str) -> u64 {
-        lock(&self.gate).max_body(host).unwrap_or_default()
+    /// Longest body that the service with this host name takes, in bytes; `None` if there is none.
+    pub(crate) fn max_body(&self, host: &str) -> Option<u64> {
+        lock(&self.gate).max_body(host)
     }
 
     /// How far a planned stop has come.
