--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -44,6 +44,11 @@
         Caller { stream: TcpStream::connect(to).await.unwrap(), buf: Vec::new() }
     }
 
+    /// Another hold on the same connection, to send while an answer is awaited.
+    pub fn second(&self) -> Caller {
+        Caller { stream: self.stream.clone(), buf: Vec::new() }
+    }
+
     /// Sends bytes; a gate that has hung up may take no more.
     pub async fn send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).await.is_ok()
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -194,6 +194,16 @@
     }
 }
 
+/// Like [`until`], for a condition that has to be asked for.
+pub async fn until_async<F>(mut holds: F)
+where
+    F: AsyncFnMut() -> bool,
+{
+    while !holds().await {
+        Timer::after(Duration::from_millis(2)).await;
+    }
+}
+
 /// A free port of the loopback address.
 pub fn localhost() -> SocketAddr {
     SocketAddr::from(([127, 0, 0, 1], 0))
