--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -258,7 +258,10 @@
 async fn receive_peers(shared: Arc<Shared>, mut peers: PeerReceiver) {
     loop {
         match peers.receive().await {
-            Received::Message { from, message } => shared.take_peer(from, *message),
+            Received::Message { from, message } => {
+                shared.counters.add("peer.received", 1);
+                shared.take_peer(from, *message);
+            }
             Received::Rejected => shared.counters.add("peer.rejected", 1),
         }
     }
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -141,7 +141,7 @@
         Err(None) => return Left::Broken,
     };
     let method = req.method();
-    let head = HttpHead(&req);
+    let head = HttpHead::new(&req, &body.bytes);
     let call = Begun { shared, call: shared.begin(&head, mailbox), mailbox };
     let Some(head) = encode_request(req, body.framing).await else {
         return Left::Refused(caller.connection, ErrorKind::BadRequest);
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -5,7 +5,7 @@
 use std::net::UdpSocket;
 
 use bay_types::{HostName, Incarnation, NodeId};
-use bay_wire::{ClusterKey, Role, Sealer, encode};
+use bay_wire::{ClusterKey, PeerMessage, Role, Sealer, encode};
 use support::{Plan, Site, until_async, with_site};
 
 fn sealer(secret: u8) -> Sealer {
@@ -29,7 +29,7 @@
 #[test]
 fn a_replayed_datagram_is_rejected() {
     with_site(Plan::default(), async |site| {
-        let payload = encode(&site_message()).unwrap();
+        let payload = encode(&PeerMessage::Release { digest: 1, call: 1 }).unwrap();
         let sealed = sealer(7).seal(&payload);
         send(&site, &sealed);
         send(&site, &sealed);
