--- a/crates/node/src/gate_shell/call_run.rs
+++ b/crates/node/src/gate_shell/call_run.rs
@@ -7,7 +7,7 @@
 
 use bay_call::{Action, AttemptFailure, AttemptId, CallId, Event};
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{ErrorKind, Outcome};
+use bay_types::ErrorKind;
 
 use super::answer::Answer;
 use super::attempt::{AttemptEnd, AttemptOrder, Outgoing, run_attempt};
@@ -25,7 +25,6 @@
     caller: &'a Mutex<CallerSide>,
     attempts: Vec<Running<'a>>,
     answers: Vec<(AttemptId, Answer)>,
-    cut: bool,
 }
 
 struct Running<'a> {
@@ -45,8 +44,6 @@
         kind: ErrorKind,
         /// When the caller may come back.
         retry_after: Option<Duration>,
-        /// What the answer vouches for.
-        outcome: Outcome,
     },
     /// Not at all, since the caller hung up.
     Gone,
@@ -75,7 +72,6 @@
             caller,
             attempts: Vec::new(),
             answers: Vec::new(),
-            cut: false,
         }
     }
 
@@ -113,10 +109,7 @@
                 let (_, answer) = self.answers.swap_remove(at);
                 Some(CallEnd::Forward(attempt, Box::new(answer)))
             }
-            Action::Refuse { kind, retry_after, .. } => {
-                let outcome = if self.cut { Outcome::Unknown } else { kind.outcome() };
-                Some(CallEnd::Refuse { kind, retry_after, outcome })
-            }
+            Action::Refuse { kind, retry_after, .. } => Some(CallEnd::Refuse { kind, retry_after }),
             Action::Abort { .. } => Some(CallEnd::Gone),
             // The gate's own messages do not go through a request's mailbox.
             Action::Peer { .. } => None,
@@ -177,11 +170,7 @@
             AttemptEnd::Failed(failure) => {
                 Event::Failed { attempt, failure, replayable: !self.body_lost() }
             }
-            AttemptEnd::CallerFailed(kind) => {
-                // A target has a part of the request, and may have run it on that.
-                self.cut = true;
-                Event::CallerFailed { kind }
-            }
+            AttemptEnd::CallerFailed(kind) => Event::CallerFailed { kind },
             AttemptEnd::CallerGone => Event::CallerGone,
             AttemptEnd::Withdrawn => return,
         };
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -157,8 +157,8 @@
         CallEnd::Forward(attempt, answer) => {
             pass_on(&call, attempt, *answer, &caller, method, close).await
         }
-        CallEnd::Refuse { kind, retry_after, outcome } => {
-            let res = refusal(kind, outcome, retry_after);
+        CallEnd::Refuse { kind, retry_after } => {
+            let res = refusal(kind, retry_after);
             write_refusal(shared, &caller, res, method, close).await
         }
         CallEnd::Gone => false,
--- a/crates/node/src/gate_shell/shared.rs
+++ b/crates/node/src/gate_shell/shared.rs
@@ -129,7 +129,7 @@
     /// Counts a refusal of the shell's own and makes its answer.
     pub(crate) fn refuse(&self, kind: ErrorKind) -> Response {
         let retry_after = lock(&self.gate).refused_by_shell(kind);
-        refusal(kind, kind.outcome(), retry_after)
+        refusal(kind, retry_after)
     }
 
     /// Takes items that are newer than what the gate has.
--- a/crates/node/src/refusal.rs
+++ b/crates/node/src/refusal.rs
@@ -1,18 +1,14 @@
 use std::time::Duration;
 
-use bay_types::{ErrorKind, Outcome};
+use bay_types::ErrorKind;
 use http_types::{Response, StatusCode};
 
 /// The answer for an error of the gate's own.
-pub(crate) fn refusal(
-    kind: ErrorKind,
-    outcome: Outcome,
-    retry_after: Option<Duration>,
-) -> Response {
+pub(crate) fn refusal(kind: ErrorKind, retry_after: Option<Duration>) -> Response {
     let status = StatusCode::try_from(kind.status()).unwrap_or(StatusCode::InternalServerError);
     let mut res = Response::new(status);
     res.insert_header("bay-error", kind.as_str());
-    res.insert_header("bay-outcome", outcome.as_str());
+    res.insert_header("bay-outcome", kind.outcome().as_str());
     if let Some(span) = retry_after {
         let seconds = span.as_millis().div_ceil(1_000).max(1);
         res.insert_header("retry-after", seconds.to_string());
