--- a/crates/gate/src/lib.rs
+++ b/crates/gate/src/lib.rs
@@ -1,6 +1,7 @@
 //! The gate without I/O, put together from its parts.
 
 mod admission;
+mod body_limit;
 mod bounds;
 mod claiming;
 mod events;
--- a/crates/node/src/http_head.rs
+++ b/crates/node/src/http_head.rs
@@ -1,26 +1,50 @@
 use bay_call::RequestHead;
 use bay_conf::Method;
+use bay_types::KeyHash;
 use http_types::Request;
 
 /// A request's head as the HTTP library holds it.
 #[derive(Debug)]
-pub(crate) struct HttpHead<'a>(pub(crate) &'a Request);
+pub(crate) struct HttpHead<'a> {
+    req: &'a Request,
+    kept_body: &'a [u8],
+}
+
+impl<'a> HttpHead<'a> {
+    /// A request's head, and the part of its body that was read before the gate is asked.
+    pub(crate) fn new(req: &'a Request, kept_body: &'a [u8]) -> HttpHead<'a> {
+        HttpHead { req, kept_body }
+    }
+}
 
 impl RequestHead for HttpHead<'_> {
     fn method(&self) -> Option<Method> {
-        Method::parse(self.0.method().as_ref())
+        Method::parse(self.req.method().as_ref())
     }
 
     fn host(&self) -> Option<&str> {
-        let value = self.0.header("host")?.as_str();
-        Some(value.split(':').next().unwrap_or(value))
+        host_name(self.req)
     }
 
     fn path(&self) -> &str {
-        self.0.url().path()
+        self.req.url().path()
+    }
+
+    fn query(&self) -> &str {
+        self.req.url().query().unwrap_or_default()
+    }
+
+    fn body_digest(&self) -> u64 {
+        KeyHash::of(self.kept_body).0
     }
 
     fn header(&self, name: &str) -> Option<&str> {
-        self.0.header(name).map(|values| values.as_str())
+        self.req.header(name).map(|values| values.as_str())
     }
 }
+
+/// The host name that a request asks for, without its port.
+pub(crate) fn host_name(req: &Request) -> Option<&str> {
+    let value = req.header("host")?.as_str();
+    Some(value.split(':').next().unwrap_or(value))
+}
--- /dev/null
+++ b/crates/node/tests/peers.rs
@@ -0,0 +1,49 @@
+//! Gates take each other's datagrams, and nobody else's.
+
+mod support;
+
+use std::net::UdpSocket;
+
+use bay_types::{HostName, Incarnation, NodeId};
+use bay_wire::{ClusterKey, PeerMessage, Role, Sealer, encode};
+use support::{Plan, Site, until_async, with_site};
+
+fn sealer(secret: u8) -> Sealer {
+    let key = ClusterKey::derive(&[secret; 32]).unwrap();
+    Sealer::new(key, NodeId::of(HostName::new("entry-2").unwrap()), Role::Gate, Incarnation(1))
+}
+
+fn send(site: &Site, bytes: &[u8]) {
+    let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+    socket.send_to(bytes, site.gate.addresses().peer).unwrap();
+}
+
+#[test]
+fn a_datagram_sealed_with_another_key_is_rejected() {
+    with_site(Plan::default(), async |site| {
+        send(&site, &sealer(8).seal(b"x"));
+        until_async(async || site.counter("peer.rejected").await == 1).await;
+    });
+}
+
+#[test]
+fn a_replayed_datagram_is_rejected() {
+    with_site(Plan::default(), async |site| {
+        let payload = encode(&PeerMessage::Release { digest: 1, call: 1 }).unwrap();
+        let sealed = sealer(7).seal(&payload);
+        send(&site, &sealed);
+        send(&site, &sealed);
+        until_async(async || site.counter("peer.rejected").await == 1).await;
+        assert_eq!(site.counter("peer.received").await, 1);
+    });
+}
+
+#[test]
+fn a_datagram_that_is_no_message_is_rejected() {
+    with_site(Plan::default(), async |site| {
+        send(&site, &sealer(7).seal(&[255; 300]));
+        send(&site, &[0; 2_000]);
+        until_async(async || site.counter("peer.rejected").await == 2).await;
+        assert_eq!(site.counter("peer.received").await, 0);
+    });
+}
