Compare versions also while news keeps coming; measure control cost

Change: compare every 2 s, or every 5 s while news may explain the difference. Adds the example control_cost.

--- /dev/null
+++ b/crates/member/examples/control_cost.rs
@@ -0,0 +1,163 @@
+//! Prints what control costs a node at several sizes, on virtual time.
+//!
+//! Each run takes a warm-up and ten minutes of ordinary life: a configuration change every three
+//! minutes, a small change of a map each second, one datagram in a hundred lost, and one node
+//! restarted every 200 seconds. Bytes are those sent and received, with heads and seals.
+
+#[path = "../tests/driver/mod.rs"]
+mod driver;
+
+use std::time::{Duration, Instant};
+
+use bay_time::Time;
+use bay_types::{ServiceName, SliceId, Token, ZoneName};
+use bay_wire::{Item, ItemKey, ItemVersion, RouteRow, Routes, encode};
+use driver::{Net, document};
+
+const WARM_UP: Duration = Duration::from_secs(60);
+const SECONDS: u64 = 600;
+const CHANGE_EVERY: u64 = 180;
+const RESTART_EVERY: u64 = 200;
+const DOCUMENT_BYTES: usize = 20_000;
+const SERVICES: u64 = 3;
+/// Stands for a change that did not come.
+const NEVER: Duration = Duration::from_secs(99_999);
+
+fn main() {
+    println!(
+        "{:>6} {:>12} {:>12} {:>12} {:>10} {:>12} {:>12} {:>10} {:>8}",
+        "nodes",
+        "B/s mean",
+        "B/s most",
+        "messages/s",
+        "core %",
+        "change mean",
+        "change most",
+        "catch-up",
+        "dead"
+    );
+    for (nodes, zones) in [(9, 3), (100, 8), (300, 8), (780, 8)] {
+        run(nodes, zones);
+    }
+}
+
+fn run(nodes: usize, zones: usize) {
+    let mut net = Net::new(nodes, zones, nodes as u64);
+    net.loss = 0.01;
+    net.run(WARM_UP);
+    net.link_gates();
+    start_maps(&mut net, zones);
+    net.run(WARM_UP);
+    for node in &mut net.nodes {
+        node.traffic = driver::Traffic::default();
+    }
+    let started = Instant::now();
+    let mut delays = Vec::new();
+    let mut change: Option<(Item, Time)> = None;
+    let mut restarted = None;
+    let mut catch_up = Duration::ZERO;
+    for second in 0..SECONDS {
+        if second % CHANGE_EVERY == 0 {
+            let item = document("jobs", second + 1, DOCUMENT_BYTES);
+            change = Some((item.clone(), net.now));
+            net.offer(second as usize % nodes, item);
+        }
+        if second % RESTART_EVERY == 100 {
+            let node = second as usize % nodes;
+            net.restart(node);
+            restarted = Some((node, net.now));
+        }
+        change_map(&mut net, zones, second);
+        net.run(Duration::from_secs(1));
+        if second % CHANGE_EVERY == 60
+            && let Some((item, at)) = change.take()
+        {
+            delays.extend(delays_of(&net, &item, at));
+        }
+        if second % RESTART_EVERY == 160
+            && let Some((node, at)) = restarted.take()
+        {
+            let key = document("jobs", 0, 0).key;
+            catch_up = catch_up.max(delay(&net.nodes[node], key, at));
+        }
+    }
+    let cpu = started.elapsed();
+    report(&net, cpu, &delays, catch_up);
+}
+
+fn start_maps(net: &mut Net, zones: usize) {
+    for service in 0..SERVICES {
+        for zone in 0..zones {
+            let rows = (0..1_000).map(|slice| row(slice, 1)).collect();
+            let version = ItemVersion { major: 1, minor: 0 };
+            let body = routes(rows);
+            let item = Item { key: map(service, zone), version, base: None, body };
+            net.offer(maker(zone), item);
+        }
+    }
+}
+
+/// Gives a few slices of one map another token.
+fn change_map(net: &mut Net, zones: usize, second: u64) {
+    let zone = second as usize % zones;
+    let key = map(second % SERVICES, zone);
+    let base = net.nodes[maker(zone)].peers.spread().version(key);
+    let version = ItemVersion { minor: base.minor + 1, ..base };
+    let rows = (0..4).map(|slice| row(second as u32 % 900 + slice, second + 2)).collect();
+    let item = Item { key, version, base: Some(base), body: routes(rows) };
+    net.offer(maker(zone), item);
+}
+
+/// The node that makes the maps of a zone; it stays up.
+fn maker(zone: usize) -> usize {
+    zone
+}
+
+fn map(service: u64, zone: usize) -> ItemKey {
+    let service = ServiceName::new(&format!("service-{service}")).expect("a valid name");
+    ItemKey::Routes(service, ZoneName::new(&format!("zone-{zone}")).expect("a valid name"))
+}
+
+fn row(slice: u32, token: u64) -> RouteRow {
+    RouteRow { slice: SliceId(slice), token: Token(token), server: Some(0) }
+}
+
+fn routes(rows: Vec<RouteRow>) -> Vec<u8> {
+    let servers = vec![([10, 1, 0, 1], 80).into()];
+    encode(&Routes { servers, rows, hot: Vec::new() }).expect("a map that fits a frame")
+}
+
+fn delays_of(net: &Net, item: &Item, at: Time) -> Vec<Duration> {
+    let has = |node: &&driver::Node| node.peers.spread().version(item.key) >= item.version;
+    net.nodes
+        .iter()
+        .map(|node| Some(node).filter(has).map_or(NEVER, |node| delay(node, item.key, at)))
+        .collect()
+}
+
+fn delay(node: &driver::Node, key: ItemKey, since: Time) -> Duration {
+    node.changed.get(&key).map_or(NEVER, |changed| changed.since(since))
+}
+
+fn report(net: &Net, cpu: Duration, delays: &[Duration], catch_up: Duration) {
+    let nodes = net.nodes.len() as f64;
+    let seconds = SECONDS as f64;
+    let bytes: u64 = net.nodes.iter().map(|node| node.traffic.bytes).sum();
+    let messages: u64 = net.nodes.iter().map(|node| node.traffic.messages).sum();
+    let most = net.nodes.iter().map(|node| node.traffic.bytes).max().unwrap_or_default();
+    let core = 100.0 * cpu.as_secs_f64() / seconds / nodes;
+    let mean = delays.iter().sum::<Duration>() / delays.len().max(1) as u32;
+    let slowest = delays.iter().max().copied().unwrap_or_default();
+    println!(
+        "{:>6} {:>12.0} {:>12.0} {:>12.1} {:>10.4} {:>12.2?} {:>12.2?} {:>10.2?} {:>8}",
+        net.nodes.len(),
+        bytes as f64 / seconds / nodes,
+        most as f64 / seconds,
+        messages as f64 / seconds / nodes,
+        core,
+        mean,
+        slowest,
+        catch_up,
+        net.false_deaths
+    );
+}
--- a/crates/member/src/held_item.rs
+++ b/crates/member/src/held_item.rs
@@ -50,6 +50,10 @@
             return false;
         };
         routes.apply(&difference);
+        if item.base != Some(self.version) {
+            // A difference that skips versions does not continue the ones kept.
+            self.differences.clear();
+        }
         self.version = item.version;
         self.differences.push_back(item.clone());
         if self.differences.len() > KEPT_DIFFERENCES {
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -46,7 +46,7 @@
     pub fn new(config: MemberConfig, now: Time) -> Peers {
         Peers {
             membership: Membership::new(config, now),
-            spread: Spread::new(now),
+            spread: Spread::new(),
             survey: None,
             surveys: 0,
             surveyed: None,
@@ -152,12 +152,10 @@
         let mut sends = Vec::new();
         if self.membership.on_sender(now, &packet.sender) {
             self.membership.on_rumors(now, &packet.rumors);
-            self.spread.on_news(now, from, &packet.news, out);
-            // What rides on the datagram may have explained the difference.
             self.membership.on_summary(now, from, packet.members, &mut sends);
-            if packet.news.is_empty() && !matches!(packet.kind, PacketKind::Items(_)) {
-                self.spread.on_summary(now, from, packet.items, &mut sends);
-            }
+            let newer = self.spread.on_news(now, from, &packet.news, out);
+            let explained = newer || matches!(packet.kind, PacketKind::Items(_));
+            self.spread.on_summary(now, from, packet.items, explained, &mut sends);
         }
         self.on_kind(now, from, packet.kind, &mut sends, out);
         self.finish(now, sends, out);
@@ -249,7 +247,9 @@
             PacketKind::MemberBuckets(cells) => self.membership.on_buckets(from, &cells, sends),
             PacketKind::MemberRecords(records) => self.membership.on_records(now, &records),
             PacketKind::ItemBuckets(cells) => self.spread.on_buckets(from, &cells, sends),
-            PacketKind::ItemVersions(versions) => self.spread.on_news(now, from, &versions, out),
+            PacketKind::ItemVersions(versions) => {
+                self.spread.on_news(now, from, &versions, out);
+            }
             PacketKind::SurveyAsk { survey, items } => {
                 self.answer_survey(from, survey, items, sends);
             }
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -17,7 +17,9 @@
 /// Peers remembered as sources of one item.
 const MAX_SOURCES: usize = 4;
 /// Time between two comparisons of all versions.
-const COMPARE: Duration = Duration::from_secs(1);
+const COMPARE: Duration = Duration::from_secs(2);
+/// Time between two comparisons while news on the datagram may explain the difference.
+const COMPARE_BUSY: Duration = Duration::from_secs(5);
 /// Versions in one datagram.
 const VERSIONS_PER_PACKET: usize = 16;
 /// Datagrams that answer one comparison.
@@ -52,13 +54,19 @@
     fresh: Vec<Item>,
     fetches: BTreeMap<ItemKey, Fetch>,
     next_fetch: Option<Time>,
-    next_compare: Time,
+    compared: Option<Time>,
     news_due: Option<Time>,
     last_news: Option<Time>,
     pub(crate) links: SpreadLinks,
     pub(crate) counts: PeerCounts,
 }
 
+impl Default for Spread {
+    fn default() -> Spread {
+        Spread::new()
+    }
+}
+
 /// An item that a peer was asked for.
 #[derive(Debug)]
 struct Fetch {
@@ -69,7 +77,7 @@
 
 impl Spread {
     /// A spread without items.
-    pub fn new(now: Time) -> Spread {
+    pub fn new() -> Spread {
         Spread {
             items: BTreeMap::new(),
             buckets: Buckets::new(),
@@ -77,7 +85,7 @@
             fresh: Vec::new(),
             fetches: BTreeMap::new(),
             next_fetch: None,
-            next_compare: now,
+            compared: None,
             news_due: None,
             last_news: None,
             links: SpreadLinks::new(),
@@ -150,22 +158,28 @@
         gaps
     }
 
-    /// Hears which versions a peer has and asks it for what is newer.
+    /// Hears which versions a peer has and asks it for what is newer; returns whether any is.
     pub(crate) fn on_news(
         &mut self,
         now: Time,
         from: SocketAddr,
         news: &[Interest],
         out: &mut Vec<PeersOutput>,
-    ) {
+    ) -> bool {
         let mut wanted = Vec::new();
+        let mut newer = false;
         for theirs in news {
             let version = self.version(theirs.key);
-            if theirs.version > version && self.fetch(now, from, *theirs) {
+            if theirs.version <= version {
+                continue;
+            }
+            newer = true;
+            if self.fetch(now, from, *theirs) {
                 wanted.push(Interest { key: theirs.key, version });
             }
         }
         self.ask(from, wanted, out);
+        newer
     }
 
     /// Compares all versions with a peer whose hash differs, unless that was done lately.
@@ -174,12 +188,15 @@
         now: Time,
         from: SocketAddr,
         summary: u64,
+        explained: bool,
         out: &mut Vec<Outgoing>,
     ) {
-        if summary == self.summary() || now < self.next_compare {
+        let pause = if explained { COMPARE_BUSY } else { COMPARE };
+        let lately = self.compared.is_some_and(|at| now.since(at) < pause);
+        if lately || summary == self.summary() {
             return;
         }
-        self.next_compare = now + COMPARE;
+        self.compared = Some(now);
         let kind = PacketKind::ItemBuckets(self.buckets.cells().to_vec());
         out.push(Outgoing { to: from, kind });
     }
--- a/crates/member/tests/driver/mod.rs
+++ b/crates/member/tests/driver/mod.rs
@@ -59,13 +59,15 @@
     pub surveyed: bool,
 }
 
+/// Says whether a datagram from one node to another is cut off.
+pub type Cut = Box<dyn Fn(&Node, &Node) -> bool>;
+
 pub struct Net {
     pub now: Time,
     pub nodes: Vec<Node>,
     pub loss: f64,
     pub duplicated: f64,
-    /// Whether a datagram from one node to another is cut off.
-    pub cut: Box<dyn Fn(&Node, &Node) -> bool>,
+    pub cut: Cut,
     /// Nodes found dead while they were up, as seen by all nodes together.
     pub false_deaths: u64,
     queue: BinaryHeap<Reverse<(Time, u64, Event)>>,
