Let operators replace only versions that they have read, and settle lost answers

Cause: bayctl apply replaced whatever stood there, so an operator who had read an older version overwrote a racing one's change without a word; a lost answer was reported as a failure though the write may have taken effect; a mistyped zone was written. Ruled out: repeating a write whose answer was lost without reading back.

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -1,10 +1,13 @@
 use bay_conf::{ServiceDoc, ZoneDoc};
-use bay_store::{Expect, HttpStore, Object, ObjectKey, StoreReply, StoreRequest};
-use bay_types::Revision;
+use bay_store::{HttpStore, ObjectKey, StoreReply, StoreRequest};
+use bay_types::{Revision, ServiceName, ZoneName};
 
-use crate::CtlError;
+use crate::object_text::split_version;
+use crate::perform::{call, perform};
+use crate::{CtlError, Expected, Written};
 
-/// Checks a service's document and writes it over the version that it has read.
+/// Checks a service's document and writes it over the version that its first line names, or as a
+/// new one.
 ///
 /// # Errors
 /// Returns an error if the document has mistakes, the store gave no answer, or another operator
@@ -14,41 +17,90 @@
     file: &str,
     bytes: &[u8],
 ) -> Result<Revision, CtlError> {
+    match apply_over(store, file, bytes, Expected::Unstated).await? {
+        Written::Changed(revision) | Written::Unchanged(revision) => Ok(revision),
+        Written::Absent => Err(CtlError::NotFound(file.to_owned())),
+    }
+}
+
+/// Checks a service's document and writes it over the version that is expected; an unstated one
+/// is taken from the document's first line.
+///
+/// # Errors
+/// As [`apply_document`].
+pub async fn apply_over(
+    store: &HttpStore,
+    file: &str,
+    bytes: &[u8],
+    expected: Expected,
+) -> Result<Written, CtlError> {
     let doc = ServiceDoc::parse(file, bytes).map_err(CtlError::Mistakes)?;
-    let body = String::from_utf8_lossy(bytes).into_owned();
-    write(store, ObjectKey::service(doc.name), body).await
+    // The document was checked to be UTF-8.
+    let text = String::from_utf8_lossy(bytes);
+    let (version, body) = split_version(&text);
+    let expected = match (expected, version) {
+        (Expected::Unstated, Some(version)) => Expected::Version(version),
+        (expected, _) => expected,
+    };
+    perform(store, ObjectKey::service(doc.name), Some(body), expected).await
 }
 
 /// Takes a zone in or out.
 ///
 /// # Errors
-/// Returns an error if the store gave no answer or another operator was first.
+/// Returns an error if no host and no server has the zone, the store gave no answer or another
+/// operator was first.
 pub async fn set_zone(store: &HttpStore, doc: &ZoneDoc) -> Result<Revision, CtlError> {
-    write(store, ObjectKey::zone(doc.zone), doc.to_text()).await
+    match set_zone_over(store, doc, Expected::Current).await? {
+        Written::Changed(revision) | Written::Unchanged(revision) => Ok(revision),
+        Written::Absent => Err(CtlError::NotFound(doc.zone.to_string())),
+    }
 }
 
-async fn write(store: &HttpStore, key: ObjectKey, body: String) -> Result<Revision, CtlError> {
-    let read = read(store, key.clone()).await?;
-    if let Some(object) = &read
-        && object.body == body
-    {
-        return Ok(object.revision);
+/// Takes a zone in or out over the version that is expected.
+///
+/// # Errors
+/// As [`set_zone`].
+pub async fn set_zone_over(
+    store: &HttpStore,
+    doc: &ZoneDoc,
+    expected: Expected,
+) -> Result<Written, CtlError> {
+    check_zone(store, doc.zone).await?;
+    perform(store, ObjectKey::zone(doc.zone), Some(&doc.to_text()), expected).await
+}
+
+/// Deletes a service's document at the version that is expected.
+///
+/// # Errors
+/// Returns an error if the store gave no answer or another operator was first.
+pub async fn delete_document(
+    store: &HttpStore,
+    service: ServiceName,
+    expected: Expected,
+) -> Result<Written, CtlError> {
+    perform(store, ObjectKey::service(service), None, expected).await
+}
+
+/// Finds a mistyped zone, which would stay in while its operator believes that it is out.
+async fn check_zone(store: &HttpStore, zone: ZoneName) -> Result<(), CtlError> {
+    let mut known = Vec::new();
+    if let StoreReply::Hosts(hosts) = call(store, StoreRequest::Hosts).await? {
+        known.extend(hosts.iter().map(|host| host.zone));
     }
-    let revision = read.map(|object| object.revision);
-    let expect = revision.map_or(Expect::Absent, Expect::Revision);
-    let put = StoreRequest::Put { key, body, expect };
-    match store.call(put).await.map_err(CtlError::Store)? {
-        StoreReply::Written(revision) => Ok(revision),
-        StoreReply::Conflict(current) => {
-            Err(CtlError::Conflict { read: revision.map(|revision| revision.0), current })
+    let prefix = ObjectKey::SERVICES.to_owned();
+    if let StoreReply::Objects(body) = call(store, StoreRequest::List { prefix }).await? {
+        for object in body.objects {
+            let doc = ServiceDoc::parse(object.key.as_str(), object.body.as_bytes());
+            let servers = doc.map(|doc| doc.servers).unwrap_or_default();
+            known.extend(servers.iter().map(|server| server.zone));
         }
-        _ => Err(CtlError::Store(bay_store::StoreError::Unknown)),
     }
-}
-
-async fn read(store: &HttpStore, key: ObjectKey) -> Result<Option<Object>, CtlError> {
-    match store.call(StoreRequest::Get { key }).await.map_err(CtlError::Store)? {
-        StoreReply::Object(object) => Ok(object),
-        _ => Err(CtlError::Store(bay_store::StoreError::Unknown)),
+    if known.is_empty() || known.contains(&zone) {
+        return Ok(());
     }
+    known.sort();
+    known.dedup();
+    let known = known.iter().map(ZoneName::to_string).collect();
+    Err(CtlError::UnknownZone { zone: zone.to_string(), known })
 }
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -3,6 +3,8 @@
 use bay_conf::Mistakes;
 use bay_store::{Object, StoreError};
 
+use crate::object_text::without_nonce;
+
 /// Why a command failed.
 #[derive(Debug)]
 pub enum CtlError {
@@ -12,13 +14,37 @@
     Mistakes(Mistakes),
     /// The store gave no answer.
     Store(StoreError),
+    /// There is no such object.
+    NotFound(String),
+    /// No host and no service has this zone.
+    UnknownZone {
+        /// The zone.
+        zone: String,
+        /// The zones that there are.
+        known: Vec<String>,
+    },
+    /// The object exists and the operator did not say which version to replace.
+    Unstated {
+        /// What stands there.
+        current: Object,
+    },
     /// Another operator was first.
     Conflict {
-        /// The revision that this operator had read, or `None` for no object.
+        /// The version that this operator had read, or `None` for no object.
         read: Option<u64>,
         /// What stands there now.
         current: Option<Object>,
+        /// Whether it is sure that this operator's write took no effect.
+        settled: bool,
     },
+    /// The store's answers were lost for so long that it is not known whether the write took
+    /// effect.
+    Unsettled {
+        /// The nonce in the write.
+        nonce: u64,
+    },
+    /// The steward gave no answer.
+    Steward(String),
 }
 
 impl fmt::Display for CtlError {
@@ -27,15 +53,45 @@
             CtlError::Unreadable(path) => write!(f, "{path}: expected a readable file"),
             CtlError::Mistakes(mistakes) => write!(f, "{mistakes}"),
             CtlError::Store(error) => write!(f, "{error}"),
-            CtlError::Conflict { read, current } => {
-                let read = read.map_or(String::from("none"), |revision| revision.to_string());
-                let now = current.as_ref().map(|object| object.revision.0.to_string());
-                let now = now.unwrap_or(String::from("none"));
-                write!(f, "another operator was first: read version {read}, now version {now}; ")?;
-                write!(f, "look at the new version and apply again")
+            CtlError::NotFound(key) => write!(f, "{key}: expected an object, found none"),
+            CtlError::UnknownZone { zone, known } => {
+                let known = known.join(", ");
+                write!(f, "{zone}: expected the zone of a host or server; there are: {known}")
+            }
+            CtlError::Unstated { current } => {
+                let version = current.revision.0;
+                write!(f, "{} exists at version {version}; look at it with `show`, ", current.key)?;
+                write!(f, "then name the version to replace: --expect {version}")
+            }
+            CtlError::Conflict { read, current, settled } => {
+                write_conflict(f, *read, current.as_ref(), *settled)
             }
+            CtlError::Unsettled { nonce } => {
+                write!(f, "the store's answers were lost; the write may have taken effect: ")?;
+                write!(f, "look for `; write {nonce:016x}` with `show --raw`")
+            }
+            CtlError::Steward(reason) => write!(f, "{reason}"),
         }
     }
 }
 
 impl std::error::Error for CtlError {}
+
+fn write_conflict(
+    f: &mut fmt::Formatter<'_>,
+    read: Option<u64>,
+    current: Option<&Object>,
+    settled: bool,
+) -> fmt::Result {
+    let name = |version: Option<u64>| version.map_or(String::from("none"), |v| v.to_string());
+    let now = name(current.map(|object| object.revision.0));
+    writeln!(f, "another operator was first: read version {}, now version {now}", name(read))?;
+    if !settled {
+        writeln!(f, "this write's answer was lost: it may have been in force before that")?;
+    }
+    if let Some(object) = current {
+        writeln!(f, "version {now} is:")?;
+        writeln!(f, "{}", without_nonce(&object.body).trim_end())?;
+    }
+    write!(f, "look at it with `show` and apply again with --expect")
+}
--- a/crates/ctl/src/run.rs
+++ b/crates/ctl/src/run.rs
@@ -1,61 +1,41 @@
 use std::fs;
-use std::net::SocketAddr;
+use std::io::Write as _;
 use std::process::ExitCode;
 use std::time::Duration;
 
-use bay_conf::{ServiceDoc, ZoneDoc, ZoneState};
+use bay_conf::ServiceDoc;
 use bay_store::HttpStore;
-use bay_types::ZoneName;
 use futures_lite::future;
-use getopts::{Matches, Options};
 
-use crate::{CtlError, apply_document, set_zone};
+use crate::command::{BRIEF, Command, options};
+use crate::{
+    CtlError, Written, apply_over, delete_document, fetch_status, in_force_everywhere, list,
+    set_zone_over, show, status_text,
+};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
 const STORE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// Runs the binary with its arguments and returns its exit code.
+///
+/// The code is 0 for success, 1 for a failed or refused command and 2 for a wrong command line.
+/// `status` fails if some process lags or does not answer.
 pub fn run<I>(args: I) -> ExitCode
 where
     I: IntoIterator<Item = String>,
 {
-    let mut options = Options::new();
-    options.optopt("", "store", "where the platform's store listens", "IP:PORT");
-    options.optopt("", "operator", "who changes a zone", "NAME");
-    options.optflag("", "check", "checks the document and ends");
-    options.optflag("h", "help", "prints this help");
-    options.optflag("V", "version", "prints the version");
-    let matches = match options.parse(args) {
-        Ok(matches) => matches,
-        Err(error) => return usage_error(&error.to_string()),
+    let command = match Command::parse(args) {
+        Ok(command) => command,
+        Err(message) => {
+            eprintln!("bayctl: {message}; see --help");
+            return ExitCode::from(EXIT_USAGE);
+        }
     };
-    if matches.opt_present("help") {
-        let brief = "Usage: bayctl --store IP:PORT apply FILE\n       \
-                     bayctl --store IP:PORT --operator NAME zone out|in ZONE";
-        print!("{}", options.usage(brief));
-        return ExitCode::SUCCESS;
-    }
-    if matches.opt_present("version") {
-        println!("bayctl {}", env!("CARGO_PKG_VERSION"));
-        return ExitCode::SUCCESS;
-    }
-    match execute(&matches) {
-        Ok(result) => report(result),
-        Err(message) => usage_error(message),
-    }
-}
-
-fn usage_error(message: &str) -> ExitCode {
-    eprintln!("bayctl: {message}; see --help");
-    ExitCode::from(EXIT_USAGE)
-}
-
-fn report(result: Result<String, CtlError>) -> ExitCode {
-    match result {
-        Ok(message) => {
-            println!("{message}");
-            ExitCode::SUCCESS
+    match future::block_on(execute(command)) {
+        Ok(Report { text, success }) => {
+            print(&text);
+            if success { ExitCode::SUCCESS } else { ExitCode::from(EXIT_FAILED) }
         }
         Err(error) => {
             eprintln!("bayctl: {error}");
@@ -64,41 +44,85 @@
     }
 }
 
-fn execute(matches: &Matches) -> Result<Result<String, CtlError>, &'static str> {
-    let free: Vec<&str> = matches.free.iter().map(String::as_str).collect();
-    match free.as_slice() {
-        ["apply", file] if matches.opt_present("check") => Ok(check(file)),
-        ["apply", file] => {
-            let store = store(matches)?;
-            Ok(future::block_on(apply(&store, file)))
+/// What a command prints, and whether it counts as a success.
+struct Report {
+    text: String,
+    success: bool,
+}
+
+impl Report {
+    fn success(text: String) -> Report {
+        Report { text, success: true }
+    }
+}
+
+async fn execute(command: Command) -> Result<Report, CtlError> {
+    let text = match command {
+        Command::Help => options().usage(BRIEF),
+        Command::Version => format!("bayctl {}", env!("CARGO_PKG_VERSION")),
+        Command::Check { file } => check(&file)?,
+        Command::Apply { store, file, expected } => {
+            let bytes = read_file(&file)?;
+            let written = apply_over(&client(store), &file, &bytes, expected).await?;
+            written_text(&file, written)
         }
-        ["zone", state @ ("in" | "out"), zone] => {
-            let store = store(matches)?;
-            let operator = matches.opt_str("operator").ok_or("expected --operator NAME")?;
-            let zone = ZoneName::new(zone).map_err(|_| "expected a zone's name")?;
-            let state = if *state == "in" { ZoneState::In } else { ZoneState::Out };
-            let doc = ZoneDoc { zone, state, operator };
-            let written = future::block_on(set_zone(&store, &doc));
-            Ok(written.map(|revision| format!("zone {zone} is at version {}", revision.0)))
+        Command::List { store } => list(&client(store)).await?,
+        Command::Show { store, key, raw } => show(&client(store), key, raw).await?,
+        Command::Delete { store, service, expected } => {
+            let written = delete_document(&client(store), service, expected).await?;
+            deleted_text(service.as_str(), written)
         }
-        _ => Err("expected `apply FILE` or `zone out|in ZONE`"),
-    }
+        Command::Zone { store, doc, expected } => {
+            let written = set_zone_over(&client(store), &doc, expected).await?;
+            written_text(&format!("zone {}", doc.zone), written)
+        }
+        Command::Status { steward, json } => return status(steward, json).await,
+    };
+    Ok(Report::success(text))
 }
 
-fn store(matches: &Matches) -> Result<HttpStore, &'static str> {
-    let address: Option<SocketAddr> = matches.opt_str("store").and_then(|text| text.parse().ok());
-    let address = address.ok_or("expected --store with an IP address and port")?;
-    Ok(HttpStore::new(address, STORE_TIMEOUT))
+async fn status(steward: std::net::SocketAddr, json: bool) -> Result<Report, CtlError> {
+    let status = fetch_status(steward).await?;
+    let success = in_force_everywhere(&status);
+    let text = match json {
+        true => serde_json::to_string_pretty(&status).unwrap_or_default(),
+        false => status_text(&status),
+    };
+    Ok(Report { text, success })
 }
 
 fn check(file: &str) -> Result<String, CtlError> {
-    let bytes = fs::read(file).map_err(|_| CtlError::Unreadable(file.to_owned()))?;
-    ServiceDoc::parse(file, &bytes).map_err(CtlError::Mistakes)?;
+    ServiceDoc::parse(file, &read_file(file)?).map_err(CtlError::Mistakes)?;
     Ok(format!("{file}: no mistakes"))
 }
 
-async fn apply(store: &HttpStore, file: &str) -> Result<String, CtlError> {
-    let bytes = fs::read(file).map_err(|_| CtlError::Unreadable(file.to_owned()))?;
-    let revision = apply_document(store, file, &bytes).await?;
-    Ok(format!("{file} is at version {}", revision.0))
+fn read_file(file: &str) -> Result<Vec<u8>, CtlError> {
+    fs::read(file).map_err(|_| CtlError::Unreadable(file.to_owned()))
+}
+
+fn client(store: std::net::SocketAddr) -> HttpStore {
+    HttpStore::new(store, STORE_TIMEOUT)
+}
+
+fn written_text(name: &str, written: Written) -> String {
+    match written {
+        Written::Changed(revision) => format!("{name} is at version {}", revision.0),
+        Written::Unchanged(revision) => {
+            format!("{name} already was like this, at version {}", revision.0)
+        }
+        Written::Absent => format!("{name} is absent"),
+    }
+}
+
+fn deleted_text(name: &str, written: Written) -> String {
+    match written {
+        Written::Changed(revision) => format!("{name} is deleted at version {}", revision.0),
+        Written::Unchanged(_) | Written::Absent => format!("{name} is absent"),
+    }
+}
+
+fn print(text: &str) {
+    let mut stdout = std::io::stdout().lock();
+    // A reader that has gone away wants no more.
+    let _ = writeln!(stdout, "{}", text.trim_end());
 }
