Bind datagrams to their receiver and connections to fresh nonces of both ends

Cause: a sealed datagram opened at any receiver, and a recording of a whole connection opened at an acceptor that had restarted, as its replay window was empty. A message of the greatest length did not fit a frame once sealed. LinkInitiator and LinkAccepted are a handshake without I/O of two messages; each direction of a connection has its own key, frames are counted, and a peer that has proven nothing may send 64 KiB at most. Messages are 128 bytes shorter than frames.

--- a/crates/wire/src/auth.rs
+++ b/crates/wire/src/auth.rs
@@ -1,13 +1,7 @@
-use std::collections::HashMap;
 use std::fmt;
 
-use bay_types::{Incarnation, NodeId};
-use serde::{Deserialize, Serialize};
-
-use crate::{Role, encode};
-
-const TAG_BYTES: usize = 16;
-const WINDOW_BITS: u64 = 64;
+/// Bytes of an authentication code.
+pub(crate) const TAG_BYTES: usize = 16;
 
 /// The shared key with which processes prove that they belong to the system.
 #[derive(Clone)]
@@ -23,11 +17,21 @@
         long_enough.then(|| ClusterKey(blake3::derive_key("dragonflybay 2026 cluster key", secret)))
     }
 
-    fn tag(&self, bytes: &[u8]) -> [u8; TAG_BYTES] {
-        let hash = blake3::keyed_hash(&self.0, bytes);
+    /// A key for one purpose, derived from this one.
+    pub(crate) fn subkey(&self, purpose: &[u8]) -> ClusterKey {
+        ClusterKey(*blake3::keyed_hash(&self.0, purpose).as_bytes())
+    }
+
+    /// The authentication code of the parts, each preceded by its length.
+    pub(crate) fn tag(&self, parts: &[&[u8]]) -> Tag {
+        let mut hasher = blake3::Hasher::new_keyed(&self.0);
+        for part in parts {
+            hasher.update(&(part.len() as u64).to_le_bytes());
+            hasher.update(part);
+        }
         let mut tag = [0; TAG_BYTES];
-        tag.copy_from_slice(&hash.as_bytes()[..TAG_BYTES]);
-        tag
+        tag.copy_from_slice(&hasher.finalize().as_bytes()[..TAG_BYTES]);
+        Tag(tag)
     }
 }
 
@@ -37,117 +41,29 @@
     }
 }
 
-/// Says who sent a sealed message and which of its messages it is.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, Serialize, Deserialize)]
-struct Stamp {
-    from: NodeId,
-    role: Role,
-    incarnation: Incarnation,
-    counter: u64,
-}
-
-/// Seals the messages of one process.
-#[derive(Debug)]
-pub struct Sealer {
-    key: ClusterKey,
-    stamp: Stamp,
-}
-
-impl Sealer {
-    /// A sealer for one start of one process; no two share node, role and incarnation.
-    pub fn new(key: ClusterKey, from: NodeId, role: Role, incarnation: Incarnation) -> Sealer {
-        Sealer { key, stamp: Stamp { from, role, incarnation, counter: 0 } }
-    }
-
-    /// Puts a stamp and an authentication code on a message.
-    pub fn seal(&mut self, payload: &[u8]) -> Vec<u8> {
-        self.stamp.counter += 1;
-        let mut bytes = encode(&self.stamp).unwrap_or_default();
-        bytes.extend_from_slice(payload);
-        let tag = self.key.tag(&bytes);
-        bytes.extend_from_slice(&tag);
-        bytes
-    }
-}
-
-/// Opens sealed messages and rejects forged and replayed ones.
-#[derive(Debug)]
-pub struct Opener {
-    key: ClusterKey,
-    windows: HashMap<(NodeId, Role), Window>,
-}
-
-impl Opener {
-    /// An opener that has seen no message.
-    pub fn new(key: ClusterKey) -> Opener {
-        Opener { key, windows: HashMap::new() }
-    }
+/// An authentication code.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Tag(pub(crate) [u8; TAG_BYTES]);
 
-    /// Checks a message and returns its sender, the sender's incarnation and the payload.
-    ///
-    /// # Errors
-    /// Returns an error if the message is forged, damaged, replayed or from an earlier start of
-    /// its sender.
-    pub fn open<'a>(
-        &mut self,
-        bytes: &'a [u8],
-    ) -> Result<(NodeId, Incarnation, &'a [u8]), AuthError> {
-        let split = bytes.len().checked_sub(TAG_BYTES).ok_or(AuthError::Short)?;
-        let (signed, tag) = bytes.split_at(split);
-        let expected = self.key.tag(signed);
-        // A keyed hash compares in constant time.
-        if blake3::Hash::from(widen(expected)) != blake3::Hash::from(widen_slice(tag)) {
-            return Err(AuthError::Forged);
+impl Tag {
+    /// Compares the code with received bytes in constant time.
+    pub(crate) fn fits(self, received: &[u8]) -> bool {
+        if received.len() != TAG_BYTES {
+            return false;
         }
-        let (stamp, payload) = split_stamp(signed)?;
-        self.windows.entry((stamp.from, stamp.role)).or_default().accept(stamp)?;
-        Ok((stamp.from, stamp.incarnation, payload))
+        let widen = |bytes: &[u8]| {
+            let mut wide = [0; blake3::OUT_LEN];
+            wide[..TAG_BYTES].copy_from_slice(bytes);
+            blake3::Hash::from(wide)
+        };
+        widen(&self.0) == widen(received)
     }
 }
 
-fn split_stamp(signed: &[u8]) -> Result<(Stamp, &[u8]), AuthError> {
-    postcard::take_from_bytes(signed).map_err(|_| AuthError::Short)
-}
-
-fn widen(tag: [u8; TAG_BYTES]) -> [u8; blake3::OUT_LEN] {
-    widen_slice(&tag)
-}
-
-fn widen_slice(tag: &[u8]) -> [u8; blake3::OUT_LEN] {
-    let mut wide = [0; blake3::OUT_LEN];
-    wide[..TAG_BYTES].copy_from_slice(tag);
-    wide
-}
-
-/// The counters seen from the latest start of one sender (RFC 4303, section 3.4.3).
-#[derive(Debug, Default)]
-struct Window {
-    incarnation: Incarnation,
-    highest: u64,
-    seen: u64,
-}
-
-impl Window {
-    fn accept(&mut self, stamp: Stamp) -> Result<(), AuthError> {
-        if stamp.incarnation < self.incarnation {
-            return Err(AuthError::Replayed);
-        }
-        if stamp.incarnation > self.incarnation {
-            *self = Window { incarnation: stamp.incarnation, highest: 0, seen: 0 };
-        }
-        if stamp.counter > self.highest {
-            let step = stamp.counter - self.highest;
-            self.seen = if step < WINDOW_BITS { (self.seen << step) | 1 } else { 1 };
-            self.highest = stamp.counter;
-            return Ok(());
-        }
-        let age = self.highest - stamp.counter;
-        if age >= WINDOW_BITS || self.seen & (1 << age) != 0 {
-            return Err(AuthError::Replayed);
-        }
-        self.seen |= 1 << age;
-        Ok(())
-    }
+/// Splits a message into what was signed and the authentication code.
+pub(crate) fn split_tag(bytes: &[u8]) -> Result<(&[u8], &[u8]), AuthError> {
+    let split = bytes.len().checked_sub(TAG_BYTES).ok_or(AuthError::Short)?;
+    Ok(bytes.split_at(split))
 }
 
 /// Why a sealed message was rejected.
--- a/crates/wire/src/frame.rs
+++ b/crates/wire/src/frame.rs
@@ -9,10 +9,13 @@
 /// Longest frame without its head, in bytes.
 pub const MAX_FRAME_BYTES: usize = 4 << 20;
 
+/// Longest message, in bytes; it leaves room in a frame for a seal.
+pub const MAX_MESSAGE_BYTES: usize = MAX_FRAME_BYTES - 128;
+
 /// Why bytes are not a message.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum FrameError {
-    /// The frame is longer than [`MAX_FRAME_BYTES`].
+    /// The frame is longer than it may be.
     TooLong,
     /// The bytes do not decode as a whole message.
     Malformed,
@@ -21,7 +24,7 @@
 impl fmt::Display for FrameError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
-            FrameError::TooLong => "expected a frame of at most 4 MiB",
+            FrameError::TooLong => "expected a shorter frame; a whole message has at most 4 MiB",
             FrameError::Malformed => "expected one whole message; peers must run the same version",
         })
     }
@@ -32,13 +35,13 @@
 /// Encodes a message.
 ///
 /// # Errors
-/// Returns an error if the message is longer than a frame may be.
+/// Returns an error if the message is longer than [`MAX_MESSAGE_BYTES`].
 pub fn encode<T>(message: &T) -> Result<Vec<u8>, FrameError>
 where
     T: Serialize,
 {
     let bytes = postcard::to_stdvec(message).map_err(|_| FrameError::Malformed)?;
-    if bytes.len() > MAX_FRAME_BYTES {
+    if bytes.len() > MAX_MESSAGE_BYTES {
         return Err(FrameError::TooLong);
     }
     Ok(bytes)
@@ -63,8 +66,16 @@
 /// # Errors
 /// Returns an error if the frame is longer than [`MAX_FRAME_BYTES`].
 pub fn frame_len(head: [u8; FRAME_HEAD_BYTES]) -> Result<usize, FrameError> {
+    frame_len_within(head, MAX_FRAME_BYTES)
+}
+
+/// Reads a frame's length from its head, where the frame may have at most this many bytes.
+///
+/// # Errors
+/// Returns an error if the frame is longer.
+pub fn frame_len_within(head: [u8; FRAME_HEAD_BYTES], limit: usize) -> Result<usize, FrameError> {
     let len = u32::from_le_bytes(head) as usize;
-    if len > MAX_FRAME_BYTES {
+    if len > limit {
         return Err(FrameError::TooLong);
     }
     Ok(len)
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -2,22 +2,32 @@
 
 mod auth;
 mod frame;
+mod handshake;
 mod item;
 mod link;
 mod load_message;
 mod order;
 mod peer_message;
 mod routes;
+mod seal;
 mod status;
 
-pub use auth::{AuthError, ClusterKey, Opener, Sealer};
-pub use frame::{FRAME_HEAD_BYTES, FrameError, MAX_FRAME_BYTES, decode, encode, frame_len};
+pub use auth::{AuthError, ClusterKey};
+pub use frame::{
+    FRAME_HEAD_BYTES, FrameError, MAX_FRAME_BYTES, MAX_MESSAGE_BYTES, decode, encode, frame_len,
+    frame_len_within,
+};
+pub use handshake::{
+    LinkAccepted, LinkIdentity, LinkInitiator, LinkOpener, LinkSealer, MAX_FIRST_FRAME_BYTES,
+    MAX_HANDSHAKE_BYTES, NONCE_BYTES, SecuredLink,
+};
 pub use item::{Item, ItemKey, ItemVersion};
 pub use link::{GateAddress, Interest, LinkMessage, NodeVersions, Role};
 pub use load_message::{Condition, LoadMessage, Loan, LoanId};
 pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
 pub use peer_message::{ClaimVerdict, PeerMessage, QuarantineNotice, QuarantineVerdict};
 pub use routes::{HotKey, RouteRow, Routes};
+pub use seal::{Opener, Sealer};
 pub use status::{
     ClusterStatus, ItemStatus, LaggingItem, LaggingProcess, MemberStatus, TermStatus,
 };
--- /dev/null
+++ b/crates/wire/tests/decoders.rs
@@ -0,0 +1,148 @@
+//! Each decoder of messages between processes against bytes that are no message.
+
+use std::fmt::Debug;
+use std::net::SocketAddr;
+
+use bay_types::{NodeId, ServiceName, SliceId, Term, Token, ZoneName};
+use bay_wire::{
+    ClusterStatus, FrameError, GateAddress, Interest, Item, ItemKey, ItemVersion, LinkMessage,
+    MAX_FRAME_BYTES, MAX_MESSAGE_BYTES, Order, OrderReply, PeerMessage, Role, RouteRow, Routes,
+    SliceGrant, decode, encode, frame_len, frame_len_within,
+};
+use proptest::prelude::*;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+/// Decodes bytes and, if they are a message, checks that it survives a round.
+fn check<T>(bytes: &[u8])
+where
+    T: Serialize + DeserializeOwned + PartialEq + Debug,
+{
+    match decode::<T>(bytes) {
+        Ok(message) => assert_eq!(decode::<T>(&encode(&message).unwrap()), Ok(message)),
+        Err(error) => assert!(error.to_string().starts_with("expected")),
+    }
+}
+
+fn check_each(bytes: &[u8]) {
+    check::<LinkMessage>(bytes);
+    check::<PeerMessage>(bytes);
+    check::<Item>(bytes);
+    check::<Routes>(bytes);
+    // Servers and operators' tools take JSON.
+    let _ = serde_json::from_slice::<Order>(bytes);
+    let _ = serde_json::from_slice::<OrderReply>(bytes);
+    let _ = serde_json::from_slice::<ClusterStatus>(bytes);
+}
+
+fn address(port: u16) -> SocketAddr {
+    SocketAddr::from(([10, 0, 0, 1], port))
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("jobs").unwrap()
+}
+
+fn zone() -> ZoneName {
+    ZoneName::new("perth-north").unwrap()
+}
+
+fn item(body: Vec<u8>) -> Item {
+    let version = ItemVersion { major: 3, minor: 9 };
+    Item { key: ItemKey::Routes(service(), zone()), version, base: Some(version), body }
+}
+
+fn messages() -> Vec<Vec<u8>> {
+    let key = ItemKey::Document(service());
+    let have = vec![Interest { key, version: ItemVersion { major: u64::MAX, minor: 0 } }; 3];
+    let gate = GateAddress { node: NodeId(1), zone: zone(), address: address(1) };
+    let row = RouteRow { slice: SliceId(1), token: Token(2), server: Some(0) };
+    let routes = Routes { servers: vec![address(2)], rows: vec![row; 3], hot: Vec::new() };
+    let routes = encode(&routes).unwrap();
+    let order = Order {
+        keeper: NodeId(1),
+        term: Term(2),
+        sequence: 3,
+        lease_ms: 4,
+        grant: vec![SliceGrant { slice: SliceId(1), token: Token(2) }],
+        revoke: Vec::new(),
+    };
+    let hello = LinkMessage::Hello { node: NodeId(1), role: Role::Gate, have: have.clone() };
+    vec![
+        encode(&hello).unwrap(),
+        encode(&LinkMessage::Want(have.clone())).unwrap(),
+        encode(&LinkMessage::Items(vec![item(routes.clone())])).unwrap(),
+        encode(&LinkMessage::Gates(vec![gate])).unwrap(),
+        encode(&LinkMessage::InForce(have)).unwrap(),
+        routes,
+        serde_json::to_vec(&order).unwrap(),
+    ]
+}
+
+#[test]
+fn the_largest_message_and_its_seal_fit_a_frame() {
+    let overhead = encode(&item(Vec::new())).unwrap().len() + 3;
+    let largest = encode(&item(vec![0; MAX_MESSAGE_BYTES - overhead])).unwrap();
+    assert_eq!(largest.len(), MAX_MESSAGE_BYTES);
+    let sealed = (largest.len() + bay_wire::LinkSealer::OVERHEAD_BYTES) as u32;
+    assert_eq!(frame_len(sealed.to_le_bytes()), Ok(sealed as usize));
+    let over = item(vec![0; MAX_MESSAGE_BYTES]);
+    assert_eq!(encode(&over), Err(FrameError::TooLong));
+}
+
+#[test]
+fn a_length_that_is_not_followed_by_as_much_reserves_little() {
+    // A list of 2^60 items, of which none follows.
+    let mut bytes = vec![2];
+    bytes.extend([0xff; 8]);
+    bytes.push(0x0f);
+    assert_eq!(decode::<LinkMessage>(&bytes), Err(FrameError::Malformed));
+    assert_eq!(decode::<Routes>(&bytes[1..]), Err(FrameError::Malformed));
+}
+
+proptest! {
+    #[test]
+    fn any_bytes_decode_or_fail_clearly(bytes in prop::collection::vec(any::<u8>(), 0..400)) {
+        check_each(&bytes);
+    }
+
+    #[test]
+    fn damaged_messages_decode_or_fail_clearly(
+        which in any::<prop::sample::Index>(),
+        flips in prop::collection::vec((any::<prop::sample::Index>(), 0..8u8), 0..4),
+        cut in any::<prop::sample::Index>(),
+        more in prop::collection::vec(any::<u8>(), 0..20),
+    ) {
+        let messages = messages();
+        let whole = &messages[which.index(messages.len())];
+        let mut bytes = whole.clone();
+        for (at, bit) in flips {
+            let at = at.index(bytes.len());
+            bytes[at] ^= 1 << bit;
+        }
+        check_each(&bytes);
+        check_each(&bytes[..cut.index(bytes.len())]);
+        bytes.extend(more);
+        check_each(&bytes);
+    }
+
+    #[test]
+    fn over_long_messages_are_rejected(which in 0..6usize, more in 1..50usize) {
+        let mut bytes = messages()[which].clone();
+        bytes.extend(vec![0; more]);
+        if which == 5 {
+            prop_assert!(decode::<Routes>(&bytes).is_err());
+        } else {
+            prop_assert!(decode::<LinkMessage>(&bytes).is_err());
+        }
+    }
+
+    #[test]
+    fn heads_of_frames_are_bounded(head in any::<[u8; 4]>(), limit in 0..MAX_FRAME_BYTES) {
+        match frame_len_within(head, limit) {
+            Ok(len) => prop_assert!(len <= limit),
+            Err(error) => prop_assert_eq!(error, FrameError::TooLong),
+        }
+        prop_assert!(frame_len(head).is_err() || frame_len(head).unwrap() <= MAX_FRAME_BYTES);
+    }
+}
--- /dev/null
+++ b/crates/wire/tests/handshake.rs
@@ -0,0 +1,143 @@
+//! Connections: replayed recordings, turned round, moved and damaged frames.
+
+use bay_types::{HostName, Incarnation, NodeId};
+use bay_wire::{
+    AuthError, ClusterKey, LinkAccepted, LinkIdentity, LinkInitiator, MAX_FIRST_FRAME_BYTES,
+    MAX_FRAME_BYTES, MAX_HANDSHAKE_BYTES, Role, SecuredLink,
+};
+use proptest::prelude::*;
+
+fn key(byte: u8) -> ClusterKey {
+    ClusterKey::derive(&[byte; 32]).unwrap()
+}
+
+fn identity(name: &str, role: Role) -> LinkIdentity {
+    let node = NodeId::of(HostName::new(name).unwrap());
+    LinkIdentity { node, role, incarnation: Incarnation(u64::MAX) }
+}
+
+/// A connection of a gate to a steward, and the messages of its handshake.
+struct Connection {
+    hello: Vec<u8>,
+    challenge: Vec<u8>,
+    gate: SecuredLink,
+    steward: SecuredLink,
+}
+
+fn accept(hello: &[u8], nonce: u8) -> LinkAccepted {
+    let steward = identity("entry-2", Role::Steward);
+    LinkAccepted::new(&key(7), steward, [nonce; 32], hello).unwrap()
+}
+
+fn initiate(nonce: u8) -> LinkInitiator {
+    LinkInitiator::new(key(7), identity("entry-1", Role::Gate), [nonce; 32])
+}
+
+fn connect(gate_nonce: u8, steward_nonce: u8) -> Connection {
+    let initiator = initiate(gate_nonce);
+    let hello = initiator.hello().to_vec();
+    let accepted = accept(&hello, steward_nonce);
+    let challenge = accepted.challenge;
+    let gate = initiator.finish(&challenge).unwrap();
+    Connection { hello, challenge, gate, steward: accepted.link }
+}
+
+#[test]
+fn both_ends_learn_who_the_other_is_and_talk() {
+    let mut connection = connect(1, 2);
+    assert_eq!(connection.gate.peer, identity("entry-2", Role::Steward));
+    assert_eq!(connection.steward.peer, identity("entry-1", Role::Gate));
+    for round in 0..3u8 {
+        let frame = connection.gate.sealer.seal(vec![round; 10]);
+        assert_eq!(connection.steward.opener.open(&frame), Ok(&[round; 10][..]));
+        let frame = connection.steward.sealer.seal(vec![round; 20]);
+        assert_eq!(connection.gate.opener.open(&frame), Ok(&[round; 20][..]));
+    }
+    assert!(connection.hello.len() <= MAX_HANDSHAKE_BYTES);
+    assert!(connection.challenge.len() <= MAX_HANDSHAKE_BYTES);
+}
+
+#[test]
+fn a_recording_of_a_connection_is_rejected_by_a_new_acceptor() {
+    let mut recorded = connect(1, 2);
+    let frame = recorded.gate.sealer.seal(b"have".to_vec());
+    let mut again = accept(&recorded.hello, 3).link;
+    assert_eq!(again.opener.open(&frame), Err(AuthError::Forged));
+}
+
+#[test]
+fn a_recorded_challenge_is_rejected_by_a_new_initiator() {
+    let recorded = connect(1, 2);
+    assert!(initiate(3).finish(&recorded.challenge).is_err());
+}
+
+#[test]
+fn a_frame_opens_in_its_direction_and_place_only() {
+    let mut connection = connect(1, 2);
+    let frames = [b"a", b"b"].map(|payload| connection.gate.sealer.seal(payload.to_vec()));
+    assert!(connection.gate.opener.open(&frames[0]).is_err());
+    assert!(connection.steward.opener.open(&frames[1]).is_err());
+    assert!(connection.steward.opener.open(&frames[0]).is_ok());
+    assert!(connection.steward.opener.open(&frames[0]).is_err());
+    assert!(connection.steward.opener.open(&frames[1]).is_ok());
+}
+
+#[test]
+fn an_end_without_the_key_is_rejected_by_both() {
+    let stranger = LinkInitiator::new(key(8), identity("entry-1", Role::Gate), [1; 32]);
+    let accepted = accept(stranger.hello(), 2);
+    assert!(stranger.finish(&accepted.challenge).is_err());
+
+    let initiator = initiate(1);
+    let steward = identity("entry-2", Role::Steward);
+    let accepted = LinkAccepted::new(&key(8), steward, [2; 32], initiator.hello()).unwrap();
+    assert!(initiator.finish(&accepted.challenge).is_err());
+}
+
+#[test]
+fn a_peer_that_has_proven_nothing_gets_little_memory() {
+    let mut connection = connect(1, 2);
+    assert_eq!(connection.steward.opener.max_frame_bytes(), MAX_FIRST_FRAME_BYTES);
+    let frame = connection.gate.sealer.seal(b"first".to_vec());
+    connection.steward.opener.open(&frame).unwrap();
+    assert_eq!(connection.steward.opener.max_frame_bytes(), MAX_FRAME_BYTES);
+}
+
+proptest! {
+    #[test]
+    fn no_bytes_are_a_challenge_or_a_frame(bytes in prop::collection::vec(any::<u8>(), 0..300)) {
+        prop_assert!(initiate(1).finish(&bytes).is_err());
+        prop_assert!(connect(1, 2).steward.opener.open(&bytes).is_err());
+        // Any bytes may be a hello, but its sender cannot make a frame.
+        let accepted = LinkAccepted::new(&key(7), identity("a", Role::Steward), [1; 32], &bytes);
+        if let Ok(mut accepted) = accepted {
+            prop_assert!(accepted.link.opener.open(&bytes).is_err());
+        }
+    }
+
+    #[test]
+    fn no_damaged_handshake_leads_to_a_connection(
+        at in any::<prop::sample::Index>(),
+        bit in 0..8u8,
+        in_hello in any::<bool>(),
+    ) {
+        let initiator = initiate(1);
+        let mut hello = initiator.hello().to_vec();
+        let damage = |bytes: &mut Vec<u8>| {
+            let at = at.index(bytes.len());
+            bytes[at] ^= 1 << bit;
+        };
+        if in_hello {
+            damage(&mut hello);
+        }
+        let steward = identity("entry-2", Role::Steward);
+        let Ok(accepted) = LinkAccepted::new(&key(7), steward, [2; 32], &hello) else {
+            return Ok(());
+        };
+        let mut challenge = accepted.challenge;
+        if !in_hello {
+            damage(&mut challenge);
+        }
+        prop_assert!(initiator.finish(&challenge).is_err());
+    }
+}
