--- a/crates/member/tests/driver/mod.rs
+++ b/crates/member/tests/driver/mod.rs
@@ -39,6 +39,14 @@
     pub bytes: u64,
 }
 
+/// A datagram that was delivered.
+#[derive(Debug, Clone)]
+pub struct Recorded {
+    pub from: usize,
+    pub to: usize,
+    pub payload: Vec<u8>,
+}
+
 pub struct Node {
     pub peers: Peers,
     pub id: NodeId,
@@ -68,7 +76,9 @@
     pub loss: f64,
     pub duplicated: f64,
     pub cut: Cut,
-    /// Nodes found dead while they were up, as seen by all nodes together.
+    /// Datagrams that were delivered, if they are recorded.
+    pub recorded: Option<Vec<Recorded>>,
+    /// Starts of nodes found dead while they were up, as seen by all nodes together.
     pub false_deaths: u64,
     queue: BinaryHeap<Reverse<(Time, u64, Event)>>,
     order: u64,
@@ -86,6 +96,7 @@
             loss: 0.0,
             duplicated: 0.0,
             cut: Box::new(|_, _| false),
+            recorded: None,
             false_deaths: 0,
             queue: BinaryHeap::new(),
             order: 0,
@@ -202,8 +213,9 @@
         self.handle(index, |peers, now, out| peers.leave(now, out));
     }
 
-    /// Sends a datagram that some node sent before.
-    pub fn deliver(&mut self, from: usize, to: usize, payload: Vec<u8>) {
+    /// Delivers a datagram.
+    pub fn deliver(&mut self, datagram: Recorded) {
+        let Recorded { from, to, payload } = datagram;
         self.push(self.now, Event::Datagram { from, to, payload });
     }
 
@@ -281,6 +293,9 @@
             Event::Datagram { from, payload, .. } => {
                 node.traffic.messages += 1;
                 node.traffic.bytes += payload.len() as u64 + DATAGRAM_HEADS;
+                if let Some(recorded) = &mut self.recorded {
+                    recorded.push(Recorded { from, to: index, payload: payload.clone() });
+                }
                 let from = self.nodes[from].address;
                 self.handle(index, |peers, now, out| peers.on_datagram(now, from, &payload, out));
             }
@@ -319,7 +334,11 @@
                 self.send_link(index, to, reply, &message);
             }
             PeersOutput::MemberChanged(member) => {
-                let up = |node: &Node| node.id == member.node && node.up && !node.paused;
+                // The death of an earlier start of a node is true.
+                let this_start = |node: &Node| node.incarnation <= member.incarnation.0;
+                let up = |node: &Node| {
+                    node.id == member.node && this_start(node) && node.up && !node.paused
+                };
                 if member.state == MemberState::Dead && self.nodes.iter().any(up) {
                     self.false_deaths += 1;
                 }
