--- a/crates/conf/src/keyed_rules.rs
+++ b/crates/conf/src/keyed_rules.rs
@@ -43,7 +43,7 @@
 
     /// Reads the section `keys`.
     pub(crate) fn read(section: Section<'_>) -> Option<KeyedRules> {
-        let header = section.optional("header", header);
+        let header = section.optional("header", value::header);
         let prefix = section.optional("path", path_prefix);
         let source = match (header, prefix) {
             (Some(name), None) => Some(KeySource::Header(name)),
@@ -60,26 +60,26 @@
         let lease = section.optional("lease", value::span(lease_range));
         let hold_range = Duration::from_secs(1)..=Duration::from_secs(86_400);
         let hold = section.optional("outage_hold", value::span(hold_range));
+        let (lease, hold) = (
+            lease.unwrap_or(KeyedRules::DEFAULT_LEASE),
+            hold.unwrap_or(KeyedRules::DEFAULT_OUTAGE_HOLD),
+        );
+        if hold < lease {
+            let message = String::from("expected at least the value of `lease`");
+            section.report("outage_hold", "outage_hold", message);
+        }
         let fenced = section.required("fenced", value::yes_no);
         Some(KeyedRules {
             source: source?,
             layout: layout?,
             hot_keys: hot_keys.unwrap_or(SliceLayout::MAX_HOT_KEYS),
-            lease: lease.unwrap_or(KeyedRules::DEFAULT_LEASE),
-            outage_hold: hold.unwrap_or(KeyedRules::DEFAULT_OUTAGE_HOLD),
+            lease,
+            outage_hold: hold,
             fenced: fenced?,
         })
     }
 }
 
-fn header(text: &str) -> Result<String, String> {
-    let valid = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
-    if text.is_empty() || !text.bytes().all(valid) {
-        return Err(String::from("a header name such as X-Key"));
-    }
-    Ok(text.to_ascii_lowercase())
-}
-
 fn path_prefix(text: &str) -> Result<String, String> {
     let expected = || String::from("a path such as /jobs/{key}");
     let prefix = text.strip_suffix("{key}").ok_or_else(expected)?;
--- a/crates/conf/src/request_rules.rs
+++ b/crates/conf/src/request_rules.rs
@@ -28,13 +28,7 @@
         let retry_budget = section.optional("retry_budget", value::percent(0.0..=100.0));
         let hedge_budget = section.optional("hedge_budget", value::percent(0.0..=100.0));
         let idempotent = section.optional("idempotent", methods);
-        let customer_header = section.optional("customer_header", |text| {
-            if text.is_empty() {
-                Err(String::from("a header name"))
-            } else {
-                Ok(text.to_lowercase())
-            }
-        });
+        let customer_header = section.optional("customer_header", value::header);
         RequestRules {
             timeout: timeout.unwrap_or(Duration::from_secs(10)),
             idempotent: idempotent
@@ -49,5 +43,10 @@
 
 fn methods(text: &str) -> Result<Vec<Method>, String> {
     let parsed = text.split(',').map(|part| Method::parse(part.trim()));
-    parsed.collect::<Option<_>>().ok_or_else(|| String::from("methods such as GET, HEAD, PUT"))
+    let methods: Option<Vec<Method>> = parsed.collect();
+    let methods = methods.ok_or_else(|| String::from("methods such as GET, HEAD, PUT"))?;
+    if !value::all_differ(&methods) {
+        return Err(String::from("each method once"));
+    }
+    Ok(methods)
 }
--- a/crates/conf/src/server_doc.rs
+++ b/crates/conf/src/server_doc.rs
@@ -33,7 +33,7 @@
                 None
             }
         };
-        let address = section.required("address", value::address);
+        let address = section.required("address", value::remote_address);
         let zone = section.required("zone", value::name);
         let weight = section.optional("weight", value::number(1..=1_000));
         let leaving = section.optional("leaving", value::yes_no);
--- a/crates/conf/src/service_doc.rs
+++ b/crates/conf/src/service_doc.rs
@@ -39,6 +39,24 @@
         document.finish(doc)
     }
 
+    /// Reads and checks a document whose object's key holds this name.
+    ///
+    /// # Errors
+    /// Returns every mistake found; a document of another service is one.
+    pub fn parse_named(
+        file: &str,
+        name: ServiceName,
+        bytes: &[u8],
+    ) -> Result<ServiceDoc, Mistakes> {
+        let document = Document::parse(file, bytes)?;
+        let doc = read(&document);
+        if doc.as_ref().is_some_and(|doc| doc.name != name) {
+            let message = format!("expected `{name}`, the name in the object's key");
+            document.section("service").report("name", "name", message);
+        }
+        document.finish(doc)
+    }
+
     /// The rules for keys, or `None` if the service is pooled.
     pub fn keyed(&self) -> Option<&KeyedRules> {
         match &self.kind {
@@ -57,11 +75,7 @@
         "pooled" => Ok(false),
         _ => Err(String::from("`keyed` or `pooled`")),
     });
-    let kind = match keyed {
-        Some(true) => KeyedRules::read(document.section("keys")).map(ServiceKind::Keyed),
-        Some(false) => Some(ServiceKind::Pooled),
-        None => None,
-    };
+    let kind = read_kind(document, keyed);
     let requests = RequestRules::read(document.section("requests"));
     let limits = Limits::read(document.section("limits"));
     let servers = read_servers(document);
@@ -75,20 +89,46 @@
     })
 }
 
+fn read_kind(document: &Document, keyed: Option<bool>) -> Option<ServiceKind> {
+    let keys = document.section("keys");
+    match keyed {
+        Some(true) => KeyedRules::read(keys).map(ServiceKind::Keyed),
+        Some(false) => {
+            if keys.exists() {
+                keys.reject(String::from("expected no section `keys` in a pooled service"));
+            }
+            Some(ServiceKind::Pooled)
+        }
+        // The mistakes in the section are found although the kind is not known.
+        None if keys.exists() => KeyedRules::read(keys).and(None),
+        None => None,
+    }
+}
+
 fn read_servers(document: &Document) -> Option<Vec<ServerDoc>> {
-    let names = document.sections_with_prefix(ServerDoc::SECTION_PREFIX);
-    let read: Vec<_> =
-        names.into_iter().map(|name| ServerDoc::read(document.section(name))).collect();
-    let servers: Vec<ServerDoc> = read.into_iter().collect::<Option<_>>()?;
-    for (index, server) in servers.iter().enumerate() {
-        let earlier = &servers[..index];
-        if earlier.iter().any(|other| other.address == server.address) {
-            let name = format!("{}{}", ServerDoc::SECTION_PREFIX, server.name);
+    let sections = document.sections_with_prefix(ServerDoc::SECTION_PREFIX);
+    if sections.is_empty() {
+        let message = String::from("expected a section `server NAME` for each server, found none");
+        document.report("server", message);
+    }
+    let mut servers: Vec<ServerDoc> = Vec::new();
+    let mut complete = true;
+    for name in sections {
+        let section = document.section(name);
+        let Some(server) = ServerDoc::read(section) else {
+            complete = false;
+            continue;
+        };
+        if servers.iter().any(|other| other.name == server.name) {
+            section.reject(String::from("expected a name that no other server has"));
+        }
+        if servers.iter().any(|other| other.address == server.address) {
             let message = String::from("expected an address that no other server has");
-            document.section(&name).report("address", "address", message);
+            section.report("address", "address", message);
         }
+        servers.push(server);
     }
-    Some(servers)
+    complete.then_some(servers)
 }
 
 fn hosts(text: &str) -> Result<Vec<String>, String> {
@@ -97,5 +137,8 @@
     if hosts.iter().any(|host| host.is_empty() || !host.bytes().all(valid)) {
         return Err(String::from("host names parted by commas, without ports"));
     }
+    if !value::all_differ(&hosts) {
+        return Err(String::from("each host name once"));
+    }
     Ok(hosts)
 }
--- a/crates/conf/src/settings.rs
+++ b/crates/conf/src/settings.rs
@@ -84,12 +84,13 @@
     let node = document.section("node");
     let host = node.required("host", value::name);
     let zone = node.required("zone", value::name);
-    let key_file = node.required("key_file", |text| Ok(PathBuf::from(text)));
-    let store = document.section("store").required("address", value::address);
+    let key_file = node.required("key_file", path);
+    let store = document.section("store").required("address", value::remote_address);
     let log_level = document.section("log").optional("level", level);
-    let metrics = document.section("metrics").optional("address", value::address);
+    let metrics = document.section("metrics").optional("address", value::remote_address);
     let gate = read_gate(document.section("gate"));
     let steward = read_steward(document.section("steward"));
+    check_addresses(document, gate.as_ref(), steward.as_ref());
     Some(Settings {
         host: host?,
         zone: zone?,
@@ -105,7 +106,7 @@
 fn read_gate(section: Section<'_>) -> Option<GateSettings> {
     let listen = section.required("listen", value::address);
     let admin = section.required("admin", value::address);
-    let peer = section.required("peer", value::address);
+    let peer = section.required("peer", value::own_address);
     let stewards = section.required("stewards", value::addresses);
     let max_connections = section.optional("max_connections", value::number(1..=1_000_000));
     let per_peer = section.optional("max_connections_per_peer", value::number(1..=1_000_000));
@@ -123,11 +124,46 @@
 }
 
 fn read_steward(section: Section<'_>) -> Option<StewardSettings> {
-    let listen = section.required("listen", value::address);
+    let listen = section.required("listen", value::own_address);
     let admin = section.required("admin", value::address);
     Some(StewardSettings { listen: listen?, admin: admin? })
 }
 
+/// Finds two sockets of the host that would have the same address.
+fn check_addresses(
+    document: &Document,
+    gate: Option<&GateSettings>,
+    steward: Option<&StewardSettings>,
+) {
+    let gate = gate.map(|gate| {
+        [
+            ("gate", "listen", gate.listen),
+            ("gate", "admin", gate.admin),
+            ("gate", "peer", gate.peer),
+        ]
+    });
+    let steward = steward.map(|steward| {
+        [("steward", "listen", steward.listen), ("steward", "admin", steward.admin)]
+    });
+    let own: Vec<_> = gate.into_iter().flatten().chain(steward.into_iter().flatten()).collect();
+    for (index, (section, key, address)) in own.iter().enumerate() {
+        let clash = own[..index].iter().find(|(.., other)| other == address && address.port() != 0);
+        if let Some((first_section, first_key, _)) = clash {
+            let message = format!(
+                "expected an address of its own, found that of `{first_section}.{first_key}`"
+            );
+            document.section(section).report(key, key, message);
+        }
+    }
+}
+
+fn path(text: &str) -> Result<PathBuf, String> {
+    if text.is_empty() {
+        return Err(String::from("a path"));
+    }
+    Ok(PathBuf::from(text))
+}
+
 fn level(text: &str) -> Result<LogLevel, String> {
     match text {
         "error" => Ok(LogLevel::Error),
--- a/crates/conf/src/value.rs
+++ b/crates/conf/src/value.rs
@@ -10,9 +10,46 @@
     text.parse().map_err(|_| String::from("an IP address and port such as 10.0.0.1:8080"))
 }
 
+/// Reads the address of a process on another host.
+pub(crate) fn remote_address(text: &str) -> Result<SocketAddr, String> {
+    let address = address(text)?;
+    if address.port() == 0 || address.ip().is_unspecified() {
+        return Err(String::from("an IP address and port of one host, neither of them zero"));
+    }
+    Ok(address)
+}
+
+/// Reads an address that this process tells others.
+pub(crate) fn own_address(text: &str) -> Result<SocketAddr, String> {
+    remote_address(text)
+        .map_err(|_| String::from("the host's own IP address and port, which others are told"))
+}
+
 /// Reads addresses parted by commas.
 pub(crate) fn addresses(text: &str) -> Result<Vec<SocketAddr>, String> {
-    text.split(',').map(|part| address(part.trim())).collect()
+    let addresses: Vec<SocketAddr> =
+        text.split(',').map(|part| remote_address(part.trim())).collect::<Result<_, _>>()?;
+    if !all_differ(&addresses) {
+        return Err(String::from("each address once"));
+    }
+    Ok(addresses)
+}
+
+/// Whether no value stands twice in a list.
+pub(crate) fn all_differ<T>(values: &[T]) -> bool
+where
+    T: PartialEq,
+{
+    values.iter().enumerate().all(|(index, value)| !values[..index].contains(value))
+}
+
+/// Reads the name of an HTTP header, in lower case.
+pub(crate) fn header(text: &str) -> Result<String, String> {
+    let valid = |b: u8| b.is_ascii_alphanumeric() || b == b'-';
+    if text.is_empty() || !text.bytes().all(valid) {
+        return Err(String::from("a header name such as X-Key"));
+    }
+    Ok(text.to_ascii_lowercase())
 }
 
 /// Reads a whole number within a range.
@@ -21,7 +58,8 @@
     T: FromStr + PartialOrd + std::fmt::Display,
 {
     move |text| {
-        let value = text.parse().ok().filter(|value| range.contains(value));
+        let digits = text.bytes().all(|b| b.is_ascii_digit());
+        let value = text.parse().ok().filter(|value| digits && range.contains(value));
         value.ok_or_else(|| format!("a number from {} to {}", range.start(), range.end()))
     }
 }
--- a/crates/conf/src/zone_doc.rs
+++ b/crates/conf/src/zone_doc.rs
@@ -29,16 +29,21 @@
     /// Returns every mistake found.
     pub fn parse(file: &str, bytes: &[u8]) -> Result<ZoneDoc, Mistakes> {
         let document = Document::parse(file, bytes)?;
-        let section = document.section("zone");
-        let zone = section.required("name", value::name);
-        let state = section.required("state", |text| match text {
-            "in" => Ok(ZoneState::In),
-            "out" => Ok(ZoneState::Out),
-            _ => Err(String::from("`in` or `out`")),
-        });
-        let operator = section.required("operator", |text| Ok(text.to_owned()));
-        let doc = || Some(ZoneDoc { zone: zone?, state: state?, operator: operator? });
-        let doc = doc();
+        let doc = read(&document);
+        document.finish(doc)
+    }
+
+    /// Reads and checks a zone's object whose key holds this name.
+    ///
+    /// # Errors
+    /// Returns every mistake found; the object of another zone is one.
+    pub fn parse_named(file: &str, zone: ZoneName, bytes: &[u8]) -> Result<ZoneDoc, Mistakes> {
+        let document = Document::parse(file, bytes)?;
+        let doc = read(&document);
+        if doc.as_ref().is_some_and(|doc| doc.zone != zone) {
+            let message = format!("expected `{zone}`, the name in the object's key");
+            document.section("zone").report("name", "name", message);
+        }
         document.finish(doc)
     }
 
@@ -52,3 +57,15 @@
         format!("[zone]\nname = {}\nstate = {state}\noperator = {operator}\n", self.zone)
     }
 }
+
+fn read(document: &Document) -> Option<ZoneDoc> {
+    let section = document.section("zone");
+    let zone = section.required("name", value::name);
+    let state = section.required("state", |text| match text {
+        "in" => Ok(ZoneState::In),
+        "out" => Ok(ZoneState::Out),
+        _ => Err(String::from("`in` or `out`")),
+    });
+    let operator = section.required("operator", |text| Ok(text.to_owned()));
+    Some(ZoneDoc { zone: zone?, state: state?, operator: operator? })
+}
