--- a/crates/fakes/src/owner_server.rs
+++ b/crates/fakes/src/owner_server.rs
@@ -1,9 +1,9 @@
-use std::collections::HashMap;
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bay_time::Time;
 use bay_types::{SliceId, Term, Token};
-use bay_wire::{Order, OrderReply, OrderVerdict, SliceGrant};
+use bay_wire::{Order, OrderReply, OrderRole, OrderVerdict, SliceGrant};
 
 /// The part of a server that keeps its lease and slices, without I/O.
 #[derive(Debug)]
@@ -11,9 +11,10 @@
     boot: u64,
     fenced: bool,
     term: Term,
-    sequence: u64,
+    keeper_sequence: u64,
+    deputy_sequence: u64,
     lease_end: Time,
-    slices: HashMap<SliceId, Token>,
+    slices: BTreeMap<SliceId, Token>,
 }
 
 /// Whether a server may run a request for a slice.
@@ -32,31 +33,18 @@
             boot,
             fenced,
             term: Term(0),
-            sequence: 0,
+            keeper_sequence: 0,
+            deputy_sequence: 0,
             lease_end: Time::ZERO,
-            slices: HashMap::new(),
+            slices: BTreeMap::new(),
         }
     }
 
     /// Takes or refuses an order.
     pub fn order(&mut self, now: Time, order: &Order) -> OrderReply {
-        let stale = (order.term, order.sequence) <= (self.term, self.sequence);
-        if self.fenced && stale {
-            return self.reply(OrderVerdict::Stale);
-        }
         self.expire(now);
-        self.term = order.term;
-        self.sequence = order.sequence;
-        self.lease_end = now + Duration::from_millis(order.lease_ms);
-        for grant in &order.revoke {
-            if self.slices.get(&grant.slice).is_some_and(|token| *token <= grant.token) {
-                self.slices.remove(&grant.slice);
-            }
-        }
-        for SliceGrant { slice, token } in &order.grant {
-            self.slices.insert(*slice, *token);
-        }
-        self.reply(OrderVerdict::Taken)
+        let verdict = self.judge(now, order);
+        self.reply(now, verdict)
     }
 
     /// Decides whether to run a request for a slice.
@@ -73,14 +61,74 @@
         self.slices.iter().map(|(slice, token)| SliceGrant { slice: *slice, token: *token })
     }
 
+    fn judge(&mut self, now: Time, order: &Order) -> OrderVerdict {
+        if self.fenced && !self.in_sequence(order) {
+            return OrderVerdict::Stale;
+        }
+        let Some(proof) = order.proof else {
+            return OrderVerdict::Taken;
+        };
+        let lease = Duration::from_millis(order.lease_ms);
+        let start = if self.fenced { Time::from_nanos(proof.stamp) } else { now };
+        let late = self.fenced && (proof.boot != self.boot || start + lease <= now);
+        if late {
+            return OrderVerdict::Late;
+        }
+        self.lease_end = self.lease_end.max(start + lease);
+        if order.role == OrderRole::Keeper {
+            self.change(order);
+        }
+        OrderVerdict::Taken
+    }
+
+    fn in_sequence(&mut self, order: &Order) -> bool {
+        if order.term < self.term {
+            return false;
+        }
+        if order.term > self.term {
+            self.term = order.term;
+            self.keeper_sequence = 0;
+            self.deputy_sequence = 0;
+        }
+        let last = match order.role {
+            OrderRole::Keeper => &mut self.keeper_sequence,
+            OrderRole::Deputy => &mut self.deputy_sequence,
+        };
+        let later = order.sequence > *last;
+        *last = order.sequence.max(*last);
+        later
+    }
+
+    fn change(&mut self, order: &Order) {
+        if order.replace {
+            self.slices.clear();
+        }
+        for grant in &order.revoke {
+            if self.slices.get(&grant.slice).is_some_and(|token| *token <= grant.token) {
+                self.slices.remove(&grant.slice);
+            }
+        }
+        for SliceGrant { slice, token } in &order.grant {
+            self.slices.insert(*slice, *token);
+        }
+    }
+
     fn expire(&mut self, now: Time) {
         if now >= self.lease_end {
             self.slices.clear();
         }
     }
 
-    fn reply(&self, verdict: OrderVerdict) -> OrderReply {
-        let owned = self.slices.len() as u32;
-        OrderReply { verdict, term: self.term, boot: self.boot, owned }
+    fn reply(&self, now: Time, verdict: OrderVerdict) -> OrderReply {
+        let grants =
+            self.slices.iter().map(|(slice, token)| SliceGrant { slice: *slice, token: *token });
+        OrderReply {
+            verdict,
+            term: self.term,
+            boot: self.boot,
+            stamp: now.as_nanos(),
+            owned: self.slices.len() as u32,
+            digest: SliceGrant::digest(grants),
+        }
     }
 }
--- /dev/null
+++ b/crates/own/src/bounds.rs
@@ -0,0 +1,30 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::ServerName;
+
+use crate::LeaseLeft;
+
+/// Two clocks differ in speed by at most one part in this many.
+const DRIFT_PARTS: u32 = 500;
+
+/// Longest time that an order to a server which checks no proofs can be on its way.
+pub const MAX_DELIVERY: Duration = Duration::from_secs(2);
+
+/// The latest end, on the observer's clock, of a span that another host counts from an event that
+/// the observer saw no earlier than it happened.
+pub(crate) fn latest_end(seen: Time, span: Duration) -> Time {
+    seen + span + span / DRIFT_PARTS
+}
+
+/// The latest ends of the leases that another steward named in a message received at `seen`.
+pub(crate) fn lease_ends(seen: Time, leases: &[LeaseLeft]) -> BTreeMap<ServerName, Time> {
+    let mut ends = BTreeMap::new();
+    for lease in leases {
+        let end = latest_end(seen, Duration::from_millis(lease.left_ms));
+        let known: &mut Time = ends.entry(lease.server).or_default();
+        *known = end.max(*known);
+    }
+    ends
+}
--- /dev/null
+++ b/crates/own/src/campaign.rs
@@ -0,0 +1,457 @@
+use std::time::Duration;
+
+use bay_store::{Expect, ObjectKey, StoreReply, StoreRequest, StoreResult};
+use bay_time::Time;
+use bay_types::{Revision, ServiceName, Term, ZoneName};
+
+use crate::call::Call;
+use crate::deputy::Deputy;
+use crate::keeper::Keeper;
+use crate::owner::Owner;
+use crate::service_state::ServiceState;
+use crate::shard_writes::STORE_PAUSE;
+use crate::stewards::Stewards;
+use crate::{Holder, OwnOutput, TermRecord};
+
+/// Pause between two renewals of a term.
+pub(crate) const TERM_RENEWAL: Duration = Duration::from_secs(5);
+/// How long a term may go without a renewal before others look for its keeper in the store.
+const TERM_SILENCE: Duration = Duration::from_secs(15);
+/// How long the store has to show no renewal before a silent keeper's term is taken over.
+const TERM_CONFIRMATION: Duration = Duration::from_secs(10);
+/// How much later each next candidate acts.
+const RANK_DELAY: Duration = Duration::from_secs(1);
+
+/// What an owner does about a term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Move {
+    Nothing,
+    Read,
+    Take,
+    Renew,
+    HandOver(Holder),
+}
+
+impl Owner {
+    /// Looks after every term.
+    pub(crate) fn campaign(&mut self, now: Time, out: &mut Vec<OwnOutput>) {
+        for service in self.services.values_mut() {
+            for keeper in service.keepers.values_mut() {
+                keeper.formers_replaced(now, &self.stewards);
+            }
+        }
+        let names: Vec<ServiceName> = self.services.keys().copied().collect();
+        for name in names {
+            let zones = self.services.get(&name).map(ServiceState::zones).unwrap_or_default();
+            for zone in zones {
+                match self.judge(now, name, zone) {
+                    Move::Nothing => {}
+                    Move::Read => self.list_term(name, zone, out),
+                    Move::Take => self.take_term(now, name, zone, out),
+                    Move::Renew => self.renew_term(now, name, zone, out),
+                    Move::HandOver(to) => self.hand_over(now, name, zone, to, out),
+                }
+            }
+        }
+    }
+
+    fn judge(&mut self, now: Time, name: ServiceName, zone: ZoneName) -> Move {
+        let me = self.holder();
+        let candidates = self.stewards.keepers(name, zone);
+        let Some(service) = self.services.get_mut(&name) else {
+            return Move::Nothing;
+        };
+        let slot = service.terms.entry(zone).or_default();
+        if slot.busy || now < slot.retry_at {
+            return Move::Nothing;
+        }
+        if slot.unread {
+            return Move::Read;
+        }
+        if let Some(keeper) = service.keepers.get(&zone) {
+            let best = candidates.first().copied().filter(|best| *best != me);
+            // A keeper loses its zone's servers together with itself if the zone is lost.
+            let misplaced = self.config.zone == zone;
+            let better = best.filter(|best| self.stewards.zone(*best) != Some(zone));
+            return match (self.stopping, best, better) {
+                (true, Some(to), _) => Move::HandOver(to),
+                (false, _, Some(to)) if misplaced && keeper.installed => Move::HandOver(to),
+                _ if now >= keeper.next_renewal => Move::Renew,
+                _ if lacks_deputy(now, keeper, &self.stewards, name, zone) => Move::Renew,
+                _ => Move::Nothing,
+            };
+        }
+        if self.stopping {
+            let handing = slot.record.as_ref().is_some_and(|record| record.keeper == me);
+            let to = candidates.into_iter().find(|candidate| *candidate != me);
+            return match to {
+                Some(to) if handing => Move::HandOver(to),
+                _ => Move::Nothing,
+            };
+        }
+        let Some(record) = &slot.record else {
+            return match (candidates.first() == Some(&me), slot.absent) {
+                (true, true) => Move::Take,
+                (true, false) => Move::Read,
+                _ => Move::Nothing,
+            };
+        };
+        if record.keeper == me {
+            return Move::Take;
+        }
+        let mine = record.deputy == Some(me);
+        let rank = candidates.iter().position(|candidate| *candidate == me);
+        let rank = if mine { 0 } else { rank.map_or(u32::MAX, |rank| rank as u32 + 1) };
+        if rank == u32::MAX {
+            return Move::Nothing;
+        }
+        let delay = RANK_DELAY * rank;
+        if !self.stewards.alive(record.keeper) {
+            let since = *slot.gone_since.get_or_insert(now);
+            return if now >= since + delay { Move::Take } else { Move::Nothing };
+        }
+        slot.gone_since = None;
+        if now < slot.seen + TERM_SILENCE {
+            return Move::Nothing;
+        }
+        match slot.confirmed {
+            None => Move::Read,
+            Some(at) if now >= at + TERM_CONFIRMATION + delay => Move::Take,
+            Some(_) => Move::Nothing,
+        }
+    }
+
+    fn list_term(&mut self, service: ServiceName, zone: ZoneName, out: &mut Vec<OwnOutput>) {
+        let Some(slot) = self.services.get_mut(&service).and_then(|s| s.terms.get_mut(&zone))
+        else {
+            return;
+        };
+        slot.busy = true;
+        let prefix = ObjectKey::term(service, zone).as_str().to_owned();
+        self.call(Call::ListTerm { service, zone }, StoreRequest::List { prefix }, out);
+    }
+
+    pub(crate) fn term_listed(
+        &mut self,
+        now: Time,
+        service: ServiceName,
+        zone: ZoneName,
+        result: StoreResult,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let key = ObjectKey::term(service, zone);
+        if let Ok(StoreReply::Objects(body)) = &result {
+            self.highest = self.highest.max(body.revision);
+            if let Some(object) = body.objects.iter().find(|object| object.key == key) {
+                self.seen(now, object, out);
+            }
+        }
+        let Some(slot) = self.services.get_mut(&service).and_then(|s| s.terms.get_mut(&zone))
+        else {
+            return;
+        };
+        slot.busy = false;
+        match result {
+            Ok(StoreReply::Objects(body)) => {
+                slot.unread = false;
+                slot.absent = body.objects.iter().all(|object| object.key != key);
+                slot.confirmed.get_or_insert(now);
+            }
+            _ => {
+                slot.confirmed = None;
+                slot.retry_at = now + STORE_PAUSE;
+            }
+        }
+        self.next_campaign = now;
+    }
+
+    /// Takes a term that has no keeper.
+    fn take_term(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        zone: ZoneName,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let me = self.holder();
+        let deputy = self.stewards.deputies(name, zone, me).first().copied();
+        let highest = self.highest.0;
+        let Some(service) = self.services.get(&name) else {
+            return;
+        };
+        let Some(rules) = service.doc.as_ref().and_then(|doc| doc.keyed()) else {
+            return;
+        };
+        let before = service.terms.get(&zone).and_then(|slot| slot.record.as_ref());
+        let last = before.map_or(highest, |record| record.number.0);
+        let number = Term(last + 1);
+        let former = before.map(|record| record.succeeded_by(number, None)).unwrap_or_default();
+        let record = TermRecord {
+            nonce: 0,
+            number,
+            since: number,
+            keeper: me,
+            deputy,
+            renewals: 0,
+            lease_ms: rules.lease.as_millis() as u64,
+            hold_ms: rules.outage_hold.as_millis() as u64,
+            former: former.into_iter().filter(|former| former.holder != me).collect(),
+        };
+        out.push(OwnOutput::Count("own.term.taken"));
+        self.put_term(now, name, zone, record, out);
+    }
+
+    /// Renews a term that this process keeps; changes the deputy if it is not up.
+    fn renew_term(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        zone: ZoneName,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let me = self.holder();
+        let candidates = self.stewards.deputies(name, zone, me);
+        let Some(service) = self.services.get(&name) else {
+            return;
+        };
+        let Some(keeper) = service.keepers.get(&zone) else {
+            return;
+        };
+        let mut record = keeper.record.clone();
+        if let Some(rules) = service.doc.as_ref().and_then(|doc| doc.keyed()) {
+            record.lease_ms = rules.lease.as_millis() as u64;
+            record.hold_ms = rules.outage_hold.as_millis() as u64;
+        }
+        record.renewals += 1;
+        if keeper.all_fenced() {
+            record.former.clear();
+        }
+        let silent = keeper.installed && keeper.mandates.silent(now, keeper.interval());
+        let works = |holder: Holder| self.stewards.alive(holder) && !silent;
+        if !record.deputy.is_some_and(works) {
+            let other = candidates.iter().find(|other| Some(**other) != record.deputy).copied();
+            if other.is_some() {
+                change_deputy(&mut record, other);
+                out.push(OwnOutput::Count("own.deputy.changed"));
+            }
+        }
+        self.put_term(now, name, zone, record, out);
+    }
+
+    /// Ends this process's part and names its successor.
+    fn hand_over(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        zone: ZoneName,
+        to: Holder,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let me = self.holder();
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        // No order of this process follows the write.
+        service.end_keeper(zone);
+        let slot = service.terms.get(&zone).and_then(|slot| slot.record.as_ref());
+        let Some(before) = slot else {
+            return;
+        };
+        let number = Term(before.number.0 + 1);
+        let mut record = before.clone();
+        record.former = before.succeeded_by(number, Some(me));
+        record.number = number;
+        record.since = number;
+        record.keeper = before.deputy.filter(|deputy| self.stewards.alive(*deputy)).unwrap_or(to);
+        record.deputy = None;
+        out.push(OwnOutput::Count("own.term.handed-over"));
+        self.put_term(now, name, zone, record, out);
+    }
+
+    fn put_term(
+        &mut self,
+        now: Time,
+        service: ServiceName,
+        zone: ZoneName,
+        mut record: TermRecord,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        record.nonce = self.nonce();
+        let nonce = record.nonce;
+        let Some(slot) = self.services.get_mut(&service).and_then(|s| s.terms.get_mut(&zone))
+        else {
+            return;
+        };
+        slot.attempt(now, nonce);
+        let expect = match slot.absent {
+            true => Expect::Absent,
+            false => Expect::Revision(slot.revision),
+        };
+        let key = ObjectKey::term(service, zone);
+        let body = record.to_text();
+        let call = Call::PutTerm { service, zone, nonce, record: Box::new(record) };
+        self.call(call, StoreRequest::Put { key, body, expect }, out);
+    }
+
+    pub(crate) fn term_written(
+        &mut self,
+        now: Time,
+        (service, zone): (ServiceName, ZoneName),
+        nonce: u64,
+        record: TermRecord,
+        result: StoreResult,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(slot) = self.services.get_mut(&service).and_then(|s| s.terms.get_mut(&zone))
+        else {
+            return;
+        };
+        slot.busy = false;
+        match result {
+            Ok(StoreReply::Written(revision)) => {
+                self.highest = self.highest.max(revision);
+                self.term_seen(now, service, zone, revision, record, out);
+            }
+            Ok(StoreReply::Conflict(object)) => {
+                slot.failed(nonce);
+                slot.unread = object.is_none();
+                out.push(OwnOutput::Count("own.term.conflict"));
+                if let Some(object) = object {
+                    self.seen(now, &object, out);
+                }
+            }
+            Err(error) if !error.may_have_taken_effect() => {
+                slot.failed(nonce);
+                slot.retry_at = now + STORE_PAUSE;
+            }
+            _ => {
+                slot.unread = true;
+                slot.retry_at = now + STORE_PAUSE;
+                out.push(OwnOutput::Count("own.term.unsettled"));
+            }
+        }
+    }
+
+    /// Takes over a term's record if it is newer.
+    pub(crate) fn term_seen(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        zone: ZoneName,
+        revision: Revision,
+        record: TermRecord,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let service = self.services.entry(name).or_insert_with(|| ServiceState::new(name));
+        let slot = service.terms.entry(zone).or_default();
+        let known = slot.revision;
+        if !slot.adopt(now, revision, record.clone()) {
+            if revision < known {
+                out.push(OwnOutput::Count("own.term.stale"));
+            }
+            return;
+        }
+        let written = slot.settle();
+        service.dirty = true;
+        let ended = record.number < slot.ended_before;
+        if ended {
+            return;
+        }
+        self.keep(now, name, zone, &record, written);
+        self.assist(now, name, zone, &record);
+    }
+
+    /// Becomes or stays a term's keeper, or ceases to be it.
+    fn keep(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        zone: ZoneName,
+        record: &TermRecord,
+        written: Option<Time>,
+    ) {
+        let me = self.holder();
+        let node = me.node;
+        let stopping = self.stopping;
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        let same = service.keepers.get(&zone).is_some_and(|k| k.record.since == record.since);
+        match written.filter(|_| record.keeper == me) {
+            Some(sent) if same => {
+                if let Some(keeper) = service.keepers.get_mut(&zone) {
+                    keeper.renew(now, record.clone(), sent);
+                    keeper.next_renewal = now + TERM_RENEWAL;
+                }
+            }
+            Some(sent) if !stopping => {
+                service.end_keeper(zone);
+                let record = record.clone();
+                let mut keeper = Keeper::new(node, zone, record, sent, now);
+                keeper.next_renewal = now + TERM_RENEWAL;
+                service.keepers.insert(zone, keeper);
+                service.refresh(now);
+            }
+            _ => {
+                service.end_keeper(zone);
+            }
+        }
+        self.next_campaign = now;
+    }
+
+    /// Becomes or stays a term's deputy, or ceases to be it.
+    fn assist(&mut self, now: Time, name: ServiceName, zone: ZoneName, record: &TermRecord) {
+        let me = self.holder();
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        let same = service.deputies.get(&zone).is_some_and(|deputy| deputy.term == record.number);
+        if same && record.deputy == Some(me) {
+            return;
+        }
+        // The deputy of the term before goes on until the new keeper asks it to end, or its
+        // servers refuse it.
+        let successor = record.deputy == Some(me);
+        let ends =
+            successor || service.deputies.get(&zone).is_some_and(|d| d.keeper == record.keeper);
+        if ends {
+            service.end_deputy(now, zone);
+        }
+        if successor {
+            let rules = service.doc.as_ref().and_then(|doc| doc.keyed());
+            let fenced = rules.is_none_or(|rules| rules.fenced);
+            let deputy = Deputy::new(me.node, record.keeper, record.number, fenced, now);
+            service.deputies.insert(zone, deputy);
+        }
+    }
+}
+
+/// Whether another deputy should be named.
+fn lacks_deputy(
+    now: Time,
+    keeper: &Keeper,
+    stewards: &Stewards,
+    name: ServiceName,
+    zone: ZoneName,
+) -> bool {
+    let deputy = keeper.record.deputy;
+    let up = deputy.is_some_and(|deputy| stewards.alive(deputy));
+    let silent = keeper.installed && keeper.mandates.silent(now, keeper.interval());
+    let others = stewards.deputies(name, zone, keeper.record.keeper);
+    (!up || silent) && others.into_iter().any(|other| Some(other) != deputy)
+}
+
+fn change_deputy(record: &mut TermRecord, deputy: Option<Holder>) {
+    let number = Term(record.number.0 + 1);
+    if let Some(before) = record.deputy {
+        record.former.push(crate::FormerHolder {
+            holder: before,
+            before: number,
+            stopped: false,
+            lease_ms: record.lease_ms,
+            hold_ms: record.hold_ms,
+        });
+    }
+    record.number = number;
+    record.deputy = deputy;
+}
--- /dev/null
+++ b/crates/own/src/deputy.rs
@@ -0,0 +1,131 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::{NodeId, ServerName, Term};
+use bay_wire::{Order, OrderReply, OrderRole};
+
+use crate::kept::{Kept, ORDERS_A_LEASE, OrderFrame};
+use crate::{DeputyReport, Holder, LeaseLeft, Mandate, ServerKey};
+
+/// Mandates missed before the deputy steps in for its keeper.
+const MISSED_MANDATES: u32 = 2;
+
+/// Renews the leases of a zone's servers while their keeper is silent.
+#[derive(Debug)]
+pub(crate) struct Deputy {
+    node: NodeId,
+    pub(crate) keeper: Holder,
+    pub(crate) term: Term,
+    fenced: bool,
+    mandate: Option<Mandate>,
+    last_mandate: Time,
+    authority_end: Time,
+    sequence: u64,
+    servers: BTreeMap<ServerKey, Kept>,
+}
+
+impl Deputy {
+    /// A deputy that has no authority yet.
+    pub(crate) fn new(node: NodeId, keeper: Holder, term: Term, fenced: bool, now: Time) -> Deputy {
+        Deputy {
+            node,
+            keeper,
+            term,
+            fenced,
+            mandate: None,
+            last_mandate: now,
+            authority_end: Time::ZERO,
+            sequence: 0,
+            servers: BTreeMap::new(),
+        }
+    }
+
+    /// Takes a mandate of the keeper and answers it.
+    pub(crate) fn take(&mut self, now: Time, mandate: Mandate) -> DeputyReport {
+        let current = self.mandate.as_ref().map_or(0, |current| current.sequence);
+        if mandate.sequence > current {
+            self.last_mandate = now;
+            if let Some(echo) = mandate.echo {
+                let authority = Duration::from_millis(mandate.authority_ms);
+                self.authority_end = Time::from_nanos(echo) + authority;
+            }
+            self.mandate = Some(mandate);
+        }
+        let sequence = self.mandate.as_ref().map_or(0, |mandate| mandate.sequence);
+        DeputyReport { sequence, stamp: now.as_nanos(), leases: self.leases(now) }
+    }
+
+    /// The leases that the deputy may have extended.
+    pub(crate) fn leases(&self, now: Time) -> Vec<LeaseLeft> {
+        let left = |(server, kept): (&ServerKey, &Kept)| LeaseLeft {
+            server: server.name,
+            left_ms: kept.lease_bound().since(now).as_millis() as u64 + 1,
+        };
+        let running = self.servers.iter().filter(|(_, kept)| kept.lease_bound() > now);
+        running.map(left).collect()
+    }
+
+    /// When the deputy next has something to do.
+    pub(crate) fn next_deadline(&self) -> Time {
+        let Some(mandate) = &self.mandate else {
+            return Time::MAX;
+        };
+        let step_in = self.last_mandate + silence(mandate);
+        let sends = self.servers.values().map(Kept::next_send);
+        let first = sends.min().unwrap_or(step_in);
+        if mandate.unreachable.is_empty() { step_in.max(first) } else { first }
+    }
+
+    /// The orders that are due.
+    pub(crate) fn orders(&mut self, now: Time, servers: &[ServerKey]) -> Vec<(ServerKey, Order)> {
+        let Some(mandate) = &self.mandate else {
+            return Vec::new();
+        };
+        if now >= self.authority_end {
+            return Vec::new();
+        }
+        let alone = now >= self.last_mandate + silence(mandate);
+        let barred: BTreeSet<ServerName> = mandate.barred.iter().copied().collect();
+        let lease = Duration::from_millis(mandate.lease_ms);
+        let mut orders = Vec::new();
+        for server in servers {
+            let asked = alone || mandate.unreachable.contains(&server.name);
+            if !asked || barred.contains(&server.name) {
+                continue;
+            }
+            let fresh = || Kept::new(now, Time::ZERO, self.fenced);
+            let kept = self.servers.entry(*server).or_insert_with(fresh);
+            if kept.next_send() > now {
+                continue;
+            }
+            self.sequence += 1;
+            let frame = OrderFrame {
+                keeper: self.node,
+                role: OrderRole::Deputy,
+                term: self.term,
+                sequence: self.sequence,
+                lease,
+            };
+            orders.push((*server, kept.order(now, frame)));
+        }
+        orders
+    }
+
+    /// Takes a server's answer to an order, or the lack of one.
+    pub(crate) fn answered(
+        &mut self,
+        now: Time,
+        server: ServerKey,
+        order: &Order,
+        reply: Option<&OrderReply>,
+    ) {
+        if let Some(kept) = self.servers.get_mut(&server) {
+            kept.answered(now, order, reply);
+        }
+    }
+}
+
+fn silence(mandate: &Mandate) -> Duration {
+    Duration::from_millis(mandate.lease_ms) / ORDERS_A_LEASE * MISSED_MANDATES
+}
--- /dev/null
+++ b/crates/own/src/keeper_edit.rs
@@ -0,0 +1,79 @@
+use bay_time::Time;
+use bay_types::SliceId;
+
+use crate::keeper::Keeper;
+use crate::loads::Loads;
+use crate::{ServerKey, Shard};
+
+impl Keeper {
+    /// Writes into a shard what the keeper knows: its term, which servers it reaches, who has let
+    /// go, and new owners for the slices of servers that were counted out.
+    pub(crate) fn edit(&self, now: Time, shard: &mut Shard, loads: &mut Loads) {
+        let named = shard.keepers.get(&self.zone).copied().unwrap_or_default();
+        if named > self.record.since || !self.has_authority(now) {
+            return;
+        }
+        shard.keepers.insert(self.zone, self.record.since);
+        if named != self.record.since {
+            return;
+        }
+        self.note_reached(now, shard);
+        self.release(now, shard);
+        self.replace_owners(now, shard, loads);
+    }
+
+    fn note_reached(&self, now: Time, shard: &mut Shard) {
+        for (key, kept) in &self.servers {
+            if kept.reached(self.record.since) {
+                let index = shard.intern(*key, self.zone);
+                shard.servers[usize::from(index)].up = true;
+            } else if self.is_out(now, *key)
+                && let Some(index) = shard.server(*key)
+            {
+                shard.servers[usize::from(index)].up = false;
+            }
+        }
+    }
+
+    fn release(&self, now: Time, shard: &mut Shard) {
+        let free: Vec<bool> = shard
+            .servers
+            .iter()
+            .map(|server| server.zone == self.zone && self.has_let_go(now, server.key))
+            .collect();
+        for (_, row) in shard.slices_mut() {
+            if row.old.is_some_and(|old| free.get(usize::from(old)) == Some(&true)) {
+                row.old = None;
+            }
+        }
+    }
+
+    fn replace_owners(&self, now: Time, shard: &mut Shard, loads: &mut Loads) {
+        let out: Vec<bool> = shard
+            .servers
+            .iter()
+            .map(|server| server.zone == self.zone && self.is_out(now, server.key))
+            .collect();
+        let lost = |owner: Option<u16>| {
+            owner.is_some_and(|owner| out.get(usize::from(owner)) == Some(&true))
+        };
+        let slices: Vec<SliceId> =
+            shard.slices().filter(|(_, row)| lost(row.owner)).map(|(slice, _)| slice).collect();
+        for slice in slices {
+            let Some(server) = loads.pick_warm(slice) else {
+                return;
+            };
+            assign(shard, slice, server.key, server.zone);
+        }
+    }
+}
+
+/// Gives a slice a new owner under a higher token; an old owner that has not let go stays noted.
+pub(crate) fn assign(shard: &mut Shard, slice: SliceId, key: ServerKey, zone: bay_types::ZoneName) {
+    let owner = shard.intern(key, zone);
+    let token = shard.next_token();
+    if let Some(row) = shard.row_mut(slice) {
+        row.owner = Some(owner);
+        row.token = token;
+    }
+}
--- /dev/null
+++ b/crates/own/src/loads.rs
@@ -0,0 +1,143 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use bay_types::{SliceId, ZoneName};
+
+use crate::ServerKey;
+use crate::rates::Rates;
+use crate::shard_slot::ShardSlot;
+
+/// A server below this share of the mean load counts as cold.
+const WARM_SHARE: f64 = 0.5;
+
+/// The load of each server that may own slices.
+#[derive(Debug)]
+pub(crate) struct Loads<'a> {
+    servers: Vec<ServerLoad>,
+    rates: &'a Rates,
+    ranges: u32,
+}
+
+/// One server's load.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct ServerLoad {
+    pub(crate) key: ServerKey,
+    pub(crate) zone: ZoneName,
+    weight: f64,
+    load: f64,
+}
+
+impl ServerLoad {
+    /// A server without load.
+    pub(crate) fn new(key: ServerKey, zone: ZoneName, weight: u32) -> ServerLoad {
+        ServerLoad { key, zone, weight: f64::from(weight), load: 0.0 }
+    }
+
+    /// Its weight.
+    pub(crate) fn weight(&self) -> f64 {
+        self.weight
+    }
+
+    /// The load in proportion to the weight.
+    pub(crate) fn relative(&self) -> f64 {
+        self.load / self.weight
+    }
+}
+
+impl<'a> Loads<'a> {
+    /// Counts the slices of the servers that may own some.
+    pub(crate) fn new(
+        servers: Vec<ServerLoad>,
+        shards: &[ShardSlot],
+        rates: &'a Rates,
+        ranges: u32,
+    ) -> Loads<'a> {
+        let mut loads = Loads { servers, rates, ranges };
+        let index: BTreeMap<ServerKey, usize> =
+            loads.servers.iter().enumerate().map(|(index, server)| (server.key, index)).collect();
+        for shard in shards.iter().filter_map(ShardSlot::shard) {
+            for (slice, row) in shard.slices() {
+                let owner = row.owner.and_then(|owner| shard.servers.get(usize::from(owner)));
+                if let Some(found) = owner.and_then(|owner| index.get(&owner.key)) {
+                    loads.servers[*found].load += rates.load(slice, ranges);
+                }
+            }
+        }
+        loads
+    }
+
+    /// The servers.
+    pub(crate) fn servers(&self) -> &[ServerLoad] {
+        &self.servers
+    }
+
+    /// The rates behind the loads.
+    pub(crate) fn rates(&self) -> &'a Rates {
+        self.rates
+    }
+
+    /// How many ranges the service has.
+    pub(crate) fn ranges(&self) -> u32 {
+        self.ranges
+    }
+
+    /// A slice's load.
+    pub(crate) fn load_of(&self, slice: SliceId) -> f64 {
+        self.rates.load(slice, self.ranges)
+    }
+
+    /// The mean load in proportion to the weights.
+    pub(crate) fn mean(&self) -> f64 {
+        let load: f64 = self.servers.iter().map(|server| server.load).sum();
+        let weight: f64 = self.servers.iter().map(|server| server.weight).sum();
+        if weight == 0.0 { 0.0 } else { load / weight }
+    }
+
+    /// Gives a slice to the least loaded server.
+    pub(crate) fn pick(&mut self, slice: SliceId) -> Option<ServerLoad> {
+        self.pick_from(slice, 0.0)
+    }
+
+    /// Gives a slice to the least loaded server that is not in a cold start; to any if all are.
+    pub(crate) fn pick_warm(&mut self, slice: SliceId) -> Option<ServerLoad> {
+        let floor = self.mean() * WARM_SHARE;
+        self.pick_from(slice, floor).or_else(|| self.pick(slice))
+    }
+
+    fn pick_from(&mut self, slice: SliceId, floor: f64) -> Option<ServerLoad> {
+        let load = self.load_of(slice);
+        let warm = self.servers.iter_mut().filter(|server| server.relative() >= floor);
+        let least = warm.min_by(|left, right| left.relative().total_cmp(&right.relative()))?;
+        least.load += load;
+        Some(*least)
+    }
+
+    /// The most loaded server.
+    pub(crate) fn most(&self) -> Option<ServerLoad> {
+        let servers = self.servers.iter();
+        servers.max_by(|left, right| left.relative().total_cmp(&right.relative())).copied()
+    }
+
+    /// The least loaded server outside a set.
+    pub(crate) fn least(&self, full: &BTreeSet<ServerKey>) -> Option<ServerLoad> {
+        let servers = self.servers.iter().filter(|server| !full.contains(&server.key));
+        servers.min_by(|left, right| left.relative().total_cmp(&right.relative())).copied()
+    }
+
+    /// Whether moving a slice would leave the receiver less loaded than the giver is now.
+    pub(crate) fn improves(&self, from: &ServerLoad, to: &ServerLoad, slice: SliceId) -> bool {
+        to.relative() + self.load_of(slice) / to.weight < from.relative()
+    }
+
+    /// Moves a slice's load.
+    pub(crate) fn shift(&mut self, from: ServerKey, to: ServerKey, slice: SliceId) {
+        let load = self.load_of(slice);
+        for server in &mut self.servers {
+            if server.key == from {
+                server.load -= load;
+            }
+            if server.key == to {
+                server.load += load;
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/src/owner.rs
@@ -0,0 +1,335 @@
+use std::collections::{BTreeMap, BTreeSet, HashMap};
+use std::time::Duration;
+
+use bay_conf::{ServiceDoc, ZoneState};
+use bay_store::{Object, StoreRequest, StoreResult};
+use bay_time::Time;
+use bay_types::{Revision, ServiceName, ZoneName};
+use bay_wire::{Order, OrderReply, OrderRole};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+
+use crate::call::Call;
+use crate::service_state::ServiceState;
+use crate::shard::parse_shard_key;
+use crate::stewards::Stewards;
+use crate::term_record::parse_term_key;
+use crate::{
+    CallId, Holder, OrderId, OwnConfig, OwnInput, OwnOutput, ServerKey, Shard, StewardState,
+    StewardView, TermRecord,
+};
+
+/// Pause between two looks at the terms.
+const CAMPAIGN_PERIOD: Duration = Duration::from_millis(200);
+/// Pause between two publications of routes.
+const PUBLISH_PAUSE: Duration = Duration::from_millis(10);
+
+/// Terms, keepers, deputies and the planner of one steward for all keyed services, without I/O.
+#[derive(Debug)]
+pub struct Owner {
+    pub(crate) config: OwnConfig,
+    pub(crate) rng: SmallRng,
+    pub(crate) services: BTreeMap<ServiceName, ServiceState>,
+    pub(crate) stewards: Stewards,
+    pub(crate) stopping: bool,
+    pub(crate) next_campaign: Time,
+    /// The highest revision of the store that was seen.
+    pub(crate) highest: Revision,
+    zones: BTreeMap<ZoneName, (Revision, ZoneState)>,
+    calls: HashMap<CallId, Call>,
+    orders: HashMap<OrderId, SentOrder>,
+    next_id: u64,
+    next_publish: Time,
+}
+
+/// An order that is on its way.
+#[derive(Debug)]
+struct SentOrder {
+    service: ServiceName,
+    zone: ZoneName,
+    server: ServerKey,
+    order: Order,
+}
+
+impl Owner {
+    /// An owner that knows nothing yet.
+    pub fn new(config: OwnConfig, now: Time) -> Owner {
+        let rng = SmallRng::seed_from_u64(config.seed);
+        let mut owner = Owner {
+            config,
+            rng,
+            services: BTreeMap::new(),
+            stewards: Stewards::default(),
+            stopping: false,
+            next_campaign: now,
+            highest: Revision(0),
+            zones: BTreeMap::new(),
+            calls: HashMap::new(),
+            orders: HashMap::new(),
+            next_id: 0,
+            next_publish: now,
+        };
+        owner.set_stewards(Vec::new());
+        owner
+    }
+
+    /// This process.
+    pub(crate) fn holder(&self) -> Holder {
+        Holder { node: self.config.node, incarnation: self.config.incarnation }
+    }
+
+    /// Whether the process was asked to stop and every term it kept is handed over.
+    pub fn stopped(&self) -> bool {
+        let me = self.holder();
+        let keeps = |service: &ServiceState| {
+            let records = service.terms.values().filter_map(|slot| slot.record.as_ref());
+            records.into_iter().any(|record| record.keeper == me)
+        };
+        self.stopping && !self.services.values().any(keeps)
+    }
+
+    /// The time of the next [`OwnInput::Tick`].
+    pub fn next_deadline(&self, now: Time) -> Time {
+        let mut next = self.next_campaign;
+        for service in self.services.values() {
+            for keeper in service.keepers.values() {
+                next = next.min(keeper.next_deadline(now));
+                if keeper.feed.dirty() {
+                    next = next.min(self.next_publish);
+                }
+            }
+            let deputies = service.deputies.values().map(|deputy| deputy.next_deadline());
+            next = deputies.fold(next, Time::min);
+        }
+        next.max(now)
+    }
+
+    /// Takes one input and appends what is to be done.
+    pub fn handle(&mut self, now: Time, input: OwnInput, out: &mut Vec<OwnOutput>) {
+        match input {
+            OwnInput::Tick => {}
+            OwnInput::Document { service, revision, doc } => {
+                self.document(now, service, revision, doc, out);
+            }
+            OwnInput::Zone { zone, revision, state } => self.zone(now, zone, revision, state),
+            OwnInput::Stewards(views) => self.set_stewards(views),
+            OwnInput::Seen(object) => self.seen(now, &object, out),
+            OwnInput::Store { id, result } => self.store_answer(now, id, result, out),
+            OwnInput::Order { id, reply } => self.order_answer(now, id, reply, out),
+            OwnInput::Peer { from, message } => self.peer(now, from, message, out),
+            OwnInput::Rates { service, gate, keys, slices } => {
+                if let Some(service) = self.services.get_mut(&service) {
+                    service.rates.report(now, gate, keys, slices);
+                }
+            }
+            OwnInput::Stop => {
+                self.stopping = true;
+                self.next_campaign = now;
+            }
+        }
+        self.step(now, out);
+    }
+
+    fn step(&mut self, now: Time, out: &mut Vec<OwnOutput>) {
+        if now >= self.next_campaign {
+            self.next_campaign = now + CAMPAIGN_PERIOD;
+            self.campaign(now, out);
+        }
+        self.send_orders(now, out);
+        self.write_shards(now, out);
+        self.publish(now, out);
+    }
+
+    fn document(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        revision: Revision,
+        doc: Option<ServiceDoc>,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        self.highest = self.highest.max(revision);
+        let service = self.services.entry(name).or_insert_with(|| ServiceState::new(name));
+        if revision <= service.revision {
+            out.push(OwnOutput::Count("own.document.stale"));
+            return;
+        }
+        service.revision = revision;
+        if !service.set_doc(now, doc) {
+            out.push(OwnOutput::Count("own.document.slices-changed"));
+        }
+        self.next_campaign = now;
+    }
+
+    fn zone(&mut self, now: Time, zone: ZoneName, revision: Revision, state: ZoneState) {
+        let known = self.zones.get(&zone).map(|(known, _)| *known);
+        if known.is_none_or(|known| revision > known) {
+            self.zones.insert(zone, (revision, state));
+            for service in self.services.values_mut() {
+                service.dirty = true;
+                service.planner.hurry(now);
+            }
+        }
+    }
+
+    /// The zones that operators have taken out.
+    pub(crate) fn zones_out(&self) -> BTreeSet<ZoneName> {
+        let out = self.zones.iter().filter(|(_, (_, state))| *state == ZoneState::Out);
+        out.map(|(zone, _)| *zone).collect()
+    }
+
+    fn set_stewards(&mut self, mut views: Vec<StewardView>) {
+        let me = self.holder();
+        views.retain(|view| view.holder.node != me.node);
+        let state = if self.stopping { StewardState::Leaving } else { StewardState::Alive };
+        views.push(StewardView { holder: me, zone: self.config.zone, state });
+        self.stewards.set(views);
+    }
+
+    /// Takes over an object of the store if it is newer than what is known.
+    pub(crate) fn seen(&mut self, now: Time, object: &Object, out: &mut Vec<OwnOutput>) {
+        self.highest = self.highest.max(object.revision);
+        if let Some((service, index)) = parse_shard_key(object.key.as_str()) {
+            match Shard::read(object) {
+                Some(shard) => self.shard_seen(now, service, index, object.revision, shard, out),
+                None => out.push(OwnOutput::Count("own.shard.unreadable")),
+            }
+        } else if let Some((service, zone)) = parse_term_key(object.key.as_str()) {
+            match TermRecord::read(object) {
+                Some(record) => self.term_seen(now, service, zone, object.revision, record, out),
+                None => out.push(OwnOutput::Count("own.term.unreadable")),
+            }
+        }
+    }
+
+    /// Calls the store.
+    pub(crate) fn call(&mut self, call: Call, request: StoreRequest, out: &mut Vec<OwnOutput>) {
+        self.next_id += 1;
+        let id = CallId(self.next_id);
+        self.calls.insert(id, call);
+        out.push(OwnOutput::Store { id, request });
+    }
+
+    /// A number that identifies a write.
+    pub(crate) fn nonce(&mut self) -> u64 {
+        self.rng.random()
+    }
+
+    fn store_answer(
+        &mut self,
+        now: Time,
+        id: CallId,
+        result: StoreResult,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        match self.calls.remove(&id) {
+            Some(Call::ListTerm { service, zone }) => {
+                self.term_listed(now, service, zone, result, out);
+            }
+            Some(Call::PutTerm { service, zone, nonce, record }) => {
+                self.term_written(now, (service, zone), nonce, *record, result, out);
+            }
+            Some(Call::GetShard { service, index }) => {
+                self.shard_read(now, service, index, result, out);
+            }
+            Some(Call::PutShard { service, index, shard }) => {
+                self.shard_written(now, service, index, *shard, result, out);
+            }
+            None => {}
+        }
+    }
+
+    fn send_orders(&mut self, now: Time, out: &mut Vec<OwnOutput>) {
+        let mut sent = Vec::new();
+        let mut messages = Vec::new();
+        for service in self.services.values_mut() {
+            let name = service.name;
+            for (zone, keeper) in &mut service.keepers {
+                let step = keeper.step(now);
+                service.dirty |= step.counted_out;
+                if step.counted_out {
+                    out.push(OwnOutput::Count("own.server.counted-out"));
+                }
+                let orders = step.orders.into_iter();
+                sent.extend(orders.map(|(server, order)| (name, *zone, server, order)));
+                let number = keeper.record.number;
+                messages.extend(step.mandate.map(|(to, mandate)| {
+                    (to, name, *zone, number, crate::OwnBody::Mandate(mandate))
+                }));
+                let quits = step.quits.into_iter();
+                messages.extend(quits.map(|to| (to, name, *zone, number, crate::OwnBody::Quit)));
+            }
+            let zones: Vec<ZoneName> = service.deputies.keys().copied().collect();
+            for zone in zones {
+                let due = service.deputies.get(&zone).is_some_and(|d| d.next_deadline() <= now);
+                if !due {
+                    continue;
+                }
+                let servers = service.servers_in(zone);
+                let Some(deputy) = service.deputies.get_mut(&zone) else { continue };
+                let orders = deputy.orders(now, &servers).into_iter();
+                sent.extend(orders.map(|(server, order)| (name, zone, server, order)));
+            }
+        }
+        for (to, service, zone, term, body) in messages {
+            self.message(to, service, zone, term, body, out);
+        }
+        for (service, zone, server, order) in sent {
+            self.next_id += 1;
+            let id = OrderId(self.next_id);
+            out.push(OwnOutput::Order { id, to: server.address, order: order.clone() });
+            self.orders.insert(id, SentOrder { service, zone, server, order });
+        }
+    }
+
+    fn order_answer(
+        &mut self,
+        now: Time,
+        id: OrderId,
+        reply: Option<OrderReply>,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(sent) = self.orders.remove(&id) else {
+            return;
+        };
+        if reply.is_none() {
+            out.push(OwnOutput::Count("own.order.unanswered"));
+        }
+        let Some(service) = self.services.get_mut(&sent.service) else {
+            return;
+        };
+        let (server, order) = (sent.server, &sent.order);
+        match order.role {
+            OrderRole::Keeper => {
+                let keeper = service.keepers.get_mut(&sent.zone);
+                let keeper = keeper.filter(|keeper| keeper.record.since <= order.term);
+                if let Some(keeper) = keeper {
+                    service.dirty |= keeper.answered(now, server, order, reply.as_ref());
+                }
+            }
+            OrderRole::Deputy => {
+                let deputy = service.deputies.get_mut(&sent.zone);
+                if let Some(deputy) = deputy.filter(|deputy| deputy.term == order.term) {
+                    deputy.answered(now, server, order, reply.as_ref());
+                }
+            }
+        }
+    }
+
+    fn publish(&mut self, now: Time, out: &mut Vec<OwnOutput>) {
+        if now < self.next_publish {
+            return;
+        }
+        self.next_publish = now + PUBLISH_PAUSE;
+        for service in self.services.values_mut() {
+            for (zone, keeper) in &mut service.keepers {
+                if keeper.feed.dirty() && keeper.installed {
+                    let number = keeper.record.number;
+                    let scope = (service.name, *zone);
+                    let item = keeper.feed.publish(scope, number, &keeper.servers, &service.shards);
+                    out.extend(item);
+                }
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/src/peers.rs
@@ -0,0 +1,100 @@
+use bay_time::Time;
+use bay_types::{NodeId, ServiceName, Term, ZoneName};
+
+use crate::bounds::lease_ends;
+use crate::owner::Owner;
+use crate::service_state::ServiceState;
+use crate::{Holder, Mandate, OwnBody, OwnMessage, OwnOutput};
+
+impl Owner {
+    /// Sends a message to another steward.
+    pub(crate) fn message(
+        &mut self,
+        to: Holder,
+        service: ServiceName,
+        zone: ZoneName,
+        term: Term,
+        body: OwnBody,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let from = self.config.incarnation;
+        let message = OwnMessage { to: to.incarnation, from, service, zone, term, body };
+        out.push(OwnOutput::Peer { to: to.node, message });
+    }
+
+    /// Takes a message of another steward.
+    pub(crate) fn peer(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        message: OwnMessage,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        if message.to != self.config.incarnation {
+            return;
+        }
+        let sender = Holder { node: from, incarnation: message.from };
+        let (service, zone, term) = (message.service, message.zone, message.term);
+        match message.body {
+            OwnBody::Mandate(mandate) => {
+                self.take_mandate(now, sender, (service, zone, term), mandate, out);
+            }
+            OwnBody::Quit => self.quit(now, sender, (service, zone, term), out),
+            OwnBody::Deputy(report) => {
+                let Some(service) = self.services.get_mut(&service) else { return };
+                let Some(keeper) = service.keepers.get_mut(&zone) else { return };
+                if keeper.record.number == term && keeper.record.deputy == Some(sender) {
+                    keeper.mandates.report(now, &report);
+                    service.dirty = true;
+                }
+            }
+            OwnBody::Ended(leases) => {
+                let Some(service) = self.services.get_mut(&service) else { return };
+                let Some(keeper) = service.keepers.get_mut(&zone) else { return };
+                if keeper.record.number == term {
+                    keeper.former_ended(now, sender, &lease_ends(now, &leases));
+                    service.dirty = true;
+                }
+            }
+        }
+    }
+
+    fn take_mandate(
+        &mut self,
+        now: Time,
+        sender: Holder,
+        (service, zone, term): (ServiceName, ZoneName, Term),
+        mandate: Mandate,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let deputies = self.services.get_mut(&service).map(|service| &mut service.deputies);
+        let deputy = deputies.and_then(|deputies| deputies.get_mut(&zone));
+        let Some(deputy) = deputy.filter(|d| d.term == term && d.keeper == sender) else {
+            return;
+        };
+        let report = deputy.take(now, mandate);
+        self.message(sender, service, zone, term, OwnBody::Deputy(report), out);
+    }
+
+    /// Ends this process's part in all terms before the sender's.
+    fn quit(
+        &mut self,
+        now: Time,
+        sender: Holder,
+        (name, zone, term): (ServiceName, ZoneName, Term),
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let service = self.services.entry(name).or_insert_with(|| ServiceState::new(name));
+        if service.keepers.get(&zone).is_some_and(|keeper| keeper.record.number < term) {
+            service.end_keeper(zone);
+        }
+        if service.deputies.get(&zone).is_some_and(|deputy| deputy.term < term) {
+            service.end_deputy(now, zone);
+        }
+        let slot = service.terms.entry(zone).or_default();
+        slot.ended_before = slot.ended_before.max(term);
+        let left = service.left(now, zone);
+        out.push(OwnOutput::Count("own.term.ended"));
+        self.message(sender, name, zone, term, OwnBody::Ended(left), out);
+    }
+}
--- a/crates/own/src/planner.rs
+++ b/crates/own/src/planner.rs
@@ -1,6 +1,201 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+
+use bay_time::Time;
 use bay_types::{ServerName, SliceId};
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::hot_plan::HotPlan;
+use crate::keeper_edit::assign;
+use crate::loads::Loads;
+use crate::{ServerKey, Shard};
+
+/// Pause between two plans.
+pub(crate) const PLAN_PERIOD: Duration = Duration::from_millis(500);
+/// How long slices without an owner wait for servers that have not answered yet.
+const START_GRACE: Duration = Duration::from_secs(2);
+/// How long a slice that was moved stays where it is.
+const SETTLE_TIME: Duration = Duration::from_secs(60);
+/// A server above the mean by this factor gives slices away.
+const OVERLOADED: f64 = 1.05;
+/// Part of the slices that may be on the move at a time to even the load.
+const MOVING_PART: usize = 32;
+/// Part of the slices that may be on the move at a time to empty servers.
+const EMPTYING_PART: usize = 4;
+/// Part of its share that a server gets in one plan.
+const FILL_PART: f64 = 32.0;
+
+/// Plans one service's assignment.
+#[derive(Debug, Default)]
+pub(crate) struct Planner {
+    since: Option<Time>,
+    moved: BTreeMap<SliceId, Time>,
+    hot: HotPlan,
+    next_plan: Time,
+}
+
+/// What a plan heeds besides the loads.
+#[derive(Debug)]
+pub(crate) struct PlanLimits {
+    /// Whether every server that may own slices has answered.
+    pub(crate) all_up: bool,
+    /// How many hot keys may have a slot.
+    pub(crate) hot_keys: usize,
+    /// Slices on the move in all shards.
+    pub(crate) moving: usize,
+    /// Hot keys with a slot in all shards.
+    pub(crate) slots_used: usize,
+    /// What each server has received in this plan.
+    pub(crate) received: BTreeMap<ServerKey, f64>,
+}
+
+impl Planner {
+    /// When the next plan is due.
+    pub(crate) fn next_plan(&self) -> Time {
+        self.next_plan
+    }
+
+    /// Notes that a plan was made.
+    pub(crate) fn planned(&mut self, now: Time) {
+        self.next_plan = now + PLAN_PERIOD;
+        self.moved.retain(|_, at| now < *at + SETTLE_TIME);
+    }
+
+    /// Makes the next plan due at once.
+    pub(crate) fn hurry(&mut self, now: Time) {
+        self.next_plan = self.next_plan.min(now);
+    }
+
+    /// Plans one shard.
+    pub(crate) fn edit(
+        &mut self,
+        now: Time,
+        shard: &mut Shard,
+        loads: &mut Loads<'_>,
+        limits: &mut PlanLimits,
+    ) {
+        if loads.servers().is_empty() {
+            return;
+        }
+        self.fill(now, shard, loads, limits);
+        empty(shard, loads, limits);
+        self.hot.edit(now, shard, loads, limits);
+        self.even(now, shard, loads, limits);
+    }
+
+    /// Gives slices without an owner to servers.
+    fn fill(&mut self, now: Time, shard: &mut Shard, loads: &mut Loads<'_>, limits: &PlanLimits) {
+        let since = *self.since.get_or_insert(now);
+        if !limits.all_up && now < since + START_GRACE {
+            return;
+        }
+        let free: Vec<SliceId> =
+            shard.slices().filter(|(_, row)| row.owner.is_none()).map(|(slice, _)| slice).collect();
+        for slice in free {
+            if let Some(server) = loads.pick(slice) {
+                assign(shard, slice, server.key, server.zone);
+            }
+        }
+    }
+
+    /// Moves slices from the most to the least loaded servers.
+    fn even(
+        &mut self,
+        now: Time,
+        shard: &mut Shard,
+        loads: &mut Loads<'_>,
+        limits: &mut PlanLimits,
+    ) {
+        let most_moving = (loads.ranges() as usize / MOVING_PART).max(1);
+        let mut movable = movable(shard, |slice| !self.moved.contains_key(&slice));
+        let mean = loads.mean();
+        let mut full = BTreeSet::new();
+        while limits.moving < most_moving {
+            let (Some(from), Some(to)) = (loads.most(), loads.least(&full)) else {
+                return;
+            };
+            if from.relative() <= mean * OVERLOADED {
+                return;
+            }
+            let step = (mean * to.weight() / FILL_PART).max(1.0);
+            let received = limits.received.entry(to.key).or_default();
+            if *received >= step {
+                full.insert(to.key);
+                continue;
+            }
+            let slices = movable.entry(from.key).or_default();
+            let fits = slices.iter().position(|slice| loads.improves(&from, &to, *slice));
+            let Some(found) = fits else { return };
+            let slice = slices.swap_remove(found);
+            *received += loads.load_of(slice);
+            move_slice(shard, slice, to.key, to.zone);
+            loads.shift(from.key, to.key, slice);
+            self.moved.insert(slice, now);
+            limits.moving += 1;
+        }
+    }
+}
+
+/// Moves slices away from servers that may not own any.
+fn empty(shard: &mut Shard, loads: &mut Loads<'_>, limits: &mut PlanLimits) {
+    let allowed: BTreeSet<ServerKey> = loads.servers().iter().map(|server| server.key).collect();
+    let most_moving = (loads.ranges() as usize / EMPTYING_PART).max(1);
+    let stays = |owner: u16| {
+        let server = shard.servers.get(usize::from(owner));
+        // The keeper of a server that does not answer replaces it as an owner.
+        server.is_none_or(|server| allowed.contains(&server.key) || !server.up)
+    };
+    let leaving: Vec<(SliceId, bool)> = shard
+        .slices()
+        .filter(|(_, row)| row.owner.is_some_and(|owner| !stays(owner)))
+        .map(|(slice, row)| (slice, row.old.is_some()))
+        .collect();
+    for (slice, on_the_move) in leaving {
+        if limits.moving >= most_moving && !on_the_move {
+            return;
+        }
+        let Some(server) = loads.pick_warm(slice) else {
+            return;
+        };
+        if on_the_move {
+            // The present owner has not been granted the slice yet, so it need not let go.
+            assign(shard, slice, server.key, server.zone);
+        } else {
+            move_slice(shard, slice, server.key, server.zone);
+            limits.moving += 1;
+        }
+    }
+}
+
+/// Gives a slice a new owner and notes the present one as not yet known to have let go.
+pub(crate) fn move_slice(
+    shard: &mut Shard,
+    slice: SliceId,
+    key: ServerKey,
+    zone: bay_types::ZoneName,
+) {
+    let before = shard.row(slice).and_then(|row| row.owner);
+    assign(shard, slice, key, zone);
+    if let Some(row) = shard.row_mut(slice) {
+        row.old = before;
+    }
+}
+
+/// The slices that may be moved, by owner.
+fn movable<F>(shard: &Shard, settled: F) -> BTreeMap<ServerKey, Vec<SliceId>>
+where
+    F: Fn(SliceId) -> bool,
+{
+    let mut movable: BTreeMap<ServerKey, Vec<SliceId>> = BTreeMap::new();
+    for (slice, row) in shard.slices() {
+        let owner = row.owner.and_then(|owner| shard.servers.get(usize::from(owner)));
+        if let (Some(owner), None, true) = (owner, row.old, settled(slice)) {
+            movable.entry(owner.key).or_default().push(slice);
+        }
+    }
+    movable
+}
+
 /// The owner of a slice by weighted rendezvous hashing (Thaler and Ravishankar, 1998; weights as
 /// in Schindelhauer and Schomaker, 2005), or `None` without servers.
 pub fn rendezvous_owner<I>(slice: SliceId, servers: I) -> Option<ServerName>
--- /dev/null
+++ b/crates/own/src/route_feed.rs
@@ -0,0 +1,110 @@
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+
+use bay_types::{ServiceName, SliceId, Term, Token, ZoneName};
+use bay_wire::{HotKey, Item, ItemKey, ItemVersion, RouteRow, Routes, encode};
+
+use crate::kept::Kept;
+use crate::shard_slot::ShardSlot;
+use crate::{OwnOutput, ServerKey};
+
+/// Turns what a zone's servers have into versions of the zone's routes.
+#[derive(Debug, Default)]
+pub(crate) struct RouteFeed {
+    dirty: bool,
+    last: ItemVersion,
+    rows: BTreeMap<SliceId, (Token, SocketAddr)>,
+    hot: BTreeSet<HotKey>,
+}
+
+impl RouteFeed {
+    /// Notes that the routes may have changed.
+    pub(crate) fn mark(&mut self) {
+        self.dirty = true;
+    }
+
+    /// Whether the routes may have changed since they were last published.
+    pub(crate) fn dirty(&self) -> bool {
+        self.dirty
+    }
+
+    /// Publishes the routes if they changed.
+    pub(crate) fn publish(
+        &mut self,
+        (service, zone): (ServiceName, ZoneName),
+        term: Term,
+        servers: &BTreeMap<ServerKey, Kept>,
+        shards: &[ShardSlot],
+    ) -> Option<OwnOutput> {
+        self.dirty = false;
+        let mut rows = BTreeMap::new();
+        for (key, kept) in servers {
+            rows.extend(kept.granted.iter().map(|(slice, token)| (*slice, (*token, key.address))));
+        }
+        let hot = hot_keys(&rows, shards);
+        if rows == self.rows && hot == self.hot && self.last.major == term.0 {
+            return None;
+        }
+        let minor = if self.last.major == term.0 { self.last.minor + 1 } else { 1 };
+        let version = ItemVersion { major: term.0, minor };
+        let key = ItemKey::Routes(service, zone);
+        let item = |base, routes: &Routes| {
+            let body = encode(routes).ok()?;
+            Some(Item { key, version, base, body })
+        };
+        let whole = item(None, &routes_of(rows.iter().map(some_row), &hot))?;
+        let change = match self.last.major == term.0 {
+            true => item(Some(self.last), &self.difference(&rows, &hot)),
+            false => None,
+        };
+        self.last = version;
+        self.rows = rows;
+        self.hot = hot;
+        Some(OwnOutput::Spread { whole, change })
+    }
+
+    fn difference(
+        &self,
+        rows: &BTreeMap<SliceId, (Token, SocketAddr)>,
+        hot: &BTreeSet<HotKey>,
+    ) -> Routes {
+        let changed = rows.iter().filter(|(slice, row)| self.rows.get(slice) != Some(row));
+        let gone = self.rows.iter().filter(|(slice, _)| !rows.contains_key(slice));
+        let gone = gone.map(|(slice, (token, _))| (*slice, *token, None));
+        routes_of(changed.map(some_row).chain(gone), hot)
+    }
+}
+
+type Row = (SliceId, Token, Option<SocketAddr>);
+
+fn some_row((slice, (token, address)): (&SliceId, &(Token, SocketAddr))) -> Row {
+    (*slice, *token, Some(*address))
+}
+
+/// The hot keys whose range or slot is among the rows.
+fn hot_keys(
+    rows: &BTreeMap<SliceId, (Token, SocketAddr)>,
+    shards: &[ShardSlot],
+) -> BTreeSet<HotKey> {
+    let all = shards.iter().filter_map(ShardSlot::shard).flat_map(|shard| &shard.hot);
+    let concerned = all.filter(|hot| rows.contains_key(&hot.base) || rows.contains_key(&hot.slice));
+    concerned.map(|hot| HotKey { slice: hot.slice, key: hot.key, since: hot.since }).collect()
+}
+
+fn routes_of<I>(rows: I, hot: &BTreeSet<HotKey>) -> Routes
+where
+    I: Iterator<Item = Row>,
+{
+    let mut routes = Routes { hot: hot.iter().copied().collect(), ..Routes::default() };
+    let mut indexes = BTreeMap::new();
+    for (slice, token, address) in rows {
+        let server = address.map(|address| {
+            *indexes.entry(address).or_insert_with(|| {
+                routes.servers.push(address);
+                (routes.servers.len() - 1) as u16
+            })
+        });
+        routes.rows.push(RouteRow { slice, token, server });
+    }
+    routes
+}
--- /dev/null
+++ b/crates/own/src/service_state.rs
@@ -0,0 +1,232 @@
+use std::collections::{BTreeMap, BTreeSet};
+
+use bay_conf::ServiceDoc;
+use bay_time::Time;
+use bay_types::{Revision, ServerName, ServiceName, ZoneName};
+
+use crate::deputy::Deputy;
+use crate::keeper::Keeper;
+use crate::loads::{Loads, ServerLoad};
+use crate::planner::{PlanLimits, Planner};
+use crate::rates::Rates;
+use crate::shard_slot::ShardSlot;
+use crate::stewards::Stewards;
+use crate::term_slot::TermSlot;
+use crate::{LeaseLeft, ServerKey, Shard};
+
+/// One keyed service as an owner knows it.
+#[derive(Debug)]
+pub(crate) struct ServiceState {
+    pub(crate) name: ServiceName,
+    pub(crate) revision: Revision,
+    /// The document, or `None` if the service was deleted or is not keyed.
+    pub(crate) doc: Option<ServiceDoc>,
+    pub(crate) shards: Vec<ShardSlot>,
+    pub(crate) terms: BTreeMap<ZoneName, TermSlot>,
+    pub(crate) keepers: BTreeMap<ZoneName, Keeper>,
+    pub(crate) deputies: BTreeMap<ZoneName, Deputy>,
+    pub(crate) planner: Planner,
+    pub(crate) rates: Rates,
+    /// Whether the shards may have to be written.
+    pub(crate) dirty: bool,
+    /// The leases that ended roles of this process may have extended.
+    left: BTreeMap<ZoneName, BTreeMap<ServerName, Time>>,
+}
+
+impl ServiceState {
+    /// A service of which nothing is known.
+    pub(crate) fn new(name: ServiceName) -> ServiceState {
+        ServiceState {
+            name,
+            revision: Revision(0),
+            doc: None,
+            shards: Vec::new(),
+            terms: BTreeMap::new(),
+            keepers: BTreeMap::new(),
+            deputies: BTreeMap::new(),
+            planner: Planner::default(),
+            rates: Rates::default(),
+            dirty: false,
+            left: BTreeMap::new(),
+        }
+    }
+
+    /// Takes over a document; returns whether its slices fit those of the document before.
+    pub(crate) fn set_doc(&mut self, now: Time, doc: Option<ServiceDoc>) -> bool {
+        let keyed = doc.filter(|doc| doc.keyed().is_some());
+        let Some(doc) = keyed else {
+            for zone in self.keepers.keys().copied().collect::<Vec<_>>() {
+                self.end_keeper(zone);
+            }
+            self.doc = None;
+            return true;
+        };
+        let count = doc.keyed().map_or(0, |rules| Shard::count(rules.layout)) as usize;
+        let layout = |doc: &ServiceDoc| doc.keyed().map(|rules| rules.layout);
+        if self.doc.as_ref().is_some_and(|before| layout(before) != layout(&doc)) {
+            return false;
+        }
+        self.shards.resize_with(count, ShardSlot::default);
+        self.doc = Some(doc);
+        self.refresh(now);
+        self.planner.hurry(now);
+        true
+    }
+
+    /// The zones whose servers need a keeper.
+    pub(crate) fn zones(&self) -> BTreeSet<ZoneName> {
+        let Some(doc) = &self.doc else {
+            return BTreeSet::new();
+        };
+        let named = self.shards.iter().filter_map(ShardSlot::shard);
+        let named = named.flat_map(|shard| shard.keepers.keys().copied());
+        doc.servers.iter().map(|server| server.zone).chain(named).collect()
+    }
+
+    /// Shows the keepers the document and shards as they are now.
+    pub(crate) fn refresh(&mut self, now: Time) {
+        self.dirty = true;
+        let Some(doc) = &self.doc else {
+            return;
+        };
+        let mut superseded = Vec::new();
+        for (zone, keeper) in &mut self.keepers {
+            keeper.set_view(now, doc, &self.shards);
+            keeper.feed.mark();
+            if keeper.installed && self.deputies.contains_key(zone) {
+                superseded.push(*zone);
+            }
+        }
+        for zone in superseded {
+            // The keeper's own orders replace those of the deputy that it was.
+            self.end_deputy(now, zone);
+            let left = self.left.get(&zone).cloned().unwrap_or_default();
+            if let Some(keeper) = self.keepers.get_mut(&zone) {
+                keeper.inherit(&left);
+            }
+        }
+    }
+
+    /// Ends this process's part as the keeper of a zone.
+    pub(crate) fn end_keeper(&mut self, zone: ZoneName) -> Option<Keeper> {
+        let keeper = self.keepers.remove(&zone)?;
+        let left = self.left.entry(zone).or_default();
+        for (key, kept) in &keeper.servers {
+            let bound = left.entry(key.name).or_default();
+            *bound = kept.lease_bound().max(*bound);
+        }
+        Some(keeper)
+    }
+
+    /// Ends this process's part as the deputy in a zone.
+    pub(crate) fn end_deputy(&mut self, now: Time, zone: ZoneName) {
+        let Some(deputy) = self.deputies.remove(&zone) else {
+            return;
+        };
+        let left = self.left.entry(zone).or_default();
+        for lease in deputy.leases(now) {
+            let bound = left.entry(lease.server).or_default();
+            *bound = (now + std::time::Duration::from_millis(lease.left_ms)).max(*bound);
+        }
+    }
+
+    /// The leases that ended roles may have extended and that may still run.
+    pub(crate) fn left(&mut self, now: Time, zone: ZoneName) -> Vec<LeaseLeft> {
+        let left = self.left.entry(zone).or_default();
+        left.retain(|_, bound| *bound > now);
+        let entry = |(server, bound): (&ServerName, &Time)| LeaseLeft {
+            server: *server,
+            left_ms: bound.since(now).as_millis() as u64 + 1,
+        };
+        left.iter().map(entry).collect()
+    }
+
+    /// A shard as it should be written now, or `None` if it is right as it is.
+    pub(crate) fn edit(
+        &mut self,
+        now: Time,
+        index: usize,
+        loads: &mut Loads<'_>,
+        limits: Option<&mut PlanLimits>,
+    ) -> Option<Shard> {
+        let current = self.shards.get(index)?.shard()?;
+        let mut next = current.clone();
+        for keeper in self.keepers.values() {
+            keeper.edit(now, &mut next, loads);
+        }
+        if let Some(limits) = limits {
+            self.planner.edit(now, &mut next, loads, limits);
+        }
+        (next != *current).then_some(next)
+    }
+
+    /// The servers that may own slices.
+    pub(crate) fn eligible(
+        &self,
+        stewards: &Stewards,
+        out: &BTreeSet<ZoneName>,
+    ) -> (Vec<ServerLoad>, bool) {
+        let Some(doc) = &self.doc else {
+            return (Vec::new(), false);
+        };
+        let may_own = doc.servers.iter().filter(|server| {
+            let keeper = self.terms.get(&server.zone).and_then(|term| term.record.as_ref());
+            let kept = keeper.is_some_and(|record| stewards.alive(record.keeper));
+            !server.leaving && !out.contains(&server.zone) && kept
+        });
+        let mut servers = Vec::new();
+        let mut all_up = true;
+        for server in may_own {
+            let key = ServerKey::of(server);
+            if self.is_up(key) {
+                servers.push(ServerLoad::new(key, server.zone, server.weight));
+            } else {
+                all_up = false;
+            }
+        }
+        let kept = |zone: &ZoneName| self.terms.get(zone).is_some_and(|term| term.record.is_some());
+        all_up &= doc.servers.iter().all(|server| kept(&server.zone));
+        (servers, all_up)
+    }
+
+    /// Whether each shard that names a server says that its keeper reaches it.
+    fn is_up(&self, key: ServerKey) -> bool {
+        let shards = self.shards.iter().filter_map(ShardSlot::shard);
+        let named = shards.flat_map(|shard| shard.servers.iter().find(|server| server.key == key));
+        let mut up = false;
+        for server in named {
+            if !server.up {
+                return false;
+            }
+            up = true;
+        }
+        up
+    }
+
+    /// The limits of the next plan.
+    pub(crate) fn limits(&self, all_up: bool) -> PlanLimits {
+        let shards = || self.shards.iter().filter_map(ShardSlot::shard);
+        let moving = shards().flat_map(Shard::slices).filter(|(_, row)| row.old.is_some()).count();
+        let rules = self.doc.as_ref().and_then(|doc| doc.keyed());
+        // A server that checks no tokens could not tell the key from the rest of its range.
+        let hot_keys = rules.filter(|rules| rules.fenced).map_or(0, |rules| rules.hot_keys);
+        PlanLimits {
+            all_up,
+            hot_keys: hot_keys as usize,
+            moving,
+            slots_used: shards().map(|shard| shard.hot.len()).sum(),
+            received: BTreeMap::new(),
+        }
+    }
+
+    /// The servers of a zone that a deputy may renew.
+    pub(crate) fn servers_in(&self, zone: ZoneName) -> Vec<ServerKey> {
+        let doc = self.doc.iter().flat_map(|doc| &doc.servers);
+        let listed = doc.filter(|server| server.zone == zone).map(ServerKey::of);
+        let shards = self.shards.iter().filter_map(ShardSlot::shard);
+        let named = shards.flat_map(|shard| &shard.servers);
+        let named =
+            named.filter(|server| server.zone == zone && server.up).map(|server| server.key);
+        listed.chain(named).collect::<BTreeSet<_>>().into_iter().collect()
+    }
+}
--- /dev/null
+++ b/crates/own/src/shard_writes.rs
@@ -0,0 +1,224 @@
+use std::time::Duration;
+
+use bay_store::{Expect, ObjectKey, StoreError, StoreReply, StoreRequest, StoreResult};
+use bay_time::Time;
+use bay_types::{Revision, ServiceName, Token};
+
+use crate::call::Call;
+use crate::loads::Loads;
+use crate::owner::Owner;
+use crate::shard_slot::ShardSlot;
+use crate::{OwnOutput, Shard};
+
+/// Pause after a failed call of the store.
+pub(crate) const STORE_PAUSE: Duration = Duration::from_millis(500);
+
+impl Owner {
+    /// Writes the shards that keepers or the planner want to change.
+    pub(crate) fn write_shards(&mut self, now: Time, out: &mut Vec<OwnOutput>) {
+        if self.stopping {
+            return;
+        }
+        let names: Vec<ServiceName> = self.services.keys().copied().collect();
+        for name in names {
+            let planning = self.stewards.planner(name) == Some(self.holder());
+            let Some(service) = self.services.get_mut(&name) else { continue };
+            let due = service.dirty || (planning && now >= service.planner.next_plan());
+            if service.doc.is_none() || !due || (!planning && service.keepers.is_empty()) {
+                continue;
+            }
+            let waits = |slot: &ShardSlot| slot.busy || now < slot.retry_at;
+            if service.shards.iter().all(waits) {
+                continue;
+            }
+            service.dirty = service.shards.iter().any(waits);
+            self.write_service(now, name, planning, out);
+        }
+    }
+
+    fn write_service(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        planning: bool,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let zones_out = self.zones_out();
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        let plan = planning && now >= service.planner.next_plan();
+        if plan {
+            service.planner.planned(now);
+        }
+        let (servers, all_up) = service.eligible(&self.stewards, &zones_out);
+        let mut limits = service.limits(all_up);
+        let rules = service.doc.as_ref().and_then(|doc| doc.keyed());
+        let Some(layout) = rules.map(|rules| rules.layout) else {
+            return;
+        };
+        // The loads borrow the rates while the planner changes.
+        let rates = std::mem::take(&mut service.rates);
+        let mut loads = Loads::new(servers, &service.shards, &rates, layout.ranges());
+        let mut calls = Vec::new();
+        for index in 0..service.shards.len() {
+            let slot = &service.shards[index];
+            if slot.busy || now < slot.retry_at {
+                continue;
+            }
+            let number = index as u32;
+            if slot.unread {
+                calls.push((number, None));
+            } else if slot.shard().is_none() {
+                let first = Shard::new(layout, number, Token(self.highest.0));
+                calls.push((number, Some((first, Expect::Absent))));
+            } else {
+                let expect = Expect::Revision(slot.revision);
+                let limits = plan.then_some(&mut limits);
+                if let Some(next) = service.edit(now, index, &mut loads, limits) {
+                    calls.push((number, Some((next, expect))));
+                }
+            }
+        }
+        drop(loads);
+        service.rates = rates;
+        for (index, write) in calls {
+            self.call_shard(now, name, index, write, out);
+        }
+    }
+
+    fn call_shard(
+        &mut self,
+        now: Time,
+        service: ServiceName,
+        index: u32,
+        write: Option<(Shard, Expect)>,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(service_state) = self.services.get_mut(&service) else {
+            return;
+        };
+        let Some(slot) = service_state.shards.get_mut(index as usize) else {
+            return;
+        };
+        slot.busy = true;
+        let key = ObjectKey::assignment(service, index);
+        let Some((shard, expect)) = write else {
+            let call = Call::GetShard { service, index };
+            self.call(call, StoreRequest::Get { key }, out);
+            return;
+        };
+        slot.doubt(shard.clone());
+        service_state.refresh(now);
+        let body = shard.to_text();
+        let call = Call::PutShard { service, index, shard: Box::new(shard) };
+        self.call(call, StoreRequest::Put { key, body, expect }, out);
+    }
+
+    /// Takes over a shard if it is newer.
+    pub(crate) fn shard_seen(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        index: u32,
+        revision: Revision,
+        shard: Shard,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        let rules = service.doc.as_ref().and_then(|doc| doc.keyed());
+        let Some(layout) = rules.map(|rules| rules.layout) else {
+            return;
+        };
+        let expected = Shard::new(layout, index, Token(0));
+        if shard.rows.len() != expected.rows.len() || shard.first != expected.first {
+            out.push(OwnOutput::Count("own.shard.other-slices"));
+            return;
+        }
+        let Some(slot) = service.shards.get_mut(index as usize) else {
+            return;
+        };
+        let known = slot.revision;
+        if slot.adopt(revision, shard) {
+            service.refresh(now);
+        } else if revision < known {
+            out.push(OwnOutput::Count("own.shard.stale"));
+        }
+    }
+
+    pub(crate) fn shard_read(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        index: u32,
+        result: StoreResult,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        service.dirty = true;
+        let Some(slot) = service.shards.get_mut(index as usize) else {
+            return;
+        };
+        slot.busy = false;
+        match result {
+            Ok(StoreReply::Object(object)) => {
+                slot.unread = false;
+                if let Some(object) = object {
+                    self.seen(now, &object, out);
+                }
+            }
+            _ => slot.retry_at = now + STORE_PAUSE,
+        }
+    }
+
+    pub(crate) fn shard_written(
+        &mut self,
+        now: Time,
+        name: ServiceName,
+        index: u32,
+        shard: Shard,
+        result: StoreResult,
+        out: &mut Vec<OwnOutput>,
+    ) {
+        let Some(service) = self.services.get_mut(&name) else {
+            return;
+        };
+        service.dirty = true;
+        let Some(slot) = service.shards.get_mut(index as usize) else {
+            return;
+        };
+        slot.busy = false;
+        match result {
+            Ok(StoreReply::Written(revision)) => {
+                self.highest = self.highest.max(revision);
+                slot.adopt(revision, shard);
+                service.refresh(now);
+            }
+            Ok(StoreReply::Conflict(object)) => {
+                slot.clear_last_doubt();
+                slot.unread = object.is_none();
+                out.push(OwnOutput::Count("own.shard.conflict"));
+                if let Some(object) = object {
+                    self.seen(now, &object, out);
+                }
+            }
+            Err(error) if !error.may_have_taken_effect() => {
+                slot.clear_last_doubt();
+                slot.retry_at = now + STORE_PAUSE;
+                if error == StoreError::Rejected {
+                    out.push(OwnOutput::Count("own.shard.rejected"));
+                }
+                service.refresh(now);
+            }
+            _ => {
+                slot.unread = true;
+                slot.retry_at = now + STORE_PAUSE;
+                out.push(OwnOutput::Count("own.shard.unsettled"));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/own/src/stewards.rs
@@ -0,0 +1,83 @@
+use std::cmp::Reverse;
+
+use bay_types::{ServiceName, ZoneName};
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::{Holder, StewardState, StewardView};
+
+/// The stewards that membership knows.
+#[derive(Debug, Default)]
+pub(crate) struct Stewards {
+    views: Vec<StewardView>,
+}
+
+impl Stewards {
+    /// Takes over what membership says.
+    pub(crate) fn set(&mut self, views: Vec<StewardView>) {
+        self.views = views;
+    }
+
+    /// Whether a process is up.
+    pub(crate) fn alive(&self, holder: Holder) -> bool {
+        let found = self.views.iter().find(|view| view.holder == holder);
+        found.is_some_and(|view| view.state == StewardState::Alive)
+    }
+
+    /// Whether a later process is known to run on a holder's host.
+    pub(crate) fn replaced(&self, holder: Holder) -> bool {
+        let same = self.views.iter().filter(|view| view.holder.node == holder.node);
+        same.into_iter().any(|view| view.holder.incarnation > holder.incarnation)
+    }
+
+    /// The zone of a process's host.
+    pub(crate) fn zone(&self, holder: Holder) -> Option<ZoneName> {
+        let found = self.views.iter().find(|view| view.holder.node == holder.node);
+        found.map(|view| view.zone)
+    }
+
+    /// Who should keep a zone's servers, best first: from other zones, if there are any.
+    pub(crate) fn keepers(&self, service: ServiceName, zone: ZoneName) -> Vec<Holder> {
+        self.ranked(service, zone, |view| u32::from(view.zone == zone))
+    }
+
+    /// Who should be deputy of a zone's keeper, best first: from a third zone, if there is one.
+    pub(crate) fn deputies(
+        &self,
+        service: ServiceName,
+        zone: ZoneName,
+        keeper: Holder,
+    ) -> Vec<Holder> {
+        let keeper_zone = self.zone(keeper);
+        let ranked = self.ranked(service, zone, |view| match view.zone {
+            own if own == zone => 2,
+            other => u32::from(Some(other) == keeper_zone),
+        });
+        ranked.into_iter().filter(|holder| holder.node != keeper.node).collect()
+    }
+
+    /// Who should plan a service.
+    pub(crate) fn planner(&self, service: ServiceName) -> Option<Holder> {
+        let alive = self.views.iter().filter(|view| view.state == StewardState::Alive);
+        let best = alive.max_by_key(|view| score(service.as_str(), "plan", view.holder));
+        best.map(|view| view.holder)
+    }
+
+    /// The stewards that are up, by class and then by rendezvous hash.
+    fn ranked<F>(&self, service: ServiceName, zone: ZoneName, class: F) -> Vec<Holder>
+    where
+        F: Fn(&StewardView) -> u32,
+    {
+        let alive = self.views.iter().filter(|view| view.state == StewardState::Alive);
+        let mut ranked: Vec<&StewardView> = alive.collect();
+        ranked.sort_by_key(|view| {
+            let score = score(service.as_str(), zone.as_str(), view.holder);
+            (class(view), Reverse(score))
+        });
+        ranked.into_iter().map(|view| view.holder).collect()
+    }
+}
+
+fn score(service: &str, role: &str, holder: Holder) -> u64 {
+    let text = format!("{service}/{role}");
+    xxh3_64_with_seed(text.as_bytes(), holder.node.0)
+}
--- a/crates/steward/src/keeper.rs
+++ b/crates/steward/src/keeper.rs
@@ -5,7 +5,9 @@
 use bay_own::Assignment;
 use bay_time::Time;
 use bay_types::{NodeId, ServerName, Term, ZoneName};
-use bay_wire::{Order, OrderReply, OrderVerdict, RouteRow, Routes, SliceGrant};
+use bay_wire::{
+    LeaseProof, Order, OrderReply, OrderRole, OrderVerdict, RouteRow, Routes, SliceGrant,
+};
 
 /// Renewals sent within one lease.
 const RENEWALS_A_LEASE: u32 = 3;
@@ -26,6 +28,7 @@
 struct Kept {
     address: SocketAddr,
     boot: u64,
+    proof: Option<LeaseProof>,
     granted: BTreeSet<(u32, u64)>,
     wanted: BTreeSet<(u32, u64)>,
 }
@@ -55,6 +58,7 @@
             let kept = self.servers.entry(server.name).or_insert_with(|| Kept {
                 address: server.address,
                 boot: 0,
+                proof: None,
                 granted: BTreeSet::new(),
                 wanted: BTreeSet::new(),
             });
@@ -81,8 +85,11 @@
             self.sequence += 1;
             let order = Order {
                 keeper: self.node,
+                role: OrderRole::Keeper,
                 term: self.term,
                 sequence: self.sequence,
+                proof: kept.proof,
+                replace: false,
                 lease_ms: rules.lease.as_millis() as u64,
                 grant: grants(kept.wanted.difference(&kept.granted)),
                 revoke: Vec::new(),
@@ -102,7 +109,8 @@
         let Some(kept) = self.servers.get_mut(&name) else {
             return false;
         };
-        if reply.verdict != OrderVerdict::Taken {
+        kept.proof = Some(LeaseProof { boot: reply.boot, stamp: reply.stamp });
+        if reply.verdict != OrderVerdict::Taken || order.proof.is_none() {
             return false;
         }
         let restarted = reply.boot != kept.boot;
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -14,6 +14,6 @@
 pub use item::{Item, ItemKey, ItemVersion};
 pub use link::{GateAddress, Interest, LinkMessage, Role};
 pub use load_message::LoadMessage;
-pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
+pub use order::{LeaseProof, Order, OrderReply, OrderRole, OrderVerdict, SliceGrant};
 pub use peer_message::PeerMessage;
 pub use routes::{HotKey, RouteRow, Routes};
--- a/crates/wire/src/routes.rs
+++ b/crates/wire/src/routes.rs
@@ -26,10 +26,15 @@
 }
 
 /// A key with a slice of its own.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+///
+/// Where a range's row is listed, the keys listed for that range are all that it has; a table that
+/// takes the row drops the range's other hot keys.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub struct HotKey {
     /// The hot-key slot.
     pub slice: SliceId,
     /// The key in it.
     pub key: KeyHash,
+    /// The slot's token when it got this key; rows with lower ones are of an earlier key.
+    pub since: Token,
 }
