--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -24,7 +24,7 @@
 pub use item::{Item, ItemKey, ItemVersion};
 pub use link::{GateAddress, Interest, LinkMessage, NodeVersions, Role};
 pub use load_message::{Condition, LoadMessage, Loan, LoanId};
-pub use order::{Order, OrderReply, OrderVerdict, SliceGrant};
+pub use order::{LeaseProof, Order, OrderReply, OrderRole, OrderVerdict, SliceGrant};
 pub use peer_message::{ClaimVerdict, PeerMessage, QuarantineNotice, QuarantineVerdict};
 pub use routes::{HotKey, RouteRow, Routes};
 pub use seal::{Opener, Sealer};
