Put the steward together from membership, spread, store watch and ownership

Cause: the thin steward polled the whole store, took terms that nobody took over and knew no peers. Change: Steward joins Peers, StoreWatch and Owner; the shell carries sealed datagrams, authenticated connections with a fresh handshake, status for operators and signs of life; gates report what they have in force and which keys are hot, and ask for the whole of an item that has a gap. Ruled out: the host's monotonic clock as the number of a start, because it falls back over a reboot.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -139,6 +139,13 @@
         }
     }
 
+    /// The services whose servers own keys.
+    pub fn keyed_services(&self) -> impl Iterator<Item = ServiceName> + '_ {
+        let keyed =
+            |id: &ServiceId| self.services.get(*id).is_some_and(|service| service.routes.is_some());
+        self.names.iter().filter(move |(_, id)| keyed(id)).map(|(name, _)| *name)
+    }
+
     /// Whether the first byte of an attempt may be handed to its connection now.
     ///
     /// From then on the target may have run the request; if the answer is no, the shell sends
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -128,7 +128,10 @@
                 }
             }
             LinkMessage::InForce(versions) => self.spread.links.on_in_force(link, &versions),
-            LinkMessage::Hello { .. } | LinkMessage::Gates(_) | LinkMessage::Heartbeat => {}
+            LinkMessage::Hello { .. }
+            | LinkMessage::Gates(_)
+            | LinkMessage::Rates(_)
+            | LinkMessage::Heartbeat => {}
         }
     }
 
--- a/crates/node/src/framed.rs
+++ b/crates/node/src/framed.rs
@@ -1,7 +1,8 @@
 use async_net::TcpStream;
-use bay_types::{Incarnation, NodeId};
 use bay_wire::{
-    ClusterKey, FRAME_HEAD_BYTES, LinkMessage, Opener, Role, Sealer, decode, encode, frame_len,
+    ClusterKey, FRAME_HEAD_BYTES, LinkAccepted, LinkIdentity, LinkInitiator, LinkMessage,
+    LinkOpener, LinkSealer, MAX_HANDSHAKE_BYTES, NONCE_BYTES, SecuredLink, decode, encode,
+    frame_len_within,
 };
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
 
@@ -9,49 +10,77 @@
 #[derive(Debug)]
 pub(crate) struct LinkSender {
     stream: TcpStream,
-    sealer: Sealer,
+    sealer: LinkSealer,
 }
 
 /// Receives sealed messages from a TCP connection.
 #[derive(Debug)]
 pub(crate) struct LinkReceiver {
     stream: TcpStream,
-    opener: Opener,
+    opener: LinkOpener,
 }
 
-/// Splits a connection into its two directions.
-pub(crate) fn split(
-    stream: TcpStream,
+/// Opens the handshake on a new connection; `None` means that the connection is of no use.
+pub(crate) async fn initiate(
+    mut stream: TcpStream,
+    key: &ClusterKey,
+    identity: LinkIdentity,
+) -> Option<(LinkSender, LinkReceiver)> {
+    let initiator = LinkInitiator::new(key.clone(), identity, nonce());
+    write_frame(&mut stream, initiator.hello()).await?;
+    let challenge = read_frame(&mut stream, MAX_HANDSHAKE_BYTES).await?;
+    let link = initiator.finish(&challenge).ok()?;
+    Some(parts(stream, link))
+}
+
+/// Answers the handshake on a new connection; `None` means that the connection is of no use.
+pub(crate) async fn accept(
+    mut stream: TcpStream,
     key: &ClusterKey,
-    node: NodeId,
-    role: Role,
-    incarnation: Incarnation,
-) -> (LinkSender, LinkReceiver) {
-    let sealer = Sealer::new(key.clone(), node, role, incarnation);
-    let sender = LinkSender { stream: stream.clone(), sealer };
-    let receiver = LinkReceiver { stream, opener: Opener::new(key.clone()) };
-    (sender, receiver)
+    identity: LinkIdentity,
+) -> Option<(LinkSender, LinkReceiver)> {
+    let hello = read_frame(&mut stream, MAX_HANDSHAKE_BYTES).await?;
+    let accepted = LinkAccepted::new(key, identity, nonce(), &hello).ok()?;
+    write_frame(&mut stream, &accepted.challenge).await?;
+    Some(parts(stream, accepted.link))
+}
+
+fn parts(stream: TcpStream, link: SecuredLink) -> (LinkSender, LinkReceiver) {
+    let sender = LinkSender { stream: stream.clone(), sealer: link.sealer };
+    (sender, LinkReceiver { stream, opener: link.opener })
+}
+
+fn nonce() -> [u8; NONCE_BYTES] {
+    rand::random()
 }
 
 impl LinkSender {
     /// Sends one message; `None` means that the connection is of no more use.
     pub(crate) async fn send(&mut self, message: &LinkMessage) -> Option<()> {
-        let sealed = self.sealer.seal(&encode(message).ok()?);
-        let head = u32::try_from(sealed.len()).ok()?.to_le_bytes();
-        self.stream.write_all(&head).await.ok()?;
-        self.stream.write_all(&sealed).await.ok()?;
-        self.stream.flush().await.ok()
+        let sealed = self.sealer.seal(encode(message).ok()?);
+        write_frame(&mut self.stream, &sealed).await
     }
 }
 
 impl LinkReceiver {
     /// Receives one message; `None` means that the connection is of no more use.
     pub(crate) async fn receive(&mut self) -> Option<LinkMessage> {
-        let mut head = [0; FRAME_HEAD_BYTES];
-        self.stream.read_exact(&mut head).await.ok()?;
-        let mut frame = vec![0; frame_len(head).ok()?];
-        self.stream.read_exact(&mut frame).await.ok()?;
-        let (_, _, payload) = self.opener.open(&frame).ok()?;
-        decode(payload).ok()
+        let frame = read_frame(&mut self.stream, self.opener.max_frame_bytes()).await?;
+        decode(self.opener.open(&frame).ok()?).ok()
     }
 }
+
+async fn write_frame(stream: &mut TcpStream, frame: &[u8]) -> Option<()> {
+    let head = u32::try_from(frame.len()).ok()?.to_le_bytes();
+    stream.write_all(&head).await.ok()?;
+    stream.write_all(frame).await.ok()?;
+    stream.flush().await.ok()
+}
+
+async fn read_frame(stream: &mut TcpStream, longest: usize) -> Option<Vec<u8>> {
+    let mut head = [0; FRAME_HEAD_BYTES];
+    stream.read_exact(&mut head).await.ok()?;
+    let mut frame = vec![0; frame_len_within(head, longest).ok()?];
+    stream.read_exact(&mut frame).await.ok()?;
+    Some(frame)
+}
--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -9,10 +9,11 @@
 use bay_obs::Counters;
 use bay_time::{BootClock, Clock};
 use bay_types::{Incarnation, NodeId};
-use bay_wire::{ClusterKey, Item};
+use bay_wire::{ClusterKey, Item, LinkIdentity, Role};
 
 use crate::ShellError;
 use crate::steward_link::follow_steward;
+use crate::wall_clock::wall_nanos;
 
 mod admin;
 mod admission;
@@ -24,6 +25,7 @@
 mod caller;
 mod caller_side;
 mod connection;
+mod following;
 mod framing;
 mod head_bytes;
 mod headers;
@@ -128,7 +130,7 @@
         let admin = admin.map_err(at(gate_settings.admin))?;
         let now = BootClock.now();
         let node = NodeId::of(settings.host);
-        let incarnation = Incarnation(now.as_nanos());
+        let incarnation = Incarnation(wall_nanos());
         let peers = bind_peers(gate_settings.peer, &key, node, incarnation);
         let (sender, receiver) = peers.map_err(at(gate_settings.peer))?;
         let addresses = GateAddresses {
@@ -182,14 +184,11 @@
     }
 
     fn start_links(&self) {
+        let (node, incarnation) = (self.shared.node, self.shared.incarnation);
+        let identity = LinkIdentity { node, role: Role::Gate, incarnation };
         for steward in &self.stewards {
             let shared = Arc::clone(&self.shared);
-            let apply = Arc::new(move |items: Vec<_>| shared.apply(&items));
-            let (node, incarnation) = (self.shared.node, self.shared.incarnation);
-            let gates = Arc::clone(&self.shared);
-            let take_gates = Arc::new(move |list: Vec<_>| gates.set_gates(&list));
-            let follow =
-                follow_steward(*steward, self.key.clone(), node, incarnation, apply, take_gates);
+            let follow = follow_steward(*steward, self.key.clone(), identity, shared);
             self.executor.spawn(follow).detach();
         }
     }
--- a/crates/node/src/gate_shell/shared.rs
+++ b/crates/node/src/gate_shell/shared.rs
@@ -38,6 +38,7 @@
     phase: AtomicU8,
     wake: (Sender<()>, Receiver<()>),
     sleeping_until: AtomicU64,
+    reports: AtomicU64,
 }
 
 /// How far a planned stop has come.
@@ -77,6 +78,7 @@
             phase: AtomicU8::new(Phase::Serving as u8),
             wake: async_channel::bounded(1),
             sleeping_until: AtomicU64::new(0),
+            reports: AtomicU64::new(0),
         }
     }
 
@@ -141,6 +143,11 @@
         });
     }
 
+    /// Numbers the reports to stewards.
+    pub(crate) fn next_report(&self) -> u64 {
+        self.reports.fetch_add(1, Ordering::Relaxed)
+    }
+
     /// Takes the list of the gates that are up.
     pub(crate) fn set_gates(&self, gates: &[GateAddress]) {
         self.decide(|gate, now, actions| gate.set_gates(now, gates, actions));
--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -8,8 +8,10 @@
 mod refusal;
 mod run;
 mod shell_error;
+mod steward_admin;
 mod steward_link;
 mod steward_shell;
+mod wall_clock;
 
 pub use command_line::{Command, CommandError, parse_command};
 pub use gate_shell::{GateAddresses, GateShell, HttpLimits};
--- a/crates/node/src/steward_shell.rs
+++ b/crates/node/src/steward_shell.rs
@@ -1,24 +1,29 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::Duration;
 
 use async_channel::{Receiver, Sender};
-use async_executor::Executor;
+use async_executor::{Executor, Task};
 use async_io::Timer;
-use async_net::{TcpListener, TcpStream};
+use async_net::{TcpListener, TcpStream, UdpSocket};
 use bay_conf::Settings;
 use bay_obs::Counters;
-use bay_steward::{Input, LinkId, OrderId, Output, Steward, StewardConfig};
+use bay_steward::{Input, LinkId, OrderId, Output, StatusId, Steward, StewardConfig};
 use bay_store::HttpStore;
 use bay_time::{BootClock, Clock};
 use bay_types::{Incarnation, NodeId};
-use bay_wire::{ClusterKey, LinkMessage, Order, OrderReply, Role};
+use bay_wire::{
+    ClusterKey, ClusterStatus, LinkIdentity, LinkMessage, Opener, Order, OrderReply, Role, Sealer,
+};
 use futures_lite::{StreamExt, future};
 
 use crate::ShellError;
 use crate::backend::post_order;
-use crate::framed::{LinkReceiver, LinkSender, split};
+use crate::framed::{self, LinkReceiver, LinkSender};
+use crate::steward_admin::accept_admin;
+use crate::wall_clock::wall_nanos;
 
 /// Longest wait for the store beyond that of a watch.
 const STORE_TIMEOUT: Duration = Duration::from_secs(2);
@@ -26,25 +31,50 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Messages that wait for a slow peer before its connection is closed.
 const LINK_QUEUE: usize = 1_024;
+/// Time after which a connection to another steward is closed.
+const PEER_LINK_LIFE: Duration = Duration::from_secs(30);
+/// Longest datagram, in bytes.
+const MAX_DATAGRAM_BYTES: usize = 64 << 10;
+/// Longest time that a planned stop waits for the terms to be handed over.
+const STOP_TIMEOUT: Duration = Duration::from_secs(10);
+/// Longest time for the handshake on a new connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a quiet connection carries a sign of life.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(2);
+/// Pause between two looks at a stopping steward.
+const STOP_PAUSE: Duration = Duration::from_millis(20);
 
 /// A running steward.
 #[derive(Clone)]
 pub struct StewardShell {
     shared: Arc<Shared>,
+    tasks: Arc<Mutex<Vec<Task<()>>>>,
 }
 
-struct Shared {
+/// What the tasks of a steward share.
+pub(crate) struct Shared {
     steward: Mutex<Steward>,
     executor: Arc<Executor<'static>>,
     counters: Counters,
     store: HttpStore,
-    listener: TcpListener,
-    links: Mutex<HashMap<LinkId, Sender<LinkMessage>>>,
-    next_link: Mutex<u64>,
+    links: Mutex<Links>,
+    status: Mutex<HashMap<StatusId, Sender<ClusterStatus>>>,
+    socket: UdpSocket,
+    sealer: Mutex<Sealer>,
     wake: (Sender<()>, Receiver<()>),
+    ended: AtomicBool,
     key: ClusterKey,
     node: NodeId,
     incarnation: Incarnation,
+    address: SocketAddr,
+}
+
+/// The open connections.
+#[derive(Default)]
+struct Links {
+    senders: HashMap<LinkId, Sender<LinkMessage>>,
+    to_stewards: HashMap<SocketAddr, LinkId>,
+    last: u64,
 }
 
 impl StewardShell {
@@ -59,43 +89,108 @@
         executor: Arc<Executor<'static>>,
     ) -> Result<StewardShell, ShellError> {
         let address = settings.steward.listen;
-        let listener = TcpListener::bind(address).await;
-        let listener = listener.map_err(|error| ShellError::Listen(address, error))?;
+        let listener = listen(address).await?;
+        let admin = listen(settings.steward.admin).await?;
+        let socket = UdpSocket::bind(address).await;
+        let socket = socket.map_err(|error| ShellError::Listen(address, error))?;
         let now = BootClock.now();
         let node = NodeId::of(settings.host);
-        let config = StewardConfig { node, zone: settings.zone, seed: now.as_nanos() };
-        let shared = Shared {
+        let incarnation = Incarnation(wall_nanos());
+        let config = StewardConfig {
+            node,
+            incarnation,
+            zone: settings.zone,
+            address,
+            gate: settings.gate.peer,
+            seed: incarnation.0,
+        };
+        let shared = Arc::new(Shared {
             steward: Mutex::new(Steward::new(config, now)),
             executor,
             counters,
             store: HttpStore::new(settings.store, STORE_TIMEOUT),
-            listener,
             links: Mutex::default(),
-            next_link: Mutex::default(),
+            status: Mutex::default(),
+            socket,
+            sealer: Mutex::new(Sealer::new(key.clone(), node, Role::Steward, incarnation)),
             wake: async_channel::bounded(1),
+            ended: AtomicBool::new(false),
             key,
             node,
-            incarnation: Incarnation(now.as_nanos()),
-        };
-        Ok(StewardShell { shared: Arc::new(shared) })
+            incarnation,
+            address,
+        });
+        let shell = StewardShell { shared, tasks: Arc::default() };
+        shell.spawn(accept(Arc::clone(&shell.shared), listener));
+        shell.spawn(accept_admin(Arc::clone(&shell.shared), admin));
+        Ok(shell)
     }
 
     /// Starts the steward's tasks.
     pub fn start(&self) {
-        let shared = &self.shared;
-        shared.executor.spawn(drive(Arc::clone(shared))).detach();
-        shared.executor.spawn(accept(Arc::clone(shared))).detach();
+        self.spawn(drive(Arc::clone(&self.shared)));
+        self.spawn(receive_datagrams(Arc::clone(&self.shared)));
     }
 
-    /// Hands over and ends.
+    /// Hands over what the steward keeps and ends.
     pub async fn stop(&self) {
         self.shared.handle(Input::Stop);
+        let give_up = BootClock.now() + STOP_TIMEOUT;
+        while !lock(&self.shared.steward).stopped() && BootClock.now() < give_up {
+            Timer::after(STOP_PAUSE).await;
+        }
+        self.kill();
+    }
+
+    /// Ends at once, as a lost process would.
+    pub fn kill(&self) {
+        self.shared.ended.store(true, Ordering::Relaxed);
+        lock(&self.tasks).clear();
+        lock(&self.shared.links).senders.clear();
+    }
+
+    fn spawn<F>(&self, work: F)
+    where
+        F: Future<Output = ()> + Send + 'static,
+    {
+        let task = self.shared.executor.spawn(work);
+        lock(&self.tasks).push(task);
     }
 }
 
 impl Shared {
+    /// The steward's counters.
+    pub(crate) fn counters(&self) -> &Counters {
+        &self.counters
+    }
+
+    /// The executor of the steward's tasks.
+    pub(crate) fn executor(&self) -> &Executor<'static> {
+        &self.executor
+    }
+
+    /// Asks every node what it has in force.
+    pub(crate) async fn status(self: &Arc<Shared>) -> Option<ClusterStatus> {
+        let (tx, rx) = async_channel::bounded(1);
+        let id = {
+            let mut links = lock(&self.links);
+            links.last += 1;
+            StatusId(links.last)
+        };
+        lock(&self.status).insert(id, tx);
+        self.handle(Input::StatusAsked(id));
+        rx.recv().await.ok()
+    }
+
+    fn identity(&self) -> LinkIdentity {
+        LinkIdentity { node: self.node, role: Role::Steward, incarnation: self.incarnation }
+    }
+
     /// Gives the steward an input and does what it asks for.
     fn handle(self: &Arc<Shared>, input: Input) {
+        if self.ended.load(Ordering::Relaxed) {
+            return;
+        }
         let mut out = Vec::new();
         lock(&self.steward).handle(BootClock.now(), input, &mut out);
         for output in out {
@@ -119,18 +214,67 @@
                 self.executor.spawn(send_order(shared, id, to, order)).detach();
             }
             Output::Link { link, message } => self.send_link(link, message),
-            Output::Datagram { .. } => {}
+            Output::Steward { to, message } => self.send_steward(to, message),
+            Output::Datagram { to, payload } => {
+                let sealed = lock(&self.sealer).seal_to(to, &payload);
+                let work = async move {
+                    // A datagram may be lost anywhere on its way.
+                    let _ = shared.socket.send_to(&sealed, to).await;
+                };
+                self.executor.spawn(work).detach();
+            }
+            Output::Status { id, status } => {
+                if let Some(tx) = lock(&self.status).remove(&id) {
+                    // The operator may have hung up.
+                    let _ = tx.try_send(*status);
+                }
+            }
+            Output::Count(name) => self.counters.add(name, 1),
         }
     }
 
     fn send_link(&self, link: LinkId, message: LinkMessage) {
         let mut links = lock(&self.links);
-        let full = links.get(&link).is_some_and(|tx| tx.try_send(message).is_err());
+        let full = links.senders.get(&link).is_some_and(|tx| tx.try_send(message).is_err());
         if full {
             self.counters.add("link.dropped", 1);
-            links.remove(&link);
+            links.senders.remove(&link);
         }
     }
+
+    fn send_steward(self: &Arc<Shared>, to: SocketAddr, message: LinkMessage) {
+        let open = lock(&self.links).to_stewards.get(&to).copied();
+        let link = open.unwrap_or_else(|| {
+            let (link, rx) = self.open_link();
+            lock(&self.links).to_stewards.insert(to, link);
+            let work = connect_steward(Arc::clone(self), to, link, rx);
+            self.executor.spawn(work).detach();
+            link
+        });
+        self.send_link(link, message);
+    }
+
+    fn open_link(&self) -> (LinkId, Receiver<LinkMessage>) {
+        let (tx, rx) = async_channel::bounded(LINK_QUEUE);
+        let mut links = lock(&self.links);
+        links.last += 1;
+        let link = LinkId(links.last);
+        links.senders.insert(link, tx);
+        (link, rx)
+    }
+
+    fn close_link(self: &Arc<Shared>, link: LinkId) {
+        let mut links = lock(&self.links);
+        links.senders.remove(&link);
+        links.to_stewards.retain(|_, other| *other != link);
+        drop(links);
+        self.handle(Input::LinkClosed { link });
+    }
+}
+
+async fn listen(address: SocketAddr) -> Result<TcpListener, ShellError> {
+    let listener = TcpListener::bind(address).await;
+    listener.map_err(|error| ShellError::Listen(address, error))
 }
 
 async fn send_order(shared: Arc<Shared>, id: OrderId, to: SocketAddr, order: Order) {
@@ -139,9 +283,6 @@
         None::<OrderReply>
     };
     let reply = future::or(post_order(to, &order), late).await;
-    if reply.is_none() {
-        shared.counters.add("order.unanswered", 1);
-    }
     shared.handle(Input::Order { id, reply });
 }
 
@@ -149,13 +290,14 @@
 async fn drive(shared: Arc<Shared>) {
     loop {
         let now = BootClock.now();
-        let deadline = lock(&shared.steward).next_deadline();
+        let deadline = lock(&shared.steward).next_deadline(now);
         if deadline <= now {
             shared.handle(Input::Tick);
+            future::yield_now().await;
+            continue;
         }
-        let wait = deadline.since(now);
         let sleep = async {
-            Timer::after(wait).await;
+            Timer::after(deadline.since(now)).await;
         };
         let woken = async {
             // The channel lives as long as the steward.
@@ -165,8 +307,25 @@
     }
 }
 
-async fn accept(shared: Arc<Shared>) {
-    let mut incoming = shared.listener.incoming();
+async fn receive_datagrams(shared: Arc<Shared>) {
+    let mut opener = Opener::at(shared.key.clone(), shared.address);
+    let mut buf = vec![0; MAX_DATAGRAM_BYTES];
+    loop {
+        let Ok((len, from)) = shared.socket.recv_from(&mut buf).await else {
+            continue;
+        };
+        match opener.open(&buf[..len]) {
+            Ok((node, _, payload)) => {
+                let payload = payload.to_vec();
+                shared.handle(Input::Datagram { node, from, payload });
+            }
+            Err(_) => shared.counters.add("datagram.rejected", 1),
+        }
+    }
+}
+
+async fn accept(shared: Arc<Shared>, listener: TcpListener) {
+    let mut incoming = listener.incoming();
     while let Some(stream) = incoming.next().await {
         let Ok(stream) = stream else { continue };
         shared.executor.spawn(serve_link(Arc::clone(&shared), stream)).detach();
@@ -174,19 +333,48 @@
 }
 
 async fn serve_link(shared: Arc<Shared>, stream: TcpStream) {
-    let (tx, rx) = async_channel::bounded(LINK_QUEUE);
-    let link = {
-        let mut next = lock(&shared.next_link);
-        *next += 1;
-        LinkId(*next)
+    let accepting = async { framed::accept(stream, &shared.key, shared.identity()).await };
+    match within(HANDSHAKE_TIMEOUT, accepting).await {
+        Some((sender, receiver)) => {
+            let (link, rx) = shared.open_link();
+            run_link(&shared, link, rx, sender, receiver).await;
+            shared.close_link(link);
+        }
+        None => shared.counters.add("link.rejected", 1),
+    }
+}
+
+async fn connect_steward(
+    shared: Arc<Shared>,
+    to: SocketAddr,
+    link: LinkId,
+    rx: Receiver<LinkMessage>,
+) {
+    let connecting = async {
+        let stream = TcpStream::connect(to).await.ok()?;
+        framed::initiate(stream, &shared.key, shared.identity()).await
     };
-    lock(&shared.links).insert(link, tx);
-    let (sender, receiver) =
-        split(stream, &shared.key, shared.node, Role::Steward, shared.incarnation);
-    let reading = read_link(Arc::clone(&shared), link, receiver);
+    match within(HANDSHAKE_TIMEOUT, connecting).await {
+        Some((sender, receiver)) => {
+            let life = async {
+                Timer::after(PEER_LINK_LIFE).await;
+            };
+            future::or(run_link(&shared, link, rx, sender, receiver), life).await;
+        }
+        None => shared.counters.add("link.refused", 1),
+    }
+    shared.close_link(link);
+}
+
+async fn run_link(
+    shared: &Arc<Shared>,
+    link: LinkId,
+    rx: Receiver<LinkMessage>,
+    sender: LinkSender,
+    receiver: LinkReceiver,
+) {
+    let reading = read_link(Arc::clone(shared), link, receiver);
     future::or(reading, write_link(sender, rx)).await;
-    lock(&shared.links).remove(&link);
-    shared.handle(Input::LinkClosed { link });
 }
 
 async fn read_link(shared: Arc<Shared>, link: LinkId, mut receiver: LinkReceiver) {
@@ -196,13 +384,32 @@
 }
 
 async fn write_link(mut sender: LinkSender, rx: Receiver<LinkMessage>) {
-    while let Ok(message) = rx.recv().await {
+    loop {
+        let idle = async {
+            Timer::after(HEARTBEAT_PERIOD).await;
+            Some(LinkMessage::Heartbeat)
+        };
+        let next = async { rx.recv().await.ok() };
+        let Some(message) = future::or(next, idle).await else {
+            return;
+        };
         if sender.send(&message).await.is_none() {
             return;
         }
     }
 }
 
+async fn within<W, T>(span: Duration, work: W) -> Option<T>
+where
+    W: Future<Output = Option<T>>,
+{
+    let late = async {
+        Timer::after(span).await;
+        None
+    };
+    future::or(work, late).await
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/own/src/owner.rs
+++ b/crates/own/src/owner.rs
@@ -4,7 +4,7 @@
 use bay_conf::{ServiceDoc, ZoneState};
 use bay_store::{Object, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::{Revision, ServiceName, ZoneName};
+use bay_types::{NodeId, Revision, ServiceName, ZoneName};
 use bay_wire::{Order, OrderReply, OrderRole};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -88,6 +88,11 @@
         self.stopping && !self.services.values().any(keeps)
     }
 
+    /// The host whose steward plans a service.
+    pub fn planner(&self, service: ServiceName) -> Option<NodeId> {
+        self.stewards.planner(service).map(|holder| holder.node)
+    }
+
     /// The time of the next [`OwnInput::Tick`].
     pub fn next_deadline(&self, now: Time) -> Time {
         let mut next = self.next_campaign;
--- /dev/null
+++ b/crates/steward/src/config_items.rs
@@ -0,0 +1,34 @@
+//! Reads the items of configuration for the parts that follow them.
+
+use bay_conf::{ServiceDoc, ZoneDoc, ZoneState};
+use bay_own::OwnInput;
+use bay_types::{Revision, ServiceName, ZoneName};
+use bay_wire::{Item, ItemKey};
+
+/// What an item says to the owner, or `None` if the item cannot be read or is no configuration.
+pub(crate) fn own_input(item: &Item) -> Option<OwnInput> {
+    let revision = Revision(item.version.major);
+    match item.key {
+        ItemKey::Document(service) => document(service, revision, &item.body),
+        ItemKey::Zone(zone) => zone_state(zone, revision, &item.body),
+        _ => None,
+    }
+}
+
+fn document(service: ServiceName, revision: Revision, body: &[u8]) -> Option<OwnInput> {
+    if body.is_empty() {
+        return Some(OwnInput::Document { service, revision, doc: None });
+    }
+    let doc = ServiceDoc::parse(service.as_str(), body).ok()?;
+    let same = doc.name == service;
+    same.then_some(OwnInput::Document { service, revision, doc: Some(doc) })
+}
+
+fn zone_state(zone: ZoneName, revision: Revision, body: &[u8]) -> Option<OwnInput> {
+    if body.is_empty() {
+        // A zone without an object takes work.
+        return Some(OwnInput::Zone { zone, revision, state: ZoneState::In });
+    }
+    let doc = ZoneDoc::parse(zone.as_str(), body).ok()?;
+    (doc.zone == zone).then_some(OwnInput::Zone { zone, revision, state: doc.state })
+}
--- a/crates/steward/src/input.rs
+++ b/crates/steward/src/input.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use bay_store::StoreResult;
+use bay_types::NodeId;
 use bay_wire::{LinkMessage, OrderReply};
 
 /// Something that happened to a steward.
@@ -36,11 +37,15 @@
     },
     /// A datagram of another steward came, its seal already checked.
     Datagram {
+        /// The sender's host, as the seal proves it.
+        node: NodeId,
         /// The sender's address.
         from: SocketAddr,
         /// The payload.
         payload: Vec<u8>,
     },
+    /// An operator asked for the status of the system.
+    StatusAsked(StatusId),
     /// The process has been asked to stop.
     Stop,
 }
@@ -56,3 +61,7 @@
 /// Numbers the TCP connections of a steward.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct LinkId(pub u64);
+
+/// Numbers the requests for status.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct StatusId(pub u64);
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -1,12 +1,17 @@
 //! The steward without I/O, put together from its parts.
 
+mod config;
+mod config_items;
+mod datagram;
 mod input;
-mod keeper;
 mod output;
 mod steward;
+mod store_calls;
 mod store_watch;
 
-pub use input::{Input, LinkId, OrderId, StoreCallId};
+pub use config::StewardConfig;
+pub use datagram::StewardDatagram;
+pub use input::{Input, LinkId, OrderId, StatusId, StoreCallId};
 pub use output::Output;
-pub use steward::{Steward, StewardConfig};
+pub use steward::Steward;
 pub use store_watch::{StoreWatch, WatchCallId, WatchOutput, item_of_change, object_of_item};
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -1,298 +1,344 @@
-use std::collections::{BTreeMap, HashMap};
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::time::Duration;
 
-use bay_conf::ServiceDoc;
-use bay_own::{Assignment, AssignmentRow, rendezvous_owner};
-use bay_store::{Expect, Object, ObjectKey, StoreReply, StoreRequest, StoreResult};
+use bay_member::{
+    LinkHandle, Member, MemberConfig, MemberState, Peers, PeersOutput, Seed, is_watcher,
+};
+use bay_own::{
+    Holder, KeyRate, OrderId as OwnOrderId, OwnConfig, OwnInput, OwnOutput, Owner, StewardState,
+    StewardView,
+};
+use bay_store::{Change, Host, Object, ObjectKey, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::{NodeId, Revision, ServerName, ServiceName, SliceId, Term, Token, ZoneName};
-use bay_wire::{Item, ItemKey, ItemVersion, LinkMessage, Order, OrderReply, encode};
+use bay_types::NodeId;
+use bay_wire::{Item, LinkMessage, ServiceRates, decode, encode};
 
-use crate::keeper::Keeper;
-use crate::{Input, LinkId, OrderId, Output, StoreCallId};
+use crate::config_items::own_input;
+use crate::store_calls::{Caller, StoreCalls};
+use crate::{
+    Input, LinkId, OrderId, Output, StatusId, StewardConfig, StewardDatagram, StoreWatch,
+    WatchOutput, item_of_change, object_of_item,
+};
 
-/// Pause between two readings of the store.
-const POLL: Duration = Duration::from_millis(200);
-
-/// What a steward is told at its start.
-#[derive(Debug, Clone)]
-pub struct StewardConfig {
-    /// The steward's host.
-    pub node: NodeId,
-    /// The host's zone.
-    pub zone: ZoneName,
-    /// Seeds the steward's random choices.
-    pub seed: u64,
-}
+/// Time between two readings of the platform's list of hosts.
+const HOSTS_PERIOD: Duration = Duration::from_secs(30);
+/// Time between two readings while no other steward is known.
+const HOSTS_PERIOD_ALONE: Duration = Duration::from_secs(2);
+/// Time between two choices of who watches the store.
+const WATCHERS_PERIOD: Duration = Duration::from_secs(1);
 
 /// Plans assignments, keeps leases and spreads configuration and maps.
 #[derive(Debug)]
 pub struct Steward {
     config: StewardConfig,
-    next_poll: Time,
-    next_id: u64,
-    calls: HashMap<StoreCallId, Call>,
-    orders: HashMap<OrderId, (ServiceName, ZoneName, ServerName, Order)>,
-    services: BTreeMap<ServiceName, Service>,
-    items: BTreeMap<ItemKey, Item>,
-    links: Vec<LinkId>,
-}
-
-#[derive(Debug)]
-struct Service {
-    doc: ServiceDoc,
-    assignment: Option<Assignment>,
-    keepers: BTreeMap<ZoneName, Keeper>,
-}
-
-#[derive(Debug, Clone)]
-enum Call {
-    Documents,
-    Zones,
-    Assignments,
-    Terms,
-    TakeTerm(ServiceName, ZoneName),
-    Plan,
+    peers: Peers,
+    watch: StoreWatch,
+    owner: Owner,
+    calls: StoreCalls,
+    members: BTreeMap<NodeId, Member>,
+    asked: Vec<StatusId>,
+    next_hosts: Time,
+    next_watchers: Time,
+    stopping: bool,
 }
 
 impl Steward {
     /// A steward that knows nothing yet.
     pub fn new(config: StewardConfig, now: Time) -> Steward {
+        let (node, zone, incarnation) = (config.node, config.zone, config.incarnation);
+        let member = MemberConfig {
+            node,
+            zone,
+            steward: config.address,
+            gate: Some(config.gate),
+            incarnation,
+            seed: config.seed,
+        };
+        let prefixes =
+            [ObjectKey::SERVICES, ObjectKey::ZONES, ObjectKey::TERMS, ObjectKey::ASSIGNMENTS];
+        let own = OwnConfig { node, incarnation, zone, seed: config.seed };
         Steward {
+            peers: Peers::new(member, now),
+            watch: StoreWatch::new(&prefixes, config.seed, now),
+            owner: Owner::new(own, now),
+            calls: StoreCalls::default(),
+            members: BTreeMap::new(),
+            asked: Vec::new(),
+            next_hosts: now,
+            next_watchers: now,
+            stopping: false,
             config,
-            next_poll: now,
-            next_id: 0,
-            calls: HashMap::new(),
-            orders: HashMap::new(),
-            services: BTreeMap::new(),
-            items: BTreeMap::new(),
-            links: Vec::new(),
         }
     }
 
+    /// Whether the steward was asked to stop and has handed over all that it kept.
+    pub fn stopped(&self) -> bool {
+        self.stopping && self.owner.stopped()
+    }
+
     /// The time of the next [`Input::Tick`].
-    pub fn next_deadline(&self) -> Time {
-        let keepers = self.services.values().flat_map(|service| service.keepers.values());
-        keepers.map(Keeper::next_deadline).fold(self.next_poll, Time::min)
+    pub fn next_deadline(&mut self, now: Time) -> Time {
+        let peers = self.peers.next_deadline();
+        let own = self.owner.next_deadline(now);
+        let others = [peers, own, self.next_hosts, self.next_watchers];
+        let watch = self.watch.next_deadline().unwrap_or(Time::MAX);
+        others.into_iter().fold(watch, Time::min)
     }
 
     /// Takes one input and appends what is to be done.
     pub fn handle(&mut self, now: Time, input: Input, out: &mut Vec<Output>) {
         match input {
             Input::Tick => self.tick(now, out),
-            Input::Store { id, result } => self.store_answer(now, id, result, out),
-            Input::Order { id, reply } => self.order_answer(id, reply, out),
-            Input::Link { link, message } => self.link_message(link, message, out),
-            Input::LinkClosed { link } => self.links.retain(|other| *other != link),
-            Input::Datagram { .. } | Input::Stop => {}
+            Input::Store { id, result } => {
+                if let Some(caller) = self.calls.end(id) {
+                    self.store_answer(now, caller, result, out);
+                }
+            }
+            Input::Order { id, reply } => {
+                self.own(now, OwnInput::Order { id: OwnOrderId(id.0), reply }, out);
+            }
+            Input::Link { message: LinkMessage::Rates(rates), .. } => {
+                self.forward_rates(now, rates, out)
+            }
+            Input::Link { link, message } => {
+                self.peers(now, out, |peers, done| {
+                    peers.on_link(now, LinkHandle(link.0), message, done);
+                });
+            }
+            Input::LinkClosed { link } => self.peers.close_link(LinkHandle(link.0)),
+            Input::Datagram { node, from, payload } => {
+                self.datagram(now, node, from, &payload, out)
+            }
+            Input::StatusAsked(id) => {
+                self.asked.push(id);
+                self.peers(now, out, |peers, done| peers.survey(now, done));
+            }
+            Input::Stop => self.stop(now, out),
         }
     }
 
     fn tick(&mut self, now: Time, out: &mut Vec<Output>) {
-        if now >= self.next_poll {
-            self.next_poll = now + POLL;
-            self.list(Call::Documents, ObjectKey::SERVICES, out);
-            self.list(Call::Zones, ObjectKey::ZONES, out);
-            self.list(Call::Assignments, ObjectKey::ASSIGNMENTS, out);
-            self.list(Call::Terms, ObjectKey::TERMS, out);
+        if now >= self.next_hosts {
+            let alone = self.members.is_empty();
+            self.next_hosts = now + if alone { HOSTS_PERIOD_ALONE } else { HOSTS_PERIOD };
+            let id = self.calls.begin(Caller::Hosts);
+            out.push(Output::Store { id, request: StoreRequest::Hosts });
         }
-        self.renew(now, out);
-    }
-
-    fn renew(&mut self, now: Time, out: &mut Vec<Output>) {
-        for (name, service) in &mut self.services {
-            for (zone, keeper) in &mut service.keepers {
-                for (server, to, order) in keeper.renew(now, &service.doc) {
-                    self.next_id += 1;
-                    let id = OrderId(self.next_id);
-                    self.orders.insert(id, (*name, *zone, server, order.clone()));
-                    out.push(Output::Order { id, to, order });
-                }
-            }
+        if now >= self.next_watchers {
+            self.next_watchers = now + WATCHERS_PERIOD;
+            self.choose_watchers(now);
         }
+        let mut watched = Vec::new();
+        self.watch.tick(now, &mut watched);
+        self.watched(now, watched, out);
+        self.peers(now, out, |peers, done| peers.tick(now, done));
+        self.own(now, OwnInput::Tick, out);
     }
 
-    fn list(&mut self, call: Call, prefix: &str, out: &mut Vec<Output>) {
-        self.call(call, StoreRequest::List { prefix: prefix.to_owned() }, out);
+    fn choose_watchers(&mut self, now: Time) {
+        let watcher = is_watcher(self.config.node, self.peers.membership().members());
+        self.watch.set_watching(now, ObjectKey::SERVICES, watcher);
+        self.watch.set_watching(now, ObjectKey::ZONES, watcher);
+        self.watch.set_watching(now, ObjectKey::TERMS, true);
+        self.watch.set_watching(now, ObjectKey::ASSIGNMENTS, true);
     }
 
-    fn call(&mut self, call: Call, request: StoreRequest, out: &mut Vec<Output>) {
-        self.next_id += 1;
-        let id = StoreCallId(self.next_id);
-        self.calls.insert(id, call);
-        out.push(Output::Store { id, request });
+    fn stop(&mut self, now: Time, out: &mut Vec<Output>) {
+        self.stopping = true;
+        self.peers(now, out, |peers, done| peers.leave(now, done));
+        self.own(now, OwnInput::Stop, out);
     }
 
     fn store_answer(
         &mut self,
         now: Time,
-        id: StoreCallId,
+        caller: Caller,
         result: StoreResult,
         out: &mut Vec<Output>,
     ) {
-        let Some(call) = self.calls.remove(&id) else {
-            return;
-        };
-        match (call, result) {
-            (Call::Documents, Ok(StoreReply::Objects(body))) => self.documents(body.objects, out),
-            (Call::Zones, Ok(StoreReply::Objects(body))) => self.zones(body.objects, out),
-            (Call::Assignments, Ok(StoreReply::Objects(body))) => {
-                self.assignments(body.objects, out);
-            }
-            (Call::Terms, Ok(StoreReply::Objects(body))) => self.terms(&body.objects, out),
-            (Call::TakeTerm(service, zone), Ok(StoreReply::Written(revision))) => {
-                self.start_term(now, service, zone, revision);
+        match caller {
+            Caller::Watch(id) => {
+                let mut watched = Vec::new();
+                self.watch.on_answer(now, id, result, &mut watched);
+                self.watched(now, watched, out);
             }
-            _ => {}
+            Caller::Own(id) => self.own(now, OwnInput::Store { id, result }, out),
+            Caller::Hosts => match result {
+                Ok(StoreReply::Hosts(hosts)) => self.seed(&hosts),
+                _ => out.push(Output::Count("hosts.unanswered")),
+            },
         }
     }
 
-    fn documents(&mut self, objects: Vec<Object>, out: &mut Vec<Output>) {
-        for object in objects {
-            let Ok(doc) = ServiceDoc::parse(object.key.as_str(), object.body.as_bytes()) else {
-                continue;
-            };
-            self.publish(ItemKey::Document(doc.name), object.revision, object.body, out);
-            match self.services.get_mut(&doc.name) {
-                Some(service) => service.doc = doc,
-                None => {
-                    let keepers = BTreeMap::new();
-                    self.services.insert(doc.name, Service { doc, assignment: None, keepers });
+    fn seed(&mut self, hosts: &[Host]) {
+        let seed = |host: &Host| Seed { node: NodeId::of(host.name), steward: host.steward };
+        let seeds: Vec<Seed> = hosts.iter().map(seed).collect();
+        self.peers.seed(&seeds);
+    }
+
+    fn watched(&mut self, now: Time, watched: Vec<WatchOutput>, out: &mut Vec<Output>) {
+        for output in watched {
+            match output {
+                WatchOutput::Call { id, request } => {
+                    let id = self.calls.begin(Caller::Watch(id));
+                    out.push(Output::Store { id, request });
                 }
+                WatchOutput::Changed(change) => self.changed(now, change, out),
             }
         }
     }
 
-    fn zones(&mut self, objects: Vec<Object>, out: &mut Vec<Output>) {
-        for object in objects {
-            let name = object.key.as_str().trim_start_matches(ObjectKey::ZONES);
-            if let Ok(zone) = ZoneName::new(name) {
-                self.publish(ItemKey::Zone(zone), object.revision, object.body, out);
-            }
+    fn changed(&mut self, now: Time, change: Change, out: &mut Vec<Output>) {
+        if let Some(item) = item_of_change(&change) {
+            self.peers(now, out, |peers, done| {
+                peers.offer(now, item, done);
+            });
+        } else if let Change { key, revision, body: Some(body) } = change {
+            self.own(now, OwnInput::Seen(Object { key, revision, body }), out);
         }
     }
 
-    fn assignments(&mut self, objects: Vec<Object>, out: &mut Vec<Output>) {
-        for object in objects {
-            let path = object.key.as_str().trim_start_matches(ObjectKey::ASSIGNMENTS);
-            let name = path.split('/').next().and_then(|name| ServiceName::new(name).ok());
-            let Some(service) = name.and_then(|name| self.services.get_mut(&name)) else {
-                continue;
-            };
-            let Ok(assignment) = serde_json::from_str::<Assignment>(&object.body) else {
-                continue;
-            };
-            for keeper in service.keepers.values_mut() {
-                keeper.set_assignment(&service.doc, &assignment);
+    fn datagram(
+        &mut self,
+        now: Time,
+        node: NodeId,
+        from: SocketAddr,
+        payload: &[u8],
+        out: &mut Vec<Output>,
+    ) {
+        match decode(payload) {
+            Ok(StewardDatagram::Peers(payload)) => {
+                self.watch.peer_heard(now);
+                self.peers(now, out, |peers, done| peers.on_datagram(now, from, &payload, done));
+            }
+            Ok(StewardDatagram::Own(message)) => {
+                self.own(now, OwnInput::Peer { from: node, message }, out);
             }
-            service.assignment = Some(assignment);
+            Ok(StewardDatagram::Rates { gate, rates }) => self.take_rates(now, gate, rates, out),
+            Err(_) => out.push(Output::Count("datagram.malformed")),
         }
-        self.plan(out);
     }
 
-    fn plan(&mut self, out: &mut Vec<Output>) {
-        let mut puts = Vec::new();
-        for (name, service) in &self.services {
-            let Some(rules) = service.doc.keyed() else {
-                continue;
-            };
-            if service.assignment.is_some() {
-                continue;
-            }
-            let rows = (0..rules.layout.ranges()).filter_map(|index| {
-                let slice = SliceId(index);
-                let servers = service.doc.servers.iter().map(|server| (server.name, server.weight));
-                let owner = rendezvous_owner(slice, servers)?;
-                Some(AssignmentRow { slice, token: Token(1), owner })
-            });
-            let assignment = Assignment { nonce: self.config.seed, rows: rows.collect() };
-            let Ok(body) = serde_json::to_string(&assignment) else {
-                continue;
-            };
-            let key = ObjectKey::assignment(*name, 0);
-            puts.push(StoreRequest::Put { key, body, expect: Expect::Absent });
-        }
-        for put in puts {
-            self.call(Call::Plan, put, out);
+    /// Passes what the host's gate sends to a service on to the service's planner.
+    fn forward_rates(&mut self, now: Time, rates: ServiceRates, out: &mut Vec<Output>) {
+        let gate = self.config.node;
+        let planner = self.owner.planner(rates.service);
+        match planner.filter(|planner| *planner != self.config.node) {
+            None => self.take_rates(now, gate, rates, out),
+            Some(planner) => match self.members.get(&planner) {
+                Some(member) => {
+                    let datagram = StewardDatagram::Rates { gate, rates };
+                    send_datagram(member.steward, &datagram, out);
+                }
+                None => out.push(Output::Count("own.peer-unknown")),
+            },
         }
     }
 
-    fn terms(&mut self, objects: &[Object], out: &mut Vec<Output>) {
-        let mut wanted = Vec::new();
-        for (name, service) in &self.services {
-            if service.doc.keyed().is_none() {
-                continue;
-            }
-            for server in &service.doc.servers {
-                let key = ObjectKey::term(*name, server.zone);
-                let held = objects.iter().any(|object| object.key == key);
-                let pending = wanted.contains(&(*name, server.zone));
-                if !held && !pending && server.zone != self.config.zone {
-                    wanted.push((*name, server.zone));
+    fn take_rates(&mut self, now: Time, gate: NodeId, rates: ServiceRates, out: &mut Vec<Output>) {
+        let keys =
+            rates.keys.iter().map(|rate| KeyRate { key: rate.key, per_second: rate.per_second });
+        let (service, keys) = (rates.service, keys.collect());
+        self.own(now, OwnInput::Rates { service, gate, keys, slices: Vec::new() }, out);
+    }
+
+    /// Lets membership act and does what it asks for.
+    fn peers<F>(&mut self, now: Time, out: &mut Vec<Output>, act: F)
+    where
+        F: FnOnce(&mut Peers, &mut Vec<PeersOutput>),
+    {
+        let mut done = Vec::new();
+        act(&mut self.peers, &mut done);
+        let mut members_changed = false;
+        for output in done {
+            match output {
+                PeersOutput::Datagram { to, payload } => {
+                    send_datagram(to, &StewardDatagram::Peers(payload), out);
                 }
+                PeersOutput::Link { link, message } => {
+                    out.push(Output::Link { link: LinkId(link.0), message });
+                }
+                PeersOutput::Steward { to, message } => out.push(Output::Steward { to, message }),
+                PeersOutput::MemberChanged(member) => {
+                    members_changed |= member.node != self.config.node;
+                    self.members.insert(member.node, member);
+                }
+                PeersOutput::ItemChanged(item) => self.item_changed(now, &item, out),
+                PeersOutput::Surveyed => self.answer_status(out),
             }
         }
-        for (service, zone) in wanted {
-            let key = ObjectKey::term(service, zone);
-            let body = self.config.node.to_string();
-            let put = StoreRequest::Put { key, body, expect: Expect::Absent };
-            self.call(Call::TakeTerm(service, zone), put, out);
+        if members_changed {
+            let views = self.members.values().map(steward_view).collect();
+            self.own(now, OwnInput::Stewards(views), out);
         }
     }
 
-    fn start_term(&mut self, now: Time, name: ServiceName, zone: ZoneName, revision: Revision) {
-        let Some(service) = self.services.get_mut(&name) else {
-            return;
-        };
-        let mut keeper = Keeper::new(self.config.node, Term(revision.0), zone, now);
-        if let Some(assignment) = &service.assignment {
-            keeper.set_assignment(&service.doc, assignment);
+    fn item_changed(&mut self, now: Time, item: &Item, out: &mut Vec<Output>) {
+        if let Some(key) = object_of_item(item.key) {
+            let revision = bay_types::Revision(item.version.major);
+            self.watch.learned(&key, revision, !item.body.is_empty());
+        }
+        match own_input(item) {
+            Some(input) => self.own(now, input, out),
+            None if item.key.is_configuration() => out.push(Output::Count("item.unreadable")),
+            None => {}
         }
-        service.keepers.insert(zone, keeper);
     }
 
-    fn order_answer(&mut self, id: OrderId, reply: Option<OrderReply>, out: &mut Vec<Output>) {
-        let Some((service, zone, server, order)) = self.orders.remove(&id) else {
-            return;
-        };
-        let Some(reply) = reply else { return };
-        let keepers = self.services.get_mut(&service).map(|service| &mut service.keepers);
-        let Some(keeper) = keepers.and_then(|keepers| keepers.get_mut(&zone)) else {
-            return;
-        };
-        if !keeper.acknowledge(server, &order, &reply) {
-            return;
+    fn answer_status(&mut self, out: &mut Vec<Output>) {
+        for id in std::mem::take(&mut self.asked) {
+            out.push(Output::Status { id, status: Box::new(self.peers.status()) });
         }
-        keeper.routes_minor += 1;
-        let version = ItemVersion { major: keeper.term.0, minor: keeper.routes_minor };
-        let Ok(body) = encode(&keeper.routes()) else {
-            return;
-        };
-        let key = ItemKey::Routes(service, zone);
-        self.spread(Item { key, version, base: None, body }, out);
     }
 
-    fn publish(&mut self, key: ItemKey, revision: Revision, body: String, out: &mut Vec<Output>) {
-        let version = ItemVersion { major: revision.0, minor: 0 };
-        self.spread(Item { key, version, base: None, body: body.into_bytes() }, out);
+    /// Lets ownership act and does what it asks for.
+    fn own(&mut self, now: Time, input: OwnInput, out: &mut Vec<Output>) {
+        let mut done = Vec::new();
+        self.owner.handle(now, input, &mut done);
+        for output in done {
+            match output {
+                OwnOutput::Store { id, request } => {
+                    let id = self.calls.begin(Caller::Own(id));
+                    out.push(Output::Store { id, request });
+                }
+                OwnOutput::Order { id, to, order } => {
+                    out.push(Output::Order { id: OrderId(id.0), to, order });
+                }
+                OwnOutput::Peer { to, message } => match self.members.get(&to) {
+                    Some(member) => {
+                        send_datagram(member.steward, &StewardDatagram::Own(message), out);
+                    }
+                    None => out.push(Output::Count("own.peer-unknown")),
+                },
+                OwnOutput::Spread { whole, change } => self.spread(now, whole, change, out),
+                OwnOutput::Count(name) => out.push(Output::Count(name)),
+            }
+        }
     }
 
-    fn spread(&mut self, item: Item, out: &mut Vec<Output>) {
-        if self.items.get(&item.key).is_some_and(|known| known.version >= item.version) {
-            return;
-        }
-        for link in &self.links {
-            let message = LinkMessage::Items(vec![item.clone()]);
-            out.push(Output::Link { link: *link, message });
-        }
-        self.items.insert(item.key, item);
+    fn spread(&mut self, now: Time, whole: Item, change: Option<Item>, out: &mut Vec<Output>) {
+        let version = self.peers.spread().version(whole.key);
+        let item = change.filter(|change| change.base == Some(version)).unwrap_or(whole);
+        self.peers(now, out, |peers, done| {
+            peers.offer(now, item, done);
+        });
     }
+}
 
-    fn link_message(&mut self, link: LinkId, message: LinkMessage, out: &mut Vec<Output>) {
-        if let LinkMessage::Hello { .. } = message {
-            self.links.push(link);
-            let items = self.items.values().cloned().collect();
-            out.push(Output::Link { link, message: LinkMessage::Items(items) });
-        }
+fn send_datagram(to: SocketAddr, datagram: &StewardDatagram, out: &mut Vec<Output>) {
+    match encode(datagram) {
+        Ok(payload) => out.push(Output::Datagram { to, payload }),
+        Err(_) => out.push(Output::Count("datagram.too-long")),
     }
 }
+
+fn steward_view(member: &Member) -> StewardView {
+    let state = match member.state {
+        MemberState::Alive | MemberState::Suspect => StewardState::Alive,
+        MemberState::Leaving => StewardState::Leaving,
+        MemberState::Dead => StewardState::Dead,
+    };
+    let holder = Holder { node: member.node, incarnation: member.incarnation };
+    StewardView { holder, zone: member.zone, state }
+}
--- a/crates/wire/src/lib.rs
+++ b/crates/wire/src/lib.rs
@@ -8,6 +8,7 @@
 mod load_message;
 mod order;
 mod peer_message;
+mod rates;
 mod routes;
 mod seal;
 mod status;
@@ -26,6 +27,7 @@
 pub use load_message::{Condition, LoadMessage, Loan, LoanId};
 pub use order::{LeaseProof, Order, OrderReply, OrderRole, OrderVerdict, SliceGrant};
 pub use peer_message::{ClaimVerdict, PeerMessage, QuarantineNotice, QuarantineVerdict};
+pub use rates::{HotKeyRate, ServiceRates};
 pub use routes::{HotKey, RouteRow, Routes};
 pub use seal::{Opener, Sealer};
 pub use status::{
--- a/crates/wire/src/link.rs
+++ b/crates/wire/src/link.rs
@@ -3,7 +3,7 @@
 use bay_types::{NodeId, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{Item, ItemKey, ItemVersion};
+use crate::{Item, ItemKey, ItemVersion, ServiceRates};
 
 /// A message on a TCP connection to a steward.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
@@ -26,6 +26,8 @@
     Gates(Vec<GateAddress>),
     /// Says which versions the sender has in force.
     InForce(Vec<Interest>),
+    /// Says what a gate sends to a service.
+    Rates(ServiceRates),
     /// Shows that the sender is there.
     Heartbeat,
 }
