--- a/crates/fakes/src/queueing/sim.rs
+++ b/crates/fakes/src/queueing/sim.rs
@@ -399,7 +399,9 @@
             return;
         };
         let count = self.targets.len();
-        let slow = (count / stragglers.one_in).max(1);
+        let mean = count as f64 / stragglers.one_in as f64;
+        let one_more = self.rng.random_bool(mean.fract());
+        let slow = mean as usize + usize::from(one_more);
         for target in &mut self.targets {
             target.delay = None;
         }
--- a/crates/fakes/src/queueing/site.rs
+++ b/crates/fakes/src/queueing/site.rs
@@ -72,6 +72,17 @@
         number % self.zones
     }
 
+    /// Requests a second that the targets bear, while each slot also waits for the shortest way
+    /// between a gate and a target and back.
+    pub fn bears(&self, service: Duration, without: Option<usize>) -> f64 {
+        let rest = (0..self.targets).filter(|t| Some(self.zone_of(*t)) != without);
+        let slots = rest.count() as f64 * f64::from(Site::SLOTS);
+        let far = (0..self.gates).filter(|g| Some(self.zone_of(*g)) == without).count();
+        let far_share = far as f64 / self.gates as f64;
+        let way = self.one_way.mul_f64(far_share) + Site::NEAR.mul_f64(1.0 - far_share);
+        slots / (service + way * 2).as_secs_f64()
+    }
+
     /// One-way delay between two zones.
     pub fn delay(&self, from: usize, to: usize) -> Duration {
         if from == to { Site::NEAR } else { self.one_way }
--- a/crates/load/src/borrowing.rs
+++ b/crates/load/src/borrowing.rs
@@ -16,6 +16,10 @@
 /// Homes compared for one wish.
 const HOMES_COMPARED: usize = 8;
 
+/// Share of the loans of another zone that go back after a request although others wait, so that
+/// slots come to be used from their own zones.
+const SWAP_SHARE: f64 = 0.25;
+
 impl Pool {
     /// Asks a home for slots for the requests that wait for any target.
     pub(crate) fn borrow_for_queue(&mut self, now: Time) {
@@ -68,6 +72,7 @@
             return;
         };
         home.asked = want;
+        home.unlisted = true;
         home.asked_until = now + ASK_TIMEOUT;
         home.spare = home.spare.saturating_sub(want);
         self.asked.push(node);
@@ -97,13 +102,16 @@
         loans: &[Loan],
         spare: u16,
     ) {
+        let mut settled = 0;
         if let Some(home) = self.homes.get_mut(&from) {
             home.spare = u32::from(spare);
             home.asked = home.asked.saturating_sub(loans.len() as u32);
+            home.unlisted = true;
+            settled = home.settled;
         }
         let until = Time::from_nanos(asked) + LOAN_TERM - DRIFT_MARGIN;
         for loan in loans {
-            if !self.take_loan(now, from, loan, until) {
+            if asked < settled || !self.take_loan(now, from, loan, until) {
                 self.returns.entry(from).or_default().push(*loan);
             }
         }
@@ -122,9 +130,17 @@
         if target.loans.iter().any(|held| held.id == loan.id) {
             return true;
         }
-        let (id_of_loan, bearing) = (loan.id, loan.bearing);
-        let idle_since = Some(now);
-        target.loans.push(HeldLoan { id: id_of_loan, until, bearing, idle_since, recalled: false });
+        if loan.trial {
+            target.trial_since = Some(now);
+        }
+        target.loans.push(HeldLoan {
+            id: loan.id,
+            until,
+            bearing: loan.bearing,
+            idle_since: Some(now),
+            recalled: false,
+            trial: loan.trial,
+        });
         self.ready.refresh(&mut self.targets, id, now);
         true
     }
@@ -186,8 +202,7 @@
         target.loans.retain(|loan| {
             let back = loan.recalled && loan.idle_since.is_some();
             if back {
-                let loan = Loan { id: loan.id, target: address, bearing: loan.bearing };
-                returns.entry(home).or_default().push(loan);
+                returns.entry(home).or_default().push(loan.listed(address));
             }
             !back
         });
@@ -195,14 +210,17 @@
 
     /// Notes that a request has ended on a loan.
     pub(crate) fn loan_idle(&mut self, now: Time, id: TargetId, loan: LoanId) {
-        let short = self.lender_short(id) && self.queue.is_empty();
+        let short = self.lender_short(id);
+        let far = self.has_near && !self.targets[id].near;
+        let swap = short && far && self.rng.random_bool(SWAP_SHARE);
+        let short = short && self.queue.is_empty();
         let target = &mut self.targets[id];
         let accepts = target.spec.accepts;
         let Some(held) = target.loans.iter_mut().find(|held| held.id == loan) else {
             return;
         };
         held.idle_since = Some(now);
-        held.recalled |= short || !accepts;
+        held.recalled |= short || swap || !accepts || held.trial;
         if held.recalled {
             self.give_back_recalled(id);
         }
--- a/crates/load/src/health.rs
+++ b/crates/load/src/health.rs
@@ -1,43 +1,22 @@
-use std::time::Duration;
-
-use bay_time::Time;
-
 /// What this gate has seen of a target's speed.
 #[derive(Debug, Default, Clone, Copy)]
 pub(crate) struct Health {
-    avoid_until: Time,
-    pause: Duration,
+    late: u32,
 }
 
 impl Health {
-    /// Time for which a target is left alone after its first slow answer.
-    const MIN_PAUSE: Duration = Duration::from_millis(500);
-    /// Longest time for which a slow target is left alone between two tries.
-    const MAX_PAUSE: Duration = Duration::from_secs(4);
+    /// Late attempts in a row that show a slow target.
+    const LATE_IN_A_ROW: u32 = 3;
 
-    /// Notes an answer that came much later than others'; says whether that is news.
-    pub(crate) fn slow(&mut self, now: Time) -> bool {
-        if now < self.avoid_until {
-            return false;
-        }
-        self.pause = (self.pause * 2).clamp(Health::MIN_PAUSE, Health::MAX_PAUSE);
-        self.avoid_until = now + self.pause;
-        true
+    /// Notes an attempt that was still unanswered when others are answered; says whether the
+    /// target shows itself as slow by now.
+    pub(crate) fn late(&mut self) -> bool {
+        self.late += 1;
+        self.late >= Health::LATE_IN_A_ROW
     }
 
     /// Notes an answer in good time.
     pub(crate) fn fast(&mut self) {
-        *self = Health::default();
-    }
-
-    /// Whether the target's last answer was slow.
-    pub(crate) fn is_slow(&self) -> bool {
-        !self.pause.is_zero()
-    }
-
-    /// Whether the target may get a request while it has this many of the gate's in flight; a
-    /// target that was slow gets one at a time.
-    pub(crate) fn usable(&self, now: Time, in_flight: usize) -> bool {
-        now >= self.avoid_until && (self.pause.is_zero() || in_flight == 0)
+        self.late = 0;
     }
 }
--- a/crates/load/src/home.rs
+++ b/crates/load/src/home.rs
@@ -8,29 +8,40 @@
 /// Another gate, as a lender.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Home {
+    pub(crate) zone: ZoneName,
     /// Whether it is in this gate's zone.
     pub(crate) near: bool,
+    /// Whether it could use slots of targets nearer to it than those of this gate's zone.
+    pub(crate) has_nearer: bool,
     /// Slots that it has left to lend, as it last said, less those asked for since.
     pub(crate) spare: u32,
     /// Slots asked for and not yet lent.
     pub(crate) asked: u32,
     /// When what was asked counts as lost.
     pub(crate) asked_until: Time,
-    /// When loans may next be renewed.
+    /// When loans may next be listed.
     pub(crate) renew_at: Time,
+    /// Whether loans have come or gone since they were last listed.
+    pub(crate) unlisted: bool,
+    /// Loans asked for before this time on the gate's clock, in nanoseconds, are not taken.
+    pub(crate) settled: u64,
 }
 
 impl Home {
     /// Slots that a home is taken to have before it has said so.
     const UNKNOWN_SPARE: u32 = 1;
 
-    pub(crate) fn new(near: bool) -> Home {
+    pub(crate) fn new(zone: ZoneName, near: bool) -> Home {
         Home {
+            zone,
             near,
+            has_nearer: false,
             spare: Home::UNKNOWN_SPARE,
             asked: 0,
             asked_until: Time::ZERO,
             renew_at: Time::ZERO,
+            unlisted: false,
+            settled: 0,
         }
     }
 
--- a/crates/load/src/latencies.rs
+++ b/crates/load/src/latencies.rs
@@ -10,7 +10,6 @@
 pub(crate) struct Latencies {
     current: Histogram<u32>,
     hedge_after: Option<Duration>,
-    slow_after: Option<Duration>,
     refresh_at: Time,
     clear_at: Time,
 }
@@ -35,7 +34,6 @@
         Latencies {
             current: current.expect("the bounds and the precision are constants that fit"),
             hedge_after: None,
-            slow_after: None,
             refresh_at: Time::ZERO,
             clear_at: Time::ZERO,
         }
@@ -50,9 +48,7 @@
         }
         self.refresh_at = now + Latencies::REFRESH;
         let micros = self.current.value_at_percentile(Latencies::HEDGE_PERCENTILE);
-        let hedge_after = Duration::from_micros(micros);
-        self.hedge_after = Some(hedge_after);
-        self.slow_after = Some(hedge_after * Latencies::SLOW_FACTOR);
+        self.hedge_after = Some(Duration::from_micros(micros));
         if now >= self.clear_at {
             self.current.reset();
             self.clear_at = now + Latencies::WINDOW;
@@ -64,11 +60,31 @@
         self.hedge_after
     }
 
-    /// Whether an attempt that took this long shows a slow target. A target's report that it is
-    /// full lowers the bar, but shows nothing by itself, as reports are late or wrong.
-    pub(crate) fn is_slow(&self, latency: Duration, reported: Option<ReportedLoad>) -> bool {
+    /// How an attempt of this length compares with the others. A target's report that it is full
+    /// makes a late attempt a slow one, but shows nothing by itself, as reports are late or wrong.
+    pub(crate) fn pace(&self, latency: Duration, reported: Option<ReportedLoad>) -> Pace {
+        let Some(hedge_after) = self.hedge_after else {
+            return Pace::InTime;
+        };
         let full = reported.is_some_and(|load| load.in_flight >= load.slots);
-        let bar = if full { self.hedge_after.map(|after| after * 2) } else { self.slow_after };
-        bar.is_some_and(|bar| latency > bar)
+        if latency > hedge_after * Latencies::SLOW_FACTOR {
+            return Pace::Slow;
+        }
+        match latency > hedge_after {
+            true if full => Pace::Slow,
+            true => Pace::Late,
+            false => Pace::InTime,
+        }
     }
 }
+
+/// How long an attempt took, beside the others of its service.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub(crate) enum Pace {
+    /// As long as most.
+    InTime,
+    /// So long that it is hedged.
+    Late,
+    /// So long that its target must be slow.
+    Slow,
+}
--- a/crates/load/src/lender.rs
+++ b/crates/load/src/lender.rs
@@ -16,14 +16,8 @@
 /// Time after which all gates have seen a change of the gates that are up.
 const VIEW_SPREAD: Duration = Duration::from_secs(1);
 
-/// Time for which gates' reports of a slow target are kept.
-const REPORT_AGE: Duration = Duration::from_secs(1);
-
-/// Time for which a target that gates report as slow gets one request at a time.
-const SLOW_HOLD: Duration = Duration::from_secs(1);
-
-/// Reports of slow answers, from different gates, that a home acts on.
-const SLOW_REPORTS: usize = 2;
+/// Time between two trials of a slow target.
+const TRIAL_EVERY: Duration = Duration::from_millis(250);
 
 /// A home's account of one target's slots.
 #[derive(Debug)]
@@ -32,8 +26,7 @@
     pub(crate) lent: Vec<Lent>,
     earlier_loans_until: Time,
     adopted: u32,
-    reports: Vec<Report>,
-    slow_until: Time,
+    slow: Option<Slow>,
 }
 
 /// A slot lent to a gate.
@@ -41,13 +34,17 @@
 pub(crate) struct Lent {
     pub(crate) id: LoanId,
     pub(crate) to: NodeId,
+    /// When the borrower asked for it, on its own clock.
+    pub(crate) asked: u64,
     pub(crate) until: Time,
 }
 
+/// A target that answers much later than others.
 #[derive(Debug, Clone, Copy)]
-struct Report {
-    from: NodeId,
-    at: Time,
+struct Slow {
+    since: Time,
+    /// When it next gets a request.
+    next_trial: Time,
 }
 
 impl Lender {
@@ -58,8 +55,7 @@
             lent: Vec::new(),
             earlier_loans_until: now,
             adopted: 0,
-            reports: Vec::new(),
-            slow_until: Time::ZERO,
+            slow: None,
         }
     }
 
@@ -71,21 +67,48 @@
         lender
     }
 
-    /// Slots that may be used now, of which this many are in use by the home itself.
+    /// Slots free for requests that any target may serve, while the home itself uses this many.
     pub(crate) fn free(&self, now: Time, own: u32) -> u32 {
+        let used = self.lent.len() as u32 + own;
+        match self.slow {
+            Some(slow) if now < slow.next_trial || used > 0 => 0,
+            Some(_) => self.allowed(now).min(1),
+            None => self.allowed(now).saturating_sub(used),
+        }
+    }
+
+    /// Slots free for requests that only this target may serve, be it slow or not.
+    pub(crate) fn free_for_only(&self, now: Time, own: u32) -> u32 {
         let used = self.lent.len() as u32 + own;
         self.allowed(now).saturating_sub(used)
     }
 
     fn allowed(&self, now: Time) -> u32 {
-        let mut allowed = self.bearing.slots(now);
-        if now < self.slow_until {
-            allowed = allowed.min(1);
+        let bearing = self.bearing.slots(now);
+        if now < self.earlier_loans_until { bearing.min(self.adopted) } else { bearing }
+    }
+
+    /// Notes that the target is slow, which leaves it one request at a time, now and then.
+    pub(crate) fn mark_slow(&mut self, now: Time) {
+        match &mut self.slow {
+            Some(slow) => slow.since = now,
+            None => self.slow = Some(Slow { since: now, next_trial: now }),
+        }
+    }
+
+    /// Notes that the target has answered a request in time that was sent at this time.
+    pub(crate) fn mark_fast(&mut self, sent: Time) {
+        if self.slow.is_some_and(|slow| sent >= slow.since) {
+            self.slow = None;
         }
-        if now < self.earlier_loans_until {
-            allowed = allowed.min(self.adopted);
+    }
+
+    /// Counts a slot as given out; says whether it is for a trial.
+    pub(crate) fn take(&mut self, now: Time) -> bool {
+        if let Some(slow) = &mut self.slow {
+            slow.next_trial = now + TRIAL_EVERY;
         }
-        allowed
+        self.slow.is_some()
     }
 
     /// Takes over a slot that an earlier home had given to someone.
@@ -117,10 +140,19 @@
             return false;
         }
         self.adopted += u32::from(taking_over);
-        self.lent.push(Lent { id: loan.id, to: from, until });
+        self.lent.push(Lent { id: loan.id, to: from, asked: 0, until });
         true
     }
 
+    /// Takes back what was lent to a gate before it settled and is not among the loans that it
+    /// holds.
+    pub(crate) fn reconcile(&mut self, from: NodeId, settled: u64, held: &[bay_wire::Loan]) {
+        self.lent.retain(|lent| {
+            let listed = held.iter().any(|loan| loan.id == lent.id);
+            lent.to != from || lent.asked >= settled || listed
+        });
+    }
+
     /// Takes a loan back.
     pub(crate) fn give_back(&mut self, from: NodeId, id: LoanId) {
         self.lent.retain(|lent| lent.id != id || lent.to != from);
@@ -128,24 +160,14 @@
 
     /// Whether time alone changes what may be lent.
     pub(crate) fn changes(&self, now: Time) -> bool {
-        let limits_end = self.slow_until.max(self.earlier_loans_until);
-        !self.lent.is_empty() || self.bearing.rises(now) || now < limits_end
+        !self.lent.is_empty()
+            || self.bearing.rises(now)
+            || self.slow.is_some()
+            || now < self.earlier_loans_until
     }
 
     /// Ends the loans that have run out.
     pub(crate) fn expire(&mut self, now: Time) {
         self.lent.retain(|lent| lent.until > now);
     }
-
-    /// Notes a gate's report of a slow answer; says whether the home now acts on the reports.
-    pub(crate) fn report_slow(&mut self, now: Time, from: NodeId) -> bool {
-        self.reports.retain(|report| now.since(report.at) < REPORT_AGE && report.from != from);
-        self.reports.push(Report { from, at: now });
-        if self.reports.len() < SLOW_REPORTS {
-            return false;
-        }
-        self.reports.clear();
-        self.slow_until = now + SLOW_HOLD;
-        true
-    }
 }
--- a/crates/load/src/lending.rs
+++ b/crates/load/src/lending.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bay_time::Time;
 use bay_types::NodeId;
@@ -15,6 +16,10 @@
 /// Slots that a home keeps for requests that wait, when it lends ahead.
 const AHEAD_RESERVE: u32 = 1;
 
+/// Head start of gates in the home's zone over others, as a slot that is used from afar is idle
+/// for longer.
+const NEAR_HEAD_START: Duration = Duration::from_millis(20);
+
 /// A gate that waits for slots.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Asker {
@@ -23,6 +28,8 @@
     only: Option<SocketAddr>,
     asked: u64,
     since: Time,
+    /// Its place in the order of service.
+    rank: Time,
 }
 
 impl Asker {
@@ -33,7 +40,7 @@
         want: u32,
         only: Option<SocketAddr>,
     ) -> Asker {
-        Asker { gate, want, only, asked, since: now }
+        Asker { gate, want, only, asked, since: now, rank: now }
     }
 }
 
@@ -44,20 +51,31 @@
         let missing = asker.want - loans.len() as u32;
         self.send_loans(now, &asker, loans);
         if missing > 0 && !ahead && self.askers.len() < MAX_ASKERS {
-            self.askers.push_back(Asker { want: missing, ..asker });
+            self.wait_for_slots(Asker { want: missing, ..asker });
+        }
+    }
+
+    fn wait_for_slots(&mut self, mut asker: Asker) {
+        if self.homes.get(&asker.gate).is_some_and(|home| home.has_nearer) {
+            asker.rank += NEAR_HEAD_START;
         }
+        let place = self.askers.partition_point(|other| other.rank <= asker.rank);
+        self.askers.insert(place, asker);
     }
 
     /// Lends slots that have become free to the gates that wait, in the order of their wishes
     /// and of the requests that wait at this gate.
     pub(crate) fn serve_askers(&mut self, now: Time) {
         self.askers.retain(|asker| now.since(asker.since) < ASK_TIMEOUT);
+        if self.askers.is_empty() {
+            return;
+        }
         let own = self.queue.oldest();
         for _ in 0..self.askers.len() {
             let Some(asker) = self.askers.pop_front() else {
                 return;
             };
-            if asker.only.is_none() && own.is_some_and(|own| own < asker.since) {
+            if asker.only.is_none() && own.is_some_and(|own| own < asker.rank) {
                 self.askers.push_back(asker);
                 continue;
             }
@@ -93,7 +111,7 @@
         for place in 0..count {
             let id = self.homed[(start + place) % count];
             while spare > 0 && (loans.len() as u32) < asker.want {
-                if !self.targets[id].ready(now) || !self.lend_one(now, id, asker.gate, &mut loans) {
+                if self.targets[id].free(now) == 0 || !self.lend_one(now, id, asker, &mut loans) {
                     break;
                 }
                 spare -= 1;
@@ -103,12 +121,12 @@
     }
 
     fn lend_of(&mut self, now: Time, id: TargetId, asker: &Asker, loans: &mut Vec<Loan>) {
-        while (loans.len() as u32) < asker.want && self.lend_one(now, id, asker.gate, loans) {}
+        while (loans.len() as u32) < asker.want && self.lend_one(now, id, asker, loans) {}
     }
 
-    fn lend_one(&mut self, now: Time, id: TargetId, to: NodeId, loans: &mut Vec<Loan>) -> bool {
+    fn lend_one(&mut self, now: Time, id: TargetId, to: &Asker, loans: &mut Vec<Loan>) -> bool {
         let target = &mut self.targets[id];
-        if target.free(now) == 0 {
+        if target.free_for_only(now) == 0 {
             return false;
         }
         let address = target.spec.address;
@@ -117,8 +135,11 @@
         };
         self.next_loan = self.next_loan.wrapping_add(1);
         let number = LoanId(self.next_loan);
-        lender.lent.push(Lent { id: number, to, until: now + LOAN_TERM });
-        loans.push(Loan { id: number, target: address, bearing: lender.bearing.slots(now) });
+        let trial = lender.take(now);
+        let until = now + LOAN_TERM;
+        lender.lent.push(Lent { id: number, to: to.gate, asked: to.asked, until });
+        let bearing = lender.bearing.slots(now);
+        loans.push(Loan { id: number, target: address, bearing, trial });
         self.ready.refresh(&mut self.targets, id, now);
         true
     }
@@ -126,11 +147,21 @@
     /// Free slots of the targets that this gate is home to.
     fn spare(&self, now: Time) -> u16 {
         let homed = self.homed.iter().map(|id| &self.targets[*id]);
-        let ready = homed.filter(|target| target.ready(now));
-        clamp_count(ready.map(|target| target.free(now)).sum())
+        clamp_count(homed.map(|target| target.free(now)).sum())
     }
 
-    pub(crate) fn on_renew(&mut self, now: Time, from: NodeId, asked: u64, loans: &[Loan]) {
+    pub(crate) fn on_renew(
+        &mut self,
+        now: Time,
+        from: NodeId,
+        asked: u64,
+        settled: u64,
+        loans: &[Loan],
+    ) {
+        self.reconcile(now, from, settled, loans);
+        if loans.is_empty() {
+            return;
+        }
         let mut renewed = Vec::new();
         let mut refused = Vec::new();
         for loan in loans {
@@ -141,6 +172,17 @@
         self.send(from, LoadMessage::Renewed { asked, renewed, refused, spare });
     }
 
+    fn reconcile(&mut self, now: Time, from: NodeId, settled: u64, loans: &[Loan]) {
+        for place in 0..self.homed.len() {
+            let id = self.homed[place];
+            if let Some(lender) = &mut self.targets[id].lender {
+                lender.reconcile(from, settled, loans);
+            }
+            self.ready.refresh(&mut self.targets, id, now);
+        }
+        self.serve_askers(now);
+    }
+
     fn renew(&mut self, now: Time, from: NodeId, loan: Loan) -> bool {
         let Some(id) = self.by_address.get(&loan.target).copied() else {
             return false;
@@ -181,14 +223,12 @@
         let Some(lender) = &mut self.targets[id].lender else {
             return;
         };
-        let acts = match condition {
-            Condition::Cold => {
-                lender.bearing.restart(now);
-                true
-            }
-            Condition::Slow => lender.report_slow(now, from),
-        };
-        if acts {
+        match condition {
+            Condition::Cold => lender.bearing.restart(now),
+            Condition::Slow => lender.mark_slow(now),
+            Condition::Fast => lender.mark_fast(now),
+        }
+        if condition != Condition::Fast {
             self.recall(id, Some(from));
         }
         self.ready.refresh(&mut self.targets, id, now);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -23,6 +23,7 @@
 mod return_times;
 mod sweep;
 mod target;
+mod usage;
 mod wish;
 
 pub use config::{PoolConfig, TargetLimits};
@@ -33,4 +34,5 @@
 pub use pick::Pick;
 pub use pool::Pool;
 pub use target::{TargetId, TargetSpec};
+pub use usage::Usage;
 pub use wish::{Purpose, Ticket, Wish};
--- a/crates/load/src/membership.rs
+++ b/crates/load/src/membership.rs
@@ -1,5 +1,7 @@
+use std::collections::BTreeSet;
+
 use bay_time::Time;
-use bay_types::NodeId;
+use bay_types::{NodeId, ZoneName};
 use bay_wire::{GateAddress, LoanId};
 use rand::RngExt;
 
@@ -35,7 +37,7 @@
         let others = || gates.iter().filter(|gate| gate.node != node);
         self.homes.retain(|home, _| others().any(|gate| gate.node == *home));
         for gate in others() {
-            self.homes.entry(gate.node).or_insert_with(|| Home::new(gate.zone == zone));
+            self.homes.entry(gate.node).or_insert_with(|| Home::new(gate.zone, gate.zone == zone));
         }
         self.assign_homes(now);
     }
@@ -87,6 +89,12 @@
         self.lenders = others.into_iter().filter_map(|(_, home)| home).collect();
         self.lenders.sort_unstable();
         self.lenders.dedup();
+        let open = self.targets.values().filter(|target| target.spec.accepts);
+        let zones: BTreeSet<ZoneName> = open.map(|target| target.spec.zone).collect();
+        for home in self.homes.values_mut() {
+            home.has_nearer = !home.near && zones.contains(&home.zone);
+        }
+        self.has_near = zones.contains(&self.config.zone);
         self.arm(now);
     }
 
@@ -136,6 +144,7 @@
                 bearing,
                 idle_since: None,
                 recalled: false,
+                trial: false,
             });
         }
     }
--- a/crates/load/src/pool.rs
+++ b/crates/load/src/pool.rs
@@ -12,7 +12,7 @@
 
 use crate::budget::Budget;
 use crate::home::Home;
-use crate::latencies::Latencies;
+use crate::latencies::{Latencies, Pace};
 use crate::lending::Asker;
 use crate::permit::Release;
 use crate::queue::Queue;
@@ -46,6 +46,8 @@
     pub(crate) lenders: Vec<NodeId>,
     /// Other gates from which slots were asked and not yet got.
     pub(crate) asked: Vec<NodeId>,
+    /// Whether a target of this gate's zone takes work.
+    pub(crate) has_near: bool,
     /// Targets that this gate is home to.
     pub(crate) homed: Vec<TargetId>,
     pub(crate) askers: VecDeque<Asker>,
@@ -83,6 +85,7 @@
             homes: HashMap::new(),
             lenders: Vec::new(),
             asked: Vec::new(),
+            has_near: false,
             homed: Vec::new(),
             askers: VecDeque::new(),
             queue: Queue::default(),
@@ -118,20 +121,17 @@
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        let slow = self.latencies.is_slow(seen.latency, seen.reported);
+        let pace = self.latencies.pace(seen.latency, seen.reported);
         match seen.seen {
             Seen::Answered => {
                 target.silent = false;
                 self.latencies.record(now, seen.latency);
                 self.return_times.answered(now);
-                if slow {
-                    self.saw_slow(now, id);
-                } else {
-                    target.health.fast();
-                }
+                self.note_pace(now, id, pace, seen.latency);
             }
-            Seen::Cancelled if slow => self.saw_slow(now, id),
-            Seen::Cancelled | Seen::NotRun(NotRun::NotOwner) => {}
+            Seen::Cancelled if pace == Pace::InTime => {}
+            Seen::Cancelled => self.note_pace(now, id, pace, seen.latency),
+            Seen::NotRun(NotRun::NotOwner) => {}
             Seen::NotRun(NotRun::Cold | NotRun::Shed) | Seen::Failed => self.saw_cold(now, id),
             Seen::NotRun(NotRun::Draining) => self.saw_slow(now, id),
             Seen::Silent => {
@@ -189,16 +189,6 @@
         share + target.busy.len() as u32
     }
 
-    /// Requests that wait for a slot.
-    pub fn waiting(&self) -> usize {
-        self.queue.len()
-    }
-
-    /// Slots that this gate has borrowed from other gates.
-    pub fn borrowed(&self) -> usize {
-        self.targets.values().map(|target| target.loans.len()).sum()
-    }
-
     /// Takes a message from another gate's pool of the same service.
     pub fn on_message(
         &mut self,
@@ -216,7 +206,9 @@
             LoadMessage::Lend { asked, loans, spare } => {
                 self.on_lend(now, from, asked, &loans, spare);
             }
-            LoadMessage::Renew { asked, loans } => self.on_renew(now, from, asked, &loans),
+            LoadMessage::Renew { asked, settled, loans } => {
+                self.on_renew(now, from, asked, settled, &loans);
+            }
             LoadMessage::Renewed { asked, renewed, refused, spare } => {
                 self.on_renewed(now, from, asked, &renewed, &refused, spare);
             }
@@ -265,18 +257,14 @@
 
     /// Notes that a target answers much later than others.
     pub(crate) fn saw_slow(&mut self, now: Time, id: TargetId) {
-        let node = self.config.node;
         let Some(target) = self.targets.get_mut(id) else {
             return;
         };
-        if !target.health.slow(now) {
-            return;
-        }
+        target.health.fast();
         match &mut target.lender {
             Some(lender) => {
-                if lender.report_slow(now, node) {
-                    self.recall(id, None);
-                }
+                lender.mark_slow(now);
+                self.recall(id, None);
             }
             None => {
                 self.tell_home(id, Condition::Slow);
@@ -285,6 +273,36 @@
         }
     }
 
+    /// Notes how an attempt's time compares with others.
+    fn note_pace(&mut self, now: Time, id: TargetId, pace: Pace, latency: Duration) {
+        let Some(target) = self.targets.get_mut(id) else {
+            return;
+        };
+        match pace {
+            Pace::InTime => self.saw_fast(id, now - latency),
+            Pace::Late => {
+                if target.health.late() {
+                    self.saw_slow(now, id);
+                }
+            }
+            Pace::Slow => self.saw_slow(now, id),
+        }
+    }
+
+    /// Notes that a target has answered an attempt, started at this time, as fast as others.
+    fn saw_fast(&mut self, id: TargetId, started: Time) {
+        let target = &mut self.targets[id];
+        target.health.fast();
+        match &mut target.lender {
+            Some(lender) => lender.mark_fast(started),
+            None if target.trial_since.is_some_and(|since| started >= since) => {
+                target.trial_since = None;
+                self.tell_home(id, Condition::Fast);
+            }
+            None => {}
+        }
+    }
+
     /// Whether a new request would overtake those that wait.
     fn overtakes(&self, wish: &Wish<'_>) -> bool {
         if wish.ticket.is_some() || wish.only.is_some() || self.queue.is_empty() {
@@ -304,7 +322,7 @@
     /// Whether a target has a free slot, for a request that only it may serve.
     fn has_free(&self, now: Time, address: SocketAddr) -> bool {
         let id = self.by_address.get(&address);
-        id.is_some_and(|id| self.targets[*id].free(now) > 0)
+        id.is_some_and(|id| self.targets[*id].free_for_only(now) > 0)
     }
 
     fn start(&mut self, now: Time, id: TargetId, wish: &Wish<'_>) -> Pick {
@@ -324,8 +342,8 @@
         self.next_number += 1;
         let number = self.next_number;
         let target = &mut self.targets[id];
-        let loan = target.use_loan(now);
-        target.busy.push(Busy { number, since: now, loan });
+        let loan = target.take_slot(now);
+        target.busy.push(Busy { number, since: now, loan, noted: false });
         let (address, silent) = (target.spec.address, target.silent);
         self.ready.refresh(&mut self.targets, id, now);
         if self.ready.is_empty() {
--- a/crates/load/src/ready.rs
+++ b/crates/load/src/ready.rs
@@ -36,7 +36,7 @@
             return;
         };
         let list = if target.near { &mut self.near } else { &mut self.far };
-        match (target.ready(now), target.ready_at) {
+        match (target.free(now) > 0, target.ready_at) {
             (true, None) => {
                 target.ready_at = Some(list.len());
                 list.push(id);
@@ -60,7 +60,7 @@
         exclude: &[TargetId],
         rng: &mut SmallRng,
     ) -> Option<TargetId> {
-        let fits = |id: &TargetId| !exclude.contains(id) && targets[*id].ready(now);
+        let fits = |id: &TargetId| !exclude.contains(id) && targets[*id].free(now) > 0;
         for list in [&self.near, &self.far] {
             if list.is_empty() {
                 continue;
--- a/crates/load/src/sweep.rs
+++ b/crates/load/src/sweep.rs
@@ -1,10 +1,11 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bay_time::Time;
 use bay_types::NodeId;
 use bay_wire::{LoadMessage, Loan};
 
+use crate::latencies::Pace;
 use crate::lender::LOAN_TERM;
 use crate::target::Target;
 use crate::{Pool, TargetId};
@@ -13,13 +14,13 @@
 const SWEEP: Duration = Duration::from_millis(10);
 
 /// Time for which an idle loan is kept for the next request.
-const KEEP_IDLE: Duration = Duration::from_millis(50);
+const KEEP_IDLE: Duration = Duration::from_millis(5);
 
-/// Time between two renewals of a home's loans.
-const RENEW_EVERY: Duration = Duration::from_millis(500);
+/// Time between two lists of a home's loans, while loans come and go.
+const LIST_EVERY: Duration = Duration::from_millis(100);
 
-/// Time between two tries to have moved loans taken over.
-const MOVE_RETRY: Duration = Duration::from_millis(100);
+/// Time after which what was asked for and has not come is not taken any more.
+const SETTLE_AFTER: Duration = Duration::from_millis(50);
 
 impl Pool {
     /// Sees to it that a sweep is due.
@@ -33,13 +34,11 @@
     pub(crate) fn sweep(&mut self, now: Time) {
         self.queue.sweep(now);
         let ids: Vec<TargetId> = self.targets.keys().collect();
-        let mut renewals: BTreeMap<NodeId, Vec<Loan>> = BTreeMap::new();
         let mut active = !self.queue.is_empty();
         for id in ids {
             active |= self.sweep_target(now, id);
-            self.collect_renewals(now, id, &mut renewals);
         }
-        self.renew_loans(now, renewals);
+        active |= self.list_loans(now);
         self.serve_askers(now);
         self.borrow_for_queue(now);
         for address in self.queue.only_addresses() {
@@ -50,9 +49,8 @@
 
     /// Sweeps one target; says whether it has to be swept again.
     fn sweep_target(&mut self, now: Time, id: TargetId) -> bool {
-        let latencies = &self.latencies;
+        self.note_slow(now, id);
         let target = &mut self.targets[id];
-        let late = target.busy.iter().any(|busy| latencies.is_slow(now.since(busy.since), None));
         if let Some(lender) = &mut target.lender {
             lender.expire(now);
         }
@@ -63,42 +61,59 @@
         target.loans.retain(|loan| loan.idle_since.is_none() || now < loan.until);
         let active = is_active(target, now);
         self.give_back_recalled(id);
-        if late {
-            self.saw_slow(now, id);
-        }
         self.ready.refresh(&mut self.targets, id, now);
         active
     }
 
-    fn collect_renewals(
-        &mut self,
-        now: Time,
-        id: TargetId,
-        renewals: &mut BTreeMap<NodeId, Vec<Loan>>,
-    ) {
-        let target = &self.targets[id];
-        let Some(home) = target.home.filter(|_| !target.loans.is_empty()) else {
-            return;
-        };
-        let due = self.homes.get(&home).is_some_and(|h| h.renew_at <= now);
-        let old = |until: Time| until.since(now) < LOAN_TERM * 2 / 3;
-        if !due || !(target.moved || target.loans.iter().any(|loan| old(loan.until))) {
-            return;
+    /// Notes the attempts that are slow by now.
+    fn note_slow(&mut self, now: Time, id: TargetId) {
+        let mut slow = false;
+        for busy in &mut self.targets[id].busy {
+            let pace = self.latencies.pace(now.since(busy.since), None);
+            if pace == Pace::Slow && !busy.noted {
+                busy.noted = true;
+                slow = true;
+            }
+        }
+        if slow {
+            self.saw_slow(now, id);
         }
-        let address = target.spec.address;
-        let loans = target.loans.iter().filter(|loan| target.moved || old(loan.until));
-        let loans = loans.map(|l| Loan { id: l.id, target: address, bearing: l.bearing });
-        renewals.entry(home).or_default().extend(loans);
     }
 
-    fn renew_loans(&mut self, now: Time, renewals: BTreeMap<NodeId, Vec<Loan>>) {
-        for (node, loans) in renewals {
-            let moved = self.targets.values().any(|t| t.moved && t.home == Some(node));
-            if let Some(home) = self.homes.get_mut(&node) {
-                home.renew_at = now + if moved { MOVE_RETRY } else { RENEW_EVERY };
+    /// Lists the loans held of each home where they came or went, or are about to run out; says
+    /// whether any are still to be listed.
+    fn list_loans(&mut self, now: Time) -> bool {
+        let mut lists: BTreeMap<NodeId, Vec<Loan>> = BTreeMap::new();
+        let mut old: BTreeSet<NodeId> = BTreeSet::new();
+        for target in self.targets.values() {
+            let Some(home) = target.home.filter(|_| !target.loans.is_empty()) else {
+                continue;
+            };
+            let loans = target.loans.iter().map(|loan| loan.listed(target.spec.address));
+            lists.entry(home).or_default().extend(loans);
+            let ends = target.loans.iter().any(|l| l.until.since(now) < LOAN_TERM * 2 / 3);
+            if ends || target.moved {
+                old.insert(home);
+            }
+        }
+        let settled = (now - SETTLE_AFTER).as_nanos();
+        let mut due = Vec::new();
+        let mut pending = false;
+        for (node, home) in &mut self.homes {
+            let wanted = home.unlisted || old.contains(node);
+            pending |= wanted;
+            if wanted && home.renew_at <= now {
+                home.renew_at = now + LIST_EVERY;
+                home.unlisted = false;
+                home.settled = settled;
+                due.push(*node);
             }
-            self.send(node, LoadMessage::Renew { asked: now.as_nanos(), loans });
         }
+        for node in due {
+            let loans = lists.remove(&node).unwrap_or_default();
+            self.send(node, LoadMessage::Renew { asked: now.as_nanos(), settled, loans });
+        }
+        pending
     }
 }
 
@@ -107,6 +122,5 @@
     let lender = target.lender.as_ref();
     !target.busy.is_empty()
         || !target.loans.is_empty()
-        || target.health.is_slow()
         || lender.is_some_and(|lender| lender.changes(now))
 }
--- a/crates/load/src/target.rs
+++ b/crates/load/src/target.rs
@@ -2,7 +2,7 @@
 
 use bay_time::Time;
 use bay_types::{NodeId, ZoneName};
-use bay_wire::LoanId;
+use bay_wire::{Loan, LoanId};
 
 use crate::health::Health;
 use crate::lender::Lender;
@@ -40,6 +40,8 @@
     pub(crate) health: Health,
     /// Whether a connection to it has gone silent since it last answered.
     pub(crate) silent: bool,
+    /// When a slot of it was last borrowed for a trial whose result is not known.
+    pub(crate) trial_since: Option<Time>,
     /// Whether its loans are still to be taken over by a new home.
     pub(crate) moved: bool,
     /// Slots asked for and not yet lent, for requests that only it may serve.
@@ -61,6 +63,8 @@
     pub(crate) idle_since: Option<Time>,
     /// Whether it goes back as soon as it is idle.
     pub(crate) recalled: bool,
+    /// Whether it is for a trial of a slow target.
+    pub(crate) trial: bool,
 }
 
 /// A request in flight.
@@ -69,9 +73,16 @@
     pub(crate) number: u64,
     pub(crate) since: Time,
     pub(crate) loan: Option<LoanId>,
+    /// Whether its slowness has been noted.
+    pub(crate) noted: bool,
 }
 
 impl HeldLoan {
+    /// The loan as messages carry it.
+    pub(crate) fn listed(&self, target: SocketAddr) -> Loan {
+        Loan { id: self.id, target, bearing: self.bearing, trial: self.trial }
+    }
+
     /// Whether a request may start on it.
     pub(crate) fn free(&self, now: Time) -> bool {
         self.idle_since.is_some() && !self.recalled && now < self.until
@@ -89,6 +100,7 @@
             busy: Vec::new(),
             health: Health::default(),
             silent: false,
+            trial_since: None,
             moved: false,
             asked: 0,
             asked_until: Time::ZERO,
@@ -101,30 +113,40 @@
         self.busy.iter().filter(|busy| busy.loan.is_none()).count() as u32
     }
 
-    /// Slots on which a request may start now.
+    /// Slots on which a request that any target may serve may start now.
     pub(crate) fn free(&self, now: Time) -> u32 {
-        if !self.spec.accepts {
-            return 0;
-        }
         match &self.lender {
+            _ if !self.spec.accepts => 0,
             Some(lender) => lender.free(now, self.own_busy()),
-            None => self.loans.iter().filter(|loan| loan.free(now)).count() as u32,
+            None => self.free_loans(now),
+        }
+    }
+
+    /// Slots on which a request that only this target may serve may start now.
+    pub(crate) fn free_for_only(&self, now: Time) -> u32 {
+        match &self.lender {
+            _ if !self.spec.accepts => 0,
+            Some(lender) => lender.free_for_only(now, self.own_busy()),
+            None => self.free_loans(now),
         }
     }
 
-    /// Takes a free loan into use, or none if the gate is the target's home.
-    pub(crate) fn use_loan(&mut self, now: Time) -> Option<LoanId> {
+    fn free_loans(&self, now: Time) -> u32 {
+        self.loans.iter().filter(|loan| loan.free(now)).count() as u32
+    }
+
+    /// Takes a free slot into use; says on which loan, if the gate is not the target's home.
+    pub(crate) fn take_slot(&mut self, now: Time) -> Option<LoanId> {
+        if let Some(lender) = &mut self.lender {
+            lender.take(now);
+            return None;
+        }
         let free = self.loans.iter_mut().filter(|loan| loan.free(now));
         let loan = free.max_by_key(|loan| loan.idle_since)?;
         loan.idle_since = None;
         Some(loan.id)
     }
 
-    /// Whether a request that any target may serve goes here.
-    pub(crate) fn ready(&self, now: Time) -> bool {
-        self.health.usable(now, self.busy.len()) && self.free(now) > 0
-    }
-
     /// What the target bears, as far as this gate knows.
     pub(crate) fn bearing(&self, now: Time) -> u32 {
         match &self.lender {
--- /dev/null
+++ b/crates/load/src/usage.rs
@@ -0,0 +1,37 @@
+use bay_time::Time;
+
+use crate::Pool;
+
+/// How a gate uses the slots of a service's targets, for counters.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub struct Usage {
+    /// Requests of this gate in flight.
+    pub in_flight: u32,
+    /// Requests that wait for a slot.
+    pub waiting: u32,
+    /// Slots borrowed from other gates.
+    pub borrowed: u32,
+    /// Slots borrowed and idle.
+    pub idle: u32,
+    /// Slots lent to other gates.
+    pub lent: u32,
+    /// Slots that this gate may use or lend as their targets' home.
+    pub free: u32,
+}
+
+impl Pool {
+    /// How the gate uses the slots now.
+    pub fn usage(&self, now: Time) -> Usage {
+        let mut usage = Usage { waiting: self.queue.len() as u32, ..Usage::default() };
+        for target in self.targets.values() {
+            usage.in_flight += target.busy.len() as u32;
+            usage.borrowed += target.loans.len() as u32;
+            usage.idle += target.loans.iter().filter(|l| l.idle_since.is_some()).count() as u32;
+            if let Some(lender) = &target.lender {
+                usage.lent += lender.lent.len() as u32;
+                usage.free += target.free(now);
+            }
+        }
+        usage
+    }
+}
--- a/crates/wire/src/load_message.rs
+++ b/crates/wire/src/load_message.rs
@@ -29,11 +29,15 @@
         /// Slots that the home has left to lend.
         spare: u16,
     },
-    /// Asks a home to renew loans, or to take over those of an earlier home.
+    /// Lists all loans that a borrower holds of a home, to renew them, to have those of an
+    /// earlier home taken over, and to free those that a lost message left behind.
     Renew {
         /// When the borrower asked, in nanoseconds on its clock.
         asked: u64,
-        /// The loans that the borrower holds.
+        /// The borrower holds no loan, and takes none any more, that was asked for before this
+        /// time and is not listed.
+        settled: u64,
+        /// The loans.
         loans: Vec<Loan>,
     },
     /// Answers [`LoadMessage::Renew`].
@@ -75,6 +79,8 @@
     pub target: SocketAddr,
     /// Requests that the target bears at once, as its home last knew.
     pub bearing: u32,
+    /// Whether it is lent to see if a slow target has become fast again.
+    pub trial: bool,
 }
 
 /// Numbers the loans of a home.
@@ -88,4 +94,6 @@
     Cold,
     /// It answers much later than other targets.
     Slow,
+    /// It has answered a trial in good time.
+    Fast,
 }
