--- a/crates/gate/tests/gate/attempts.rs
+++ b/crates/gate/tests/gate/attempts.rs
@@ -128,9 +128,10 @@
 fn requests_that_may_not_run_twice_are_not_hedged() {
     let mut bed = Bed::with("pooled", 3);
     bed.warm_up();
-    bed.post("/");
+    let call = bed.post("/");
     bed.pass(MS * 1_500);
     assert_eq!(bed.attempts().len(), 1);
+    assert_eq!(bed.refusal(call), None);
 }
 
 #[test]
--- a/crates/gate/tests/gate/claims.rs
+++ b/crates/gate/tests/gate/claims.rs
@@ -2,7 +2,7 @@
 
 use std::time::Duration;
 
-use bay_call::{AttemptFailure, CallId, Claims};
+use bay_call::{AttemptFailure, CallId, Claims, Event};
 use bay_conf::Method;
 use bay_types::{ErrorKind, Outcome};
 use test_case::test_case;
@@ -105,6 +105,23 @@
     fleet.beds[2].attempt();
 }
 
+#[test]
+fn a_caller_that_hangs_up_leaves_the_claim_of_what_may_still_run() {
+    for sends in [false, true] {
+        let mut fleet = Fleet::new(3, "pooled", 3);
+        let call = fleet.copy(0);
+        let first = fleet.beds[0].attempt();
+        if sends {
+            assert!(fleet.beds[0].may_send(first));
+        }
+        fleet.beds[0].event(call, Event::CallerGone);
+        fleet.deliver();
+        let second = fleet.copy(1);
+        let refused = fleet.beds[1].refusal(second) == Some(ErrorKind::DuplicateInFlight);
+        assert_eq!(refused, sends);
+    }
+}
+
 #[test]
 fn copies_that_refuse_each_other_leave_no_claim_behind() {
     let mut fleet = Fleet::new(9, "pooled", 3);
--- a/crates/gate/tests/gate/crashes.rs
+++ b/crates/gate/tests/gate/crashes.rs
@@ -190,6 +190,23 @@
     assert_eq!(bed.count("quarantine.cleared"), 2);
 }
 
+#[test]
+fn a_quarantine_reaches_gates_that_missed_a_datagram() {
+    let mut fleet = Fleet::new(2, "pooled", 4);
+    let bed = &mut fleet.beds[0];
+    for _ in 0..2 {
+        bed.begin(&Head::new(Method::Post, "/poison"));
+        let sent = bed.attempt();
+        bed.may_send(sent);
+        bed.fail(sent, AttemptFailure::Lost);
+    }
+    let missed = bed.peers();
+    assert!(!missed.is_empty());
+    fleet.pass(MS * 150);
+    let call = fleet.beds[1].begin(&Head::new(Method::Post, "/poison"));
+    assert_eq!(fleet.beds[1].refusal(call), Some(ErrorKind::Quarantined));
+}
+
 #[test]
 fn a_quarantine_ends() {
     let mut fleet = Fleet::new(2, "pooled", 4);
