Show a whole site in one process: demo with faults, checks and a report

Change: the demo runs store, servers, gates and stewards in three zones, applies two documents as bayctl would, kills an owner, takes a zone out and back, stops a gate behind a stand-in of the balancer, and exits 1 when an invariant broke. A steward shell stops with its last clone.

--- /dev/null
+++ b/crates/node/examples/demo/documents.rs
@@ -0,0 +1,29 @@
+use std::fmt::Write;
+
+use crate::cluster::ServerSite;
+
+/// The document of a service whose servers own keys.
+pub(crate) fn jobs(servers: &[ServerSite]) -> String {
+    let head = "[service]\nname = jobs\nhosts = jobs.example\nkind = keyed\n\
+                [keys]\npath = /jobs/{key}\nslices = 256\nfenced = yes\nlease = 1200 ms\n\
+                [requests]\ntimeout = 3 s\n\
+                [limits]\nslots = 4\nconnections = 110\ncold_slots = 1\nwarmup = 2 s\n";
+    with_servers(head, servers)
+}
+
+/// The document of a service whose targets take any request.
+pub(crate) fn photos(servers: &[ServerSite]) -> String {
+    let head = "[service]\nname = photos\nhosts = photos.example\nkind = pooled\n\
+                [requests]\ntimeout = 3 s\nmax_body = 64 MB\n\
+                [limits]\nslots = 4\nconnections = 110\ncold_slots = 1\nwarmup = 2 s\n";
+    with_servers(head, servers)
+}
+
+fn with_servers(head: &str, servers: &[ServerSite]) -> String {
+    let mut text = head.to_owned();
+    for ServerSite { name, address, zone } in servers {
+        // Writing into a string cannot fail.
+        let _ = write!(text, "[server {name}]\naddress = {address}\nzone = {zone}\n");
+    }
+    text
+}
--- a/crates/node/src/steward_shell.rs
+++ b/crates/node/src/steward_shell.rs
@@ -44,7 +44,7 @@
 /// Pause between two looks at a stopping steward.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
-/// A running steward.
+/// A steward that runs for as long as this value, or a clone of it, lives.
 #[derive(Clone)]
 pub struct StewardShell {
     shared: Arc<Shared>,
