Drive many owners on virtual time under a checker

Cause: nothing showed the ownership state machine at work. Change: fakes::own_driver runs stewards, servers and the store with skewed clocks, losses, late messages, cuts, pauses and store faults; a checker looks for two owners of a key, grants without a written assignment, reverting tokens and lost assignments.

--- /dev/null
+++ b/crates/fakes/src/own_driver/store_mode.rs
@@ -0,0 +1,17 @@
+use std::time::Duration;
+
+/// How the driver's store answers.
+#[derive(Debug, Default, Clone, Copy, PartialEq, Eq)]
+pub enum StoreMode {
+    /// It answers in milliseconds.
+    #[default]
+    Up,
+    /// It refuses each call.
+    Down,
+    /// It takes effect and answers this much later.
+    Slow(Duration),
+    /// It takes effect at once, and its answers are lost.
+    Lost,
+    /// It takes effect this much later, after the caller has given up.
+    LateEffect(Duration),
+}
