--- a/crates/fakes/src/own_driver/meter.rs
+++ b/crates/fakes/src/own_driver/meter.rs
@@ -4,6 +4,9 @@
 use bay_time::Time;
 use bay_types::{ServiceName, SliceId};
 
+/// Longest time that a slice on a planned move may go unserved.
+const PLANNED_MOVE: Duration = Duration::from_millis(500);
+
 /// Measures how long slices go unserved.
 #[derive(Debug, Default)]
 pub struct OwnMeter {
@@ -43,6 +46,11 @@
         self.down_since.len()
     }
 
+    /// How many slices have not been served for longer than a planned move takes.
+    pub fn stuck(&self, now: Time) -> usize {
+        self.down_since.values().filter(|from| now > **from + PLANNED_MOVE).count()
+    }
+
     /// Forgets the gaps so far.
     pub fn clear(&mut self) {
         self.gaps.clear();
--- a/crates/own/src/deputy.rs
+++ b/crates/own/src/deputy.rs
@@ -10,6 +10,8 @@
 
 /// Mandates missed before the deputy steps in for its keeper.
 const MISSED_MANDATES: u32 = 2;
+/// Looks at the servers for each order that one of them gets.
+const LOOKS_AN_ORDER: u32 = 4;
 
 /// Renews the leases of a zone's servers while their keeper is silent.
 #[derive(Debug)]
@@ -22,6 +24,7 @@
     last_mandate: Time,
     authority_end: Time,
     sequence: u64,
+    next_look: Time,
     servers: BTreeMap<ServerKey, Kept>,
 }
 
@@ -37,6 +40,7 @@
             last_mandate: now,
             authority_end: Time::ZERO,
             sequence: 0,
+            next_look: now,
             servers: BTreeMap::new(),
         }
     }
@@ -46,6 +50,9 @@
         let current = self.mandate.as_ref().map_or(0, |current| current.sequence);
         if mandate.sequence > current {
             self.last_mandate = now;
+            if !mandate.unreachable.is_empty() {
+                self.next_look = now;
+            }
             if let Some(echo) = mandate.echo {
                 let authority = Duration::from_millis(mandate.authority_ms);
                 self.authority_end = Time::from_nanos(echo) + authority;
@@ -72,9 +79,7 @@
             return Time::MAX;
         };
         let step_in = self.last_mandate + silence(mandate);
-        let sends = self.servers.values().map(Kept::next_send);
-        let first = sends.min().unwrap_or(step_in);
-        if mandate.unreachable.is_empty() { step_in.max(first) } else { first }
+        if mandate.unreachable.is_empty() { step_in.max(self.next_look) } else { self.next_look }
     }
 
     /// The orders that are due.
@@ -82,12 +87,13 @@
         let Some(mandate) = &self.mandate else {
             return Vec::new();
         };
+        let lease = Duration::from_millis(mandate.lease_ms);
+        self.next_look = now + lease / ORDERS_A_LEASE / LOOKS_AN_ORDER;
         if now >= self.authority_end {
             return Vec::new();
         }
         let alone = now >= self.last_mandate + silence(mandate);
         let barred: BTreeSet<ServerName> = mandate.barred.iter().copied().collect();
-        let lease = Duration::from_millis(mandate.lease_ms);
         let mut orders = Vec::new();
         for server in servers {
             let asked = alone || mandate.unreachable.contains(&server.name);
@@ -122,6 +128,7 @@
     ) {
         if let Some(kept) = self.servers.get_mut(&server) {
             kept.answered(now, order, reply);
+            self.next_look = self.next_look.min(kept.next_send());
         }
     }
 }
