--- /dev/null
+++ b/crates/fakes/tests/ownership.rs
@@ -0,0 +1,55 @@
+//! Ownership under one fault at a time, on virtual time.
+
+mod support;
+
+use std::time::Duration;
+
+use bay_fakes::own_driver::OwnDriver;
+use support::{document, settled, sound};
+use test_case::test_case;
+
+const SECOND: Duration = Duration::from_secs(1);
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn every_slice_gets_an_owner_and_the_load_is_even(seed: u64) {
+    let mut driver = settled(seed);
+    driver.run(SECOND * 20);
+    sound(&driver);
+    let owned: Vec<usize> = driver.owned().into_iter().map(|(_, count)| count).collect();
+    assert!(owned.iter().all(|count| (14..=18).contains(count)), "{owned:?}");
+}
+
+#[test_case(1)]
+#[test_case(2)]
+#[test_case(3)]
+fn a_lost_servers_slices_are_served_again_within_two_seconds(seed: u64) {
+    let mut driver = settled(seed);
+    driver.kill_server(2);
+    driver.run(SECOND * 4);
+    sound(&driver);
+    assert_eq!(driver.meter.unserved(), 0);
+    assert!(!driver.meter.gaps.is_empty());
+    let worst = driver.meter.percentile(1.0);
+    assert!(worst <= SECOND * 2, "{worst:?}");
+}
+
+#[test_case(1)]
+#[test_case(2)]
+fn a_lost_steward_leaves_no_slice_unserved(seed: u64) {
+    for index in 0..4 {
+        let mut driver = settled(seed);
+        driver.kill_steward(index);
+        driver.run(SECOND * 30);
+        sound(&driver);
+        assert_eq!(driver.meter.unserved(), 0);
+        assert!(driver.meter.gaps.is_empty(), "{index}: {:?}", driver.meter.gaps);
+    }
+}
+
+#[test]
+fn the_documents_of_the_tests_are_valid() {
+    let driver = OwnDriver::new(1, &["north"], &[&document("yes")]);
+    assert_eq!(driver.server_count(), 8);
+}
--- a/crates/own/src/loads.rs
+++ b/crates/own/src/loads.rs
@@ -22,14 +22,16 @@
 pub(crate) struct ServerLoad {
     pub(crate) key: ServerKey,
     pub(crate) zone: ZoneName,
+    /// Whether it may be given more slices.
+    receives: bool,
     weight: f64,
     load: f64,
 }
 
 impl ServerLoad {
     /// A server without load.
-    pub(crate) fn new(key: ServerKey, zone: ZoneName, weight: u32) -> ServerLoad {
-        ServerLoad { key, zone, weight: f64::from(weight), load: 0.0 }
+    pub(crate) fn new(key: ServerKey, zone: ZoneName, weight: u32, receives: bool) -> ServerLoad {
+        ServerLoad { key, zone, receives, weight: f64::from(weight), load: 0.0 }
     }
 
     /// Its weight.
@@ -105,7 +107,8 @@
 
     fn pick_from(&mut self, slice: SliceId, floor: f64) -> Option<ServerLoad> {
         let load = self.load_of(slice);
-        let warm = self.servers.iter_mut().filter(|server| server.relative() >= floor);
+        let receives = |server: &&mut ServerLoad| server.receives && server.relative() >= floor;
+        let warm = self.servers.iter_mut().filter(receives);
         let least = warm.min_by(|left, right| left.relative().total_cmp(&right.relative()))?;
         least.load += load;
         Some(*least)
@@ -119,7 +122,8 @@
 
     /// The least loaded server outside a set.
     pub(crate) fn least(&self, full: &BTreeSet<ServerKey>) -> Option<ServerLoad> {
-        let servers = self.servers.iter().filter(|server| !full.contains(&server.key));
+        let receives = |server: &&ServerLoad| server.receives && !full.contains(&server.key);
+        let servers = self.servers.iter().filter(receives);
         servers.min_by(|left, right| left.relative().total_cmp(&right.relative())).copied()
     }
 
