--- a/crates/member/examples/control_cost.rs
+++ b/crates/member/examples/control_cost.rs
@@ -1,9 +1,11 @@
 //! Prints what control costs a node at several sizes, on virtual time.
 //!
 //! Each run takes a warm-up and ten minutes of ordinary life: a configuration change every three
-//! minutes, a small change of a map each second, one datagram in a hundred lost (or the percentage
-//! given as first argument), and one node restarted every 200 seconds. Bytes are those sent and received, with heads
-//! and seals. A second argument picks one size. Processor time is that of the decisions and the driver, without sockets and codes.
+//! minutes, a small change of a map each second, one datagram in a hundred lost, and one node
+//! restarted every 200 seconds. Bytes are those sent and received, with heads and seals. Processor
+//! time is that of the decisions and the driver, without sockets and codes.
+//!
+//! Arguments: the percentage of datagrams that is lost, and the only size to run.
 
 #[path = "../tests/driver/mod.rs"]
 mod driver;
--- a/crates/member/tests/driver/mod.rs
+++ b/crates/member/tests/driver/mod.rs
@@ -262,18 +262,21 @@
         up.all(|node| node.peers.spread().version(key) == version)
     }
 
-    /// Whether every node that is up sees exactly those that are up as alive.
+    /// Whether every node that is up sees those that are up as alive and all others as dead.
     pub fn agreed(&self) -> bool {
         let up: Vec<NodeId> =
             self.nodes.iter().filter(|node| node.up && !node.paused).map(|node| node.id).collect();
         let sees = |node: &Node| {
-            let alive = node.peers.membership().members();
-            let alive = alive.filter(|member| member.state == MemberState::Alive).count();
-            let all = up.iter().all(|other| {
-                let member = node.peers.membership().member(*other);
-                member.is_some_and(|member| member.state == MemberState::Alive)
+            let mut alive = 0;
+            let rest_dead = node.peers.membership().members().all(|member| match member.state {
+                MemberState::Alive => {
+                    alive += 1;
+                    up.contains(&member.node)
+                }
+                MemberState::Dead => !up.contains(&member.node),
+                MemberState::Suspect | MemberState::Leaving => false,
             });
-            all && alive == up.len()
+            rest_dead && alive == up.len()
         };
         self.nodes.iter().filter(|node| node.up && !node.paused).all(sees)
     }
--- a/crates/member/tests/membership.rs
+++ b/crates/member/tests/membership.rs
@@ -4,7 +4,7 @@
 
 use std::time::Duration;
 
-use bay_member::MemberState;
+use bay_member::{MemberState, is_watcher, watchers};
 use driver::Net;
 use test_case::test_case;
 
@@ -178,3 +178,26 @@
     });
     assert!(known.is_some());
 }
+
+#[test]
+fn two_live_nodes_of_each_zone_watch_the_store_and_all_agree_which() {
+    let mut net = joined(40, 5, 1);
+    let chosen = |net: &Net, index: usize| {
+        let mut chosen = watchers(net.nodes[index].peers.membership().members());
+        chosen.sort();
+        chosen
+    };
+    let before = chosen(&net, 0);
+    assert_eq!(before.len(), 10);
+    assert!((0..40).all(|index| chosen(&net, index) == before));
+    let lost = net.nodes.iter().position(|node| node.id == before[0]).unwrap();
+    net.kill(lost);
+    assert!(net.run_until(secs(25), Net::agreed).is_some());
+    let after = chosen(&net, (lost + 1) % 40);
+    assert_eq!(after.len(), 10);
+    assert_eq!(after.iter().filter(|node| before.contains(node)).count(), 9);
+    for node in net.nodes.iter().filter(|node| node.up) {
+        let watches = is_watcher(node.id, node.peers.membership().members());
+        assert_eq!(watches, after.contains(&node.id));
+    }
+}
