--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -1,3 +1,6 @@
+mod exchange;
+mod merge;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -8,7 +11,7 @@
 use rand::seq::{IndexedRandom, SliceRandom};
 use rand::{RngExt, SeedableRng};
 
-use crate::buckets::{BUCKETS, Buckets};
+use crate::buckets::Buckets;
 use crate::packet::{Outgoing, PacketKind};
 use crate::probe::{INDIRECT_PROBES, PERIOD, Prober};
 use crate::record::{Health, Record, Rumor, Standing};
@@ -26,16 +29,8 @@
 const DEAD_KEPT: Duration = Duration::from_secs(4 * 3_600);
 /// A tick that comes this much too late shows that this process was paused.
 const PAUSE: Duration = Duration::from_millis(700);
-/// Time between two comparisons of the whole membership.
-const COMPARE: Duration = Duration::from_secs(5);
-/// Time between two comparisons while they still bring members.
-const COMPARE_JOINING: Duration = Duration::from_millis(200);
 /// Most members that are remembered.
 const MAX_MEMBERS: usize = 8_192;
-/// Records in one datagram.
-const RECORDS_PER_PACKET: usize = 14;
-/// Datagrams that answer one comparison.
-const PACKETS_PER_COMPARISON: usize = 4;
 
 /// Which nodes are up, by probes and rumors (SWIM: Das, Gupta, Motivala 2002).
 ///
@@ -197,96 +192,6 @@
         live.sample(&mut self.rng, count).copied().collect()
     }
 
-    /// Takes the sender's record; returns whether its rumors are worth hearing.
-    pub(crate) fn on_sender(&mut self, now: Time, sender: &Record) -> bool {
-        if sender.node == self.own.node {
-            self.meet_self(sender.standing);
-            return false;
-        }
-        self.merge(now, Rumor::Record(*sender));
-        self.others.get(&sender.node).is_some_and(|record| !record.is_dead())
-    }
-
-    pub(crate) fn on_rumors(&mut self, now: Time, rumors: &[Rumor]) {
-        for rumor in rumors {
-            self.merge(now, *rumor);
-        }
-    }
-
-    /// Answers a comparison of the whole membership.
-    pub(crate) fn on_buckets(&mut self, from: SocketAddr, cells: &[u32], out: &mut Vec<Outgoing>) {
-        let start = self.rng.random_range(0..BUCKETS);
-        let differing = |record: &&Record| self.buckets.differs(Buckets::of(&record.node), cells);
-        let mut records: Vec<Record> = std::iter::once(&self.own)
-            .chain(self.others.values())
-            .filter(differing)
-            .copied()
-            .collect();
-        // A different bucket comes first each time, so that an answer cut short is completed.
-        records.sort_by_key(|record| (Buckets::of(&record.node) + start) % BUCKETS);
-        for chunk in records.chunks(RECORDS_PER_PACKET).take(PACKETS_PER_COMPARISON) {
-            out.push(Outgoing { to: from, kind: PacketKind::MemberRecords(chunk.to_vec()) });
-        }
-    }
-
-    pub(crate) fn on_records(&mut self, now: Time, records: &[Record]) {
-        let before = self.others.len();
-        for record in records {
-            self.merge(now, Rumor::Record(*record));
-        }
-        if self.others.len() > before {
-            self.next_compare = self.next_compare.min(now + COMPARE_JOINING);
-        }
-    }
-
-    /// Compares the membership with a peer whose hash differs, unless that was done lately.
-    pub(crate) fn on_summary(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        summary: u64,
-        out: &mut Vec<Outgoing>,
-    ) {
-        if summary == self.summary() || now < self.next_compare {
-            return;
-        }
-        self.next_compare = now + COMPARE;
-        let kind = PacketKind::MemberBuckets(self.buckets.cells().to_vec());
-        out.push(Outgoing { to: from, kind });
-    }
-
-    pub(crate) fn on_ping(
-        &mut self,
-        from: SocketAddr,
-        sequence: u32,
-        known: Option<Standing>,
-        out: &mut Vec<Outgoing>,
-    ) {
-        if let Some(standing) = known {
-            self.meet_self(standing);
-        }
-        out.push(Outgoing { to: from, kind: PacketKind::Ack { sequence, node: self.own.node } });
-    }
-
-    pub(crate) fn on_ack(&mut self, sequence: u32, node: NodeId, out: &mut Vec<Outgoing>) {
-        if let Some((to, sequence)) = self.prober.acknowledge(sequence) {
-            out.push(Outgoing { to, kind: PacketKind::Ack { sequence, node } });
-        }
-    }
-
-    pub(crate) fn on_ping_request(
-        &mut self,
-        now: Time,
-        from: SocketAddr,
-        sequence: u32,
-        target: (NodeId, SocketAddr),
-        out: &mut Vec<Outgoing>,
-    ) {
-        let sequence = self.prober.relay(now, from, sequence);
-        let receiver = self.others.get(&target.0).map(|record| record.standing);
-        out.push(Outgoing { to: target.1, kind: PacketKind::Ping { sequence, receiver } });
-    }
-
     fn record(&self, node: NodeId) -> Option<&Record> {
         if node == self.own.node { Some(&self.own) } else { self.others.get(&node) }
     }
@@ -438,99 +343,4 @@
             self.others.remove(&node);
         }
     }
-
-    /// Takes news of a node if it is newer than what is known.
-    fn merge(&mut self, now: Time, rumor: Rumor) {
-        let (node, standing) = match rumor {
-            Rumor::Record(record) => (record.node, record.standing),
-            Rumor::Standing(node, standing) => (node, standing),
-        };
-        if node == self.own.node {
-            self.meet_self(standing);
-            return;
-        }
-        let known = self.others.get(&node).copied();
-        if known.is_some_and(|known| known.standing >= standing) {
-            return;
-        }
-        let record = match (rumor, known) {
-            (Rumor::Record(record), _) => record,
-            (Rumor::Standing(..), Some(known)) => Record { standing, ..known },
-            (Rumor::Standing(..), None) => return,
-        };
-        if known.is_none() && self.others.len() >= MAX_MEMBERS {
-            return;
-        }
-        self.replace(now, known, record);
-    }
-
-    fn replace(&mut self, now: Time, known: Option<Record>, record: Record) {
-        let node = record.node;
-        if let Some(known) = known {
-            self.toggle(&known);
-        }
-        self.toggle(&record);
-        self.others.insert(node, record);
-        self.rumors.push(node);
-        match record.standing.health {
-            Health::Alive => self.suspicions.cancel(node),
-            Health::Suspect => {
-                let until = now + self.suspicion_time();
-                self.suspicions.set(node, until);
-            }
-            Health::Dead => self.suspicions.cancel(node),
-        }
-        match record.is_dead() {
-            true => self.died.insert(node, now),
-            false => self.died.remove(&node),
-        };
-        if known.map(|known| Member::of(&known)) != Some(Member::of(&record)) {
-            self.changed.push(node);
-        }
-        if known.is_none_or(|known| known.is_dead()) && !record.is_dead() {
-            let at = self.rng.random_range(0..=self.order.len());
-            self.order.insert(at, node);
-        }
-    }
-
-    /// Adds a record to the hashes or takes it out; dead nodes are forgotten at different times,
-    /// so that they do not count.
-    fn toggle(&mut self, record: &Record) {
-        let Standing { incarnation, revision, health } = record.standing;
-        if health != Health::Dead {
-            self.buckets.toggle(&record.node, &(incarnation, revision));
-        }
-    }
-
-    /// Hears what another thinks of this node, and refutes it if it is wrong.
-    fn meet_self(&mut self, standing: Standing) {
-        let own = self.own.standing;
-        if standing.incarnation > own.incarnation {
-            // Another start of this host was heard later; this start goes on above it.
-            self.counts.refuted += 1;
-            let above = standing.incarnation.0.saturating_add(1);
-            self.refuted = true;
-            self.update_own(|own| own.standing.incarnation.0 = above);
-        } else if standing > own {
-            self.counts.refuted += 1;
-            self.refuted = true;
-            self.update_own(|own| own.standing.revision = standing.revision);
-        }
-    }
-
-    fn update_own<F>(&mut self, change: F)
-    where
-        F: FnOnce(&mut Record),
-    {
-        let before = self.own;
-        self.toggle(&before);
-        change(&mut self.own);
-        self.own.standing.revision = self.own.standing.revision.saturating_add(1);
-        let after = self.own;
-        self.toggle(&after);
-        self.rumors.push(after.node);
-        if Member::of(&before) != Member::of(&after) {
-            self.changed.push(after.node);
-        }
-    }
 }
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -1,14 +1,11 @@
-use std::collections::BTreeMap;
+mod status;
+
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bay_time::Time;
 use bay_types::NodeId;
-use bay_wire::{
-    ClusterStatus, GateAddress, Interest, Item, LinkMessage, MemberStatus, NodeVersions, Role,
-    decode, encode,
-};
-use xxhash_rust::xxh3::xxh3_64;
+use bay_wire::{GateAddress, Interest, Item, LinkMessage, Role, decode, encode};
 
 use crate::packet::{MAX_PACKET_BYTES, Outgoing, Packet, PacketKind};
 use crate::survey::Survey;
@@ -21,12 +18,8 @@
 const FANOUT: usize = 3;
 /// Bytes of versions on a datagram, out of the bytes for news.
 const NEWS_BYTES: usize = 200;
-/// Versions in one answer to a survey.
-const VERSIONS_PER_ANSWER: usize = 16;
 /// Pause in which changes of the list of gates are gathered.
 const GATES_PAUSE: Duration = Duration::from_millis(200);
-/// Time for which a finished survey is not repeated.
-const SURVEY_KEPT: Duration = Duration::from_secs(2);
 
 /// All that a steward exchanges with other stewards and tells its gates.
 #[derive(Debug)]
@@ -184,41 +177,6 @@
         self.finish(now, sends, out);
     }
 
-    /// Asks every node which configuration it has in force, unless that was done just now.
-    ///
-    /// [`PeersOutput::Surveyed`] follows within about two seconds.
-    pub fn survey(&mut self, now: Time, out: &mut Vec<PeersOutput>) {
-        let running = self.survey.as_ref().is_some_and(|survey| !survey.finished);
-        if running {
-            return;
-        }
-        if self.surveyed.is_some_and(|at| now.since(at) < SURVEY_KEPT) {
-            out.push(PeersOutput::Surveyed);
-            return;
-        }
-        let live = self.membership.members().filter(|member| member.state != MemberState::Dead);
-        let nodes: BTreeMap<NodeId, SocketAddr> =
-            live.map(|member| (member.node, member.steward)).collect();
-        let expected = self.spread.configuration();
-        self.surveys = self.surveys.wrapping_add(1);
-        let items = versions_hash(&expected);
-        self.survey = Some(Survey::new(now, self.surveys, items, expected, nodes));
-    }
-
-    /// What the latest survey found; the terms are left to the caller.
-    pub fn status(&self) -> ClusterStatus {
-        let survey = self.survey.as_ref();
-        ClusterStatus {
-            node: self.membership.own().node,
-            fresh: survey.is_some_and(|survey| survey.finished),
-            items: survey.map(Survey::items).unwrap_or_default(),
-            members: self.membership.members().map(member_status).collect(),
-            lagging: survey.map(Survey::lagging).unwrap_or_default(),
-            silent: survey.map(Survey::silent).unwrap_or_default(),
-            terms: Vec::new(),
-        }
-    }
-
     fn on_kind(
         &mut self,
         now: Time,
@@ -277,20 +235,6 @@
         out.push(PeersOutput::Link { link, message });
     }
 
-    fn answer_survey(&self, to: SocketAddr, survey: u32, items: u64, sends: &mut Vec<Outgoing>) {
-        let own = NodeVersions {
-            node: self.membership.own().node,
-            role: Role::Steward,
-            versions: Some(self.spread.configuration()),
-        };
-        for report in std::iter::once(own).chain(self.spread.links.in_force()) {
-            for nodes in split_report(report, items) {
-                let kind = PacketKind::SurveyAnswer { survey, nodes: vec![nodes] };
-                sends.push(Outgoing { to, kind });
-            }
-        }
-    }
-
     /// Tells a few peers of new items at once.
     fn send_round(&mut self, now: Time, sends: &mut Vec<Outgoing>) {
         let Some(items) = self.spread.take_round(now) else {
@@ -357,39 +301,3 @@
         packet
     }
 }
-
-/// Leaves the versions out if they are those asked about, else parts them into datagrams.
-fn split_report(report: NodeVersions, asked: u64) -> Vec<NodeVersions> {
-    let NodeVersions { node, role, versions } = report;
-    let versions = versions.unwrap_or_default();
-    if versions_hash(&versions) == asked {
-        return vec![NodeVersions { node, role, versions: None }];
-    }
-    if versions.is_empty() {
-        return vec![NodeVersions { node, role, versions: Some(versions) }];
-    }
-    let part = |chunk: &[Interest]| NodeVersions { node, role, versions: Some(chunk.to_vec()) };
-    versions.chunks(VERSIONS_PER_ANSWER).map(part).collect()
-}
-
-fn versions_hash(versions: &[Interest]) -> u64 {
-    // Versions are far shorter than a frame, so that they always encode.
-    xxh3_64(&encode(&versions).unwrap_or_default())
-}
-
-fn member_status(member: Member) -> MemberStatus {
-    let state = match member.state {
-        MemberState::Alive => "alive",
-        MemberState::Suspect => "suspect",
-        MemberState::Leaving => "leaving",
-        MemberState::Dead => "dead",
-    };
-    MemberStatus {
-        node: member.node,
-        zone: member.zone,
-        steward: member.steward,
-        gate: member.gate,
-        incarnation: member.incarnation,
-        state: state.to_owned(),
-    }
-}
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -1,10 +1,13 @@
+mod fetch;
+
 use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_wire::{Interest, Item, ItemKey, ItemVersion, LinkMessage};
+use bay_wire::{Interest, Item, ItemKey, ItemVersion};
 
+use self::fetch::FETCH_TIMEOUT;
 use crate::buckets::Buckets;
 use crate::held_item::HeldItem;
 use crate::packet::{Outgoing, PacketKind};
@@ -12,12 +15,6 @@
 use crate::spread_links::{SpreadLinks, send_items};
 use crate::{LinkHandle, PeerCounts, PeersOutput};
 
-/// Time that a peer has to send an item before the next one is asked.
-const FETCH_TIMEOUT: Duration = Duration::from_secs(1);
-/// Peers asked for an item before it is left to the next comparison.
-const MAX_ASKED: u32 = 8;
-/// Peers remembered as sources of one item.
-const MAX_SOURCES: usize = 4;
 /// Time between two comparisons of all versions.
 const COMPARE: Duration = Duration::from_secs(2);
 /// Time between two comparisons while news on the datagram may explain the difference.
@@ -301,52 +298,6 @@
         }
     }
 
-    /// Notes a source of an item; returns whether it has to be asked now.
-    fn fetch(&mut self, now: Time, from: SocketAddr, theirs: Interest) -> bool {
-        if let Some(fetch) = self.fetches.get_mut(&theirs.key) {
-            if !fetch.sources.contains(&from) && fetch.sources.len() < MAX_SOURCES {
-                fetch.sources.push(from);
-            }
-            fetch.version = fetch.version.max(theirs.version);
-            return false;
-        }
-        let fetch =
-            Fetch { version: theirs.version, sources: vec![from], asked: now, times_asked: 1 };
-        self.fetches.insert(theirs.key, fetch);
-        self.set_next_fetch();
-        true
-    }
-
-    fn ask_next(&mut self, now: Time, key: ItemKey, out: &mut Vec<PeersOutput>) {
-        let Some(fetch) = self.fetches.get_mut(&key) else {
-            return;
-        };
-        if fetch.times_asked >= MAX_ASKED {
-            // The next comparison finds other sources.
-            self.fetches.remove(&key);
-            return;
-        }
-        fetch.times_asked += 1;
-        fetch.asked = now;
-        fetch.sources.rotate_left(1);
-        let source = fetch.sources[0];
-        let version = self.version(key);
-        self.ask(source, vec![Interest { key, version }], out);
-    }
-
-    fn ask(&mut self, to: SocketAddr, wanted: Vec<Interest>, out: &mut Vec<PeersOutput>) {
-        if wanted.is_empty() {
-            return;
-        }
-        self.counts.wanted += wanted.len() as u64;
-        out.push(PeersOutput::Steward { to, message: LinkMessage::Want(wanted) });
-    }
-
-    fn set_next_fetch(&mut self) {
-        let earliest = self.fetches.values().map(|fetch| fetch.asked).min();
-        self.next_fetch = earliest.map(|asked| asked + FETCH_TIMEOUT);
-    }
-
     /// Sends a gate all that it lacks.
     pub(crate) fn bring_up_to_date(&mut self, link: LinkHandle, out: &mut Vec<PeersOutput>) {
         let mut items = Vec::new();
