--- a/crates/load/src/pool.rs
+++ b/crates/load/src/pool.rs
@@ -308,7 +308,7 @@
         if wish.ticket.is_some() || wish.only.is_some() || self.queue.is_empty() {
             return false;
         }
-        wish.purpose == Purpose::Hedge || self.ready.len() <= self.queue.len()
+        wish.purpose != Purpose::Hedge && self.ready.len() <= self.queue.len()
     }
 
     fn choose(&mut self, now: Time, wish: &Wish<'_>) -> Option<TargetId> {
