--- a/crates/wire/tests/decoders.rs
+++ b/crates/wire/tests/decoders.rs
@@ -5,9 +5,9 @@
 
 use bay_types::{NodeId, ServiceName, SliceId, Term, Token, ZoneName};
 use bay_wire::{
-    ClusterStatus, FrameError, GateAddress, Interest, Item, ItemKey, ItemVersion, LinkMessage,
-    MAX_FRAME_BYTES, MAX_MESSAGE_BYTES, Order, OrderReply, PeerMessage, Role, RouteRow, Routes,
-    SliceGrant, decode, encode, frame_len, frame_len_within,
+    ClusterStatus, FrameError, GateAddress, Interest, Item, ItemKey, ItemVersion, LeaseProof,
+    LinkMessage, MAX_FRAME_BYTES, MAX_MESSAGE_BYTES, Order, OrderReply, OrderRole, PeerMessage,
+    Role, RouteRow, Routes, SliceGrant, decode, encode, frame_len, frame_len_within,
 };
 use proptest::prelude::*;
 use serde::Serialize;
@@ -61,9 +61,12 @@
     let routes = encode(&routes).unwrap();
     let order = Order {
         keeper: NodeId(1),
+        role: OrderRole::Deputy,
         term: Term(2),
         sequence: 3,
+        proof: Some(LeaseProof { boot: 5, stamp: u64::MAX }),
         lease_ms: 4,
+        replace: true,
         grant: vec![SliceGrant { slice: SliceId(1), token: Token(2) }],
         revoke: Vec::new(),
     };
