--- a/crates/fakes/src/queueing/lending.rs
+++ b/crates/fakes/src/queueing/lending.rs
@@ -98,10 +98,12 @@
             Pick::Go(permit) => {
                 self.requests[request].ticket = None;
                 let target = target_number(permit.address());
+                let trial = permit.trial();
                 self.send(request, target, Some(permit));
                 if purpose == Purpose::Hedge {
                     self.report.hedges += 1;
                 } else if let Some(after) = self.pools[gate].hedge_after() {
+                    let after = if trial { Duration::ZERO } else { after };
                     self.schedule.push(self.now + after, Event::HedgeDue { request });
                 }
             }
@@ -109,7 +111,11 @@
                 self.requests[request].ticket = Some(ticket);
                 self.schedule.push(until, Event::AskAgain { request });
             }
-            Pick::Refuse { .. } if purpose == Purpose::Hedge => {}
+            Pick::Refuse { .. } if purpose == Purpose::Hedge => {
+                if let Some(after) = self.pools[gate].hedge_after() {
+                    self.schedule.push(self.now + after / 4, Event::HedgeDue { request });
+                }
+            }
             Pick::Refuse { retry_after, .. } => self.refused(request, retry_after),
         }
     }
