--- a/crates/call/src/claims.rs
+++ b/crates/call/src/claims.rs
@@ -9,8 +9,8 @@
 /// The rights to run requests with an idempotency key, as one gate keeps them for all gates.
 ///
 /// Each key has two home gates by rendezvous hash (Thaler and Ravishankar, 1998). A gate runs a
-/// request only if no home has granted another copy; one gate's loss or arrival leaves one home
-/// of each key in place.
+/// request only if a home other than itself grants it and none refuses it; one gate's loss or
+/// arrival leaves one home of each key in place.
 #[derive(Debug, Default)]
 pub struct Claims {
     held: HashMap<u64, Hold>,
--- /dev/null
+++ b/crates/call/tests/callers_page.rs
@@ -0,0 +1,35 @@
+//! The page for callers lists each kind as the gate answers it.
+
+use bay_types::{ErrorKind, Outcome};
+
+const PAGE: &str = include_str!("../../../docs/CALLING.md");
+
+fn row(kind: ErrorKind) -> Option<&'static str> {
+    PAGE.lines().find(|line| line.starts_with(&format!("| `{kind}` |")))
+}
+
+#[test]
+fn the_page_lists_each_kind_with_its_answer() {
+    for kind in ErrorKind::ALL {
+        let row = row(kind).unwrap_or_else(|| panic!("expected a row for {kind}"));
+        let cells: Vec<&str> = row.split('|').map(str::trim).collect();
+        assert_eq!(cells[2], kind.status().to_string(), "{kind}");
+        assert_eq!(cells[3], kind.outcome().as_str(), "{kind}");
+        assert_eq!(cells[4] == "yes", kind.retry_after(), "{kind}");
+    }
+}
+
+#[test]
+fn the_page_lists_no_other_kind() {
+    let rows = PAGE.lines().filter(|line| line.starts_with("| `"));
+    let kinds = rows.filter(|row| row.split('|').count() == 7).count();
+    assert_eq!(kinds, ErrorKind::ALL.len());
+}
+
+#[test]
+fn no_answer_of_the_gate_s_own_says_done() {
+    for kind in ErrorKind::ALL {
+        assert_ne!(kind.outcome(), Outcome::Done);
+        assert_eq!(kind.counter(), format!("refused.{kind}"));
+    }
+}
--- a/crates/gate/src/claiming.rs
+++ b/crates/gate/src/claiming.rs
@@ -22,21 +22,16 @@
     }
 
     fn claim_at_homes(&mut self, now: Time, id: CallId, digest: u64, out: &mut Vec<Action>) {
-        let mut open = [None; Claims::HOMES];
-        let mut granted = 0;
-        for (index, home) in self.homes(digest).into_iter().enumerate() {
-            if home == self.config.node {
-                granted += 1;
-            } else {
-                open[index] = Some(home);
-            }
+        if !self.gates_known {
+            return self.give_up(now, id, ErrorKind::ClaimUnanswered, None, out);
         }
+        let open = self.other_homes(digest);
         if open.iter().all(Option::is_none) {
             self.set_phase(id, Phase::Placing);
             return self.place(now, id, out);
         }
         let resend_at = Some(now + CLAIM_RESEND);
-        let claim = ClaimState { open, granted, resend_at, until: now + CLAIM_WAIT };
+        let claim = ClaimState { open, granted: 0, resend_at, until: now + CLAIM_WAIT };
         self.send_claim(now, id, digest, open, out);
         self.wait(now, id, Phase::Claiming(claim), out);
     }
@@ -106,10 +101,7 @@
                 self.claim_at_homes(now, id, digest, out);
                 continue;
             }
-            let others = self.homes(digest).into_iter().filter(|home| *home != self.config.node);
-            let mut open = [None; Claims::HOMES];
-            open.iter_mut().zip(others).for_each(|(slot, home)| *slot = Some(home));
-            self.send_claim(now, id, digest, open, out);
+            self.send_claim(now, id, digest, self.other_homes(digest), out);
         }
     }
 
@@ -147,6 +139,10 @@
         }
     }
 
+    /// Goes on with a request that some other home has granted.
+    ///
+    /// The gate's own grant is not enough: cut off from the others, it would not know of their
+    /// copies.
     fn claim_settled(&mut self, now: Time, id: CallId, claim: ClaimState, out: &mut Vec<Action>) {
         if claim.granted == 0 {
             return self.give_up(now, id, ErrorKind::ClaimUnanswered, None, out);
@@ -166,6 +162,13 @@
         Claims::homes(digest, others.chain([me]))
     }
 
+    fn other_homes(&self, digest: u64) -> [Option<NodeId>; Claims::HOMES] {
+        let mut homes = [None; Claims::HOMES];
+        let others = self.homes(digest).into_iter().filter(|home| *home != self.config.node);
+        homes.iter_mut().zip(others).for_each(|(slot, home)| *slot = Some(home));
+        homes
+    }
+
     fn send_claim(
         &mut self,
         now: Time,
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -44,7 +44,9 @@
     pub(crate) zones_out: BTreeSet<ZoneName>,
     /// Routes that came before the document of their service.
     pub(crate) early_routes: BTreeMap<(ServiceName, ZoneName), Routes>,
+    /// The gates that are up, once they are known.
     pub(crate) gates: BTreeMap<NodeId, GateAddress>,
+    pub(crate) gates_known: bool,
     pub(crate) calls: SlotMap<CallKey, Pending>,
     /// How many requests were not admitted.
     pub(crate) turned_away: u64,
@@ -75,6 +77,7 @@
             zones_out: BTreeSet::new(),
             early_routes: BTreeMap::new(),
             gates: BTreeMap::new(),
+            gates_known: false,
             calls: SlotMap::with_key(),
             turned_away: 0,
             waiting: 0,
--- a/crates/gate/src/items.rs
+++ b/crates/gate/src/items.rs
@@ -62,13 +62,11 @@
         if doc.name != name {
             return false;
         }
-        let hosts = doc.hosts.clone();
         let id = match self.names.get(&name) {
             Some(id) => self.replace_document(now, *id, doc),
             None => self.add_service(now, doc),
         };
-        self.hosts.retain(|_, service| *service != id);
-        self.hosts.extend(hosts.into_iter().map(|host| (host, id)));
+        self.assign_hosts();
         self.update_targets(now, id);
         self.wake_all(id);
         true
@@ -107,12 +105,26 @@
         let Some(id) = self.names.remove(&name) else {
             return true;
         };
-        self.hosts.retain(|_, service| *service != id);
         self.wake_all(id);
         self.services.remove(id);
+        self.assign_hosts();
         true
     }
 
+    /// Gives each host name to its service; one that several services name goes to the first by
+    /// name, at every gate alike.
+    fn assign_hosts(&mut self) {
+        self.hosts.clear();
+        for id in self.names.values() {
+            let Some(service) = self.services.get(*id) else {
+                continue;
+            };
+            for host in &service.doc.hosts {
+                self.hosts.entry(host.clone()).or_insert(*id);
+            }
+        }
+    }
+
     fn apply_routes(&mut self, name: ServiceName, zone: ZoneName, item: &Item) -> bool {
         let Ok(routes) = decode::<Routes>(&item.body) else {
             return false;
--- a/crates/gate/src/peers.rs
+++ b/crates/gate/src/peers.rs
@@ -11,6 +11,7 @@
 impl Gate {
     /// Takes the list of the gates that are up; this gate may be among them.
     pub fn set_gates(&mut self, now: Time, gates: &[GateAddress], out: &mut Vec<Action>) {
+        self.gates_known = true;
         let before: Vec<NodeId> = self.gates.keys().copied().collect();
         self.gates = gates.iter().map(|gate| (gate.node, *gate)).collect();
         let listed: Vec<GateAddress> = self.gates.values().copied().collect();
--- a/crates/gate/src/pending.rs
+++ b/crates/gate/src/pending.rs
@@ -56,7 +56,7 @@
 pub(crate) struct ClaimState {
     /// The homes that have not answered.
     pub(crate) open: [Option<NodeId>; 2],
-    /// How many homes have granted it.
+    /// How many other homes have granted it.
     pub(crate) granted: u32,
     /// When the claim is sent again.
     pub(crate) resend_at: Option<Time>,
--- a/crates/gate/tests/gate/claims.rs
+++ b/crates/gate/tests/gate/claims.rs
@@ -2,12 +2,13 @@
 
 use std::time::Duration;
 
-use bay_call::{AttemptFailure, CallId, Claims, Event};
+use bay_call::{AttemptFailure, CallId, Event};
 use bay_conf::Method;
 use bay_types::{ErrorKind, Outcome};
+use bay_wire::ItemKey;
 use test_case::test_case;
 
-use crate::support::{Bed, Fleet, Head, node};
+use crate::support::{Bed, Fleet, Head, document, service};
 
 const MS: Duration = Duration::from_millis(1);
 
@@ -139,22 +140,33 @@
 
 #[test]
 fn a_gate_that_hears_no_other_refuses_what_it_cannot_claim() {
-    let homes = Claims::homes(7, (1..=9).map(node));
-    assert_eq!(homes.len(), 2);
-    let mut refused = 0;
     for gate in 0..9 {
         let mut fleet = Fleet::new(9, "pooled", 3);
         fleet.lost = (0..9).filter(|other| *other != gate).collect();
         let call = fleet.copy(gate);
         fleet.pass(MS * 100);
-        match fleet.beds[gate].refusal(call) {
-            Some(kind) => {
-                assert_eq!(kind, ErrorKind::ClaimUnanswered);
-                refused += 1;
-            }
-            // A home has its claim; it may yet wait for a slot that a lost gate would lend.
-            None => assert!(fleet.beds[gate].attempts().len() <= 1),
-        }
+        assert_eq!(fleet.beds[gate].refusal(call), Some(ErrorKind::ClaimUnanswered));
+    }
+}
+
+#[test]
+fn copies_on_both_sides_of_a_cut_do_not_both_run() {
+    for gate in 1..9 {
+        let mut fleet = Fleet::new(9, "pooled", 3);
+        fleet.lost = vec![0];
+        let cut_off = fleet.copy(0);
+        fleet.copy(gate);
+        fleet.pass(MS * 100);
+        assert!(fleet.beds[0].attempts().is_empty());
+        assert_eq!(fleet.beds[0].refusal(cut_off), Some(ErrorKind::ClaimUnanswered));
     }
-    assert_eq!(refused, 7, "all but the two homes of the key");
+}
+
+#[test]
+fn a_gate_that_does_not_know_the_others_yet_claims_nothing() {
+    let mut bed = Bed::unlisted(1);
+    let text = document("pooled", 3).into_bytes();
+    bed.apply(ItemKey::Document(service()), text);
+    let call = bed.begin(&copy());
+    assert_eq!(bed.refusal(call), Some(ErrorKind::ClaimUnanswered));
 }
--- a/crates/gate/tests/gate/owners.rs
+++ b/crates/gate/tests/gate/owners.rs
@@ -153,6 +153,31 @@
     assert_eq!(bed.refusal(call), Some(ErrorKind::UnknownHost));
 }
 
+#[test]
+fn a_host_name_of_two_services_goes_to_the_first_by_name_in_any_order() {
+    for order in [["jobs", "attic"], ["attic", "jobs"]] {
+        let mut bed = Bed::new(1);
+        for name in order {
+            let text = document("pooled", 3).replace("name = jobs", &format!("name = {name}"));
+            let text = text.replace("10.0.0.1:", &format!("10.0.{}.1:", name.len()));
+            let key = ItemKey::Document(bay_types::ServiceName::new(name).unwrap());
+            bed.apply(key, text.into_bytes());
+        }
+        let attic = ItemKey::Document(bay_types::ServiceName::new("attic").unwrap());
+        (0..40).for_each(|_| {
+            bed.get("/");
+        });
+        assert!(bed.attempts().iter().all(|sent| sent.to != address_of("10.0.4.1:80")));
+        bed.apply(attic, Vec::new());
+        bed.get("/");
+        assert_eq!(bed.attempts().len(), 1, "the other service answers for it now");
+    }
+}
+
+fn address_of(text: &str) -> std::net::SocketAddr {
+    text.parse().unwrap()
+}
+
 #[test]
 fn a_new_layout_drops_the_routes_of_the_old_one() {
     let mut bed = Bed::with("keyed", 3);
--- a/crates/gate/tests/gate/support.rs
+++ b/crates/gate/tests/gate/support.rs
@@ -100,7 +100,15 @@
 }
 
 impl Bed {
+    /// A gate that knows itself as the only one.
     pub fn new(number: u8) -> Bed {
+        let mut bed = Bed::unlisted(number);
+        bed.gate.set_gates(bed.now, &peer_list(&[number]), &mut bed.out);
+        bed
+    }
+
+    /// A gate that does not know which gates are up.
+    pub fn unlisted(number: u8) -> Bed {
         let config = GateConfig { node: node(number), zone: zone(1), seed: u64::from(number) };
         let now = Time::from_millis(1_000);
         Bed { gate: Gate::new(config), now, out: Vec::new(), version: 0 }
