Keep requests and loans when a document changes limits or budgets

Cause: new limits rebuilt the service's pool, which forgot the requests in flight, the slots lent and the other gates; the test new_limits_count_the_requests_that_run_already failed first (2 requests more sent to a target with one free slot). Ruled out: telling the new pool the gates and targets again, which still forgets loans. Change: Pool::set_config takes limits and budgets in place (small file in load), Gate uses it; Gate::connection_cap gives the shell the cap that holds over all gates. Conclusion: done.

--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -158,6 +158,14 @@
         pending.is_some_and(|pending| pending.call.may_send(now, attempt))
     }
 
+    /// Connections, idle ones among them, that this gate may have to an attempt's target now; the
+    /// sum over all gates stays within the target's limit.
+    pub fn connection_cap(&self, call: CallId, attempt: AttemptId) -> Option<u32> {
+        let pending = self.calls.get(key_of(call))?;
+        let service = self.services.get(pending.service)?;
+        Some(service.pool.connection_cap(pending.target_of(attempt)?))
+    }
+
     /// The time of the next [`Gate::tick`].
     pub fn next_deadline(&mut self) -> Option<Time> {
         let pools = self.services.values_mut().filter_map(|service| service.pool.next_deadline());
--- a/crates/gate/src/items.rs
+++ b/crates/gate/src/items.rs
@@ -74,11 +74,7 @@
 
     fn replace_document(&mut self, now: Time, id: ServiceId, doc: ServiceDoc) -> ServiceId {
         if let Some(service) = self.services.get_mut(id) {
-            let queued: Vec<_> = service.queued.values().copied().collect();
             service.replace(&self.config, doc, now);
-            if service.queued.is_empty() {
-                self.awake.extend(queued);
-            }
         }
         id
     }
--- a/crates/gate/src/service.rs
+++ b/crates/gate/src/service.rs
@@ -58,20 +58,17 @@
         }
     }
 
-    /// Takes a newer document; returns whether the routes so far hold no longer.
-    pub(crate) fn replace(&mut self, config: &GateConfig, doc: ServiceDoc, now: Time) -> bool {
+    /// Takes a newer document; another layout drops the routes so far.
+    pub(crate) fn replace(&mut self, config: &GateConfig, doc: ServiceDoc, now: Time) {
         let layout = |doc: &ServiceDoc| doc.keyed().map(|rules| rules.layout);
-        let relaid = layout(&self.doc) != layout(&doc);
-        if relaid {
+        if layout(&self.doc) != layout(&doc) {
             self.routes = layout(&doc).map(RouteTable::new);
         }
         let budgets = |doc: &ServiceDoc| (doc.requests.retry_budget, doc.requests.hedge_budget);
         if self.doc.limits != doc.limits || budgets(&self.doc) != budgets(&doc) {
-            self.pool = Pool::new(pool_config(config, &doc), now);
-            self.queued.clear();
+            self.pool.set_config(now, pool_config(config, &doc));
         }
         self.doc = doc;
-        relaid
     }
 
     /// Brings the targets in line with the document and the zones.
--- a/crates/gate/tests/gate/owners.rs
+++ b/crates/gate/tests/gate/owners.rs
@@ -145,6 +145,24 @@
     assert_eq!(bed.refusal(late), Some(ErrorKind::NotReady));
 }
 
+#[test]
+fn new_limits_count_the_requests_that_run_already() {
+    let text = |slots: u32| {
+        let slots = format!("slots = {slots}\ncold_slots = {slots}\nconnections = 110\n");
+        document("pooled", 1)
+            .replace("slots = 64\nconnections = 110\ncold_slots = 64\n", &slots)
+            .into_bytes()
+    };
+    let mut bed = Bed::new(1);
+    bed.apply(ItemKey::Document(service()), text(2));
+    let calls: Vec<_> = (0..4).map(|_| bed.post("/")).collect();
+    assert_eq!(bed.attempts().len(), 2);
+    bed.apply(ItemKey::Document(service()), text(3));
+    bed.pass(MS * 20);
+    assert_eq!(bed.attempts().len(), 1, "two of three slots are in use");
+    assert!(calls.iter().all(|call| bed.refusal(*call).is_none()));
+}
+
 #[test]
 fn requests_that_wait_as_their_service_is_deleted_are_refused_at_once() {
     let mut bed = Bed::with("keyed", 3);
--- a/crates/load/src/bearing.rs
+++ b/crates/load/src/bearing.rs
@@ -15,6 +15,11 @@
         Bearing { limits, cold_since: Some(now) }
     }
 
+    /// Takes other limits; a cold start goes on.
+    pub(crate) fn set_limits(&mut self, limits: TargetLimits) {
+        self.limits = limits;
+    }
+
     /// Takes the target to be in a cold start that began just now.
     pub(crate) fn restart(&mut self, now: Time) {
         self.cold_since = Some(now);
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -20,6 +20,7 @@
 mod pool;
 mod queue;
 mod ready;
+mod reconfigure;
 mod return_times;
 mod sweep;
 mod target;
