--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -44,7 +44,9 @@
     pub(crate) zones_out: BTreeSet<ZoneName>,
     /// Routes that came before the document of their service.
     pub(crate) early_routes: BTreeMap<(ServiceName, ZoneName), Routes>,
+    /// The gates that are up, once they are known.
     pub(crate) gates: BTreeMap<NodeId, GateAddress>,
+    pub(crate) gates_known: bool,
     pub(crate) calls: SlotMap<CallKey, Pending>,
     /// How many requests were not admitted.
     pub(crate) turned_away: u64,
@@ -75,6 +77,7 @@
             zones_out: BTreeSet::new(),
             early_routes: BTreeMap::new(),
             gates: BTreeMap::new(),
+            gates_known: false,
             calls: SlotMap::with_key(),
             turned_away: 0,
             waiting: 0,
@@ -155,6 +158,14 @@
         pending.is_some_and(|pending| pending.call.may_send(now, attempt))
     }
 
+    /// Connections, idle ones among them, that this gate may have to an attempt's target now; the
+    /// sum over all gates stays within the target's limit.
+    pub fn connection_cap(&self, call: CallId, attempt: AttemptId) -> Option<u32> {
+        let pending = self.calls.get(key_of(call))?;
+        let service = self.services.get(pending.service)?;
+        Some(service.pool.connection_cap(pending.target_of(attempt)?))
+    }
+
     /// The time of the next [`Gate::tick`].
     pub fn next_deadline(&mut self) -> Option<Time> {
         let pools = self.services.values_mut().filter_map(|service| service.pool.next_deadline());
