Keep connections' buffers between uses

Cause: the profile of relay_cost (perf) showed malloc, free and consolidation among the first entries; each request allocated, zeroed and freed a buffer of 16 KiB a connection on both sides.

--- a/crates/node/examples/relay_cost.rs
+++ b/crates/node/examples/relay_cost.rs
@@ -20,11 +20,14 @@
 use http_types::{Request, Response, Url};
 use rustix::time::{ClockId, clock_gettime};
 
+/// Targets of the gate; the relay has one.
+const TARGETS: usize = 4;
+
 /// Connections of callers, each with one request at a time.
 const CALLERS: usize = 4;
 
 /// Requests of each caller in one round.
-const REQUESTS: usize = 200;
+const REQUESTS: usize = 10_000;
 
 /// Rounds of each kind, which take turns.
 const ROUNDS: usize = 5;
@@ -44,14 +47,20 @@
 const ANSWER_BODY: &str =
     "{\"job\": 4711, \"state\": \"booked\", \"crew\": \"north-2\", \"van\": 12}";
 
+/// Pause of a caller after a refusal.
+const REFUSAL_PAUSE: Duration = Duration::from_millis(20);
+
+/// Refusals, of which a gate gives some while a target is slow for a moment.
+static REFUSED: AtomicU64 = AtomicU64::new(0);
+
 /// Processor time of the threads that are not measured, in nanoseconds.
 static OTHERS: AtomicU64 = AtomicU64::new(0);
 
 fn main() {
-    let target = start_target();
+    let targets: Vec<_> = (0..TARGETS).map(|_| start_target()).collect();
     let executor = Arc::new(Executor::new());
-    let gate = start_gate(target, &executor);
-    let relay = start_relay(target, &executor);
+    let gate = start_gate(&targets, &executor);
+    let relay = start_relay(targets[0], &executor);
     let running = Arc::clone(&executor);
     thread::spawn(move || async_io::block_on(running.run(std::future::pending::<()>())));
 
@@ -68,6 +77,7 @@
     println!("relay: {relay_cost:.2} us of processor time a request");
     println!("gate:  {gate_cost:.2} us of processor time a request");
     println!("ratio: {ratio:.2} (target: at most {MAX_RATIO})");
+    println!("refused and sent again: {}", REFUSED.load(Ordering::SeqCst));
     measure_idle(gate.addresses().listen);
     measure_upload(&gate);
     if ratio > MAX_RATIO {
@@ -91,20 +101,36 @@
 fn call(to: SocketAddr) {
     let mut stream = TcpStream::connect(to).expect("the address takes connections");
     stream.set_nodelay(true).expect("the socket takes options");
-    let mut buf = vec![0; 4_096];
-    for _ in 0..REQUESTS {
-        stream.write_all(REQUEST).expect("the request is taken");
-        let mut filled = 0;
-        while !buf[..filled].ends_with(ANSWER_BODY.as_bytes()) {
-            let count = stream.read(&mut buf[filled..]).expect("the answer comes");
-            assert!(count > 0, "{}", String::from_utf8_lossy(&buf[..filled]));
-            filled += count;
+    let mut done = 0;
+    while done < REQUESTS {
+        if ask(&mut stream) {
+            done += 1;
+        } else {
+            REFUSED.fetch_add(1, Ordering::SeqCst);
+            thread::sleep(REFUSAL_PAUSE);
         }
-        assert!(buf.starts_with(b"HTTP/1.1 200"), "{}", String::from_utf8_lossy(&buf[..filled]));
     }
     OTHERS.fetch_add(thread_time(), Ordering::SeqCst);
 }
 
+/// Sends one request; returns whether it was not refused.
+fn ask(stream: &mut TcpStream) -> bool {
+    stream.write_all(REQUEST).expect("the request is taken");
+    let mut buf = [0; 4_096];
+    let mut filled = 0;
+    loop {
+        let count = stream.read(&mut buf[filled..]).expect("the answer comes");
+        assert!(count > 0, "the answer ends early");
+        filled += count;
+        if buf[..filled].ends_with(ANSWER_BODY.as_bytes()) {
+            return true;
+        }
+        if buf.starts_with(b"HTTP/1.1 503") && buf[..filled].ends_with(b"\n") {
+            return false;
+        }
+    }
+}
+
 /// Starts a target that answers each request at once.
 fn start_target() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -144,7 +170,7 @@
         let id = header("bay-request").unwrap_or_default();
         let answer = format!(
             "HTTP/1.1 200 OK\r\ncontent-type: application/json\r\nbay-request: {id}\r\n\
-             bay-load: 1/64\r\ncontent-length: {}\r\n\r\n{ANSWER_BODY}",
+             bay-load: 1/4\r\ncontent-length: {}\r\n\r\n{ANSWER_BODY}",
             ANSWER_BODY.len()
         );
         if stream.write_all(answer.as_bytes()).is_err() {
@@ -156,7 +182,7 @@
     }
 }
 
-fn start_gate(target: SocketAddr, executor: &Arc<Executor<'static>>) -> GateShell {
+fn start_gate(targets: &[SocketAddr], executor: &Arc<Executor<'static>>) -> GateShell {
     let any: SocketAddr = ([127, 0, 0, 1], 0).into();
     let settings = Settings {
         host: HostName::new("entry-1").expect("the name is valid"),
@@ -180,18 +206,20 @@
     let key = ClusterKey::derive(&[7; 32]).expect("the secret is long enough");
     let bound = GateShell::bind(&settings, key, counters, Arc::clone(executor));
     let gate = async_io::block_on(bound).expect("ports are free");
-    gate.apply(&[document(target)]);
+    gate.apply(&[document(targets)]);
     gate.start();
     gate
 }
 
-fn document(target: SocketAddr) -> Item {
-    let text = format!(
+fn document(targets: &[SocketAddr]) -> Item {
+    let mut text = String::from(
         "[service]\nname = photos\nhosts = photos.example\nkind = pooled\n\
          [requests]\nmax_body = 100 MB\n\
-         [limits]\nslots = 64\ncold_slots = 64\nconnections = 110\n\
-         [server one]\naddress = {target}\nzone = north\n"
+         [limits]\nslots = 4\ncold_slots = 4\nconnections = 110\n",
     );
+    for (at, target) in targets.iter().enumerate() {
+        text.push_str(&format!("[server t{at}]\naddress = {target}\nzone = north\n"));
+    }
     Item {
         key: ItemKey::Document(ServiceName::new("photos").expect("the name is valid")),
         version: ItemVersion { major: 1, minor: 0 },
@@ -256,9 +284,8 @@
         open.push(TcpStream::connect(to).expect("the gate takes connections"));
     }
     for stream in &mut open {
-        stream.write_all(REQUEST).expect("the request is taken");
-        let mut buf = [0; 4_096];
-        assert!(stream.read(&mut buf).expect("the answer comes") > 0);
+        // A refusal makes the connection as idle as an answer.
+        ask(stream);
     }
     thread::sleep(Duration::from_millis(200));
     let each = resident_bytes().saturating_sub(before) / IDLE_CONNECTIONS as u64;
@@ -267,6 +294,8 @@
 
 fn measure_upload(gate: &GateShell) {
     let before = gate.peak_buffered_bytes();
+    // A refusal would end the upload early; the targets come back from any slow moment.
+    thread::sleep(Duration::from_secs(5));
     let mut stream = TcpStream::connect(gate.addresses().listen).expect("the gate listens");
     let head = format!(
         "POST /photos HTTP/1.1\r\nhost: photos.example\r\ncontent-length: {UPLOAD_BYTES}\r\n\r\n"
--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -35,6 +35,7 @@
 mod raw_head;
 mod request_check;
 mod shared;
+mod spare_buffers;
 mod upload;
 mod watchdog;
 
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -142,7 +142,7 @@
     };
     let method = req.method();
     let head = HttpHead::new(&req, &body.bytes);
-    let call = Begun { shared, call: shared.begin(&head, mailbox), mailbox };
+    let mut call = Begun { shared, call: shared.begin(&head, mailbox), mailbox, ended: false };
     let Some(head) = encode_request(req, body.framing).await else {
         return Left::Refused(caller.connection, ErrorKind::BadRequest);
     };
@@ -151,11 +151,13 @@
     let mut run = CallRun::new(shared, call.call, mailbox, &request, &caller);
     let end = poll_fn(|cx| run.poll(cx)).await;
     drop(run);
+    call.ended = true;
     let unread = !lock(&caller).reader.is_done();
     let close = unread || facts.close || shared.phase() != Phase::Serving;
     let written = match end {
         CallEnd::Forward(attempt, answer) => {
-            pass_on(&call, attempt, *answer, &caller, method, close).await
+            call.ended = false;
+            pass_on(&mut call, attempt, *answer, &caller, method, close).await
         }
         CallEnd::Refuse { kind, retry_after } => {
             let res = refusal(kind, retry_after);
@@ -178,12 +180,14 @@
     shared: &'a Shared,
     call: CallId,
     mailbox: &'a Mailbox,
+    ended: bool,
 }
 
 impl Drop for Begun<'_> {
     fn drop(&mut self) {
-        // A request that has ended takes no more events.
-        self.shared.event(self.call, Event::CallerGone);
+        if !self.ended {
+            self.shared.event(self.call, Event::CallerGone);
+        }
         self.shared.end(self.call);
         self.mailbox.clear();
     }
@@ -208,7 +212,7 @@
 
 /// Passes an answer on; returns whether the caller has all of it.
 async fn pass_on(
-    call: &Begun<'_>,
+    call: &mut Begun<'_>,
     attempt: AttemptId,
     answer: Answer,
     caller: &Mutex<CallerSide>,
@@ -228,6 +232,7 @@
         Err(PassError::Caller | PassError::Aborted) => Event::CallerGone,
     };
     shared.event(call.call, event);
+    call.ended = true;
     passed.is_ok()
 }
 
--- a/crates/node/src/gate_shell/connection.rs
+++ b/crates/node/src/gate_shell/connection.rs
@@ -6,11 +6,12 @@
 
 use async_io::Async;
 
-use super::buffer_gauge::{BufferGauge, HeldBytes};
+use super::buffer_gauge::BufferGauge;
+use super::spare_buffers::{Buffer, SpareBuffers};
 use super::watchdog::{Patience, ProgressClock, Watchdog};
 
-/// Bytes read from a socket at once.
-const READ_BYTES: usize = 16 * 1024;
+/// Length of a connection's buffer, in bytes; longer than any head.
+const BUFFER_BYTES: usize = 16 * 1024;
 
 /// A TCP connection with the bytes that were read from it and not yet used.
 ///
@@ -18,20 +19,31 @@
 #[derive(Debug)]
 pub(crate) struct Connection {
     stream: Async<TcpStream>,
-    buf: Vec<u8>,
+    buffer: Option<Buffer>,
     used: usize,
+    filled: usize,
     ended: bool,
     clock: Arc<ProgressClock>,
-    held: HeldBytes,
+    spare: Arc<SpareBuffers>,
 }
 
 /// What watches over a gate's connections.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub(crate) struct Meters {
     /// Finds those whose peers are waited for too long.
     pub(crate) watchdog: Watchdog,
-    /// Counts their buffers.
+    /// Counts the bytes of all buffers.
     pub(crate) buffers: Arc<BufferGauge>,
+    /// Keeps buffers between uses.
+    pub(crate) spare: Arc<SpareBuffers>,
+}
+
+impl Default for Meters {
+    fn default() -> Meters {
+        let buffers = Arc::new(BufferGauge::default());
+        let spare = Arc::new(SpareBuffers::new(BUFFER_BYTES, Arc::clone(&buffers)));
+        Meters { watchdog: Watchdog::default(), buffers, spare }
+    }
 }
 
 impl Connection {
@@ -40,8 +52,8 @@
         // A connection that cannot be set up this way is slower, not wrong.
         let _ = stream.get_ref().set_nodelay(true);
         let clock = meters.watchdog.clock();
-        let held = meters.buffers.share();
-        Connection { stream, buf: Vec::new(), used: 0, ended: false, clock, held }
+        let spare = Arc::clone(&meters.spare);
+        Connection { stream, buffer: None, used: 0, filled: 0, ended: false, clock, spare }
     }
 
     /// Opens a connection.
@@ -65,16 +77,19 @@
 
     /// The bytes that were read and not yet used.
     pub(crate) fn unused(&self) -> &[u8] {
-        &self.buf[self.used..]
+        match &self.buffer {
+            Some(buffer) => &buffer.bytes[self.used..self.filled],
+            None => &[],
+        }
     }
 
     /// Marks bytes as used.
     pub(crate) fn consume(&mut self, count: usize) {
         self.used += count;
-        debug_assert!(self.used <= self.buf.len());
-        if self.used == self.buf.len() {
-            self.buf.clear();
+        debug_assert!(self.used <= self.filled);
+        if self.used == self.filled {
             self.used = 0;
+            self.filled = 0;
         }
     }
 
@@ -84,7 +99,7 @@
             return Poll::Ready(Ok(0));
         }
         loop {
-            if self.buf.capacity() == 0 {
+            if self.buffer.is_none() {
                 // Waits without a buffer.
                 match self.stream.poll_readable(cx) {
                     Poll::Ready(result) => result?,
@@ -118,24 +133,29 @@
     }
 
     fn read_some(&mut self) -> io::Result<usize> {
+        let buffer = self.buffer.get_or_insert_with(|| self.spare.take());
         if self.used > 0 {
-            self.buf.drain(..self.used);
+            buffer.bytes.copy_within(self.used..self.filled, 0);
+            self.filled -= self.used;
             self.used = 0;
         }
-        let filled = self.buf.len();
-        self.buf.resize(filled + READ_BYTES, 0);
-        self.held.set(self.buf.capacity());
-        let result = self.stream.get_ref().read(&mut self.buf[filled..]);
-        self.buf.truncate(filled + result.as_ref().map_or(0, |count| *count));
-        result
+        if self.filled == buffer.bytes.len() {
+            // Whoever reads more without using what is there has a limit that is too high.
+            return Err(io::ErrorKind::OutOfMemory.into());
+        }
+        let count = self.stream.get_ref().read(&mut buffer.bytes[self.filled..])?;
+        self.filled += count;
+        Ok(count)
     }
 
     /// Gives the buffer back if it is empty.
     pub(crate) fn release(&mut self) {
-        if self.unused().is_empty() {
-            self.buf = Vec::new();
+        if self.used == self.filled {
             self.used = 0;
-            self.held.set(0);
+            self.filled = 0;
+            if let Some(buffer) = self.buffer.take() {
+                self.spare.give_back(buffer);
+            }
         }
     }
 
@@ -211,7 +231,7 @@
 
     /// Completes when the peer has ended or broken the connection; keeps what it sends until then.
     pub(crate) fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
-        while self.unused().len() < READ_BYTES {
+        while self.unused().len() < BUFFER_BYTES {
             match ready!(self.poll_fill(cx)) {
                 Ok(0) | Err(_) => return Poll::Ready(()),
                 Ok(_) => {}
@@ -221,3 +241,11 @@
         Poll::Pending
     }
 }
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        if let Some(buffer) = self.buffer.take() {
+            self.spare.give_back(buffer);
+        }
+    }
+}
