Route a slice by its highest token when a lost server of the zone still lists it

Cause: routes were gathered server by server, so a lost server whose name sorts after the new owner's put its old row over the new one. The slice stayed owned but unrouted for good at every gate. Ruled out: the spread of differences (the whole item lacked the row, too) and the gates' merge. Change: the row with the highest token of each slice is published. After: all ranges at all 9 gates within 2 s for each of the lost servers tried.

--- a/crates/own/src/route_feed.rs
+++ b/crates/own/src/route_feed.rs
@@ -37,10 +37,7 @@
         shards: &[ShardSlot],
     ) -> Option<OwnOutput> {
         self.dirty = false;
-        let mut rows = BTreeMap::new();
-        for (key, kept) in servers {
-            rows.extend(kept.granted.iter().map(|(slice, token)| (*slice, (*token, key.address))));
-        }
+        let rows = latest_rows(servers);
         let hot = hot_keys(&rows, shards);
         if rows == self.rows && hot == self.hot && self.last.major == term.0 {
             return None;
@@ -75,6 +72,21 @@
     }
 }
 
+/// The row with the highest token of each slice: a lost server may still be listed for a slice that
+/// another server of the zone has got since.
+fn latest_rows(servers: &BTreeMap<ServerKey, Kept>) -> BTreeMap<SliceId, (Token, SocketAddr)> {
+    let mut rows: BTreeMap<SliceId, (Token, SocketAddr)> = BTreeMap::new();
+    for (key, kept) in servers {
+        for (slice, token) in &kept.granted {
+            let row = rows.entry(*slice).or_insert((*token, key.address));
+            if *token > row.0 {
+                *row = (*token, key.address);
+            }
+        }
+    }
+    rows
+}
+
 type Row = (SliceId, Token, Option<SocketAddr>);
 
 fn some_row((slice, (token, address)): (&SliceId, &(Token, SocketAddr))) -> Row {
--- /dev/null
+++ b/crates/steward/tests/steward.rs
@@ -0,0 +1,136 @@
+//! Whole stewards together: what gates are told, and who owns what.
+
+mod support;
+
+use std::time::Duration;
+
+use bay_conf::ZoneState;
+use bay_time::Time;
+use bay_wire::ItemKey;
+use test_case::test_case;
+
+use support::{RANGES, Site, server_address, service, zone};
+
+const START: Duration = Duration::from_secs(8);
+/// A key is served again within this time of a loss.
+const RECOVERY: Duration = Duration::from_secs(2);
+/// A zone that was taken out gets no new work after this time.
+const ZONE_EMPTIED: Duration = Duration::from_secs(5);
+
+fn started(hosts: usize, servers: usize) -> Site {
+    let mut site = Site::new(hosts, servers);
+    site.apply(1_000);
+    site.pass(START, one_owner);
+    for index in 0..hosts {
+        assert_eq!(site.served(index), RANGES as usize, "gate {index}");
+    }
+    site
+}
+
+fn one_owner(site: &mut Site) {
+    assert_eq!(site.doubly_owned(), 0, "at {:?}", site.now);
+}
+
+#[test_case(1, 2; "one host")]
+#[test_case(3, 6; "three hosts")]
+#[test_case(9, 17; "nine hosts")]
+fn every_gate_routes_every_slice_to_its_owner(hosts: usize, servers: usize) {
+    started(hosts, servers);
+}
+
+#[test_case(0)]
+#[test_case(1)]
+#[test_case(4)]
+fn a_lost_servers_slices_are_served_again_in_time(lost: usize) {
+    let mut site = started(9, 17);
+    site.servers[lost].up = false;
+    site.pass(RECOVERY, one_owner);
+    for index in 0..9 {
+        assert_eq!(site.served(index), RANGES as usize, "gate {index}");
+    }
+}
+
+#[test_case(0)]
+#[test_case(2)]
+#[test_case(5)]
+fn a_lost_steward_leaves_every_slice_served(lost: usize) {
+    let mut site = started(9, 17);
+    site.kill(lost);
+    let other = (lost + 1) % 9;
+    site.pass(Duration::from_secs(30), |site| {
+        one_owner(site);
+        assert_eq!(site.served(other), RANGES as usize, "at {:?}", site.now);
+    });
+}
+
+#[test]
+fn a_zone_taken_out_owns_nothing_and_comes_back() {
+    let mut site = started(9, 17);
+    let out = zone(2);
+    site.set_zone(out, ZoneState::Out);
+    site.pass(ZONE_EMPTIED, one_owner);
+    let in_zone = |site: &Site| {
+        let routes = site.nodes[0].gate.routes();
+        let addresses: Vec<_> = (0..site.servers.len())
+            .filter(|index| site.servers[*index].zone == out)
+            .map(server_address)
+            .collect();
+        routes.iter().flatten().filter(|route| addresses.contains(&route.server)).count()
+    };
+    assert_eq!(in_zone(&site), 0);
+    assert_eq!(site.served(0), RANGES as usize);
+    site.set_zone(out, ZoneState::In);
+    site.pass(Duration::from_secs(120), one_owner);
+    assert!(in_zone(&site) > 0, "the zone got no slice back");
+    assert_eq!(site.served(0), RANGES as usize);
+}
+
+#[test]
+fn a_new_document_is_in_force_everywhere_and_stays() {
+    let mut site = started(9, 6);
+    let revision = site.apply(2_000);
+    site.pass(Duration::from_secs(5), one_owner);
+    let key = ItemKey::Document(service());
+    for node in &site.nodes {
+        assert_eq!(node.gate.versions[&key].major, revision.0);
+    }
+    for index in 0..9 {
+        site.kill(index);
+        site.pass(Duration::from_millis(300), one_owner);
+        site.restart(index);
+        site.pass(Duration::from_secs(5), one_owner);
+    }
+    for node in &site.nodes {
+        assert_eq!(node.gate.versions[&key].major, revision.0);
+        assert_eq!(node.gate.reverted, 0);
+    }
+    assert_eq!(site.served(0), RANGES as usize);
+}
+
+#[test]
+fn status_names_every_node_and_what_it_has_in_force() {
+    let mut site = started(9, 6);
+    site.ask_status(3);
+    site.pass(Duration::from_secs(3), one_owner);
+    let status = site.statuses.last().expect("an answer");
+    assert!(status.fresh);
+    assert_eq!(status.members.len(), 9);
+    assert!(status.silent.is_empty());
+    assert_eq!(status.items.len(), 1);
+    assert!(status.items[0].in_force >= 9);
+}
+
+#[test]
+fn a_store_outage_of_ten_minutes_leaves_every_slice_served() {
+    let mut site = started(3, 6);
+    site.store.set_fault(bay_fakes::StoreFault::Down);
+    let end = site.now + Duration::from_secs(600);
+    while site.now < end {
+        site.pass(Duration::from_secs(10), one_owner);
+        assert_eq!(site.served(0), RANGES as usize, "at {:?}", site.now);
+    }
+    site.store.set_fault(bay_fakes::StoreFault::None);
+    site.pass(Duration::from_secs(30), one_owner);
+    assert_eq!(site.served(0), RANGES as usize);
+    assert!(site.now > Time::ZERO);
+}
--- /dev/null
+++ b/crates/steward/tests/support/mod.rs
@@ -0,0 +1,324 @@
+//! A few whole stewards, servers and a store on virtual time.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BinaryHeap, HashMap};
+use std::net::{Ipv4Addr, SocketAddr};
+use std::time::Duration;
+
+use bay_conf::{ZoneDoc, ZoneState};
+use bay_fakes::{MemStore, OwnerServer};
+use bay_own::{Route, RouteTable};
+use bay_steward::{Input, LinkId, Output, StatusId, Steward, StewardConfig};
+use bay_store::{Expect, Host, HostState, ObjectKey, StoreReply, StoreRequest};
+use bay_time::Time;
+use bay_types::{
+    HostName, Incarnation, KeyHash, NodeId, Revision, ServiceName, SliceLayout, ZoneName,
+};
+use bay_wire::{ClusterStatus, Interest, ItemKey, ItemVersion, LinkMessage, Role, Routes, decode};
+
+const STORE_DELAY: Duration = Duration::from_millis(3);
+const NET_DELAY: Duration = Duration::from_millis(1);
+const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
+/// Gates' connections are numbered from here.
+const GATE_LINKS: u64 = 1_000_000;
+pub const RANGES: u32 = 64;
+pub const ZONES: [&str; 3] = ["north", "south", "peel"];
+
+pub struct Site {
+    pub now: Time,
+    pub store: MemStore,
+    pub nodes: Vec<Node>,
+    pub servers: Vec<Server>,
+    pub statuses: Vec<ClusterStatus>,
+    queue: BinaryHeap<Reverse<(Time, u64)>>,
+    inputs: HashMap<u64, (usize, Input)>,
+    links: HashMap<LinkId, (usize, usize)>,
+    sequence: u64,
+}
+
+pub struct Node {
+    pub up: bool,
+    pub gate: Gate,
+    steward: Steward,
+    incarnation: u64,
+}
+
+pub struct Server {
+    pub up: bool,
+    pub zone: ZoneName,
+    pub state: OwnerServer,
+}
+
+/// The part of a gate that follows its steward.
+pub struct Gate {
+    pub table: RouteTable,
+    pub versions: BTreeMap<ItemKey, ItemVersion>,
+    pub reverted: u32,
+}
+
+fn host_name(index: usize) -> HostName {
+    HostName::new(&format!("entry-{index}")).unwrap()
+}
+
+fn steward_address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), 8090))
+}
+
+pub fn server_address(index: usize) -> SocketAddr {
+    SocketAddr::from((Ipv4Addr::new(10, 0, 1, index as u8 + 1), 7500))
+}
+
+pub fn zone(index: usize) -> ZoneName {
+    ZoneName::new(ZONES[index % ZONES.len()]).unwrap()
+}
+
+pub fn service() -> ServiceName {
+    ServiceName::new("jobs").unwrap()
+}
+
+impl Gate {
+    fn new() -> Gate {
+        let table = RouteTable::new(SliceLayout::new(RANGES).unwrap());
+        Gate { table, versions: BTreeMap::new(), reverted: 0 }
+    }
+
+    fn take(&mut self, message: LinkMessage) {
+        let LinkMessage::Items(items) = message else { return };
+        for item in items {
+            let version = self.versions.entry(item.key).or_default();
+            self.reverted += u32::from(item.version < *version);
+            *version = item.version;
+            if let ItemKey::Routes(..) = item.key {
+                self.table.merge(&decode::<Routes>(&item.body).unwrap());
+            }
+        }
+    }
+
+    /// The route of a key in each range of the hash.
+    pub fn routes(&self) -> Vec<Option<Route>> {
+        let step = u64::MAX / u64::from(RANGES) + 1;
+        (0..u64::from(RANGES)).map(|range| self.table.lookup(KeyHash(range * step))).collect()
+    }
+}
+
+impl Site {
+    /// A site with this many hosts and servers, spread over the zones.
+    pub fn new(hosts: usize, servers: usize) -> Site {
+        let mut site = Site {
+            now: Time::from_millis(1_000),
+            store: MemStore::new(),
+            nodes: Vec::new(),
+            servers: Vec::new(),
+            statuses: Vec::new(),
+            queue: BinaryHeap::new(),
+            inputs: HashMap::new(),
+            links: HashMap::new(),
+            sequence: 0,
+        };
+        for index in 0..servers {
+            let state = OwnerServer::new(index as u64 + 1, true);
+            site.servers.push(Server { up: true, zone: zone(index), state });
+        }
+        let host = |index| Host {
+            name: host_name(index),
+            zone: zone(index),
+            steward: steward_address(index),
+            state: HostState::Live,
+        };
+        site.store.set_hosts((0..hosts).map(host).collect());
+        for index in 0..hosts {
+            let steward = site.steward(index, 1);
+            site.nodes.push(Node { up: true, gate: Gate::new(), steward, incarnation: 1 });
+            site.connect_gate(index);
+        }
+        site
+    }
+
+    fn steward(&self, index: usize, incarnation: u64) -> Steward {
+        let config = StewardConfig {
+            node: NodeId::of(host_name(index)),
+            incarnation: Incarnation(incarnation),
+            zone: zone(index),
+            address: steward_address(index),
+            gate: SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), 8082)),
+            seed: index as u64 + 100 * incarnation,
+        };
+        Steward::new(config, self.now)
+    }
+
+    fn connect_gate(&mut self, index: usize) {
+        let node = NodeId::of(host_name(index));
+        let have = self.nodes[index].gate.versions.iter();
+        let have = have.map(|(key, version)| Interest { key: *key, version: *version }).collect();
+        let message = LinkMessage::Hello { node, role: Role::Gate, have };
+        let link = LinkId(GATE_LINKS + index as u64);
+        self.post(NET_DELAY, index, Input::Link { link, message });
+    }
+
+    pub fn kill(&mut self, index: usize) {
+        self.nodes[index].up = false;
+    }
+
+    pub fn restart(&mut self, index: usize) {
+        let incarnation = self.nodes[index].incarnation + 1;
+        let steward = self.steward(index, incarnation);
+        let node = &mut self.nodes[index];
+        node.steward = steward;
+        node.incarnation = incarnation;
+        node.up = true;
+        self.connect_gate(index);
+    }
+
+    pub fn ask_status(&mut self, index: usize) {
+        self.post(NET_DELAY, index, Input::StatusAsked(StatusId(1)));
+    }
+
+    /// Writes the service's document over whatever is there.
+    pub fn apply(&mut self, timeout_ms: u32) -> Revision {
+        let mut text = format!(
+            "[service]\nname = jobs\nhosts = jobs.example\nkind = keyed\n\
+             [keys]\npath = /jobs/{{key}}\nslices = {RANGES}\nfenced = yes\n\
+             [requests]\ntimeout = {timeout_ms} ms\n[limits]\nslots = 4\nconnections = 110\n"
+        );
+        for (index, server) in self.servers.iter().enumerate() {
+            let address = server_address(index);
+            text += &format!("[server s{index}]\naddress = {address}\nzone = {}\n", server.zone);
+        }
+        self.write(ObjectKey::service(service()), text)
+    }
+
+    pub fn set_zone(&mut self, zone: ZoneName, state: ZoneState) -> Revision {
+        let doc = ZoneDoc { zone, state, operator: String::from("test") };
+        self.write(ObjectKey::zone(zone), doc.to_text())
+    }
+
+    fn write(&mut self, key: ObjectKey, body: String) -> Revision {
+        let read = self.store.call(StoreRequest::Get { key: key.clone() }).unwrap();
+        let StoreReply::Object(object) = read else { panic!("{read:?}") };
+        let expect = object.map_or(Expect::Absent, |object| Expect::Revision(object.revision));
+        match self.store.call(StoreRequest::Put { key, body, expect }).unwrap() {
+            StoreReply::Written(revision) => revision,
+            other => panic!("{other:?}"),
+        }
+    }
+
+    /// Lets time pass; after each step, calls the check.
+    pub fn pass<F>(&mut self, span: Duration, mut check: F)
+    where
+        F: FnMut(&mut Site),
+    {
+        let end = self.now + span;
+        loop {
+            let due = self.queue.peek().map_or(Time::MAX, |Reverse((at, _))| *at);
+            let now = self.now;
+            let up = self.nodes.iter_mut().enumerate().filter(|(_, node)| node.up);
+            let ticks = up.map(|(index, node)| (node.steward.next_deadline(now), index));
+            let (tick, index) = ticks.min().unwrap_or((Time::MAX, 0));
+            let next = due.min(tick).max(now);
+            if next > end {
+                self.now = end;
+                return;
+            }
+            self.now = next;
+            if due <= next {
+                let Reverse((_, number)) = self.queue.pop().unwrap();
+                let (index, input) = self.inputs.remove(&number).unwrap();
+                self.give(index, input);
+            } else {
+                self.give(index, Input::Tick);
+            }
+            check(self);
+        }
+    }
+
+    fn post(&mut self, delay: Duration, index: usize, input: Input) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence)));
+        self.inputs.insert(self.sequence, (index, input));
+    }
+
+    fn give(&mut self, index: usize, input: Input) {
+        if !self.nodes[index].up {
+            return;
+        }
+        let mut out = Vec::new();
+        self.nodes[index].steward.handle(self.now, input, &mut out);
+        for output in out {
+            self.perform(index, output);
+        }
+    }
+
+    fn perform(&mut self, index: usize, output: Output) {
+        match output {
+            Output::Store { id, request } => {
+                let result = self.store.call(request);
+                self.post(STORE_DELAY, index, Input::Store { id, result });
+            }
+            Output::Order { id, to, order } => {
+                let position = (0..self.servers.len()).find(|server| server_address(*server) == to);
+                let server = &mut self.servers[position.unwrap()];
+                let now = self.now;
+                let reply = server.up.then(|| server.state.order(now, &order));
+                let delay = if reply.is_some() { NET_DELAY * 2 } else { ORDER_TIMEOUT };
+                self.post(delay, index, Input::Order { id, reply });
+            }
+            Output::Datagram { to, payload } => {
+                let node = NodeId::of(host_name(index));
+                let from = steward_address(index);
+                let datagram = Input::Datagram { node, from, payload };
+                self.post(NET_DELAY, self.index_of(to), datagram);
+            }
+            Output::Steward { to, message } => {
+                let other = self.index_of(to);
+                self.sequence += 1;
+                let link = LinkId(self.sequence);
+                self.links.insert(link, (index, other));
+                self.post(NET_DELAY, other, Input::Link { link, message });
+            }
+            Output::Link { link, message } => self.deliver(index, link, message),
+            Output::Status { status, .. } => self.statuses.push(*status),
+            Output::Count(_) => {}
+        }
+    }
+
+    fn deliver(&mut self, index: usize, link: LinkId, message: LinkMessage) {
+        if link.0 >= GATE_LINKS {
+            self.nodes[index].gate.take(message);
+        } else if let Some((one, other)) = self.links.get(&link).copied() {
+            let to = if one == index { other } else { one };
+            self.post(NET_DELAY, to, Input::Link { link, message });
+        }
+    }
+
+    fn index_of(&self, address: SocketAddr) -> usize {
+        (0..self.nodes.len()).find(|index| steward_address(*index) == address).unwrap()
+    }
+
+    /// How many slices have two owners by the servers' own leases.
+    pub fn doubly_owned(&mut self) -> usize {
+        let now = self.now;
+        let mut owners: BTreeMap<u32, u32> = BTreeMap::new();
+        for server in &mut self.servers {
+            for grant in server.state.owned(now) {
+                *owners.entry(grant.slice.0).or_default() += 1;
+            }
+        }
+        owners.values().filter(|count| **count > 1).count()
+    }
+
+    /// How many ranges the gate of a host routes to a server that owns them and is up.
+    pub fn served(&mut self, index: usize) -> usize {
+        let routes = self.nodes[index].gate.routes();
+        let now = self.now;
+        let mut served = 0;
+        for route in routes.into_iter().flatten() {
+            let position = (0..self.servers.len()).find(|s| server_address(*s) == route.server);
+            let server = &mut self.servers[position.unwrap()];
+            let mut owned = server.state.owned(now);
+            let owns = owned.any(|grant| grant.slice == route.slice && grant.token == route.token);
+            drop(owned);
+            served += usize::from(owns && server.up);
+        }
+        served
+    }
+}
