Let terms outlast an outage of the length that the document names

Cause: a keeper held from its last known renewal, up to 5 s before an outage, for just outage_hold. An outage of exactly that length ended every lease 0 to 5 s before the store came back. Change: a term holds 15 s longer than the longest outage: one renewal period before it, the failed calls in it and the first renewal after it. The whole-steward test failed first (0 of 64 ranges served at the end of 600 s), and passes now.

--- a/crates/own/src/campaign.rs
+++ b/crates/own/src/campaign.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use bay_conf::KeyedRules;
 use bay_store::{Expect, ObjectKey, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
 use bay_types::{Revision, ServiceName, Term, ZoneName};
@@ -15,6 +16,9 @@
 
 /// Pause between two renewals of a term.
 pub(crate) const TERM_RENEWAL: Duration = Duration::from_secs(5);
+/// How much longer than the longest outage a term holds: the time from its last renewal before the
+/// outage to its first one after it.
+const HOLD_MARGIN: Duration = Duration::from_secs(15);
 /// How long a term may go without a renewal before others look for its keeper in the store.
 const TERM_SILENCE: Duration = Duration::from_secs(15);
 /// How long the store has to show no renewal before a silent keeper's term is taken over.
@@ -194,7 +198,7 @@
             deputy,
             renewals: 0,
             lease_ms: rules.lease.as_millis() as u64,
-            hold_ms: rules.outage_hold.as_millis() as u64,
+            hold_ms: hold_of(rules).as_millis() as u64,
             former: former.into_iter().filter(|former| former.holder != me).collect(),
         };
         out.push(OwnOutput::Count("own.term.taken"));
@@ -220,7 +224,7 @@
         let mut record = keeper.record.clone();
         if let Some(rules) = service.doc.as_ref().and_then(|doc| doc.keyed()) {
             record.lease_ms = rules.lease.as_millis() as u64;
-            record.hold_ms = rules.outage_hold.as_millis() as u64;
+            record.hold_ms = hold_of(rules).as_millis() as u64;
         }
         record.renewals += 1;
         if keeper.all_fenced() {
@@ -455,3 +459,8 @@
     record.number = number;
     record.deputy = deputy;
 }
+
+/// How long a term holds from its last known renewal.
+fn hold_of(rules: &KeyedRules) -> Duration {
+    rules.outage_hold + HOLD_MARGIN
+}
