--- a/crates/fakes/examples/store.rs
+++ b/crates/fakes/examples/store.rs
@@ -1,17 +1,20 @@
-//! The platform's object API as a process: `store --listen IP:PORT`.
+//! The platform's object API and list of hosts as a process:
+//! `store --listen IP:PORT --host NAME,ZONE,IP:PORT`.
 
 use std::net::SocketAddr;
 use std::process::ExitCode;
-use std::sync::Arc;
+use std::sync::{Arc, PoisonError};
 
 use async_executor::Executor;
 use bay_fakes::StoreServer;
+use bay_store::{Host, HostState};
 use futures_lite::future;
 use getopts::Options;
 
 fn main() -> ExitCode {
     let mut options = Options::new();
     options.optopt("", "listen", "where to listen", "IP:PORT");
+    options.optmulti("", "host", "a host and where its steward listens", "NAME,ZONE,IP:PORT");
     options.optflag("h", "help", "prints this help");
     let matches = match options.parse(std::env::args().skip(1)) {
         Ok(matches) => matches,
@@ -29,9 +32,15 @@
         eprintln!("store: expected --listen with an IP address and port");
         return ExitCode::from(2);
     };
+    let hosts: Option<Vec<Host>> = matches.opt_strs("host").iter().map(|text| host(text)).collect();
+    let Some(hosts) = hosts else {
+        eprintln!("store: expected --host with a name, a zone and an IP address and port");
+        return ExitCode::from(2);
+    };
     let executor = Arc::new(Executor::new());
     let serve = async {
         let server = StoreServer::bind(listen).await?;
+        server.store().lock().unwrap_or_else(PoisonError::into_inner).set_hosts(hosts);
         println!("store listens on {}", server.address()?);
         server.serve(Arc::clone(&executor)).await;
         Ok::<(), std::io::Error>(())
@@ -44,3 +53,11 @@
         }
     }
 }
+
+fn host(text: &str) -> Option<Host> {
+    let mut parts = text.split(',');
+    let name = parts.next()?.parse().ok()?;
+    let zone = parts.next()?.parse().ok()?;
+    let steward = parts.next()?.parse().ok()?;
+    parts.next().is_none().then_some(Host { name, zone, steward, state: HostState::Live })
+}
--- a/crates/member/src/peers.rs
+++ b/crates/member/src/peers.rs
@@ -215,11 +215,8 @@
                 self.answer_survey(from, survey, items, sends);
             }
             PacketKind::SurveyAnswer { survey, nodes } => {
-                if let Some(running) = &mut self.survey
-                    && running.on_answer(survey, nodes)
-                {
-                    self.surveyed = Some(now);
-                    out.push(PeersOutput::Surveyed);
+                if let Some(running) = &mut self.survey {
+                    running.on_answer(now, survey, nodes);
                 }
             }
         }
--- a/crates/member/src/survey.rs
+++ b/crates/member/src/survey.rs
@@ -18,6 +18,8 @@
 const ASK_AGAIN: Duration = Duration::from_millis(400);
 /// Time that the nodes have for their answers to the last batch.
 const ANSWER_TIME: Duration = Duration::from_millis(400);
+/// Time that the other answers of the last steward have.
+const LAST_ANSWERS: Duration = Duration::from_millis(100);
 
 /// Asks every node once, for an operator, which configuration it has in force.
 ///
@@ -92,17 +94,18 @@
         false
     }
 
-    /// Takes answers; returns whether they end the survey.
-    pub(crate) fn on_answer(&mut self, number: u32, nodes: Vec<NodeVersions>) -> bool {
+    /// Takes answers. Once every steward has answered, the survey ends a little later, as the
+    /// answers for gates may come behind.
+    pub(crate) fn on_answer(&mut self, now: Time, number: u32, nodes: Vec<NodeVersions>) {
         if number != self.number || self.finished {
-            return false;
+            return;
         }
         for report in nodes {
             self.take(report);
         }
-        let all = self.queue.is_empty() && self.silent().is_empty();
-        self.finished = all;
-        all
+        if self.queue.is_empty() && self.silent().is_empty() {
+            self.next_batch = self.next_batch.min(now + LAST_ANSWERS);
+        }
     }
 
     /// The nodes that have not answered.
--- a/crates/member/tests/spread.rs
+++ b/crates/member/tests/spread.rs
@@ -154,6 +154,23 @@
     assert_eq!(lagging.len(), 2);
 }
 
+#[test]
+fn a_survey_waits_for_the_last_gate() {
+    let mut net = joined(30, 6, 5);
+    net.link_gates();
+    let item = document("jobs", 4, 3_000);
+    net.offer(0, item.clone());
+    in_force_within(&mut net, CHANGE_LIMIT, &item);
+    net.run(Duration::from_secs(1));
+    for asking in 0..20 {
+        net.survey(asking);
+        let asked = move |net: &Net| net.nodes[asking].surveyed;
+        assert!(net.run_until(Duration::from_secs(2), asked).is_some());
+        let status = net.nodes[asking].peers.status();
+        assert_eq!((status.items[0].in_force, status.items[0].asked), (60, 60));
+    }
+}
+
 #[test_case(1; "seed 1")]
 #[test_case(2; "seed 2")]
 fn items_arrive_though_connections_break(seed: u64) {
