Name the gates that no steward has a connection of in a status

Cause: a gate without a connection was missing from the status, which then said that the newest configuration was in force everywhere.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -55,7 +55,8 @@
 
 /// Whether every process has the newest configuration in force.
 pub fn in_force_everywhere(status: &ClusterStatus) -> bool {
-    status.fresh && status.lagging.is_empty() && status.silent.is_empty()
+    let all_answered = status.silent.is_empty() && status.silent_gates.is_empty();
+    status.fresh && status.lagging.is_empty() && all_answered
 }
 
 fn write_status(text: &mut String, status: &ClusterStatus) -> std::fmt::Result {
@@ -75,7 +76,10 @@
         write_lagging(text, process)?;
     }
     for node in &status.silent {
-        writeln!(text, "  no answer from {node}")?;
+        writeln!(text, "  no answer from steward {node}")?;
+    }
+    for node in &status.silent_gates {
+        writeln!(text, "  no steward has a connection of gate {node}")?;
     }
     writeln!(text, "nodes:")?;
     for member in &status.members {
--- a/crates/member/src/peers/status.rs
+++ b/crates/member/src/peers/status.rs
@@ -1,11 +1,9 @@
 //! What a node tells operators, and others that ask for them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_types::NodeId;
 use bay_wire::{ClusterStatus, Interest, MemberStatus, NodeVersions, Role, encode};
 use xxhash_rust::xxh3::xxh3_64;
 
@@ -33,12 +31,14 @@
             return;
         }
         let live = self.membership.members().filter(|member| member.state != MemberState::Dead);
-        let nodes: BTreeMap<NodeId, SocketAddr> =
-            live.map(|member| (member.node, member.steward)).collect();
+        let live: Vec<Member> = live.collect();
+        let nodes = live.iter().map(|member| (member.node, member.steward)).collect();
+        let gates = live.iter().filter(|member| member.gate.is_some());
+        let gates = gates.map(|member| member.node).collect();
         let expected = self.spread.configuration();
         self.surveys = self.surveys.wrapping_add(1);
         let items = versions_hash(&expected);
-        self.survey = Some(Survey::new(now, self.surveys, items, expected, nodes));
+        self.survey = Some(Survey::new(now, self.surveys, items, expected, nodes, gates));
     }
 
     /// What the latest survey found; the terms are left to the caller.
@@ -51,6 +51,7 @@
             members: self.membership.members().map(member_status).collect(),
             lagging: survey.map(Survey::lagging).unwrap_or_default(),
             silent: survey.map(Survey::silent).unwrap_or_default(),
+            silent_gates: survey.map(Survey::silent_gates).unwrap_or_default(),
             terms: Vec::new(),
         }
     }
--- a/crates/member/src/survey.rs
+++ b/crates/member/src/survey.rs
@@ -30,6 +30,7 @@
     items: u64,
     expected: Vec<Interest>,
     nodes: BTreeMap<NodeId, SocketAddr>,
+    gates: Vec<NodeId>,
     queue: VecDeque<NodeId>,
     answers: BTreeMap<(NodeId, Role), Answer>,
     next_batch: Time,
@@ -50,6 +51,7 @@
         items: u64,
         expected: Vec<Interest>,
         nodes: BTreeMap<NodeId, SocketAddr>,
+        gates: Vec<NodeId>,
     ) -> Survey {
         let queue = nodes.keys().copied().collect();
         let answers = BTreeMap::new();
@@ -58,6 +60,7 @@
             items,
             expected,
             nodes,
+            gates,
             queue,
             answers,
             next_batch: now,
@@ -114,6 +117,12 @@
         self.nodes.keys().filter(|node| !answered(node)).copied().collect()
     }
 
+    /// The nodes whose gate no steward has told of.
+    pub(crate) fn silent_gates(&self) -> Vec<NodeId> {
+        let answered = |node: &NodeId| self.answers.contains_key(&(*node, Role::Gate));
+        self.gates.iter().filter(|node| !answered(node)).copied().collect()
+    }
+
     pub(crate) fn items(&self) -> Vec<ItemStatus> {
         let status = |expected: &Interest| {
             let has = |answer: &&Answer| answer.version(expected) >= expected.version;
--- a/crates/member/tests/spread.rs
+++ b/crates/member/tests/spread.rs
@@ -139,6 +139,7 @@
     assert_eq!((status.items[0].in_force, status.items[0].asked), (118, 118));
     assert_eq!(status.silent, [net.nodes[9].id]);
     assert!(status.lagging.is_empty());
+    assert_eq!(status.silent_gates, [net.nodes[9].id]);
 
     let held_back = net.nodes[20].id;
     net.cut = Box::new(move |from, to| (from.id == held_back) != (to.id == held_back));
--- a/crates/wire/src/status.rs
+++ b/crates/wire/src/status.rs
@@ -18,8 +18,10 @@
     pub members: Vec<MemberStatus>,
     /// The processes that have older configuration in force.
     pub lagging: Vec<LaggingProcess>,
-    /// The nodes that did not say what they have in force.
+    /// The nodes whose steward did not say what it has in force.
     pub silent: Vec<NodeId>,
+    /// The nodes whose gate no steward can ask.
+    pub silent_gates: Vec<NodeId>,
     /// Who keeps the leases of which servers.
     pub terms: Vec<TermStatus>,
 }
