--- a/crates/own/src/service_state.rs
+++ b/crates/own/src/service_state.rs
@@ -1,6 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet};
 
-use bay_conf::ServiceDoc;
+use bay_conf::{ServerDoc, ServiceDoc};
 use bay_time::Time;
 use bay_types::{Revision, ServerName, ServiceName, ZoneName};
 
@@ -169,20 +169,16 @@
         let Some(doc) = &self.doc else {
             return (Vec::new(), false);
         };
-        let may_own = doc.servers.iter().filter(|server| {
-            let keeper = self.terms.get(&server.zone).and_then(|term| term.record.as_ref());
-            let kept = keeper.is_some_and(|record| stewards.alive(record.keeper));
-            !server.leaving && !out.contains(&server.zone) && kept
-        });
+        let may_own = |server: &&ServerDoc| !server.leaving && !out.contains(&server.zone);
         let mut servers = Vec::new();
         let mut all_up = true;
-        for server in may_own {
+        for server in doc.servers.iter().filter(may_own) {
             let key = ServerKey::of(server);
-            if self.is_up(key) {
-                servers.push(ServerLoad::new(key, server.zone, server.weight));
-            } else {
-                all_up = false;
-            }
+            let keeper = self.terms.get(&server.zone).and_then(|term| term.record.as_ref());
+            let kept = keeper.is_some_and(|record| stewards.alive(record.keeper));
+            let up = self.is_up(key);
+            servers.push(ServerLoad::new(key, server.zone, server.weight, up && kept));
+            all_up &= up;
         }
         let kept = |zone: &ZoneName| self.terms.get(zone).is_some_and(|term| term.record.is_some());
         all_up &= doc.servers.iter().all(|server| kept(&server.zone));
