Part lists by their size, so that every datagram fits a frame

Cause: lists were parted by count; with the longest names and IPv6 addresses a datagram had 1,447 bytes before its seal (no_datagram_is_longer_than_a_frame failed). Change: lists are parted at 900 bytes. The test's bound of 1,400 is a frame of 1,500 less heads and seal.

--- a/crates/member/src/membership/exchange.rs
+++ b/crates/member/src/membership/exchange.rs
@@ -9,15 +9,13 @@
 
 use super::Membership;
 use crate::buckets::{BUCKETS, Buckets};
-use crate::packet::{Outgoing, PacketKind};
+use crate::packet::{Outgoing, PacketKind, split_list};
 use crate::record::{Record, Rumor, Standing};
 
 /// Time between two comparisons of the whole membership.
 const COMPARE: Duration = Duration::from_secs(5);
 /// Time between two comparisons while they still bring members.
 const COMPARE_JOINING: Duration = Duration::from_millis(200);
-/// Records in one datagram.
-const RECORDS_PER_PACKET: usize = 14;
 /// Datagrams that answer one comparison.
 const PACKETS_PER_COMPARISON: usize = 4;
 
@@ -49,8 +47,8 @@
             .collect();
         // A different bucket comes first each time, so that an answer cut short is completed.
         records.sort_by_key(|record| (Buckets::of(&record.node) + start) % BUCKETS);
-        for chunk in records.chunks(RECORDS_PER_PACKET).take(PACKETS_PER_COMPARISON) {
-            out.push(Outgoing { to: from, kind: PacketKind::MemberRecords(chunk.to_vec()) });
+        for records in split_list(records).into_iter().take(PACKETS_PER_COMPARISON) {
+            out.push(Outgoing { to: from, kind: PacketKind::MemberRecords(records) });
         }
     }
 
--- a/crates/member/src/packet.rs
+++ b/crates/member/src/packet.rs
@@ -1,7 +1,7 @@
 use std::net::SocketAddr;
 
 use bay_types::NodeId;
-use bay_wire::{Interest, Item, NodeVersions};
+use bay_wire::{Interest, Item, NodeVersions, encode};
 use serde::{Deserialize, Serialize};
 
 use crate::record::{Record, Rumor, Standing};
@@ -53,6 +53,32 @@
     SurveyAnswer { survey: u32, nodes: Vec<NodeVersions> },
 }
 
+/// Bytes of a list in one datagram.
+const MAX_LIST_BYTES: usize = 900;
+
+/// Parts a list so that each part fits a datagram.
+pub(crate) fn split_list<T>(list: Vec<T>) -> Vec<Vec<T>>
+where
+    T: Serialize,
+{
+    let mut parts = Vec::new();
+    let mut part = Vec::new();
+    let mut bytes = 0;
+    for entry in list {
+        let size = encode(&entry).map_or(MAX_LIST_BYTES, |bytes| bytes.len());
+        if bytes + size > MAX_LIST_BYTES && !part.is_empty() {
+            parts.push(std::mem::take(&mut part));
+            bytes = 0;
+        }
+        bytes += size;
+        part.push(entry);
+    }
+    if !part.is_empty() {
+        parts.push(part);
+    }
+    parts
+}
+
 /// A datagram that still lacks what rides on it.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub(crate) struct Outgoing {
--- a/crates/member/src/peers/status.rs
+++ b/crates/member/src/peers/status.rs
@@ -8,12 +8,10 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Peers;
-use crate::packet::{Outgoing, PacketKind};
+use crate::packet::{Outgoing, PacketKind, split_list};
 use crate::survey::Survey;
 use crate::{Member, MemberState, PeersOutput};
 
-/// Versions in one answer to a survey.
-const VERSIONS_PER_ANSWER: usize = 16;
 /// Time for which a finished survey is not repeated.
 const SURVEY_KEPT: Duration = Duration::from_secs(2);
 
@@ -87,8 +85,8 @@
     if versions.is_empty() {
         return vec![NodeVersions { node, role, versions: Some(versions) }];
     }
-    let part = |chunk: &[Interest]| NodeVersions { node, role, versions: Some(chunk.to_vec()) };
-    versions.chunks(VERSIONS_PER_ANSWER).map(part).collect()
+    let part = |versions| NodeVersions { node, role, versions: Some(versions) };
+    split_list(versions).into_iter().map(part).collect()
 }
 
 fn versions_hash(versions: &[Interest]) -> u64 {
--- a/crates/member/src/spread.rs
+++ b/crates/member/src/spread.rs
@@ -10,7 +10,7 @@
 use self::fetch::FETCH_TIMEOUT;
 use crate::buckets::Buckets;
 use crate::held_item::HeldItem;
-use crate::packet::{Outgoing, PacketKind};
+use crate::packet::{Outgoing, PacketKind, split_list};
 use crate::rumor_queue::{RumorQueue, transmissions};
 use crate::spread_links::{SpreadLinks, send_items};
 use crate::{LinkHandle, PeerCounts, PeersOutput};
@@ -19,8 +19,6 @@
 const COMPARE: Duration = Duration::from_secs(2);
 /// Time between two comparisons while news on the datagram may explain the difference.
 const COMPARE_BUSY: Duration = Duration::from_secs(5);
-/// Versions in one datagram.
-const VERSIONS_PER_PACKET: usize = 16;
 /// Datagrams that answer one comparison.
 const PACKETS_PER_COMPARISON: usize = 4;
 /// Pause before news is sent on, in which it is gathered.
@@ -29,8 +27,6 @@
 const NEWS_SPACING: Duration = Duration::from_millis(250);
 /// Longest item that is sent in a datagram, in bytes.
 const SMALL_BODY: usize = 600;
-/// Bytes of items in one datagram.
-const ITEMS_PER_PACKET_BYTES: usize = 900;
 
 /// What an offered item came to.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -205,8 +201,8 @@
     pub(crate) fn on_buckets(&self, from: SocketAddr, cells: &[u32], out: &mut Vec<Outgoing>) {
         let differing = |have: &Interest| self.buckets.differs(Buckets::of(&have.key), cells);
         let versions: Vec<Interest> = self.versions().filter(differing).collect();
-        for chunk in versions.chunks(VERSIONS_PER_PACKET).take(PACKETS_PER_COMPARISON) {
-            out.push(Outgoing { to: from, kind: PacketKind::ItemVersions(chunk.to_vec()) });
+        for versions in split_list(versions).into_iter().take(PACKETS_PER_COMPARISON) {
+            out.push(Outgoing { to: from, kind: PacketKind::ItemVersions(versions) });
         }
     }
 
@@ -238,15 +234,9 @@
         }
         self.news_due = None;
         self.last_news = Some(now);
-        let mut budget = ITEMS_PER_PACKET_BYTES;
-        let mut round = Vec::new();
-        for item in self.fresh.drain(..) {
-            if item.body.len() <= budget {
-                budget -= item.body.len();
-                round.push(item);
-            }
-        }
-        Some(round)
+        // What does not fit one datagram is told of by its version only.
+        let parts = split_list(std::mem::take(&mut self.fresh));
+        Some(parts.into_iter().next().unwrap_or_default())
     }
 
     pub(crate) fn take_news(&mut self, members: usize, budget: usize) -> Vec<Interest> {
--- a/crates/member/tests/datagrams.rs
+++ b/crates/member/tests/datagrams.rs
@@ -2,9 +2,15 @@
 
 mod driver;
 
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::sync::OnceLock;
 use std::time::Duration;
 
+use bay_member::{MemberConfig, Peers, PeersOutput, Seed};
+use bay_time::Time;
+use bay_types::{Incarnation, NodeId, ZoneName};
+use bay_wire::{Item, ItemKey, ItemVersion};
 use driver::{Net, Recorded, document};
 use proptest::prelude::*;
 use test_case::test_case;
@@ -77,3 +83,55 @@
         }
     }
 }
+
+/// Longest payload that fits an Ethernet frame with its seal and heads, in bytes.
+const MAX_PAYLOAD: usize = 1_400;
+
+#[test]
+fn no_datagram_is_longer_than_a_frame() {
+    let name = |number: usize| format!("{:0>31}", number);
+    let zone = |number: usize| ZoneName::new(&name(number)).unwrap();
+    let address = |number: u16| SocketAddr::new("2001:db8:ffff:ffff::1".parse().unwrap(), number);
+    let config = |number: u16| MemberConfig {
+        node: NodeId(u64::MAX - u64::from(number)),
+        zone: zone(usize::from(number)),
+        steward: address(number),
+        gate: Some(address(number)),
+        incarnation: Incarnation(u64::MAX / 2),
+        seed: u64::from(number),
+    };
+    let mut now = Time::from_millis(1);
+    let numbers = 50_000..50_040;
+    let mut nodes: BTreeMap<SocketAddr, Peers> =
+        numbers.clone().map(|number| (address(number), Peers::new(config(number), now))).collect();
+    let seeds: Vec<Seed> = numbers
+        .map(|number| Seed { node: config(number).node, steward: address(number) })
+        .collect();
+    let mut sent = Vec::new();
+    for (index, (from, node)) in nodes.iter_mut().enumerate() {
+        node.seed(&seeds);
+        let version = ItemVersion { major: u64::MAX, minor: u64::MAX };
+        let key = ItemKey::Zone(zone(index));
+        let mut out = Vec::new();
+        node.offer(now, Item { key, version, base: None, body: vec![1; 20] }, &mut out);
+        sent.extend(out.into_iter().map(|output| (*from, output)));
+    }
+    for _ in 0..3_000 {
+        now += Duration::from_millis(10);
+        for (from, output) in std::mem::take(&mut sent) {
+            let PeersOutput::Datagram { to, payload } = output else { continue };
+            assert!(payload.len() <= MAX_PAYLOAD, "{} bytes", payload.len());
+            let mut out = Vec::new();
+            nodes.get_mut(&to).unwrap().on_datagram(now, from, &payload, &mut out);
+            sent.extend(out.into_iter().map(|output| (to, output)));
+        }
+        for (from, node) in &mut nodes {
+            let mut out = Vec::new();
+            if node.next_deadline() <= now {
+                node.tick(now, &mut out);
+            }
+            sent.extend(out.into_iter().map(|output| (*from, output)));
+        }
+    }
+    assert!(nodes.values().all(|node| node.membership().members().count() == 40));
+}
