--- a/crates/member/src/peers/status.rs
+++ b/crates/member/src/peers/status.rs
@@ -1,21 +1,17 @@
 //! What a node tells operators, and others that ask for them.
 
-use std::collections::BTreeMap;
 use std::net::SocketAddr;
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_types::NodeId;
 use bay_wire::{ClusterStatus, Interest, MemberStatus, NodeVersions, Role, encode};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::Peers;
-use crate::packet::{Outgoing, PacketKind};
+use crate::packet::{Outgoing, PacketKind, split_list};
 use crate::survey::Survey;
 use crate::{Member, MemberState, PeersOutput};
 
-/// Versions in one answer to a survey.
-const VERSIONS_PER_ANSWER: usize = 16;
 /// Time for which a finished survey is not repeated.
 const SURVEY_KEPT: Duration = Duration::from_secs(2);
 
@@ -33,12 +29,14 @@
             return;
         }
         let live = self.membership.members().filter(|member| member.state != MemberState::Dead);
-        let nodes: BTreeMap<NodeId, SocketAddr> =
-            live.map(|member| (member.node, member.steward)).collect();
+        let live: Vec<Member> = live.collect();
+        let nodes = live.iter().map(|member| (member.node, member.steward)).collect();
+        let gates = live.iter().filter(|member| member.gate.is_some());
+        let gates = gates.map(|member| member.node).collect();
         let expected = self.spread.configuration();
         self.surveys = self.surveys.wrapping_add(1);
         let items = versions_hash(&expected);
-        self.survey = Some(Survey::new(now, self.surveys, items, expected, nodes));
+        self.survey = Some(Survey::new(now, self.surveys, items, expected, nodes, gates));
     }
 
     /// What the latest survey found; the terms are left to the caller.
@@ -51,6 +49,7 @@
             members: self.membership.members().map(member_status).collect(),
             lagging: survey.map(Survey::lagging).unwrap_or_default(),
             silent: survey.map(Survey::silent).unwrap_or_default(),
+            silent_gates: survey.map(Survey::silent_gates).unwrap_or_default(),
             terms: Vec::new(),
         }
     }
@@ -86,8 +85,8 @@
     if versions.is_empty() {
         return vec![NodeVersions { node, role, versions: Some(versions) }];
     }
-    let part = |chunk: &[Interest]| NodeVersions { node, role, versions: Some(chunk.to_vec()) };
-    versions.chunks(VERSIONS_PER_ANSWER).map(part).collect()
+    let part = |versions| NodeVersions { node, role, versions: Some(versions) };
+    split_list(versions).into_iter().map(part).collect()
 }
 
 fn versions_hash(versions: &[Interest]) -> u64 {
