Run the random orders of events over a keyed service too

Cause: only a pooled service was driven. Ruled out: a second test beside it. Change: owners and tokens change, zones go out and come back, servers say that they do not own the key; each attempt must go to the owner of the moment with its token.

--- a/crates/gate/tests/gate/truth.rs
+++ b/crates/gate/tests/gate/truth.rs
@@ -3,11 +3,11 @@
 use std::collections::HashMap;
 use std::time::Duration;
 
-use crate::support::{Bed, Head, Sent, document, service};
+use crate::support::{Bed, Head, Sent, address, document, service};
 use bay_call::{Action, AttemptFailure, CallId, Event, NotRunReason};
 use bay_conf::Method;
 use bay_time::Time;
-use bay_types::{ErrorKind, Outcome};
+use bay_types::{ErrorKind, Outcome, Token};
 use bay_wire::ItemKey;
 use proptest::prelude::*;
 
@@ -25,6 +25,8 @@
     CallerFailed(usize),
     Pass(u16),
     Replace,
+    Route(Option<u8>),
+    Zone(u8, bool),
 }
 
 fn act() -> impl Strategy<Value = Act> {
@@ -42,6 +44,8 @@
         1 => pick.prop_map(Act::CallerFailed),
         4 => (1..1_500_u16).prop_map(Act::Pass),
         1 => Just(Act::Replace),
+        2 => prop::option::of(1..4_u8).prop_map(Act::Route),
+        1 => (1..4_u8, any::<bool>()).prop_map(|(zone, out)| Act::Zone(zone, out)),
     ]
 }
 
@@ -69,6 +73,10 @@
 }
 
 struct Model {
+    kind: &'static str,
+    /// The owner and the token, for a keyed service.
+    owner: Option<u8>,
+    token: u64,
     bed: Bed,
     flights: Vec<Flight>,
     calls: HashMap<CallId, Seen>,
@@ -83,9 +91,11 @@
             }),
             Act::Run(n) => self.run(n),
             Act::RefuseToRun(n) => self.with_flight(n, |bed, flight| {
+                let keyed = flight.sent.token.is_some();
+                let reason = if keyed { NotRunReason::NotOwner } else { NotRunReason::Shed };
                 if flight.on_wire && !flight.ran {
                     flight.refused = true;
-                    bed.answer(flight.sent, Some(NotRunReason::Shed));
+                    bed.answer(flight.sent, Some(reason));
                 }
             }),
             Act::Answer(n) => self.with_flight(n, |bed, flight| {
@@ -111,16 +121,24 @@
             }),
             Act::Pass(millis) => self.bed.pass(Duration::from_millis(millis.into())),
             Act::Replace => {
-                let text = document("pooled", 3).into_bytes();
+                let text = document(self.kind, 3).into_bytes();
                 self.bed.apply(ItemKey::Document(service()), text);
             }
+            Act::Route(owner) => {
+                self.token += 1;
+                self.owner = owner;
+                self.bed.route(owner, self.token);
+            }
+            Act::Zone(zone, out) => {
+                self.bed.set_zone(zone, if out { "out" } else { "in" });
+            }
         }
         self.look();
     }
 
     fn begin(&mut self, idempotent: bool, copy: Option<u8>) {
         let method = if idempotent { Method::Get } else { Method::Post };
-        let mut head = Head::new(method, "/");
+        let mut head = Head::new(method, "/jobs/1");
         if let Some(copy) = copy {
             head = head.with("idempotency-key", &copy.to_string());
         }
@@ -191,6 +209,10 @@
                     let sent = crate::support::sent(action).unwrap();
                     assert!(!self.calls.get(&sent.call).is_some_and(|seen| seen.ended));
                     self.check_copies(sent.call);
+                    if sent.token.is_some() {
+                        assert_eq!(Some(sent.to), self.owner.map(address), "not to the owner");
+                        assert_eq!(sent.token, Some(Token(self.token)));
+                    }
                     self.flights.push(Flight {
                         sent,
                         on_wire: false,
@@ -221,9 +243,20 @@
     #![proptest_config(ProptestConfig { cases: 2_000, failure_persistence: None, ..ProptestConfig::default() })]
 
     #[test]
-    fn a_not_run_is_true_and_non_idempotent_requests_run_once(acts in prop::collection::vec(act(), 1..60)) {
-        let mut model =
-            Model { bed: Bed::with("pooled", 3), flights: Vec::new(), calls: HashMap::new() };
+    fn a_not_run_is_true_and_non_idempotent_requests_run_once(
+        keyed: bool,
+        acts in prop::collection::vec(act(), 1..60),
+    ) {
+        let kind = if keyed { "keyed" } else { "pooled" };
+        let mut model = Model {
+            kind,
+            owner: None,
+            token: 0,
+            bed: Bed::with(kind, 3),
+            flights: Vec::new(),
+            calls: HashMap::new(),
+        };
+        model.act(Act::Route(Some(1)));
         for act in acts {
             model.act(act);
         }
