Take a gate without stewards to be the only one

Cause: only_the_documented_headers_reach_a_target hung in bay-node, as a gate refuses to claim idempotency keys before it knows which gates are up, and a gate without stewards never learns. Ruled out: claiming nothing and running anyway, which lets a starting gate run a copy beside another. Change: the shell sets an empty list where the settings name no steward. Conclusion: bay-node's connections tests are green (9); a gate with stewards needs LinkMessage::Gates before it takes idempotency keys.

--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -185,6 +185,10 @@
     }
 
     fn start_links(&self) {
+        if self.stewards.is_empty() {
+            // Nobody will name other gates, so there are none.
+            self.shared.set_gates(&[]);
+        }
         let (node, incarnation) = (self.shared.node, self.shared.incarnation);
         let identity = LinkIdentity { node, role: Role::Gate, incarnation };
         for steward in &self.stewards {
