Lose just the notices in the test of a lost notice

Ruled out: delivering everything, which tests nothing. Change: the fleet can lose the notices alone; the promise tested is the same. Conclusion: the set-up was wrong, not the gate.

--- a/crates/gate/tests/gate/crashes.rs
+++ b/crates/gate/tests/gate/crashes.rs
@@ -193,15 +193,17 @@
 #[test]
 fn a_quarantine_reaches_gates_that_missed_a_datagram() {
     let mut fleet = Fleet::new(2, "pooled", 4);
-    let bed = &mut fleet.beds[0];
+    fleet.loses_notices = true;
     for _ in 0..2 {
-        bed.begin(&Head::new(Method::Post, "/poison"));
+        fleet.beds[0].begin(&Head::new(Method::Post, "/poison"));
+        fleet.deliver();
+        let bed = &mut fleet.beds[0];
         let sent = bed.attempt();
         bed.may_send(sent);
         bed.fail(sent, AttemptFailure::Lost);
     }
-    let missed = bed.peers();
-    assert!(!missed.is_empty());
+    fleet.deliver();
+    fleet.loses_notices = false;
     fleet.pass(MS * 150);
     let call = fleet.beds[1].begin(&Head::new(Method::Post, "/poison"));
     assert_eq!(fleet.beds[1].refusal(call), Some(ErrorKind::Quarantined));
--- a/crates/gate/tests/gate/support.rs
+++ b/crates/gate/tests/gate/support.rs
@@ -285,13 +285,18 @@
     pub beds: Vec<Bed>,
     /// The gates that are lost: they send and receive nothing.
     pub lost: Vec<usize>,
+    /// Whether notices about crashing requests are lost on their way.
+    pub loses_notices: bool,
 }
 
 impl Fleet {
     pub fn new(gates: u8, kind: &str, servers: u8) -> Fleet {
         let numbers: Vec<u8> = (1..=gates).collect();
-        let mut fleet =
-            Fleet { beds: numbers.iter().map(|n| Bed::new(*n)).collect(), lost: vec![] };
+        let mut fleet = Fleet {
+            beds: numbers.iter().map(|n| Bed::new(*n)).collect(),
+            lost: vec![],
+            loses_notices: false,
+        };
         for bed in &mut fleet.beds {
             bed.apply(ItemKey::Document(service()), document(kind, servers).into_bytes());
         }
@@ -312,6 +317,9 @@
         for _ in 0..10 {
             for from in 0..self.beds.len() {
                 for (to, message) in self.beds[from].peers() {
+                    if self.loses_notices && matches!(message, PeerMessage::Quarantine { .. }) {
+                        continue;
+                    }
                     let index = (0..self.beds.len()).find(|n| peer_address(*n as u8 + 1) == to);
                     let reached = index.filter(|_| !self.lost.contains(&from));
                     if let Some(index) = reached.filter(|index| !self.lost.contains(index)) {
