--- a/crates/fakes/src/queueing.rs
+++ b/crates/fakes/src/queueing.rs
@@ -1,6 +1,8 @@
 //! A queueing model of the two sites on virtual time, for comparing ways to share targets.
 
+mod attempts;
 mod central;
+mod faults;
 mod forward;
 mod lending;
 mod network;
--- a/crates/fakes/src/queueing/sim.rs
+++ b/crates/fakes/src/queueing/sim.rs
@@ -1,7 +1,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
-use bay_load::{Permit, Pool, Seen, Ticket};
+use bay_load::{Permit, Pool, Ticket};
 use bay_time::Time;
 use bay_types::{CustomerName, NodeId};
 use rand::rngs::SmallRng;
@@ -12,15 +12,9 @@
 use super::target::FakeTarget;
 use super::{Policy, Report, Scenario, Site};
 
-/// Part of the mean service time that each request takes at least.
-const FIXED_SERVICE: f64 = 0.4;
-
 /// Time in which a request has to be answered.
 const TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Time until the gates hear of a zone, at most.
-const ZONE_SPREAD: Duration = Duration::from_secs(1);
-
 /// Time after which a zone that was taken out gets no new work.
 const ZONE_BOUND: Duration = Duration::from_secs(2);
 
@@ -65,11 +59,11 @@
     pub(super) reserved: Vec<usize>,
     pub(super) report: Report,
     /// Draws arrivals and service times, the same for each policy.
-    work_rng: SmallRng,
+    pub(super) work_rng: SmallRng,
     /// Draws the policies' own choices.
     pub(super) rng: SmallRng,
-    out_since: Option<Time>,
-    straggler_turn: usize,
+    pub(super) out_since: Option<Time>,
+    pub(super) straggler_turn: usize,
 }
 
 /// A caller's request.
@@ -121,26 +115,6 @@
         }
     }
 
-    fn schedule_faults(&mut self) {
-        self.schedule.push(Time::ZERO, Event::Arrive);
-        if self.scenario.stragglers.is_some() {
-            self.schedule.push(Time::ZERO, Event::MoveStragglers);
-        }
-        if let Some(out) = self.scenario.zone_out.clone() {
-            let zone = out.zone;
-            self.schedule.push(Time::ZERO + out.span.start, Event::Zone { zone, is_in: false });
-            self.schedule.push(Time::ZERO + out.span.end, Event::Zone { zone, is_in: true });
-        }
-        for (index, cold) in self.scenario.cold_starts.iter().enumerate() {
-            self.schedule.push(Time::ZERO + cold.at, Event::ColdStart { index });
-        }
-        if let Some(loss) = self.scenario.gate_loss {
-            let at = Time::ZERO + loss.at;
-            self.schedule.push(at, Event::GateLost { gate: loss.gate });
-            self.schedule.push(at + loss.known_after, Event::LossKnown { gate: loss.gate });
-        }
-    }
-
     fn handle(&mut self, event: Event) {
         match event {
             Event::Arrive => self.arrive(),
@@ -249,104 +223,6 @@
         site.delay(site.zone_of(from), site.zone_of(to))
     }
 
-    fn at_target(&mut self, attempt: usize) {
-        if self.attempts[attempt].over {
-            return;
-        }
-        self.count(|report| report.attempts += 1);
-        let service = self.draw_service();
-        let Attempt { target, sent, .. } = self.attempts[attempt];
-        let now = self.now;
-        match self.targets[target].admit(now, attempt) {
-            Ok(()) => {
-                let running = self.targets[target].running.len();
-                self.report.most_running = self.report.most_running.max(running);
-                let slow = self.draw_delay(target);
-                self.schedule.push(now + service + slow, Event::Finish { attempt });
-            }
-            Err(reason) => {
-                self.count_excess(target, sent);
-                self.reply(attempt, Seen::NotRun(reason));
-                if self.targets[target].falls_over(now) {
-                    self.restart(target, true);
-                }
-            }
-        }
-    }
-
-    fn count_excess(&mut self, target: usize, sent: Time) {
-        let now = self.now;
-        let told_after = self.scenario.site.one_way * 2;
-        let target = &self.targets[target];
-        let told = target.revealed.is_some_and(|at| sent > at + told_after);
-        let cold = target.cold(now);
-        self.count(|report| {
-            report.excess += 1;
-            report.cold_excess += u64::from(cold);
-            report.cold_excess_told += u64::from(cold && told);
-        });
-    }
-
-    fn draw_service(&mut self) -> Duration {
-        let exponential = -(1.0 - self.work_rng.random::<f64>()).ln();
-        let parts = FIXED_SERVICE + (1.0 - FIXED_SERVICE) * exponential;
-        self.scenario.service.mul_f64(parts)
-    }
-
-    fn draw_delay(&mut self, target: usize) -> Duration {
-        let part = self.work_rng.random_range(0.33..1.0);
-        self.targets[target].delay.map_or(Duration::ZERO, |delay| delay.mul_f64(part))
-    }
-
-    fn finish(&mut self, attempt: usize) {
-        let target = self.attempts[attempt].target;
-        let running = &mut self.targets[target].running;
-        let Some(place) = running.iter().position(|a| *a == attempt) else {
-            return;
-        };
-        running.swap_remove(place);
-        self.reply(attempt, Seen::Answered);
-        if self.scenario.policy == Policy::Central {
-            self.central_free(target);
-        }
-    }
-
-    fn reply(&mut self, attempt: usize, seen: Seen) {
-        let Attempt { request, target, .. } = self.attempts[attempt];
-        let at = self.now + self.target_delay(self.requests[request].via, target);
-        self.schedule.push(at, Event::AtGate { attempt, seen });
-    }
-
-    fn at_gate(&mut self, attempt: usize, seen: Seen) {
-        let target = self.attempts[attempt].target;
-        if self.attempts[attempt].over {
-            return;
-        }
-        if seen != Seen::Answered && self.targets[target].cold(self.now) {
-            self.targets[target].revealed.get_or_insert(self.now);
-        }
-        self.attempts[attempt].over = true;
-        match self.scenario.policy {
-            Policy::Lending => self.lending_reply(attempt, seen),
-            Policy::Central => self.answered(self.attempts[attempt].request),
-            Policy::Forward => self.forward_reply(attempt, seen),
-            _ => self.simple_reply(attempt, seen),
-        }
-    }
-
-    /// Gives an attempt up and tells the target.
-    pub(super) fn cancel(&mut self, attempt: usize) {
-        self.attempts[attempt].over = true;
-        let Attempt { request, target, .. } = self.attempts[attempt];
-        let at = self.now + self.target_delay(self.requests[request].via, target);
-        self.schedule.push(at, Event::CancelAtTarget { attempt });
-    }
-
-    fn cancel_at_target(&mut self, attempt: usize) {
-        let target = self.attempts[attempt].target;
-        self.targets[target].running.retain(|a| *a != attempt);
-    }
-
     /// Counts a request as answered.
     pub(super) fn answered(&mut self, request: usize) {
         let request = &mut self.requests[request];
@@ -379,7 +255,7 @@
         }
     }
 
-    fn count<F>(&mut self, count: F)
+    pub(super) fn count<F>(&mut self, count: F)
     where
         F: FnOnce(&mut Report),
     {
@@ -395,57 +271,6 @@
         });
     }
 
-    fn move_stragglers(&mut self) {
-        let Some(stragglers) = self.scenario.stragglers else {
-            return;
-        };
-        let count = self.targets.len();
-        let mean = count as f64 / stragglers.one_in as f64;
-        let one_more = self.rng.random_bool(mean.fract());
-        let slow = mean as usize + usize::from(one_more);
-        for target in &mut self.targets {
-            target.delay = None;
-        }
-        for i in 0..slow {
-            let target = (self.straggler_turn + i * stragglers.one_in) % count;
-            self.targets[target].delay = Some(stragglers.delay);
-        }
-        self.straggler_turn += 1;
-        self.schedule.push(self.now + stragglers.span, Event::MoveStragglers);
-    }
-
-    fn zone(&mut self, zone: usize, is_in: bool) {
-        let now = self.now;
-        self.out_since = Some(now);
-        for target in 0..self.targets.len() {
-            if self.targets[target].zone != zone {
-                continue;
-            }
-            self.targets[target].in_service = is_in;
-            if is_in {
-                self.targets[target].turn_cold(now, true);
-            }
-        }
-        for gate in 0..self.scenario.site.gates {
-            let after = ZONE_SPREAD.mul_f64(self.rng.random());
-            self.schedule.push(now + after, Event::GateHearsZone { gate });
-        }
-        if self.scenario.policy == Policy::Central {
-            self.central_serve();
-        }
-    }
-
-    fn cold_start(&mut self, index: usize) {
-        let cold = self.scenario.cold_starts[index];
-        self.restart(cold.target, cold.announced);
-    }
-
-    fn restart(&mut self, target: usize, announced: bool) {
-        for attempt in self.targets[target].restart(self.now, announced) {
-            self.reply(attempt, Seen::Failed);
-        }
-    }
-
     pub(super) fn customer_name(customer: usize) -> CustomerName {
         let name = format!("customer-{customer}");
         CustomerName::new(&name).expect("letters, a hyphen and digits are a name")
--- /dev/null
+++ b/crates/load/src/picking.rs
@@ -0,0 +1,165 @@
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::ErrorKind;
+
+use crate::permit::Release;
+use crate::queue::Queue;
+use crate::target::Busy;
+use crate::{Permit, Pick, Pool, Purpose, TargetId, Ticket, Wish};
+
+/// Time after which a waiting request asks again if it has not been called.
+const QUEUE_POLL: Duration = Duration::from_millis(2);
+
+/// Requests that may wait at a gate, as a multiple of its even share of all slots.
+const QUEUE_PER_SLOT: usize = 2;
+
+/// Requests that may wait at a gate at least.
+const MIN_QUEUE: usize = 8;
+
+impl Pool {
+    /// Picks a target for a request.
+    pub fn pick(&mut self, now: Time, wish: &Wish<'_>) -> Pick {
+        self.drain_releases(now);
+        self.arm(now);
+        if let Some(pick) = self.displaced(now, wish) {
+            return pick;
+        }
+        if self.overtakes(wish) {
+            return self.wait_or_refuse(now, wish);
+        }
+        match self.choose(now, wish) {
+            Some(id) => self.start(now, id, wish),
+            None => self.wait_or_refuse(now, wish),
+        }
+    }
+
+    /// Whether a new request would overtake those that wait.
+    fn overtakes(&self, wish: &Wish<'_>) -> bool {
+        if wish.ticket.is_some() || wish.only.is_some() || self.queue.is_empty() {
+            return false;
+        }
+        wish.purpose != Purpose::Hedge && self.ready.len() <= self.queue.len()
+    }
+
+    fn choose(&mut self, now: Time, wish: &Wish<'_>) -> Option<TargetId> {
+        let Some(address) = wish.only else {
+            return self.ready.choose(&self.targets, now, wish.exclude, &mut self.rng);
+        };
+        let id = *self.by_address.get(&address)?;
+        (self.has_free(now, address) && !wish.exclude.contains(&id)).then_some(id)
+    }
+
+    /// Whether a target has a free slot, for a request that only it may serve.
+    pub(crate) fn has_free(&self, now: Time, address: SocketAddr) -> bool {
+        let id = self.by_address.get(&address);
+        id.is_some_and(|id| self.targets[*id].free_for_only(now) > 0)
+    }
+
+    fn start(&mut self, now: Time, id: TargetId, wish: &Wish<'_>) -> Pick {
+        match wish.purpose {
+            Purpose::First => {
+                self.retries.earn();
+                self.hedges.earn();
+            }
+            Purpose::Retry => {}
+            Purpose::Hedge if self.hedges.spend() => {}
+            Purpose::Hedge => return self.refuse(now, ErrorKind::ServiceOverloaded),
+        }
+        if let Some(ticket) = wish.ticket {
+            self.queue.remove(ticket);
+        }
+        self.queue.started(wish.customer);
+        self.next_number += 1;
+        let number = self.next_number;
+        let target = &mut self.targets[id];
+        let slot = target.take_slot(now);
+        target.busy.push(Busy { number, since: now, loan: slot.loan, noted: false });
+        let (address, silent) = (target.spec.address, target.silent);
+        self.ready.refresh(&mut self.targets, id, now);
+        if self.ready.is_empty() {
+            self.borrow_ahead(now);
+        }
+        let release = Release { target: id, number, customer: wish.customer };
+        Pick::Go(Permit::new(address, silent, slot.trial, release, self.release.clone()))
+    }
+
+    /// The refusal of a waiting request whose place another customer has taken.
+    fn displaced(&mut self, now: Time, wish: &Wish<'_>) -> Option<Pick> {
+        let ticket = wish.ticket?;
+        if !self.queue.get_mut(ticket)?.displaced {
+            return None;
+        }
+        self.queue.remove(ticket);
+        Some(self.refuse(now, ErrorKind::CustomerOverShare))
+    }
+
+    fn wait_or_refuse(&mut self, now: Time, wish: &Wish<'_>) -> Pick {
+        if !self.may_serve(wish.only) {
+            return self.leave_and_refuse(now, wish, ErrorKind::NoTarget);
+        }
+        let until = now + QUEUE_POLL;
+        if wish.purpose == Purpose::Hedge || until >= wish.deadline {
+            return self.leave_and_refuse(now, wish, ErrorKind::ServiceOverloaded);
+        }
+        let ticket = match wish.ticket {
+            Some(ticket) => self.wait_on(now, ticket),
+            None => self.enter_queue(now, wish),
+        };
+        match ticket {
+            Ok(ticket) => Pick::Wait { ticket, until },
+            Err(kind) => self.leave_and_refuse(now, wish, kind),
+        }
+    }
+
+    fn wait_on(&mut self, now: Time, ticket: Ticket) -> Result<Ticket, ErrorKind> {
+        let Some(entry) = self.queue.get_mut(ticket) else {
+            return Err(ErrorKind::ServiceOverloaded);
+        };
+        if now.since(entry.since) >= Queue::MAX_WAIT {
+            return Err(ErrorKind::ServiceOverloaded);
+        }
+        self.queue.touch(now, ticket);
+        Ok(ticket)
+    }
+
+    fn enter_queue(&mut self, now: Time, wish: &Wish<'_>) -> Result<Ticket, ErrorKind> {
+        if self.queue.len() >= self.queue_limit() && !self.queue.make_room(wish.customer) {
+            return Err(ErrorKind::ServiceOverloaded);
+        }
+        let ticket = self.queue.push(now, wish.customer, wish.only);
+        match wish.only {
+            Some(address) => self.borrow_only(now, address),
+            None => self.borrow_for_queue(now),
+        }
+        Ok(ticket)
+    }
+
+    fn queue_limit(&self) -> usize {
+        let slots = self.targets.len() * self.config.limits.slots as usize;
+        let share = slots / self.gates.len().max(1);
+        (QUEUE_PER_SLOT * share).max(MIN_QUEUE)
+    }
+
+    fn may_serve(&self, only: Option<SocketAddr>) -> bool {
+        match only {
+            Some(address) => {
+                let id = self.by_address.get(&address);
+                id.is_some_and(|id| self.targets[*id].spec.accepts)
+            }
+            None => !self.lenders.is_empty() || !self.homed.is_empty(),
+        }
+    }
+
+    fn leave_and_refuse(&mut self, now: Time, wish: &Wish<'_>, kind: ErrorKind) -> Pick {
+        if let Some(ticket) = wish.ticket {
+            self.queue.remove(ticket);
+        }
+        self.refuse(now, kind)
+    }
+
+    fn refuse(&mut self, now: Time, kind: ErrorKind) -> Pick {
+        Pick::Refuse { kind, retry_after: self.return_times.next(now, &mut self.rng) }
+    }
+}
