Save a wasted read and a wasted wake-up in each request

Cause: strace over relay_cost counted two reads in each request that found nothing. One is the check of an idle connection before its use, and stays; the other came from the watch for a caller that hangs up, which tried to read before it waited. The gate's answer to an event of a request's own task also woke that task once more.

Ruled out: the check of idle connections; without it a test fails.

Change: the watch waits first; a task asks to be woken only as it waits.

--- a/crates/node/src/gate_shell/call_run.rs
+++ b/crates/node/src/gate_shell/call_run.rs
@@ -78,12 +78,12 @@
     /// Goes on until it is clear how to answer.
     pub(crate) fn poll(&mut self, cx: &mut Context<'_>) -> Poll<CallEnd> {
         loop {
-            while let Some(action) = self.mailbox.pop(cx) {
+            while let Some(action) = self.mailbox.pop() {
                 if let Some(end) = self.act(action) {
                     return Poll::Ready(end);
                 }
             }
-            if !self.poll_attempts(cx) {
+            if !self.poll_attempts(cx) && !self.mailbox.wait(cx) {
                 break;
             }
         }
--- a/crates/node/src/gate_shell/connection.rs
+++ b/crates/node/src/gate_shell/connection.rs
@@ -231,6 +231,8 @@
 
     /// Completes when the peer has ended or broken the connection; keeps what it sends until then.
     pub(crate) fn poll_gone(&mut self, cx: &mut Context<'_>) -> Poll<()> {
+        // Without a buffer the wait begins with no read that finds nothing.
+        self.release();
         while self.unused().len() < BUFFER_BYTES {
             match ready!(self.poll_fill(cx)) {
                 Ok(0) | Err(_) => return Poll::Ready(()),
--- a/crates/node/src/gate_shell/mailbox.rs
+++ b/crates/node/src/gate_shell/mailbox.rs
@@ -28,24 +28,35 @@
         }
     }
 
-    /// Takes the next action, or remembers whom to wake.
-    pub(crate) fn pop(&self, cx: &Context<'_>) -> Option<Action> {
+    /// Takes the next action; the task does not have to be woken until it waits again.
+    pub(crate) fn pop(&self) -> Option<Action> {
         let mut state = lock(&self.state);
-        let action = state.actions.pop_front();
-        if action.is_none() {
-            state.waker = Some(cx.waker().clone());
+        state.waker = None;
+        state.actions.pop_front()
+    }
+
+    /// Remembers whom to wake; returns whether there is an action already.
+    pub(crate) fn wait(&self, cx: &Context<'_>) -> bool {
+        let mut state = lock(&self.state);
+        if !state.actions.is_empty() {
+            return true;
         }
-        action
+        state.waker = Some(cx.waker().clone());
+        false
     }
 
     /// Completes when the gate breaks the answer off; other actions come too late and are dropped.
     pub(crate) fn poll_abort(&self, cx: &Context<'_>) -> Poll<()> {
-        while let Some(action) = self.pop(cx) {
-            if matches!(action, Action::Abort { .. }) {
-                return Poll::Ready(());
+        loop {
+            while let Some(action) = self.pop() {
+                if matches!(action, Action::Abort { .. }) {
+                    return Poll::Ready(());
+                }
+            }
+            if !self.wait(cx) {
+                return Poll::Pending;
             }
         }
-        Poll::Pending
     }
 
     /// Drops what a request that has ended left behind.
