--- a/crates/fakes/src/lib.rs
+++ b/crates/fakes/src/lib.rs
@@ -1,6 +1,7 @@
 //! Small stand-ins of the outside systems, for tests, examples and benches.
 
 mod mem_store;
+pub mod own_driver;
 mod owner_server;
 pub mod queueing;
 mod store_server;
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -20,9 +20,11 @@
 mod pool;
 mod queue;
 mod ready;
+mod reconfigure;
 mod return_times;
 mod sweep;
 mod target;
+mod usage;
 mod wish;
 
 pub use config::{PoolConfig, TargetLimits};
@@ -33,4 +35,5 @@
 pub use pick::Pick;
 pub use pool::Pool;
 pub use target::{TargetId, TargetSpec};
+pub use usage::Usage;
 pub use wish::{Purpose, Ticket, Wish};
--- a/crates/load/src/membership.rs
+++ b/crates/load/src/membership.rs
@@ -1,5 +1,8 @@
+use std::collections::{BTreeSet, HashSet};
+use std::net::SocketAddr;
+
 use bay_time::Time;
-use bay_types::NodeId;
+use bay_types::{NodeId, ZoneName};
 use bay_wire::{GateAddress, LoanId};
 use rand::RngExt;
 
@@ -35,13 +38,14 @@
         let others = || gates.iter().filter(|gate| gate.node != node);
         self.homes.retain(|home, _| others().any(|gate| gate.node == *home));
         for gate in others() {
-            self.homes.entry(gate.node).or_insert_with(|| Home::new(gate.zone == zone));
+            self.homes.entry(gate.node).or_insert_with(|| Home::new(gate.zone, gate.zone == zone));
         }
         self.assign_homes(now);
     }
 
     fn remove_targets_not_in(&mut self, now: Time, specs: &[TargetSpec]) {
-        let kept = |target: &Target| specs.iter().any(|s| s.address == target.spec.address);
+        let addresses: HashSet<SocketAddr> = specs.iter().map(|spec| spec.address).collect();
+        let kept = |target: &Target| addresses.contains(&target.spec.address);
         let gone: Vec<TargetId> =
             self.targets.iter().filter(|(_, t)| !kept(t)).map(|(id, _)| id).collect();
         for id in gone {
@@ -87,6 +91,12 @@
         self.lenders = others.into_iter().filter_map(|(_, home)| home).collect();
         self.lenders.sort_unstable();
         self.lenders.dedup();
+        let open = self.targets.values().filter(|target| target.spec.accepts);
+        let zones: BTreeSet<ZoneName> = open.map(|target| target.spec.zone).collect();
+        for home in self.homes.values_mut() {
+            home.has_nearer = !home.near && zones.contains(&home.zone);
+        }
+        self.has_near = zones.contains(&self.config.zone);
         self.arm(now);
     }
 
@@ -136,6 +146,7 @@
                 bearing,
                 idle_since: None,
                 recalled: false,
+                trial: false,
             });
         }
     }
--- a/crates/member/tests/driver/mod.rs
+++ b/crates/member/tests/driver/mod.rs
@@ -74,6 +74,8 @@
     pub now: Time,
     pub nodes: Vec<Node>,
     pub loss: f64,
+    /// Share of the messages over connections that are lost because the connection broke.
+    pub links_broken: f64,
     pub duplicated: f64,
     pub cut: Cut,
     /// Datagrams that were delivered, if they are recorded.
@@ -94,6 +96,7 @@
             now: Time::from_millis(1_000),
             nodes: Vec::new(),
             loss: 0.0,
+            links_broken: 0.0,
             duplicated: 0.0,
             cut: Box::new(|_, _| false),
             recorded: None,
@@ -177,6 +180,11 @@
         self.nodes[index].paused = true;
     }
 
+    /// Drops what has been sent to a paused process, as a full socket buffer does.
+    pub fn drop_held_back(&mut self, index: usize) {
+        self.nodes[index].held_back.clear();
+    }
+
     /// Lets a paused process go on.
     pub fn resume(&mut self, index: usize) {
         self.nodes[index].paused = false;
@@ -254,18 +262,21 @@
         up.all(|node| node.peers.spread().version(key) == version)
     }
 
-    /// Whether every node that is up sees exactly those that are up as alive.
+    /// Whether every node that is up sees those that are up as alive and all others as dead.
     pub fn agreed(&self) -> bool {
         let up: Vec<NodeId> =
             self.nodes.iter().filter(|node| node.up && !node.paused).map(|node| node.id).collect();
         let sees = |node: &Node| {
-            let alive = node.peers.membership().members();
-            let alive = alive.filter(|member| member.state == MemberState::Alive).count();
-            let all = up.iter().all(|other| {
-                let member = node.peers.membership().member(*other);
-                member.is_some_and(|member| member.state == MemberState::Alive)
+            let mut alive = 0;
+            let rest_dead = node.peers.membership().members().all(|member| match member.state {
+                MemberState::Alive => {
+                    alive += 1;
+                    up.contains(&member.node)
+                }
+                MemberState::Dead => !up.contains(&member.node),
+                MemberState::Suspect | MemberState::Leaving => false,
             });
-            all && alive == up.len()
+            rest_dead && alive == up.len()
         };
         self.nodes.iter().filter(|node| node.up && !node.paused).all(sees)
     }
@@ -395,6 +406,9 @@
         if !b.up || (self.cut)(a, b) || (self.cut)(b, a) {
             return;
         }
+        if self.rng.random_bool(self.links_broken) {
+            return;
+        }
         let bytes = encode(message).unwrap();
         let mut size = bytes.len() as u64 + LINK_HEADS;
         let opened = self.opened.insert((from.min(to), from.max(to)), self.now);
