Bear outages, planned stops, zones out, hot keys and unfenced servers

Cause: these had no test. Found by them, each test failing first: - unfenced servers: a server frozen for 6 s took the orders queued at it and owned 21 slices beside their new owners (lease from receipt with a longest delivery of 2 s). The lease now runs from the order's own reading there too, and a slice is let go only on an answer to an order sent after all earlier ones have expired. - a server that its keeper could not reach was barred at the deputy before the deputy could renew it, and moved; it is barred a quarter interval before its lease ends, and the deputy is asked at once. - a server that has taken a new term refuses earlier holders only from then on; the lease that they gave it before is now counted too.

--- /dev/null
+++ b/crates/fakes/examples/own_measure.rs
@@ -0,0 +1,270 @@
+//! Measures ownership on virtual time; every figure follows from the seeds.
+
+use std::collections::BTreeMap;
+use std::fmt::Write;
+use std::time::Duration;
+
+use bay_conf::ZoneState;
+use bay_fakes::own_driver::{OwnDriver, StoreMode};
+use bay_own::rendezvous_owner;
+use bay_types::{ServerName, ServiceName, SliceId, ZoneName};
+
+const SECOND: Duration = Duration::from_secs(1);
+const SEEDS: u64 = 20;
+const SLICES: u32 = 1_024;
+
+/// The owner of each slice.
+type Owners = BTreeMap<SliceId, ServerName>;
+
+/// The size of one run.
+#[derive(Debug, Clone, Copy)]
+struct Size {
+    stewards: usize,
+    zones: usize,
+    services: usize,
+    servers: usize,
+    slices: u32,
+}
+
+const SITE: Size = Size { stewards: 9, zones: 4, services: 1, servers: 17, slices: SLICES };
+
+fn main() {
+    recovery();
+    steward_loss();
+    store_outage();
+    zone_leaves_and_returns();
+    churn();
+    for size in [
+        Size { stewards: 9, zones: 4, services: 1, servers: 17, slices: 256 },
+        Size { stewards: 100, zones: 4, services: 3, servers: 40, slices: 256 },
+        Size { stewards: 300, zones: 8, services: 6, servers: 60, slices: 256 },
+        Size { stewards: 780, zones: 8, services: 12, servers: 80, slices: 256 },
+    ] {
+        control_cost(size);
+    }
+}
+
+fn zone(index: usize) -> String {
+    format!("z{index}")
+}
+
+fn document(size: Size, service: usize, servers: usize) -> String {
+    let mut text = format!(
+        "[service]\nname = svc{service}\nhosts = svc{service}.example\nkind = keyed\n\
+         [keys]\nheader = x-key\nslices = {}\nfenced = yes\n\
+         [limits]\nslots = 4\nconnections = 110\n",
+        size.slices
+    );
+    for index in 0..servers {
+        let zone = zone(index % size.zones);
+        let address = format!("10.{service}.{}.{}:80", index / 200, index % 200);
+        let _ = write!(text, "[server s{index}]\naddress = {address}\nzone = {zone}\n");
+    }
+    text
+}
+
+fn driver(seed: u64, size: Size) -> OwnDriver {
+    let zones: Vec<String> = (0..size.stewards).map(|index| zone(index % size.zones)).collect();
+    let zones: Vec<&str> = zones.iter().map(String::as_str).collect();
+    let documents: Vec<String> =
+        (0..size.services).map(|service| document(size, service, size.servers)).collect();
+    let documents: Vec<&str> = documents.iter().map(String::as_str).collect();
+    OwnDriver::new(seed, &zones, &documents)
+}
+
+fn settled(seed: u64) -> OwnDriver {
+    let mut driver = driver(seed, SITE);
+    driver.run(SECOND * 15);
+    driver.meter.clear();
+    driver
+}
+
+fn service() -> ServiceName {
+    ServiceName::new("svc0").expect("a service's name")
+}
+
+fn owners(driver: &mut OwnDriver) -> Owners {
+    let mut owners = Owners::new();
+    for shard in driver.shards(service()) {
+        for (slice, row) in shard.slices() {
+            if let Some(owner) = row.owner {
+                owners.insert(slice, shard.servers[usize::from(owner)].key.name);
+            }
+        }
+    }
+    owners
+}
+
+fn check(driver: &OwnDriver) {
+    let violations = &driver.checker.violations;
+    assert!(violations.is_empty(), "expected no broken invariant, found {violations:#?}");
+}
+
+fn print_gaps(title: &str, drivers: &[OwnDriver]) {
+    let mut lengths: Vec<Duration> = Vec::new();
+    for driver in drivers {
+        check(driver);
+        lengths.extend(driver.meter.gaps.iter().map(|gap| gap.length));
+    }
+    lengths.sort_unstable();
+    let at = |share: f64| {
+        let index = (lengths.len() as f64 * share).ceil() as usize;
+        lengths.get(index.saturating_sub(1)).copied().unwrap_or_default().as_millis()
+    };
+    let unserved: usize = drivers.iter().map(|driver| driver.meter.unserved()).sum();
+    println!(
+        "{title}: {} gaps, 50% {} ms, 99% {} ms, longest {} ms, still unserved {unserved}",
+        lengths.len(),
+        at(0.5),
+        at(0.99),
+        at(1.0)
+    );
+}
+
+fn recovery() {
+    let runs = (0..SEEDS).map(|seed| {
+        let mut driver = settled(seed);
+        driver.run(Duration::from_millis(seed * 37));
+        driver.kill_server((seed % 17) as usize);
+        driver.run(SECOND * 5);
+        driver
+    });
+    let runs: Vec<OwnDriver> = runs.collect();
+    print_gaps("a server lost, store up", &runs);
+}
+
+fn steward_loss() {
+    let runs = (0..SEEDS).map(|seed| {
+        let mut driver = settled(seed);
+        let zone = ZoneName::new(&zone((seed % 4) as usize)).expect("a zone's name");
+        driver.run(Duration::from_millis(seed * 37));
+        if let Some(keeper) = driver.holder_of(service(), zone, false) {
+            driver.kill_steward(keeper);
+        }
+        driver.run(SECOND * 30);
+        driver
+    });
+    let runs: Vec<OwnDriver> = runs.collect();
+    print_gaps("a keeper lost, with a deputy", &runs);
+    let runs = (0..SEEDS).map(|seed| {
+        // One steward a zone is left, so that the keeper's loss finds no deputy.
+        let size = Size { stewards: 1, ..SITE };
+        let mut driver = driver(seed, size);
+        driver.run(SECOND * 15);
+        driver.meter.clear();
+        driver.kill_steward(0);
+        driver.run(SECOND);
+        driver.add_steward(ZoneName::new("z1").expect("a zone's name"));
+        driver.run(SECOND * 30);
+        driver
+    });
+    let runs: Vec<OwnDriver> = runs.collect();
+    print_gaps("a keeper lost, without a deputy, another a second later", &runs);
+}
+
+fn store_outage() {
+    let mut driver = settled(1);
+    driver.set_store(StoreMode::Down);
+    driver.run(SECOND * 590);
+    driver.set_store(StoreMode::Up);
+    driver.run(SECOND * 20);
+    print_gaps("a store outage of 590 s", &[driver]);
+}
+
+fn zone_leaves_and_returns() {
+    let mut driver = settled(1);
+    let before = owners(&mut driver);
+    let servers = driver.servers_in("z1");
+    let count = |driver: &mut OwnDriver| -> usize {
+        let owned = driver.owned();
+        servers.iter().map(|server| owned[*server].1).sum()
+    };
+    let held = count(&mut driver);
+    driver.set_zone("z1", ZoneState::Out);
+    let start = driver.now();
+    while count(&mut driver) > 0 && driver.now().since(start) < SECOND * 60 {
+        driver.run(Duration::from_millis(50));
+    }
+    let empty = driver.now().since(start);
+    driver.run(SECOND * 20);
+    let moved = changed(&before, &owners(&mut driver));
+    println!("a zone out: {held} slices, empty after {} ms, {moved} moved", empty.as_millis());
+    print_gaps("a zone out", std::slice::from_ref(&driver));
+    driver.meter.clear();
+    driver.set_zone("z1", ZoneState::In);
+    let start = driver.now();
+    while count(&mut driver) < held * 9 / 10 && driver.now().since(start) < SECOND * 600 {
+        driver.run(Duration::from_millis(500));
+    }
+    println!("a zone in again: filled to 90% after {} s", driver.now().since(start).as_secs());
+    driver.run(SECOND * 60);
+    print_gaps("a zone in again", std::slice::from_ref(&driver));
+    print_imbalance("after a zone's return", &owners(&mut driver), 17);
+}
+
+fn changed(before: &Owners, after: &Owners) -> usize {
+    before.iter().filter(|(slice, owner)| after.get(slice) != Some(owner)).count()
+}
+
+fn print_imbalance(title: &str, owners: &Owners, servers: usize) {
+    let mut counts: BTreeMap<ServerName, usize> = BTreeMap::new();
+    for owner in owners.values() {
+        *counts.entry(*owner).or_default() += 1;
+    }
+    let most = counts.values().copied().max().unwrap_or_default() as f64;
+    let mean = owners.len() as f64 / servers as f64;
+    println!("imbalance {title}: {:.3}", most / mean);
+}
+
+fn rendezvous(servers: usize) -> Owners {
+    let names: Vec<(ServerName, u32)> = (0..servers)
+        .map(|index| (ServerName::new(&format!("s{index}")).expect("a server's name"), 100))
+        .collect();
+    let owner = |slice| Some((slice, rendezvous_owner(slice, names.iter().copied())?));
+    (0..SLICES).map(SliceId).filter_map(owner).collect()
+}
+
+/// A server joins, then one leaves.
+fn churn() {
+    let mut driver = settled(2);
+    let first = owners(&mut driver);
+    print_imbalance("at first", &first, 17);
+    print_imbalance("of plain rendezvous hashing", &rendezvous(17), 17);
+    driver.apply(&document(SITE, 0, 18));
+    driver.run(SECOND * 120);
+    let joined = owners(&mut driver);
+    let least = SLICES as usize / 18;
+    println!("a server joins: {} moved, even share {least}", changed(&first, &joined));
+    println!("plain rendezvous hashing: {}", changed(&rendezvous(17), &rendezvous(18)));
+    print_imbalance("after a server joined", &joined, 18);
+    let name = ServerName::new("s17").expect("a server's name");
+    let held = joined.values().filter(|owner| **owner == name).count();
+    let address = "10.0.0.17:80\n";
+    let leaving = document(SITE, 0, 18).replace(address, &format!("{address}leaving = yes\n"));
+    driver.apply(&leaving);
+    driver.run(SECOND * 120);
+    let left = owners(&mut driver);
+    println!("a server leaves: {} moved, least needed {held}", changed(&joined, &left));
+    print_imbalance("after a server left", &left, 17);
+    check(&driver);
+}
+
+fn control_cost(size: Size) {
+    let mut driver = driver(3, size);
+    driver.metering = false;
+    driver.run(SECOND * 15);
+    let before = driver.counts.clone();
+    let span = 20;
+    driver.run(SECOND * span);
+    check(&driver);
+    println!(
+        "{} nodes, {} services of {} servers in {} zones, a second:",
+        size.stewards, size.services, size.servers, size.zones
+    );
+    for (name, count) in &driver.counts {
+        let rate = (count - before.get(name).copied().unwrap_or_default()) as f64 / span as f64;
+        if rate > 0.0 {
+            println!("  {name}: {rate:.2}, a node {:.3}", rate / size.stewards as f64);
+        }
+    }
+}
--- a/crates/fakes/src/own_driver.rs
+++ b/crates/fakes/src/own_driver.rs
@@ -7,17 +7,19 @@
 mod network;
 mod server_node;
 mod steward_node;
+mod store_calls;
 mod store_mode;
+mod watching;
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap};
 use std::time::Duration;
 
-use bay_conf::{ServiceDoc, ZoneDoc};
-use bay_own::{CallId, OwnInput, OwnMessage, OwnOutput, RouteTable, StewardState, StewardView};
-use bay_store::{Expect, Object, ObjectKey, StoreError, StoreReply, StoreRequest, StoreResult};
+use bay_conf::ServiceDoc;
+use bay_own::{CallId, OwnInput, OwnMessage, OwnOutput, RouteTable};
+use bay_store::{Expect, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::{Incarnation, NodeId, Revision, ServiceName, SliceId, ZoneName};
+use bay_types::{Incarnation, NodeId, Revision, ServiceName, ZoneName};
 use bay_wire::{Order, OrderReply, Routes, decode};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -32,7 +34,7 @@
 use server_node::{OrderCall, ServerNode};
 use steward_node::StewardNode;
 
-use crate::{Admission, MemStore, OwnerServer};
+use crate::{MemStore, OwnerServer};
 
 /// How long a steward waits for a server's answer.
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
@@ -319,184 +321,6 @@
         }
         self.checker.holdings(now, &holdings);
     }
-
-    fn send_call(
-        &mut self,
-        index: usize,
-        incarnation: Incarnation,
-        id: CallId,
-        request: StoreRequest,
-    ) {
-        let kind = match &request {
-            StoreRequest::Put { key, .. } if key.as_str().starts_with(ObjectKey::TERMS) => {
-                "store put term"
-            }
-            StoreRequest::Put { .. } => "store put shard",
-            StoreRequest::Get { .. } => "store get",
-            _ => "store list",
-        };
-        self.count(kind, 1);
-        let places = (Place::Steward(index), Place::Store);
-        let delay = self.network.delay(&mut self.rng, places.0, places.1);
-        let (delay, answered) = match (self.store_mode, delay) {
-            (_, None) | (StoreMode::Down, _) => {
-                let input = OwnInput::Store { id, result: Err(StoreError::Unreachable) };
-                let at = self.now + Duration::from_millis(20);
-                self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
-                return;
-            }
-            (StoreMode::Up, Some(delay)) => (delay, true),
-            (StoreMode::Slow(slow), Some(delay)) => (delay + slow, delay + slow < STORE_TIMEOUT),
-            (StoreMode::Lost, Some(delay)) => (delay, false),
-            (StoreMode::LateEffect(late), Some(_)) => (late, false),
-        };
-        if !answered {
-            let input = OwnInput::Store { id, result: Err(StoreError::Unknown) };
-            let at = self.now + STORE_TIMEOUT;
-            self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
-        }
-        let event = Event::StoreCall(index, incarnation, id, request, answered);
-        self.schedule(self.now + delay, event);
-    }
-
-    fn store_call(
-        &mut self,
-        index: usize,
-        incarnation: Incarnation,
-        id: CallId,
-        request: StoreRequest,
-        answered: bool,
-    ) {
-        let result = self.store.call(request);
-        self.tell_changes();
-        if answered {
-            let at = self.now + Duration::from_micros(self.rng.random_range(500..3_000));
-            let input = OwnInput::Store { id, result };
-            self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
-        }
-    }
-
-    /// Shows the changes in the store to the checker and to every steward that can see it.
-    fn tell_changes(&mut self) {
-        let since = self.seen_revision;
-        let watch = StoreRequest::Watch { prefix: String::new(), since, wait: Duration::ZERO };
-        let Ok(StoreReply::Changes(body)) = self.store.call(watch) else {
-            return;
-        };
-        self.seen_revision = body.revision;
-        for change in body.changes {
-            let Some(text) = change.body else { continue };
-            let object = Object { key: change.key, revision: change.revision, body: text };
-            self.check_write(&object);
-            for index in 0..self.stewards.len() {
-                self.show(index, &object);
-            }
-        }
-    }
-
-    fn check_write(&mut self, object: &Object) {
-        let path = object.key.as_str().strip_prefix(ObjectKey::ASSIGNMENTS);
-        let name = path.and_then(|path| path.split('/').next());
-        if let Some(Ok(service)) = name.map(ServiceName::new) {
-            self.checker.written(service, object);
-        }
-    }
-
-    /// Shows an object to one steward, as its watch would.
-    fn show(&mut self, index: usize, object: &Object) {
-        let blind = matches!(self.store_mode, StoreMode::Down);
-        let delay = self.network.delay(&mut self.rng, Place::Store, Place::Steward(index));
-        let Some(delay) = delay.filter(|_| !blind) else {
-            return;
-        };
-        let input = self.input_of(object);
-        let incarnation = self.stewards[index].incarnation;
-        self.schedule(self.now + delay, Event::Input(index, incarnation, Box::new(input)));
-    }
-
-    fn input_of(&self, object: &Object) -> OwnInput {
-        let revision = object.revision;
-        let key = object.key.as_str();
-        let parsed = ServiceDoc::parse(key, object.body.as_bytes());
-        if let (true, Ok(doc)) = (key.starts_with(ObjectKey::SERVICES), parsed) {
-            return OwnInput::Document { service: doc.name, revision, doc: Some(doc) };
-        }
-        let parsed = ZoneDoc::parse(key, object.body.as_bytes());
-        if let (true, Ok(doc)) = (key.starts_with(ObjectKey::ZONES), parsed) {
-            return OwnInput::Zone { zone: doc.zone, revision, state: doc.state };
-        }
-        OwnInput::Seen(object.clone())
-    }
-
-    fn list(&mut self) {
-        self.schedule(self.now + LIST_PERIOD, Event::List);
-        let list = StoreRequest::List { prefix: String::new() };
-        let Ok(StoreReply::Objects(body)) = self.store.call(list) else {
-            return;
-        };
-        for object in &body.objects {
-            for index in 0..self.stewards.len() {
-                self.show(index, object);
-            }
-        }
-    }
-
-    fn members(&mut self) {
-        self.schedule(self.now + MEMBER_PERIOD, Event::Members);
-        for index in 0..self.stewards.len() {
-            if self.stewards[index].owner.is_none() {
-                continue;
-            }
-            let others = 0..self.stewards.len();
-            let views = others.map(|other| self.member_view(index, other)).collect();
-            let incarnation = self.stewards[index].incarnation;
-            self.input(index, incarnation, OwnInput::Stewards(views));
-        }
-    }
-
-    fn member_view(&mut self, index: usize, other: usize) -> StewardView {
-        let places = (Place::Steward(index), Place::Steward(other));
-        let steward = &self.stewards[other];
-        let cut =
-            self.network.is_cut(places.0, places.1) || self.network.is_cut(places.1, places.0);
-        let silent = steward.owner.is_none() || steward.paused || cut;
-        if !silent || index == other {
-            self.unheard.remove(&(index, other));
-            let leaving = steward.leaving;
-            return steward.view(if leaving { StewardState::Leaving } else { StewardState::Alive });
-        }
-        let since = *self.unheard.entry((index, other)).or_insert(self.now);
-        let dead = self.now >= since + MEMBER_SILENCE;
-        steward.view(if dead { StewardState::Dead } else { StewardState::Alive })
-    }
-
-    fn sample(&mut self) {
-        self.schedule(self.now + SAMPLE_PERIOD, Event::Sample);
-        if !self.metering {
-            return;
-        }
-        let now = self.now;
-        for (service, doc) in &self.docs {
-            let Some(rules) = doc.keyed() else { continue };
-            let table = &self.tables[service];
-            for index in 0..rules.layout.ranges() {
-                let slice = SliceId(index);
-                let shift = 64 - rules.layout.ranges().trailing_zeros();
-                // The last key of the range, which no test makes hot.
-                let key = bay_types::KeyHash(((u64::from(index) + 1) << shift).wrapping_sub(1));
-                let route = table.lookup(key);
-                let served = route.is_some_and(|route| {
-                    let server = self.servers.iter_mut().find(|s| s.address == route.server);
-                    server.is_some_and(|server| {
-                        let reading = server.clock.reading(now);
-                        let admission = server.server.admit(reading, route.slice, route.token);
-                        server.up && !server.paused && admission == Admission::Owner
-                    })
-                });
-                self.meter.sample(now, *service, slice, served);
-            }
-        }
-    }
 }
 
 fn expect_written(result: StoreResult) -> Revision {
--- a/crates/fakes/src/own_driver/network.rs
+++ b/crates/fakes/src/own_driver/network.rs
@@ -16,13 +16,21 @@
 }
 
 /// How messages travel.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Network {
     cuts: BTreeSet<(Place, Place)>,
     /// One message in this many is lost; 0 for none.
     pub loss: u32,
     /// One message in this many is seconds late; 0 for none.
     pub late: u32,
+    /// The latest that a message comes.
+    pub latest: Duration,
+}
+
+impl Default for Network {
+    fn default() -> Network {
+        Network { cuts: BTreeSet::new(), loss: 0, late: 0, latest: Duration::from_secs(5) }
+    }
 }
 
 impl Network {
@@ -48,8 +56,11 @@
             return None;
         }
         let late = self.late > 0 && rng.random_range(0..self.late) == 0;
-        let micros =
-            if late { rng.random_range(500_000..5_000_000) } else { rng.random_range(500..3_000) };
+        let micros = if late {
+            rng.random_range(500_000..self.latest.as_micros() as u64)
+        } else {
+            rng.random_range(500..3_000)
+        };
         Some(Duration::from_micros(micros))
     }
 }
--- /dev/null
+++ b/crates/fakes/src/own_driver/store_calls.rs
@@ -0,0 +1,132 @@
+use std::time::Duration;
+
+use bay_conf::{ServiceDoc, ZoneDoc};
+use bay_own::{CallId, OwnInput};
+use bay_store::{Object, ObjectKey, StoreError, StoreReply, StoreRequest};
+use bay_types::{Incarnation, ServiceName};
+use rand::RngExt;
+
+use super::{Event, LIST_PERIOD, OwnDriver, Place, STORE_TIMEOUT, StoreMode};
+
+impl OwnDriver {
+    pub(super) fn send_call(
+        &mut self,
+        index: usize,
+        incarnation: Incarnation,
+        id: CallId,
+        request: StoreRequest,
+    ) {
+        let kind = match &request {
+            StoreRequest::Put { key, .. } if key.as_str().starts_with(ObjectKey::TERMS) => {
+                "store put term"
+            }
+            StoreRequest::Put { .. } => "store put shard",
+            StoreRequest::Get { .. } => "store get",
+            _ => "store list",
+        };
+        self.count(kind, 1);
+        let places = (Place::Steward(index), Place::Store);
+        let delay = self.network.delay(&mut self.rng, places.0, places.1);
+        let (delay, answered) = match (self.store_mode, delay) {
+            (_, None) | (StoreMode::Down, _) => {
+                let input = OwnInput::Store { id, result: Err(StoreError::Unreachable) };
+                let at = self.now + Duration::from_millis(20);
+                self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
+                return;
+            }
+            (StoreMode::Up, Some(delay)) => (delay, true),
+            (StoreMode::Slow(slow), Some(delay)) => (delay + slow, delay + slow < STORE_TIMEOUT),
+            (StoreMode::Lost, Some(delay)) => (delay, false),
+            (StoreMode::LateEffect(late), Some(_)) => (late, false),
+        };
+        if !answered {
+            let input = OwnInput::Store { id, result: Err(StoreError::Unknown) };
+            let at = self.now + STORE_TIMEOUT;
+            self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
+        }
+        let event = Event::StoreCall(index, incarnation, id, request, answered);
+        self.schedule(self.now + delay, event);
+    }
+
+    pub(super) fn store_call(
+        &mut self,
+        index: usize,
+        incarnation: Incarnation,
+        id: CallId,
+        request: StoreRequest,
+        answered: bool,
+    ) {
+        let result = self.store.call(request);
+        self.tell_changes();
+        if answered {
+            let at = self.now + Duration::from_micros(self.rng.random_range(500..3_000));
+            let input = OwnInput::Store { id, result };
+            self.schedule(at, Event::Input(index, incarnation, Box::new(input)));
+        }
+    }
+
+    /// Shows the changes in the store to the checker and to every steward that can see it.
+    pub(super) fn tell_changes(&mut self) {
+        let since = self.seen_revision;
+        let watch = StoreRequest::Watch { prefix: String::new(), since, wait: Duration::ZERO };
+        let Ok(StoreReply::Changes(body)) = self.store.call(watch) else {
+            return;
+        };
+        self.seen_revision = body.revision;
+        for change in body.changes {
+            let Some(text) = change.body else { continue };
+            let object = Object { key: change.key, revision: change.revision, body: text };
+            self.check_write(&object);
+            for index in 0..self.stewards.len() {
+                self.show(index, &object);
+            }
+        }
+    }
+
+    pub(super) fn check_write(&mut self, object: &Object) {
+        let path = object.key.as_str().strip_prefix(ObjectKey::ASSIGNMENTS);
+        let name = path.and_then(|path| path.split('/').next());
+        if let Some(Ok(service)) = name.map(ServiceName::new) {
+            self.checker.written(service, object);
+        }
+    }
+
+    /// Shows an object to one steward, as its watch would.
+    pub(super) fn show(&mut self, index: usize, object: &Object) {
+        let blind = matches!(self.store_mode, StoreMode::Down);
+        let delay = self.network.delay(&mut self.rng, Place::Store, Place::Steward(index));
+        let Some(delay) = delay.filter(|_| !blind) else {
+            return;
+        };
+        let input = self.input_of(object);
+        let incarnation = self.stewards[index].incarnation;
+        self.schedule(self.now + delay, Event::Input(index, incarnation, Box::new(input)));
+    }
+
+    pub(super) fn input_of(&self, object: &Object) -> OwnInput {
+        let revision = object.revision;
+        let key = object.key.as_str();
+        let parsed = ServiceDoc::parse(key, object.body.as_bytes());
+        if let (true, Ok(doc)) = (key.starts_with(ObjectKey::SERVICES), parsed) {
+            return OwnInput::Document { service: doc.name, revision, doc: Some(doc) };
+        }
+        let parsed = ZoneDoc::parse(key, object.body.as_bytes());
+        if let (true, Ok(doc)) = (key.starts_with(ObjectKey::ZONES), parsed) {
+            return OwnInput::Zone { zone: doc.zone, revision, state: doc.state };
+        }
+        OwnInput::Seen(object.clone())
+    }
+
+    pub(super) fn list(&mut self) {
+        self.schedule(self.now + LIST_PERIOD, Event::List);
+        let list = StoreRequest::List { prefix: String::new() };
+        let Ok(StoreReply::Objects(body)) = self.store.call(list) else {
+            return;
+        };
+        for object in &body.objects {
+            for index in 0..self.stewards.len() {
+                self.show(index, object);
+            }
+        }
+    }
+}
--- /dev/null
+++ b/crates/fakes/src/own_driver/watching.rs
@@ -0,0 +1,64 @@
+use bay_own::{OwnInput, StewardState, StewardView};
+use bay_types::SliceId;
+
+use super::{Event, MEMBER_PERIOD, MEMBER_SILENCE, OwnDriver, Place, SAMPLE_PERIOD};
+use crate::Admission;
+
+impl OwnDriver {
+    pub(super) fn members(&mut self) {
+        self.schedule(self.now + MEMBER_PERIOD, Event::Members);
+        for index in 0..self.stewards.len() {
+            if self.stewards[index].owner.is_none() {
+                continue;
+            }
+            let others = 0..self.stewards.len();
+            let views = others.map(|other| self.member_view(index, other)).collect();
+            let incarnation = self.stewards[index].incarnation;
+            self.input(index, incarnation, OwnInput::Stewards(views));
+        }
+    }
+
+    pub(super) fn member_view(&mut self, index: usize, other: usize) -> StewardView {
+        let places = (Place::Steward(index), Place::Steward(other));
+        let steward = &self.stewards[other];
+        let cut =
+            self.network.is_cut(places.0, places.1) || self.network.is_cut(places.1, places.0);
+        let silent = steward.owner.is_none() || steward.paused || cut;
+        if !silent || index == other {
+            self.unheard.remove(&(index, other));
+            let leaving = steward.leaving;
+            return steward.view(if leaving { StewardState::Leaving } else { StewardState::Alive });
+        }
+        let since = *self.unheard.entry((index, other)).or_insert(self.now);
+        let dead = self.now >= since + MEMBER_SILENCE;
+        steward.view(if dead { StewardState::Dead } else { StewardState::Alive })
+    }
+
+    pub(super) fn sample(&mut self) {
+        self.schedule(self.now + SAMPLE_PERIOD, Event::Sample);
+        if !self.metering {
+            return;
+        }
+        let now = self.now;
+        for (service, doc) in &self.docs {
+            let Some(rules) = doc.keyed() else { continue };
+            let table = &self.tables[service];
+            for index in 0..rules.layout.ranges() {
+                let slice = SliceId(index);
+                let shift = 64 - rules.layout.ranges().trailing_zeros();
+                // The last key of the range, which no test makes hot.
+                let key = bay_types::KeyHash(((u64::from(index) + 1) << shift).wrapping_sub(1));
+                let route = table.lookup(key);
+                let served = route.is_some_and(|route| {
+                    let server = self.servers.iter_mut().find(|s| s.address == route.server);
+                    server.is_some_and(|server| {
+                        let reading = server.clock.reading(now);
+                        let admission = server.server.admit(reading, route.slice, route.token);
+                        server.up && !server.paused && admission == Admission::Owner
+                    })
+                });
+                self.meter.sample(now, *service, slice, served);
+            }
+        }
+    }
+}
--- a/crates/fakes/src/owner_server.rs
+++ b/crates/fakes/src/owner_server.rs
@@ -69,9 +69,8 @@
             return OrderVerdict::Taken;
         };
         let lease = Duration::from_millis(order.lease_ms);
-        let start = if self.fenced { Time::from_nanos(proof.stamp) } else { now };
-        let late = self.fenced && (proof.boot != self.boot || start + lease <= now);
-        if late {
+        let start = Time::from_nanos(proof.stamp);
+        if proof.boot != self.boot || start + lease <= now {
             return OrderVerdict::Late;
         }
         self.lease_end = self.lease_end.max(start + lease);
--- a/crates/own/src/bounds.rs
+++ b/crates/own/src/bounds.rs
@@ -9,9 +9,6 @@
 /// Two clocks differ in speed by at most one part in this many.
 const DRIFT_PARTS: u32 = 500;
 
-/// Longest time that an order to a server which checks no proofs can be on its way.
-pub const MAX_DELIVERY: Duration = Duration::from_secs(2);
-
 /// The latest end, on the observer's clock, of a span that another host counts from an event that
 /// the observer saw no earlier than it happened.
 pub(crate) fn latest_end(seen: Time, span: Duration) -> Time {
--- a/crates/own/src/campaign.rs
+++ b/crates/own/src/campaign.rs
@@ -10,27 +10,11 @@
 use crate::owner::Owner;
 use crate::service_state::ServiceState;
 use crate::shard_writes::STORE_PAUSE;
-use crate::stewards::Stewards;
+use crate::term_judge::TermMove;
 use crate::{Holder, OwnOutput, TermRecord};
 
 /// Pause between two renewals of a term.
 pub(crate) const TERM_RENEWAL: Duration = Duration::from_secs(5);
-/// How long a term may go without a renewal before others look for its keeper in the store.
-const TERM_SILENCE: Duration = Duration::from_secs(15);
-/// How long the store has to show no renewal before a silent keeper's term is taken over.
-const TERM_CONFIRMATION: Duration = Duration::from_secs(10);
-/// How much later each next candidate acts.
-const RANK_DELAY: Duration = Duration::from_secs(1);
-
-/// What an owner does about a term.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Move {
-    Nothing,
-    Read,
-    Take,
-    Renew,
-    HandOver(Holder),
-}
 
 impl Owner {
     /// Looks after every term.
@@ -45,82 +29,16 @@
             let zones = self.services.get(&name).map(ServiceState::zones).unwrap_or_default();
             for zone in zones {
                 match self.judge(now, name, zone) {
-                    Move::Nothing => {}
-                    Move::Read => self.list_term(name, zone, out),
-                    Move::Take => self.take_term(now, name, zone, out),
-                    Move::Renew => self.renew_term(now, name, zone, out),
-                    Move::HandOver(to) => self.hand_over(now, name, zone, to, out),
+                    TermMove::Nothing => {}
+                    TermMove::Read => self.list_term(name, zone, out),
+                    TermMove::Take => self.take_term(now, name, zone, out),
+                    TermMove::Renew => self.renew_term(now, name, zone, out),
+                    TermMove::HandOver(to) => self.hand_over(now, name, zone, to, out),
                 }
             }
         }
     }
 
-    fn judge(&mut self, now: Time, name: ServiceName, zone: ZoneName) -> Move {
-        let me = self.holder();
-        let candidates = self.stewards.keepers(name, zone);
-        let Some(service) = self.services.get_mut(&name) else {
-            return Move::Nothing;
-        };
-        let slot = service.terms.entry(zone).or_default();
-        if slot.busy || now < slot.retry_at {
-            return Move::Nothing;
-        }
-        if slot.unread {
-            return Move::Read;
-        }
-        if let Some(keeper) = service.keepers.get(&zone) {
-            let best = candidates.first().copied().filter(|best| *best != me);
-            // A keeper loses its zone's servers together with itself if the zone is lost.
-            let misplaced = self.config.zone == zone;
-            let better = best.filter(|best| self.stewards.zone(*best) != Some(zone));
-            return match (self.stopping, best, better) {
-                (true, Some(to), _) => Move::HandOver(to),
-                (false, _, Some(to)) if misplaced && keeper.installed => Move::HandOver(to),
-                _ if now >= keeper.next_renewal => Move::Renew,
-                _ if lacks_deputy(now, keeper, &self.stewards, name, zone) => Move::Renew,
-                _ => Move::Nothing,
-            };
-        }
-        if self.stopping {
-            let handing = slot.record.as_ref().is_some_and(|record| record.keeper == me);
-            let to = candidates.into_iter().find(|candidate| *candidate != me);
-            return match to {
-                Some(to) if handing => Move::HandOver(to),
-                _ => Move::Nothing,
-            };
-        }
-        let Some(record) = &slot.record else {
-            return match (candidates.first() == Some(&me), slot.absent) {
-                (true, true) => Move::Take,
-                (true, false) => Move::Read,
-                _ => Move::Nothing,
-            };
-        };
-        if record.keeper == me {
-            return Move::Take;
-        }
-        let mine = record.deputy == Some(me);
-        let rank = candidates.iter().position(|candidate| *candidate == me);
-        let rank = if mine { 0 } else { rank.map_or(u32::MAX, |rank| rank as u32 + 1) };
-        if rank == u32::MAX {
-            return Move::Nothing;
-        }
-        let delay = RANK_DELAY * rank;
-        if !self.stewards.alive(record.keeper) {
-            let since = *slot.gone_since.get_or_insert(now);
-            return if now >= since + delay { Move::Take } else { Move::Nothing };
-        }
-        slot.gone_since = None;
-        if now < slot.seen + TERM_SILENCE {
-            return Move::Nothing;
-        }
-        match slot.confirmed {
-            None => Move::Read,
-            Some(at) if now >= at + TERM_CONFIRMATION + delay => Move::Take,
-            Some(_) => Move::Nothing,
-        }
-    }
-
     fn list_term(&mut self, service: ServiceName, zone: ZoneName, out: &mut Vec<OwnOutput>) {
         let Some(slot) = self.services.get_mut(&service).and_then(|s| s.terms.get_mut(&zone))
         else {
@@ -426,21 +344,6 @@
     }
 }
 
-/// Whether another deputy should be named.
-fn lacks_deputy(
-    now: Time,
-    keeper: &Keeper,
-    stewards: &Stewards,
-    name: ServiceName,
-    zone: ZoneName,
-) -> bool {
-    let deputy = keeper.record.deputy;
-    let up = deputy.is_some_and(|deputy| stewards.alive(deputy));
-    let silent = keeper.installed && keeper.mandates.silent(now, keeper.interval());
-    let others = stewards.deputies(name, zone, keeper.record.keeper);
-    (!up || silent) && others.into_iter().any(|other| Some(other) != deputy)
-}
-
 fn change_deputy(record: &mut TermRecord, deputy: Option<Holder>) {
     let number = Term(record.number.0 + 1);
     if let Some(before) = record.deputy {
--- a/crates/own/src/former.rs
+++ b/crates/own/src/former.rs
@@ -5,7 +5,7 @@
 use bay_types::{ServerName, Term};
 
 use crate::FormerHolder;
-use crate::bounds::{MAX_DELIVERY, latest_end};
+use crate::bounds::latest_end;
 
 /// An earlier holder of a term, as the present keeper counts it out.
 #[derive(Debug)]
@@ -50,11 +50,15 @@
     }
 
     /// The last moment at which a lease that the holder extended can still run.
-    pub(crate) fn lease_bound(&self, server: ServerName, taken: Option<Term>) -> Time {
-        if taken.is_some_and(|term| term >= self.record.before) {
-            return Time::ZERO;
-        }
+    ///
+    /// A server that has taken a later term refuses the holder since then.
+    pub(crate) fn lease_bound(&self, server: ServerName, refused: Option<(Term, Time)>) -> Time {
         let lease = Duration::from_millis(self.record.lease_ms);
+        if let Some((term, since)) = refused
+            && term >= self.record.before
+        {
+            return latest_end(since, lease);
+        }
         match &self.ended {
             None => latest_end(self.silent_bound, lease),
             Some(Ended { at, leases: None }) => latest_end(*at, lease),
@@ -62,10 +66,9 @@
         }
     }
 
-    /// The last moment at which an order of the holder can still reach a server that checks no
-    /// terms.
+    /// The last moment at which a server that checks no terms can still take an order of the holder.
     pub(crate) fn quiet_at(&self) -> Time {
         let last = self.ended.as_ref().map_or(self.silent_bound, |ended| ended.at);
-        last + MAX_DELIVERY
+        latest_end(last, Duration::from_millis(self.record.lease_ms))
     }
 }
--- a/crates/own/src/keeper.rs
+++ b/crates/own/src/keeper.rs
@@ -6,7 +6,7 @@
 use bay_types::{NodeId, ServerName, SliceId, Token, ZoneName};
 use bay_wire::{Order, OrderReply, OrderRole};
 
-use crate::bounds::{MAX_DELIVERY, latest_end};
+use crate::bounds::latest_end;
 use crate::former::Former;
 use crate::kept::{Kept, ORDERS_A_LEASE, OrderFrame};
 use crate::mandate_state::MandateState;
@@ -15,6 +15,10 @@
 use crate::stewards::Stewards;
 use crate::{Holder, Mandate, ServerKey, TermRecord};
 
+/// A silent server is barred at the deputy this part of an interval before its lease ends, so that
+/// the deputy has had time to renew it.
+const BAR_MARGIN: u32 = 4;
+
 /// Keeps the leases of one service's servers in one zone.
 #[derive(Debug)]
 pub(crate) struct Keeper {
@@ -150,8 +154,7 @@
             }
         }
         // This process may have renewed the server under an earlier term.
-        let delivered = if self.fenced { now } else { now + MAX_DELIVERY };
-        let bound = latest_end(delivered, self.record.lease());
+        let bound = latest_end(now, self.record.lease());
         for (key, set) in wanted {
             let mut kept = Kept::new(now, bound, self.fenced);
             kept.wanted = set;
@@ -214,7 +217,7 @@
         for (key, kept) in &self.servers {
             if kept.silent_since.is_none() {
                 self.mandates.allow(key.name);
-            } else if now + interval >= kept.lease_bound() {
+            } else if now + interval / BAR_MARGIN >= kept.lease_bound() {
                 self.mandates.bar(now, key.name);
             }
         }
@@ -259,7 +262,11 @@
             return false;
         };
         let before = (kept.reached(since), kept.settled(), kept.granted.len());
+        let silent = kept.silent_since.is_some();
         kept.answered(now, order, reply);
+        if !silent && kept.silent_since.is_some() {
+            self.mandates.hurry(now);
+        }
         let after = (kept.reached(since), kept.settled(), kept.granted.len());
         let changes = order.replace || !order.grant.is_empty() || !order.revoke.is_empty();
         if !kept.unsure && (changes || before != after) {
@@ -283,8 +290,8 @@
             None => Time::ZERO,
             Some(_) => self.mandates.lease_bound(key.name).unwrap_or(Time::MAX),
         };
-        let taken = kept.taken.filter(|_| self.fenced);
-        let formers = self.formers.iter().map(|former| former.lease_bound(key.name, taken));
+        let refused = kept.refuses_before();
+        let formers = self.formers.iter().map(|former| former.lease_bound(key.name, refused));
         formers.fold(kept.lease_bound().max(deputy), Time::max)
     }
 
@@ -296,9 +303,9 @@
         let Some(kept) = self.servers.get(&key) else {
             return false;
         };
-        let quiet = self.fenced || self.formers.iter().all(|former| now >= former.quiet_at());
+        let others = self.formers.iter().map(Former::quiet_at).fold(Time::ZERO, Time::max);
         let acknowledged = kept.taken.is_some_and(|term| term >= self.record.since);
-        acknowledged && kept.settled() && !kept.granting() && kept.quiet(now) && quiet
+        acknowledged && kept.settled() && !kept.granting() && kept.quiet(others)
     }
 
     /// Whether no server can still take orders of earlier holders.
--- a/crates/own/src/kept.rs
+++ b/crates/own/src/kept.rs
@@ -5,7 +5,7 @@
 use bay_types::{SliceId, Term, Token};
 use bay_wire::{LeaseProof, Order, OrderReply, OrderRole, OrderVerdict, SliceGrant};
 
-use crate::bounds::{MAX_DELIVERY, latest_end};
+use crate::bounds::latest_end;
 
 /// Orders sent within one lease.
 pub(crate) const ORDERS_A_LEASE: u32 = 4;
@@ -21,12 +21,17 @@
     pub(crate) unsure: bool,
     /// The highest term under which the server took an order.
     pub(crate) taken: Option<Term>,
+    /// When the server was first known to have taken an order of that term.
+    taken_at: Time,
     /// Since when orders have gone without an answer.
     pub(crate) silent_since: Option<Time>,
     fenced: bool,
     proof: Option<(LeaseProof, Time)>,
     bound: Time,
+    /// From when on a server that checks no sequence takes none of the orders that went unanswered.
     quiet_at: Time,
+    /// When the last order that was answered was sent.
+    answered_sent: Time,
     pending: Option<Pending>,
     next_send: Time,
 }
@@ -57,11 +62,13 @@
             granted_digest: 0,
             unsure: true,
             taken: None,
+            taken_at: Time::ZERO,
             silent_since: None,
             fenced,
             proof: None,
             bound,
             quiet_at: Time::ZERO,
+            answered_sent: Time::ZERO,
             pending: None,
             next_send: now,
         }
@@ -89,9 +96,15 @@
         self.bound = self.bound.max(bound);
     }
 
-    /// Whether no order of this process is on its way to a server that checks no sequence.
-    pub(crate) fn quiet(&self, now: Time) -> bool {
-        self.fenced || (self.pending.is_none() && now >= self.quiet_at)
+    /// The first term that the server refuses earlier holders for, and since when.
+    pub(crate) fn refuses_before(&self) -> Option<(Term, Time)> {
+        Some((self.taken.filter(|_| self.fenced)?, self.taken_at))
+    }
+
+    /// Whether the server's last answer shows what it has for good: no order of an earlier moment
+    /// can change it, neither of this process nor, until `others`, of other holders.
+    pub(crate) fn quiet(&self, others: Time) -> bool {
+        self.fenced || self.answered_sent > self.quiet_at.max(others)
     }
 
     /// Whether the server has taken an order of this term or a later one and still answers.
@@ -126,7 +139,7 @@
         };
         let mut bound = Time::ZERO;
         if let Some((_, seen)) = proof {
-            bound = self.order_bound(now, seen, frame.lease);
+            bound = latest_end(seen, frame.lease);
             if frame.role == OrderRole::Keeper {
                 self.fill(&mut order);
             }
@@ -136,11 +149,6 @@
         order
     }
 
-    fn order_bound(&self, now: Time, seen: Time, lease: Duration) -> Time {
-        let from = if self.fenced { seen } else { now + MAX_DELIVERY };
-        latest_end(from, lease)
-    }
-
     fn fill(&self, order: &mut Order) {
         order.replace = self.unsure;
         if self.unsure {
@@ -164,13 +172,14 @@
             return;
         };
         if let Some(pending) = pending {
-            let answered = if self.fenced { pending.bound } else { latest_end(now, lease) };
-            self.bound = self.bound.max(answered);
+            self.bound = self.bound.max(pending.bound);
+            self.answered_sent = pending.sent;
         }
         self.silent_since = None;
         self.proof = Some((LeaseProof { boot: reply.boot, stamp: reply.stamp }, now));
-        if reply.verdict == OrderVerdict::Taken {
+        if reply.verdict == OrderVerdict::Taken && self.taken != Some(order.term) {
             self.taken = Some(order.term);
+            self.taken_at = now;
         }
         if order.role == OrderRole::Keeper {
             self.compare(order, reply);
@@ -185,7 +194,7 @@
     fn unanswered(&mut self, now: Time, pending: Option<Pending>, order: &Order) {
         if let Some(pending) = pending {
             self.bound = self.bound.max(pending.bound);
-            self.quiet_at = self.quiet_at.max(pending.sent + MAX_DELIVERY);
+            self.quiet_at = self.quiet_at.max(pending.bound);
             self.silent_since.get_or_insert(pending.sent);
         }
         self.silent_since.get_or_insert(now);
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -26,13 +26,13 @@
 mod shard_slot;
 mod shard_writes;
 mod stewards;
+mod term_judge;
 mod term_record;
 mod term_slot;
 
 mod assignment;
 
 pub use assignment::{Assignment, AssignmentRow};
-pub use bounds::MAX_DELIVERY;
 pub use config::{Holder, OwnConfig, StewardState, StewardView};
 pub use input::{CallId, KeyRate, OrderId, OwnInput, SliceRate};
 pub use message::{DeputyReport, LeaseLeft, Mandate, OwnBody, OwnMessage};
--- a/crates/own/src/mandate_state.rs
+++ b/crates/own/src/mandate_state.rs
@@ -44,6 +44,11 @@
         self.next_send
     }
 
+    /// Makes the next mandate due at once.
+    pub(crate) fn hurry(&mut self, now: Time) {
+        self.next_send = now;
+    }
+
     /// Whether the deputy has missed too many reports.
     pub(crate) fn silent(&self, now: Time, interval: Duration) -> bool {
         now > self.last_report.unwrap_or(self.started) + interval * SILENT_REPORTS
--- a/crates/own/src/owner.rs
+++ b/crates/own/src/owner.rs
@@ -190,6 +190,11 @@
     pub(crate) fn seen(&mut self, now: Time, object: &Object, out: &mut Vec<OwnOutput>) {
         self.highest = self.highest.max(object.revision);
         if let Some((service, index)) = parse_shard_key(object.key.as_str()) {
+            let known = self.services.get(&service);
+            let slot = known.and_then(|service| service.shards.get(index as usize));
+            if slot.is_some_and(|slot| object.revision <= slot.revision) {
+                return;
+            }
             match Shard::read(object) {
                 Some(shard) => self.shard_seen(now, service, index, object.revision, shard, out),
                 None => out.push(OwnOutput::Count("own.shard.unreadable")),
--- a/crates/own/src/route_table.rs
+++ b/crates/own/src/route_table.rs
@@ -75,6 +75,13 @@
         Some(Route { slice, token: row.token, server })
     }
 
+    /// The memory that the table takes, in bytes.
+    pub fn memory_bytes(&self) -> usize {
+        let rows = self.rows.capacity() * size_of::<Row>();
+        let hot = self.hot.capacity() * size_of::<HotKey>();
+        rows + hot + self.servers.capacity() * size_of::<SocketAddr>()
+    }
+
     /// Replaces the hot keys of the ranges that were taken over.
     fn merge_hot(&mut self, routes: &Routes, hot_changed: bool) {
         if hot_changed {
