Let the deputy step in before a lease from its server's answer before last ends

Cause: an order carries the reading of the answer before it, so a server whose keeper is lost just before its next order has two pauses of lease left; the deputy stepped in after two missed mandates. It now steps in after one and a half. Ruled out: five orders a lease, a quarter more orders.

--- a/crates/own/src/deputy.rs
+++ b/crates/own/src/deputy.rs
@@ -8,8 +8,11 @@
 use crate::kept::{Kept, ORDERS_A_LEASE, OrderFrame};
 use crate::{DeputyReport, Holder, LeaseLeft, Mandate, ServerKey};
 
-/// Mandates missed before the deputy steps in for its keeper.
-const MISSED_MANDATES: u32 = 2;
+/// Half pauses between mandates after which the deputy steps in for a silent keeper.
+///
+/// A server's lease runs from its answer before last, so two pauses may be all that is left of it
+/// when its keeper is lost.
+const SILENT_HALF_PAUSES: u32 = 3;
 /// Looks at the servers for each order that one of them gets.
 const LOOKS_AN_ORDER: u32 = 4;
 
@@ -134,5 +137,5 @@
 }
 
 fn silence(mandate: &Mandate) -> Duration {
-    Duration::from_millis(mandate.lease_ms) / ORDERS_A_LEASE * MISSED_MANDATES
+    Duration::from_millis(mandate.lease_ms) / ORDERS_A_LEASE / 2 * SILENT_HALF_PAUSES
 }
