--- a/crates/fakes/src/queueing/site.rs
+++ b/crates/fakes/src/queueing/site.rs
@@ -44,15 +44,20 @@
         Site { name, zones: 3, one_way, targets, connections: 50, gates: Site::GATES }
     }
 
+    /// Swanline's job status lookup.
+    pub const LOOKUP: Site = Site::swanline("swanline lookup", 17);
+    /// Swanline's crew booking and billing; its photo store is of the same size.
+    pub const BOOKING: Site = Site::swanline("swanline booking, photos", 8);
+    /// Puhas Kott's bag tracking and routes.
+    pub const TRACKING: Site = Site::puhas_kott("puhas-kott tracking", 14);
+    /// Puhas Kott's booking and payment.
+    pub const KOTT_BOOKING: Site = Site::puhas_kott("puhas-kott booking", 8);
+    /// Puhas Kott's garment photo intake.
+    pub const KOTT_PHOTOS: Site = Site::puhas_kott("puhas-kott photos", 6);
+
     /// The services of both sites.
-    pub const ALL: [Site; 6] = [
-        Site::swanline("swanline lookup", 17),
-        Site::swanline("swanline booking", 8),
-        Site::swanline("swanline photos", 8),
-        Site::puhas_kott("puhas-kott tracking", 14),
-        Site::puhas_kott("puhas-kott booking", 8),
-        Site::puhas_kott("puhas-kott photos", 6),
-    ];
+    pub const ALL: [Site; 5] =
+        [Site::LOOKUP, Site::BOOKING, Site::TRACKING, Site::KOTT_BOOKING, Site::KOTT_PHOTOS];
 
     /// The address of a target.
     pub fn address(target: usize) -> SocketAddr {
@@ -72,6 +77,17 @@
         number % self.zones
     }
 
+    /// Requests a second that the targets bear, while each slot also waits for the shortest way
+    /// between a gate and a target and back.
+    pub fn bears(&self, service: Duration, without: Option<usize>) -> f64 {
+        let rest = (0..self.targets).filter(|t| Some(self.zone_of(*t)) != without);
+        let slots = rest.count() as f64 * f64::from(Site::SLOTS);
+        let far = (0..self.gates).filter(|g| Some(self.zone_of(*g)) == without).count();
+        let far_share = far as f64 / self.gates as f64;
+        let way = self.one_way.mul_f64(far_share) + Site::NEAR.mul_f64(1.0 - far_share);
+        slots / (service + way * 2).as_secs_f64()
+    }
+
     /// One-way delay between two zones.
     pub fn delay(&self, from: usize, to: usize) -> Duration {
         if from == to { Site::NEAR } else { self.one_way }
