Drive any order of events over ownership with proptest

Change: 64 cases of up to 60 steps (kill, start, pause, resume, stop, cut, mend, store modes, zones, late and lost messages) under the checker.

--- /dev/null
+++ b/crates/fakes/tests/ownership_events.rs
@@ -0,0 +1,118 @@
+//! Ownership under any order of faults and pauses between them.
+
+mod support;
+
+use std::time::Duration;
+
+use bay_conf::ZoneState;
+use bay_fakes::own_driver::{OwnDriver, Place, StoreMode};
+use proptest::prelude::*;
+use support::{ZONES, settled, sound};
+
+/// One step of a run.
+#[derive(Debug, Clone)]
+enum Step {
+    Wait(u64),
+    KillServer(usize),
+    StartServer(usize),
+    PauseServer(usize),
+    ResumeServer(usize),
+    KillSteward(usize),
+    StartSteward(usize),
+    StopSteward(usize),
+    PauseSteward(usize),
+    ResumeSteward(usize),
+    Cut(Place, Place),
+    Mend,
+    Store(StoreMode),
+    Zone(usize, bool),
+    Late(u32),
+    Loss(u32),
+}
+
+fn place() -> impl Strategy<Value = Place> {
+    let steward = (0..8usize).prop_map(Place::Steward);
+    let server = (0..8usize).prop_map(Place::Server);
+    prop_oneof![4 => steward, 4 => server, 1 => Just(Place::Store)]
+}
+
+fn mode() -> impl Strategy<Value = StoreMode> {
+    let millis = |range: std::ops::Range<u64>| range.prop_map(Duration::from_millis);
+    prop_oneof![
+        3 => Just(StoreMode::Up),
+        1 => Just(StoreMode::Down),
+        1 => Just(StoreMode::Lost),
+        1 => millis(50..3_000).prop_map(StoreMode::Slow),
+        1 => millis(500..8_000).prop_map(StoreMode::LateEffect),
+    ]
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    let index = 0..8usize;
+    prop_oneof![
+        8 => (10..4_000u64).prop_map(Step::Wait),
+        1 => index.clone().prop_map(Step::KillServer),
+        1 => index.clone().prop_map(Step::StartServer),
+        1 => index.clone().prop_map(Step::PauseServer),
+        2 => index.clone().prop_map(Step::ResumeServer),
+        1 => index.clone().prop_map(Step::KillSteward),
+        2 => index.clone().prop_map(Step::StartSteward),
+        1 => index.clone().prop_map(Step::StopSteward),
+        1 => index.clone().prop_map(Step::PauseSteward),
+        2 => index.prop_map(Step::ResumeSteward),
+        3 => (place(), place()).prop_map(|(from, to)| Step::Cut(from, to)),
+        1 => Just(Step::Mend),
+        2 => mode().prop_map(Step::Store),
+        1 => (0..4usize, any::<bool>()).prop_map(|(zone, out)| Step::Zone(zone, out)),
+        1 => (0..8u32).prop_map(Step::Late),
+        1 => (0..8u32).prop_map(Step::Loss),
+    ]
+}
+
+fn perform(driver: &mut OwnDriver, step: &Step) {
+    match *step {
+        Step::Wait(millis) => driver.run(Duration::from_millis(millis)),
+        Step::KillServer(index) => driver.kill_server(index),
+        Step::StartServer(index) => driver.start_server(index),
+        Step::PauseServer(index) => driver.pause_server(index),
+        Step::ResumeServer(index) => driver.resume_server(index),
+        Step::KillSteward(index) => driver.kill_steward(index),
+        Step::StartSteward(index) => driver.start_steward(index),
+        Step::StopSteward(index) => driver.stop_steward(index),
+        Step::PauseSteward(index) => driver.pause_steward(index),
+        Step::ResumeSteward(index) => driver.resume_steward(index),
+        Step::Cut(from, to) => driver.network.cut(from, to),
+        Step::Mend => driver.network.mend(),
+        Step::Store(mode) => driver.set_store(mode),
+        Step::Zone(zone, out) => {
+            driver.set_zone(ZONES[zone], if out { ZoneState::Out } else { ZoneState::In });
+        }
+        Step::Late(one_in) => driver.network.late = one_in,
+        Step::Loss(one_in) => driver.network.loss = one_in,
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+
+    #[test]
+    fn any_order_of_events_keeps_one_owner_a_key(
+        seed in any::<u64>(),
+        steps in prop::collection::vec(step(), 1..60),
+    ) {
+        let mut driver = settled(seed);
+        for step in &steps {
+            perform(&mut driver, step);
+        }
+        sound(&driver);
+        for zone in ZONES {
+            driver.set_zone(zone, ZoneState::In);
+        }
+        for index in 0..8 {
+            driver.start_steward(index);
+        }
+        driver.heal(Duration::from_secs(60));
+        sound(&driver);
+        prop_assert_eq!(driver.meter.stuck(driver.now()), 0, "{:?}", driver.owned());
+    }
+}
