--- a/crates/fakes/tests/ownership.rs
+++ b/crates/fakes/tests/ownership.rs
@@ -35,6 +35,17 @@
     assert!(worst <= SECOND * 2, "{worst:?}");
 }
 
+#[test]
+fn each_server_in_turn_may_be_lost() {
+    for server in 0..8 {
+        let mut driver = settled(9);
+        driver.kill_server(server);
+        driver.run(SECOND * 4);
+        sound(&driver);
+        assert_eq!(driver.meter.stuck(driver.now()), 0, "server {server}");
+    }
+}
+
 #[test_case(1)]
 #[test_case(2)]
 fn a_lost_steward_leaves_no_slice_unserved(seed: u64) {
--- a/crates/own/src/route_feed.rs
+++ b/crates/own/src/route_feed.rs
@@ -39,7 +39,13 @@
         self.dirty = false;
         let mut rows = BTreeMap::new();
         for (key, kept) in servers {
-            rows.extend(kept.granted.iter().map(|(slice, token)| (*slice, (*token, key.address))));
+            for (slice, token) in &kept.granted {
+                // A lost server's slices may have gone to another server of the zone.
+                let row = rows.entry(*slice).or_insert((*token, key.address));
+                if row.0 < *token {
+                    *row = (*token, key.address);
+                }
+            }
         }
         let hot = hot_keys(&rows, shards);
         if rows == self.rows && hot == self.hot && self.last.major == term.0 {
