--- a/crates/fakes/tests/ownership_events.rs
+++ b/crates/fakes/tests/ownership_events.rs
@@ -93,7 +93,7 @@
 }
 
 proptest! {
-    #![proptest_config(ProptestConfig { cases: 64, ..ProptestConfig::default() })]
+    #![proptest_config(ProptestConfig { cases: 24, ..ProptestConfig::default() })]
 
     #[test]
     fn any_order_of_events_keeps_one_owner_a_key(
