Let at most eight stewards a zone keep leases or plan, and only them watch terms and assignments

Cause: every steward watched every term and shard, and judged every term five times a second: at 780 nodes 78 calls a second while idle and 780 for each change, above the store's share. Ruled out: two candidates a zone (16 stewards would send every order of the fleet). Change: membership chooses the candidates by rendezvous hash; a steward that holds a term goes on watching after it ceased to be one. Status names the terms; members, items in force and terms are counted and logged; documents are read under their own name.

--- a/crates/fakes/src/own_driver/steward_node.rs
+++ b/crates/fakes/src/own_driver/steward_node.rs
@@ -42,6 +42,6 @@
     /// The process as another steward sees it.
     pub(crate) fn view(&self, state: StewardState) -> StewardView {
         let holder = Holder { node: self.node, incarnation: self.incarnation };
-        StewardView { holder, zone: self.zone, state }
+        StewardView { holder, zone: self.zone, state, candidate: true }
     }
 }
--- a/crates/member/src/lib.rs
+++ b/crates/member/src/lib.rs
@@ -24,4 +24,4 @@
 pub use peers::Peers;
 pub use peers_output::{LinkHandle, PeersOutput};
 pub use spread::{Offered, Spread};
-pub use watchers::{is_watcher, watchers};
+pub use watchers::{candidates, is_watcher, watchers};
--- a/crates/member/src/watchers.rs
+++ b/crates/member/src/watchers.rs
@@ -6,8 +6,10 @@
 
 use crate::{Member, MemberState};
 
-/// Stewards of each zone that watch the store.
+/// Stewards of each zone that watch the store's configuration.
 const WATCHERS_PER_ZONE: usize = 2;
+/// Stewards of each zone that may keep leases or plan, and watch terms and assignments.
+const CANDIDATES_PER_ZONE: usize = 8;
 
 /// Whether a node is among the few of its zone that watch the store.
 ///
@@ -21,7 +23,7 @@
     let members: Vec<Member> = members.into_iter().collect();
     let known = members.iter().any(|member| member.node == node);
     let candidate = |other: &Member| other.node == node || is_live(other);
-    !known || choose(members.into_iter().filter(candidate)).contains(&node)
+    !known || choose(members.into_iter().filter(candidate), WATCHERS_PER_ZONE).contains(&node)
 }
 
 /// The live nodes of each zone that watch the store.
@@ -29,10 +31,20 @@
 where
     I: IntoIterator<Item = Member>,
 {
-    choose(members.into_iter().filter(is_live))
+    choose(members.into_iter().filter(is_live), WATCHERS_PER_ZONE)
 }
 
-fn choose<I>(members: I) -> Vec<NodeId>
+/// The live nodes of each zone that may keep leases or plan.
+///
+/// They are few, so that the store's calls for terms and assignments do not grow with the nodes.
+pub fn candidates<I>(members: I) -> Vec<NodeId>
+where
+    I: IntoIterator<Item = Member>,
+{
+    choose(members.into_iter().filter(is_live), CANDIDATES_PER_ZONE)
+}
+
+fn choose<I>(members: I, per_zone: usize) -> Vec<NodeId>
 where
     I: Iterator<Item = Member>,
 {
@@ -43,7 +55,7 @@
     let mut chosen = Vec::new();
     for mut nodes in zones.into_values() {
         nodes.sort_by_key(|node| Reverse(weight(*node)));
-        chosen.extend(nodes.into_iter().take(WATCHERS_PER_ZONE));
+        chosen.extend(nodes.into_iter().take(per_zone));
     }
     chosen
 }
--- a/crates/node/src/steward_shell.rs
+++ b/crates/node/src/steward_shell.rs
@@ -229,7 +229,10 @@
                     let _ = tx.try_send(*status);
                 }
             }
-            Output::Count(name) => self.counters.add(name, 1),
+            Output::Count(name) => {
+                self.counters.add(name, 1);
+                log_event(name);
+            }
         }
     }
 
@@ -410,6 +413,14 @@
     future::or(work, late).await
 }
 
+/// Logs what an operator wants to see; what recurs many times a second is left to the counters.
+fn log_event(name: &'static str) {
+    match name {
+        "own.order.unanswered" | "hosts.unanswered" => log::debug!(name; "steward event"),
+        _ => log::info!(name; "steward event"),
+    }
+}
+
 fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
     mutex.lock().unwrap_or_else(PoisonError::into_inner)
 }
--- a/crates/own/src/config.rs
+++ b/crates/own/src/config.rs
@@ -32,6 +32,8 @@
     pub zone: ZoneName,
     /// Whether it is up.
     pub state: StewardState,
+    /// Whether it may be named keeper, deputy or planner.
+    pub candidate: bool,
 }
 
 /// Whether a steward is up.
--- a/crates/own/src/owner.rs
+++ b/crates/own/src/owner.rs
@@ -88,6 +88,22 @@
         self.stopping && !self.services.values().any(keeps)
     }
 
+    /// Whether this process keeps or assists in any term.
+    pub fn keeps_any(&self) -> bool {
+        let keeps =
+            |service: &ServiceState| !service.keepers.is_empty() || !service.deputies.is_empty();
+        self.services.values().any(keeps)
+    }
+
+    /// The terms that this process knows.
+    pub fn terms(&self) -> impl Iterator<Item = (ServiceName, ZoneName, &TermRecord)> + '_ {
+        let of = |service: &ServiceState| service.name;
+        self.services.values().flat_map(move |service| {
+            let records = service.terms.iter().map(|(zone, slot)| (*zone, slot.record.as_ref()));
+            records.filter_map(move |(zone, record)| Some((of(service), zone, record?)))
+        })
+    }
+
     /// The host whose steward plans a service.
     pub fn planner(&self, service: ServiceName) -> Option<NodeId> {
         self.stewards.planner(service).map(|holder| holder.node)
@@ -185,9 +201,12 @@
 
     fn set_stewards(&mut self, mut views: Vec<StewardView>) {
         let me = self.holder();
+        let own = views.iter().find(|view| view.holder.node == me.node);
+        // A steward that membership does not list is on its own.
+        let candidate = own.is_none_or(|view| view.candidate);
         views.retain(|view| view.holder.node != me.node);
         let state = if self.stopping { StewardState::Leaving } else { StewardState::Alive };
-        views.push(StewardView { holder: me, zone: self.config.zone, state });
+        views.push(StewardView { holder: me, zone: self.config.zone, state, candidate });
         self.stewards.set(views);
     }
 
--- a/crates/own/src/stewards.rs
+++ b/crates/own/src/stewards.rs
@@ -57,18 +57,27 @@
 
     /// Who should plan a service.
     pub(crate) fn planner(&self, service: ServiceName) -> Option<Holder> {
-        let alive = self.views.iter().filter(|view| view.state == StewardState::Alive);
-        let best = alive.max_by_key(|view| score(service.as_str(), "plan", view.holder));
+        let best =
+            self.candidates().max_by_key(|view| score(service.as_str(), "plan", view.holder));
         best.map(|view| view.holder)
     }
 
-    /// The stewards that are up, by class and then by rendezvous hash.
+    /// Whether this process may be named keeper, deputy or planner.
+    pub(crate) fn is_candidate(&self, holder: Holder) -> bool {
+        self.views.iter().any(|view| view.holder == holder && view.candidate)
+    }
+
+    fn candidates(&self) -> impl Iterator<Item = &StewardView> {
+        let may = |view: &&StewardView| view.state == StewardState::Alive && view.candidate;
+        self.views.iter().filter(may)
+    }
+
+    /// The candidates that are up, by class and then by rendezvous hash.
     fn ranked<F>(&self, service: ServiceName, zone: ZoneName, class: F) -> Vec<Holder>
     where
         F: Fn(&StewardView) -> u32,
     {
-        let alive = self.views.iter().filter(|view| view.state == StewardState::Alive);
-        let mut ranked: Vec<&StewardView> = alive.collect();
+        let mut ranked: Vec<&StewardView> = self.candidates().collect();
         ranked.sort_by_key(|view| {
             let score = score(service.as_str(), zone.as_str(), view.holder);
             (class(view), Reverse(score))
--- a/crates/own/src/term_judge.rs
+++ b/crates/own/src/term_judge.rs
@@ -31,9 +31,23 @@
 }
 
 impl Owner {
+    /// Whether this process is a zone's keeper or deputy, or was its keeper last.
+    fn takes_part(&self, name: ServiceName, zone: ZoneName) -> bool {
+        let me = self.holder();
+        self.services.get(&name).is_some_and(|service| {
+            let record = service.terms.get(&zone).and_then(|slot| slot.record.as_ref());
+            service.keepers.contains_key(&zone)
+                || service.deputies.contains_key(&zone)
+                || record.is_some_and(|record| record.keeper == me)
+        })
+    }
+
     /// Decides what to do about a term.
     pub(crate) fn judge(&mut self, now: Time, name: ServiceName, zone: ZoneName) -> TermMove {
         let me = self.holder();
+        if !self.stewards.is_candidate(me) && !self.takes_part(name, zone) {
+            return TermMove::Nothing;
+        }
         let candidates = self.stewards.keepers(name, zone);
         let Some(service) = self.services.get_mut(&name) else {
             return TermMove::Nothing;
--- a/crates/steward/src/config_items.rs
+++ b/crates/steward/src/config_items.rs
@@ -19,9 +19,8 @@
     if body.is_empty() {
         return Some(OwnInput::Document { service, revision, doc: None });
     }
-    let doc = ServiceDoc::parse(service.as_str(), body).ok()?;
-    let same = doc.name == service;
-    same.then_some(OwnInput::Document { service, revision, doc: Some(doc) })
+    let doc = ServiceDoc::parse_named(service.as_str(), service, body).ok()?;
+    Some(OwnInput::Document { service, revision, doc: Some(doc) })
 }
 
 fn zone_state(zone: ZoneName, revision: Revision, body: &[u8]) -> Option<OwnInput> {
@@ -29,6 +28,6 @@
         // A zone without an object takes work.
         return Some(OwnInput::Zone { zone, revision, state: ZoneState::In });
     }
-    let doc = ZoneDoc::parse(zone.as_str(), body).ok()?;
-    (doc.zone == zone).then_some(OwnInput::Zone { zone, revision, state: doc.state })
+    let doc = ZoneDoc::parse_named(zone.as_str(), zone, body).ok()?;
+    Some(OwnInput::Zone { zone, revision, state: doc.state })
 }
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -3,16 +3,16 @@
 use std::time::Duration;
 
 use bay_member::{
-    LinkHandle, Member, MemberConfig, MemberState, Peers, PeersOutput, Seed, is_watcher,
+    LinkHandle, Member, MemberConfig, MemberState, Peers, PeersOutput, Seed, candidates, is_watcher,
 };
 use bay_own::{
     Holder, KeyRate, OrderId as OwnOrderId, OwnConfig, OwnInput, OwnOutput, Owner, StewardState,
-    StewardView,
+    StewardView, TermRecord,
 };
 use bay_store::{Change, Host, Object, ObjectKey, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::NodeId;
-use bay_wire::{Item, LinkMessage, ServiceRates, decode, encode};
+use bay_types::{NodeId, ServiceName, ZoneName};
+use bay_wire::{Item, LinkMessage, ServiceRates, TermStatus, decode, encode};
 
 use crate::config_items::own_input;
 use crate::store_calls::{Caller, StoreCalls};
@@ -40,6 +40,7 @@
     asked: Vec<StatusId>,
     next_hosts: Time,
     next_watchers: Time,
+    candidate: bool,
     stopping: bool,
 }
 
@@ -67,6 +68,7 @@
             asked: Vec::new(),
             next_hosts: now,
             next_watchers: now,
+            candidate: true,
             stopping: false,
             config,
         }
@@ -140,8 +142,9 @@
         let watcher = is_watcher(self.config.node, self.peers.membership().members());
         self.watch.set_watching(now, ObjectKey::SERVICES, watcher);
         self.watch.set_watching(now, ObjectKey::ZONES, watcher);
-        self.watch.set_watching(now, ObjectKey::TERMS, true);
-        self.watch.set_watching(now, ObjectKey::ASSIGNMENTS, true);
+        let takes_part = self.candidate || self.owner.keeps_any();
+        self.watch.set_watching(now, ObjectKey::TERMS, takes_part);
+        self.watch.set_watching(now, ObjectKey::ASSIGNMENTS, takes_part);
     }
 
     fn stop(&mut self, now: Time, out: &mut Vec<Output>) {
@@ -262,6 +265,7 @@
                 PeersOutput::Steward { to, message } => out.push(Output::Steward { to, message }),
                 PeersOutput::MemberChanged(member) => {
                     members_changed |= member.node != self.config.node;
+                    out.push(Output::Count(member_counter(&member)));
                     self.members.insert(member.node, member);
                 }
                 PeersOutput::ItemChanged(item) => self.item_changed(now, &item, out),
@@ -269,7 +273,10 @@
             }
         }
         if members_changed {
-            let views = self.members.values().map(steward_view).collect();
+            let candidates = candidates(self.peers.membership().members());
+            self.candidate = candidates.contains(&self.config.node);
+            let view = |member: &Member| steward_view(member, candidates.contains(&member.node));
+            let views = self.peers.membership().members().map(|member| view(&member)).collect();
             self.own(now, OwnInput::Stewards(views), out);
         }
     }
@@ -280,7 +287,10 @@
             self.watch.learned(&key, revision, !item.body.is_empty());
         }
         match own_input(item) {
-            Some(input) => self.own(now, input, out),
+            Some(input) => {
+                out.push(Output::Count("item.in-force"));
+                self.own(now, input, out);
+            }
             None if item.key.is_configuration() => out.push(Output::Count("item.unreadable")),
             None => {}
         }
@@ -288,7 +298,9 @@
 
     fn answer_status(&mut self, out: &mut Vec<Output>) {
         for id in std::mem::take(&mut self.asked) {
-            out.push(Output::Status { id, status: Box::new(self.peers.status()) });
+            let mut status = self.peers.status();
+            status.terms = self.owner.terms().map(term_status).collect();
+            out.push(Output::Status { id, status: Box::new(status) });
         }
     }
 
@@ -333,12 +345,31 @@
     }
 }
 
-fn steward_view(member: &Member) -> StewardView {
+fn member_counter(member: &Member) -> &'static str {
+    match member.state {
+        MemberState::Alive => "member.alive",
+        MemberState::Suspect => "member.suspect",
+        MemberState::Leaving => "member.leaving",
+        MemberState::Dead => "member.dead",
+    }
+}
+
+fn term_status((service, zone, record): (ServiceName, ZoneName, &TermRecord)) -> TermStatus {
+    TermStatus {
+        service,
+        zone,
+        term: record.number,
+        keeper: record.keeper.node,
+        deputy: record.deputy.map(|deputy| deputy.node),
+    }
+}
+
+fn steward_view(member: &Member, candidate: bool) -> StewardView {
     let state = match member.state {
         MemberState::Alive | MemberState::Suspect => StewardState::Alive,
         MemberState::Leaving => StewardState::Leaving,
         MemberState::Dead => StewardState::Dead,
     };
     let holder = Holder { node: member.node, incarnation: member.incarnation };
-    StewardView { holder, zone: member.zone, state }
+    StewardView { holder, zone: member.zone, state, candidate }
 }
