Tell short answers from stragglers, ask again for refused hedges, bind gate datagrams to receivers

Cause: a target that usually answers in 0.1 ms counted as slow after one answer of a few ms and rested 500 ms; a hedge that found no free target was given up; a trial of a slow target made its caller wait; gates' datagrams opened at any gate. The processes block on the reactor's own executor. Test that failed first: a datagram for another gate is rejected.

--- a/crates/gate/src/bounds.rs
+++ b/crates/gate/src/bounds.rs
@@ -26,3 +26,5 @@
 pub(crate) const CLAIM_WAIT: Duration = Duration::from_millis(30);
 /// Longest time after which the sender of a copy is told to come back.
 pub(crate) const COPY_RETRY: Duration = Duration::from_secs(1);
+/// A hedge that found no free target is tried again after this part of the time to a hedge.
+pub(crate) const HEDGE_TRIES: u32 = 4;
--- a/crates/gate/src/placing.rs
+++ b/crates/gate/src/placing.rs
@@ -9,7 +9,7 @@
 use bay_wire::SliceGrant;
 
 use crate::Gate;
-use crate::bounds::{MAX_ATTEMPTS, OWNER_PAUSE, OWNER_WAIT, QUEUE_PAUSE};
+use crate::bounds::{HEDGE_TRIES, MAX_ATTEMPTS, OWNER_PAUSE, OWNER_WAIT, QUEUE_PAUSE};
 use crate::gate::key_of;
 use crate::pending::{Pending, Phase};
 use crate::service::{Service, ServiceId};
@@ -117,14 +117,25 @@
         };
         let permit = match service.pool.pick(now, &wish) {
             Pick::Go(permit) => permit,
-            Pick::Wait { ticket, .. } => return service.pool.leave_queue(ticket),
-            Pick::Refuse { .. } => return,
+            Pick::Wait { ticket, .. } => {
+                service.pool.leave_queue(ticket);
+                return self.hedge_later(now, id);
+            }
+            Pick::Refuse { .. } => return self.hedge_later(now, id),
         };
         self.touched.push(pending.service);
         self.count(Counter::Hedges);
         self.start(now, id, permit, None, out);
     }
 
+    /// Asks for a hedge again soon, as a target may be free by then.
+    fn hedge_later(&mut self, now: Time, id: CallId) {
+        let pending = &mut self.calls[key_of(id)];
+        let span = self.services[pending.service].pool.hedge_after();
+        pending.hedge_at = span.map(|span| now + span / HEDGE_TRIES);
+        self.timers.set(id, pending.wake());
+    }
+
     fn start(
         &mut self,
         now: Time,
@@ -142,6 +153,7 @@
         };
         let service = &mut self.services[pending.service];
         let fresh = permit.fresh() || pending.suspect;
+        let trial = permit.trial();
         pending.keep_permit(attempt, permit);
         pending.paid = false;
         pending.sent_token = route.map(|route| route.token);
@@ -153,7 +165,9 @@
         }
         let hedges = pending.call.idempotent() && pending.key.is_none() && !pending.suspect;
         if hedges && pending.call.live().count() == 1 {
-            pending.hedge_at = service.pool.hedge_after().map(|span| now + span);
+            let span = service.pool.hedge_after();
+            // A trial of a slow target must not make its caller wait.
+            pending.hedge_at = span.map(|span| if trial { now } else { now + span });
         }
         out.push(Action::Attempt {
             call: id,
--- a/crates/load/src/latencies.rs
+++ b/crates/load/src/latencies.rs
@@ -28,6 +28,12 @@
     /// An attempt slower than this many times the hedge time shows a slow target.
     const SLOW_FACTOR: u32 = 3;
 
+    /// An attempt shorter than this is never late: stragglers are slow for hundreds of
+    /// milliseconds, and among short answers a few times the usual length shows nothing.
+    const LATE_FLOOR: Duration = Duration::from_millis(30);
+    /// An attempt shorter than this never shows a slow target by itself.
+    const SLOW_FLOOR: Duration = Duration::from_millis(100);
+
     /// No latencies yet.
     pub(crate) fn new() -> Latencies {
         let current = Histogram::new_with_bounds(1, Latencies::MAX_MICROS, 2);
@@ -67,10 +73,11 @@
             return Pace::InTime;
         };
         let full = reported.is_some_and(|load| load.in_flight >= load.slots);
-        if latency > hedge_after * Latencies::SLOW_FACTOR {
+        let slow = (hedge_after * Latencies::SLOW_FACTOR).max(Latencies::SLOW_FLOOR);
+        if latency > slow {
             return Pace::Slow;
         }
-        match latency > hedge_after {
+        match latency > hedge_after.max(Latencies::LATE_FLOOR) {
             true if full => Pace::Slow,
             true => Pace::Late,
             false => Pace::InTime,
--- a/crates/node/src/gate_shell/peers.rs
+++ b/crates/node/src/gate_shell/peers.rs
@@ -51,7 +51,8 @@
     let socket = Arc::new(Async::<UdpSocket>::bind(address)?);
     let sealer = Mutex::new(Sealer::new(key.clone(), node, Role::Gate, incarnation));
     let sender = PeerSender { socket: Arc::clone(&socket), sealer };
-    let receiver = PeerReceiver { socket, opener: Opener::new(key.clone()) };
+    let own = socket.get_ref().local_addr()?;
+    let receiver = PeerReceiver { socket, opener: Opener::at(key.clone(), own) };
     Ok((sender, receiver))
 }
 
@@ -63,7 +64,7 @@
         let Ok(payload) = encode(message) else {
             return false;
         };
-        let sealed = lock(&self.sealer).seal(&payload);
+        let sealed = lock(&self.sealer).seal_to(to, &payload);
         if sealed.len() > MAX_DATAGRAM {
             return false;
         }
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -7,7 +7,7 @@
 use bay_conf::{LogLevel, Settings, read_cluster_secret};
 use bay_obs::{Counters, init_log};
 use bay_wire::ClusterKey;
-use futures_lite::{StreamExt, future};
+use futures_lite::StreamExt;
 
 use crate::{Command, GateShell, ShellError, StewardShell, parse_command};
 
@@ -74,7 +74,7 @@
         shell.stop().await;
         Ok(())
     };
-    future::block_on(executor.run(work))
+    async_io::block_on(executor.run(work))
 }
 
 fn run_steward(path: &str) -> Result<(), ShellError> {
@@ -92,7 +92,7 @@
         shell.stop().await;
         Ok(())
     };
-    future::block_on(executor.run(work))
+    async_io::block_on(executor.run(work))
 }
 
 fn stop_signals() -> Result<Signals, ShellError> {
--- a/crates/node/tests/peers.rs
+++ b/crates/node/tests/peers.rs
@@ -21,16 +21,27 @@
 #[test]
 fn a_datagram_sealed_with_another_key_is_rejected() {
     with_site(Plan::default(), async |site| {
-        send(&site, &sealer(8).seal(b"x"));
+        send(&site, &sealer(8).seal_to(site.gate.addresses().peer, b"x"));
         until_async(async || site.counter("peer.rejected").await == 1).await;
     });
 }
 
+#[test]
+fn a_datagram_for_another_gate_is_rejected() {
+    with_site(Plan::default(), async |site| {
+        let payload = encode(&PeerMessage::Release { digest: 1, call: 1 }).unwrap();
+        let other = "127.0.0.1:1".parse().unwrap();
+        send(&site, &sealer(7).seal_to(other, &payload));
+        until_async(async || site.counter("peer.rejected").await == 1).await;
+        assert_eq!(site.counter("peer.received").await, 0);
+    });
+}
+
 #[test]
 fn a_replayed_datagram_is_rejected() {
     with_site(Plan::default(), async |site| {
         let payload = encode(&PeerMessage::Release { digest: 1, call: 1 }).unwrap();
-        let sealed = sealer(7).seal(&payload);
+        let sealed = sealer(7).seal_to(site.gate.addresses().peer, &payload);
         send(&site, &sealed);
         send(&site, &sealed);
         until_async(async || site.counter("peer.rejected").await == 1).await;
@@ -41,7 +52,8 @@
 #[test]
 fn a_datagram_that_is_no_message_is_rejected() {
     with_site(Plan::default(), async |site| {
-        send(&site, &sealer(7).seal(&[255; 300]));
+        let sealed = sealer(7).seal_to(site.gate.addresses().peer, &[255; 300]);
+        send(&site, &sealed);
         send(&site, &[0; 2_000]);
         until_async(async || site.counter("peer.rejected").await == 2).await;
         assert_eq!(site.counter("peer.received").await, 0);
--- a/crates/wire/src/seal.rs
+++ b/crates/wire/src/seal.rs
@@ -31,22 +31,13 @@
         Sealer { key, stamp: Stamp { from, role, incarnation, counter: 0 } }
     }
 
-    /// Seals a datagram for any receiver.
-    pub fn seal(&mut self, payload: &[u8]) -> Vec<u8> {
-        self.seal_for(&[], payload)
-    }
-
     /// Seals a datagram for the receiver at an address; no other receiver takes it.
     pub fn seal_to(&mut self, to: SocketAddr, payload: &[u8]) -> Vec<u8> {
-        self.seal_for(&address_bytes(to), payload)
-    }
-
-    fn seal_for(&mut self, receiver: &[u8], payload: &[u8]) -> Vec<u8> {
         self.stamp.counter += 1;
         // A stamp is far shorter than a frame, so that it always encodes.
         let mut bytes = encode(&self.stamp).unwrap_or_default();
         bytes.extend_from_slice(payload);
-        let tag = self.key.tag(&[receiver, &bytes]);
+        let tag = self.key.tag(&[&address_bytes(to), &bytes]);
         bytes.extend_from_slice(&tag.0);
         bytes
     }
@@ -61,11 +52,6 @@
 }
 
 impl Opener {
-    /// An opener of datagrams that were sealed for any receiver.
-    pub fn new(key: ClusterKey) -> Opener {
-        Opener { key, receiver: Vec::new(), windows: HashMap::new() }
-    }
-
     /// An opener of datagrams that were sealed for the receiver at this address.
     pub fn at(key: ClusterKey, address: SocketAddr) -> Opener {
         Opener { key, receiver: address_bytes(address), windows: HashMap::new() }
--- a/crates/wire/tests/seal.rs
+++ b/crates/wire/tests/seal.rs
@@ -35,7 +35,6 @@
 
 #[test_case(Opener::at(key(8), address(1)); "another key")]
 #[test_case(Opener::at(key(7), address(2)); "another receiver")]
-#[test_case(Opener::new(key(7)); "no receiver")]
 fn a_datagram_for_somebody_else_is_rejected(mut opener: Opener) {
     assert_eq!(opener.open(&sealer(1).seal_to(address(1), b"x")), Err(AuthError::Forged));
 }
