--- a/crates/steward/tests/support/mod.rs
+++ b/crates/steward/tests/support/mod.rs
@@ -2,13 +2,13 @@
 
 use std::cmp::Reverse;
 use std::collections::{BTreeMap, BinaryHeap, HashMap};
-use std::net::{Ipv4Addr, SocketAddr};
+use std::net::{IpAddr, Ipv4Addr, SocketAddr};
 use std::time::Duration;
 
 use bay_conf::{ZoneDoc, ZoneState};
 use bay_fakes::{MemStore, OwnerServer};
 use bay_own::{Route, RouteTable};
-use bay_steward::{Input, LinkId, Output, StatusId, Steward, StewardConfig};
+use bay_steward::{Input, LinkId, Output, StatusId, Steward, StewardConfig, StoreCallId};
 use bay_store::{Expect, Host, HostState, ObjectKey, StoreReply, StoreRequest};
 use bay_time::Time;
 use bay_types::{
@@ -20,7 +20,10 @@
 const NET_DELAY: Duration = Duration::from_millis(1);
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Gates' connections are numbered from here.
-const GATE_LINKS: u64 = 1_000_000;
+const GATE_LINKS: u64 = 1 << 40;
+const HOSTS_A_NET: usize = 200;
+/// Watches that may wait; older ones have ended.
+const MAX_WATCHES: usize = 4_096;
 pub const RANGES: u32 = 64;
 pub const ZONES: [&str; 3] = ["north", "south", "peel"];
 
@@ -30,6 +33,8 @@
     pub nodes: Vec<Node>,
     pub servers: Vec<Server>,
     pub statuses: Vec<ClusterStatus>,
+    pub traffic: Traffic,
+    watches: Vec<(usize, StoreCallId, StoreRequest)>,
     queue: BinaryHeap<Reverse<(Time, u64)>>,
     inputs: HashMap<u64, (usize, Input)>,
     links: HashMap<LinkId, (usize, usize)>,
@@ -40,6 +45,8 @@
     pub up: bool,
     pub gate: Gate,
     steward: Steward,
+    /// When the steward wants its next tick.
+    due: Time,
     incarnation: u64,
 }
 
@@ -49,6 +56,30 @@
     pub state: OwnerServer,
 }
 
+/// What the stewards have sent.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    pub reads: u64,
+    pub watches: u64,
+    pub writes: u64,
+    pub orders: u64,
+    pub order_bytes: u64,
+    pub datagrams: u64,
+    pub datagram_bytes: u64,
+}
+
+impl Traffic {
+    fn count(&mut self, request: &StoreRequest) {
+        match request {
+            StoreRequest::Get { .. } | StoreRequest::List { .. } | StoreRequest::Hosts => {
+                self.reads += 1;
+            }
+            StoreRequest::Watch { .. } => self.watches += 1,
+            StoreRequest::Put { .. } | StoreRequest::Delete { .. } => self.writes += 1,
+        }
+    }
+}
+
 /// The part of a gate that follows its steward.
 pub struct Gate {
     pub table: RouteTable,
@@ -61,11 +92,22 @@
 }
 
 fn steward_address(index: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), 8090))
+    SocketAddr::from((host_ip(0, index), 8090))
+}
+
+fn host_ip(net: u8, index: usize) -> Ipv4Addr {
+    Ipv4Addr::new(10, net, (index / HOSTS_A_NET) as u8, (index % HOSTS_A_NET) as u8)
+}
+
+/// The host or server at an address.
+fn index_of(address: SocketAddr) -> usize {
+    let IpAddr::V4(ip) = address.ip() else { panic!("{address}") };
+    let [_, _, high, low] = ip.octets();
+    usize::from(high) * HOSTS_A_NET + usize::from(low)
 }
 
 pub fn server_address(index: usize) -> SocketAddr {
-    SocketAddr::from((Ipv4Addr::new(10, 0, 1, index as u8 + 1), 7500))
+    SocketAddr::from((host_ip(1, index), 7500))
 }
 
 pub fn zone(index: usize) -> ZoneName {
@@ -110,6 +152,8 @@
             nodes: Vec::new(),
             servers: Vec::new(),
             statuses: Vec::new(),
+            traffic: Traffic::default(),
+            watches: Vec::new(),
             queue: BinaryHeap::new(),
             inputs: HashMap::new(),
             links: HashMap::new(),
@@ -128,7 +172,8 @@
         site.store.set_hosts((0..hosts).map(host).collect());
         for index in 0..hosts {
             let steward = site.steward(index, 1);
-            site.nodes.push(Node { up: true, gate: Gate::new(), steward, incarnation: 1 });
+            let (gate, due) = (Gate::new(), site.now);
+            site.nodes.push(Node { up: true, gate, steward, due, incarnation: 1 });
             site.connect_gate(index);
         }
         site
@@ -140,7 +185,7 @@
             incarnation: Incarnation(incarnation),
             zone: zone(index),
             address: steward_address(index),
-            gate: SocketAddr::from((Ipv4Addr::new(10, 0, 0, index as u8 + 1), 8082)),
+            gate: SocketAddr::from((host_ip(0, index), 8082)),
             seed: index as u64 + 100 * incarnation,
         };
         Steward::new(config, self.now)
@@ -164,6 +209,7 @@
         let steward = self.steward(index, incarnation);
         let node = &mut self.nodes[index];
         node.steward = steward;
+        node.due = self.now;
         node.incarnation = incarnation;
         node.up = true;
         self.connect_gate(index);
@@ -196,7 +242,9 @@
         let read = self.store.call(StoreRequest::Get { key: key.clone() }).unwrap();
         let StoreReply::Object(object) = read else { panic!("{read:?}") };
         let expect = object.map_or(Expect::Absent, |object| Expect::Revision(object.revision));
-        match self.store.call(StoreRequest::Put { key, body, expect }).unwrap() {
+        let written = self.store.call(StoreRequest::Put { key, body, expect }).unwrap();
+        self.wake_watches();
+        match written {
             StoreReply::Written(revision) => revision,
             other => panic!("{other:?}"),
         }
@@ -211,8 +259,8 @@
         loop {
             let due = self.queue.peek().map_or(Time::MAX, |Reverse((at, _))| *at);
             let now = self.now;
-            let up = self.nodes.iter_mut().enumerate().filter(|(_, node)| node.up);
-            let ticks = up.map(|(index, node)| (node.steward.next_deadline(now), index));
+            let up = self.nodes.iter().enumerate().filter(|(_, node)| node.up);
+            let ticks = up.map(|(index, node)| (node.due, index));
             let (tick, index) = ticks.min().unwrap_or((Time::MAX, 0));
             let next = due.min(tick).max(now);
             if next > end {
@@ -242,7 +290,10 @@
             return;
         }
         let mut out = Vec::new();
-        self.nodes[index].steward.handle(self.now, input, &mut out);
+        let now = self.now;
+        let node = &mut self.nodes[index];
+        node.steward.handle(now, input, &mut out);
+        node.due = node.steward.next_deadline(now);
         for output in out {
             self.perform(index, output);
         }
@@ -251,25 +302,28 @@
     fn perform(&mut self, index: usize, output: Output) {
         match output {
             Output::Store { id, request } => {
-                let result = self.store.call(request);
-                self.post(STORE_DELAY, index, Input::Store { id, result });
+                self.traffic.count(&request);
+                self.call_store(index, id, request);
             }
             Output::Order { id, to, order } => {
-                let position = (0..self.servers.len()).find(|server| server_address(*server) == to);
-                let server = &mut self.servers[position.unwrap()];
+                self.traffic.orders += 1;
+                self.traffic.order_bytes += serde_json::to_vec(&order).unwrap().len() as u64;
+                let server = &mut self.servers[index_of(to)];
                 let now = self.now;
                 let reply = server.up.then(|| server.state.order(now, &order));
                 let delay = if reply.is_some() { NET_DELAY * 2 } else { ORDER_TIMEOUT };
                 self.post(delay, index, Input::Order { id, reply });
             }
             Output::Datagram { to, payload } => {
+                self.traffic.datagrams += 1;
+                self.traffic.datagram_bytes += payload.len() as u64;
                 let node = NodeId::of(host_name(index));
                 let from = steward_address(index);
                 let datagram = Input::Datagram { node, from, payload };
-                self.post(NET_DELAY, self.index_of(to), datagram);
+                self.post(NET_DELAY, index_of(to), datagram);
             }
             Output::Steward { to, message } => {
-                let other = self.index_of(to);
+                let other = index_of(to);
                 self.sequence += 1;
                 let link = LinkId(self.sequence);
                 self.links.insert(link, (index, other));
@@ -281,6 +335,38 @@
         }
     }
 
+    fn call_store(&mut self, index: usize, id: StoreCallId, request: StoreRequest) {
+        let result = self.store.call(request.clone());
+        let wait = match (&request, &result) {
+            (StoreRequest::Watch { wait, .. }, Ok(StoreReply::Changes(body)))
+                if body.changes.is_empty() && !body.compacted =>
+            {
+                self.watches.push((index, id, request.clone()));
+                *wait
+            }
+            _ => STORE_DELAY,
+        };
+        self.post(wait, index, Input::Store { id, result });
+        if let StoreRequest::Put { .. } | StoreRequest::Delete { .. } = request {
+            self.wake_watches();
+        }
+    }
+
+    /// Answers the watches that have something to tell; the steward ignores their later answers.
+    fn wake_watches(&mut self) {
+        for (index, id, request) in std::mem::take(&mut self.watches) {
+            let result = self.store.call(request.clone());
+            match &result {
+                Ok(StoreReply::Changes(body)) if body.changes.is_empty() => {
+                    self.watches.push((index, id, request));
+                }
+                _ => self.post(STORE_DELAY, index, Input::Store { id, result }),
+            }
+        }
+        let oldest = self.watches.len().saturating_sub(MAX_WATCHES);
+        self.watches.drain(..oldest);
+    }
+
     fn deliver(&mut self, index: usize, link: LinkId, message: LinkMessage) {
         if link.0 >= GATE_LINKS {
             self.nodes[index].gate.take(message);
@@ -290,10 +376,6 @@
         }
     }
 
-    fn index_of(&self, address: SocketAddr) -> usize {
-        (0..self.nodes.len()).find(|index| steward_address(*index) == address).unwrap()
-    }
-
     /// How many slices have two owners by the servers' own leases.
     pub fn doubly_owned(&mut self) -> usize {
         let now = self.now;
@@ -312,8 +394,7 @@
         let now = self.now;
         let mut served = 0;
         for route in routes.into_iter().flatten() {
-            let position = (0..self.servers.len()).find(|s| server_address(*s) == route.server);
-            let server = &mut self.servers[position.unwrap()];
+            let server = &mut self.servers[index_of(route.server)];
             let mut owned = server.state.owned(now);
             let owns = owned.any(|grant| grant.slice == route.slice && grant.token == route.token);
             drop(owned);
