Let a steward that is alone stop at once

Cause: a single host's steward waited its whole 10 s for a successor that does not exist. Change: it has stopped if no other steward is up. Tests: a lone steward stops within 100 ms of virtual time (failed first); a steward among three hands its terms over and no range is unserved meanwhile.

--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -76,7 +76,16 @@
 
     /// Whether the steward was asked to stop and has handed over all that it kept.
     pub fn stopped(&self) -> bool {
-        self.stopping && self.owner.stopped()
+        self.stopping && (self.owner.stopped() || self.is_alone())
+    }
+
+    /// Whether no other steward is up that could take anything over.
+    fn is_alone(&self) -> bool {
+        let up = |member: &Member| {
+            member.node != self.config.node
+                && matches!(member.state, MemberState::Alive | MemberState::Suspect)
+        };
+        !self.members.values().any(up)
     }
 
     /// The time of the next [`Input::Tick`].
--- a/crates/steward/tests/steward.rs
+++ b/crates/steward/tests/steward.rs
@@ -63,6 +63,25 @@
     });
 }
 
+#[test]
+fn a_stopping_steward_hands_its_terms_over_and_cuts_nothing() {
+    let mut site = started(3, 6);
+    site.stop(0);
+    site.pass(Duration::from_secs(5), |site| {
+        one_owner(site);
+        assert_eq!(site.served(1), RANGES as usize, "at {:?}", site.now);
+    });
+    assert!(site.stopped(0));
+}
+
+#[test]
+fn a_steward_that_is_alone_stops_at_once() {
+    let mut site = started(1, 2);
+    site.stop(0);
+    site.pass(Duration::from_millis(100), one_owner);
+    assert!(site.stopped(0));
+}
+
 #[test]
 fn a_zone_taken_out_owns_nothing_and_comes_back() {
     let mut site = started(9, 17);
--- a/crates/steward/tests/support/mod.rs
+++ b/crates/steward/tests/support/mod.rs
@@ -204,6 +204,14 @@
         self.nodes[index].up = false;
     }
 
+    pub fn stop(&mut self, index: usize) {
+        self.post(NET_DELAY, index, Input::Stop);
+    }
+
+    pub fn stopped(&self, index: usize) -> bool {
+        self.nodes[index].steward.stopped()
+    }
+
     pub fn restart(&mut self, index: usize) {
         let incarnation = self.nodes[index].incarnation + 1;
         let steward = self.steward(index, incarnation);
