Refuse a document that changes the slices of a service in use

Cause: stewards refuse such a document, but bayctl stored it; a restart of all stewards would then have found no assignment for the new slices and no owner for any key. Change: bayctl compares with the stored document. The test failed first (exit 0 instead of 1).

--- a/crates/ctl/src/apply.rs
+++ b/crates/ctl/src/apply.rs
@@ -42,6 +42,7 @@
         (Expected::Unstated, Some(version)) => Expected::Version(version),
         (expected, _) => expected,
     };
+    check_slices(store, &doc).await?;
     perform(store, ObjectKey::service(doc.name), Some(body), expected).await
 }
 
@@ -82,6 +83,25 @@
     perform(store, ObjectKey::service(service), None, expected).await
 }
 
+/// Finds a change of the slices, under which the stored assignment would name no owner.
+async fn check_slices(store: &HttpStore, doc: &ServiceDoc) -> Result<(), CtlError> {
+    let key = ObjectKey::service(doc.name);
+    let StoreReply::Object(Some(object)) = call(store, StoreRequest::Get { key }).await? else {
+        return Ok(());
+    };
+    // A stored document that this version cannot read divides no keys.
+    let Ok(current) = ServiceDoc::parse(object.key.as_str(), object.body.as_bytes()) else {
+        return Ok(());
+    };
+    let ranges = |doc: &ServiceDoc| doc.keyed().map(|rules| rules.layout.ranges());
+    match (ranges(&current), ranges(doc)) {
+        (Some(current), Some(found)) if current != found => {
+            Err(CtlError::SlicesChanged { current, found })
+        }
+        _ => Ok(()),
+    }
+}
+
 /// Finds a mistyped zone, which would stay in while its operator believes that it is out.
 async fn check_zone(store: &HttpStore, zone: ZoneName) -> Result<(), CtlError> {
     let mut known = Vec::new();
--- a/crates/ctl/src/ctl_error.rs
+++ b/crates/ctl/src/ctl_error.rs
@@ -23,6 +23,13 @@
         /// The zones that there are.
         known: Vec<String>,
     },
+    /// The document changes how the keys of a service in use are divided.
+    SlicesChanged {
+        /// The slices of the document that is there.
+        current: u32,
+        /// The slices of the new document.
+        found: u32,
+    },
     /// The object exists and the operator did not say which version to replace.
     Unstated {
         /// What stands there.
@@ -54,6 +61,10 @@
             CtlError::Mistakes(mistakes) => write!(f, "{mistakes}"),
             CtlError::Store(error) => write!(f, "{error}"),
             CtlError::NotFound(key) => write!(f, "{key}: expected an object, found none"),
+            CtlError::SlicesChanged { current, found } => {
+                write!(f, "expected {current} slices, found {found}: ")?;
+                write!(f, "owners are assigned by slice; make a new service to change them")
+            }
             CtlError::UnknownZone { zone, known } => {
                 let known = known.join(", ");
                 write!(f, "{zone}: expected the zone of a host or server; there are: {known}")
--- a/crates/ctl/tests/command.rs
+++ b/crates/ctl/tests/command.rs
@@ -102,6 +102,24 @@
     assert!(bayctl(store, &["list"]).stdout.trim_ascii().is_empty());
 }
 
+#[test]
+fn the_slices_of_a_service_in_use_stay() {
+    let store = start_store();
+    let keyed = |slices: u32| {
+        let keys =
+            format!("kind = keyed\n\n[keys]\nheader = x-job\nslices = {slices}\nfenced = yes\n");
+        DOCUMENT.replace("kind = pooled\n", &keys)
+    };
+    let first = file("slices-64.ini", &keyed(64));
+    assert!(bayctl(store, &["apply", first.to_str().unwrap()]).status.success());
+    let other = file("slices-128.ini", &keyed(128));
+    let refused = bayctl(store, &["--expect", "1", "apply", other.to_str().unwrap()]);
+    assert_eq!(refused.status.code(), Some(1));
+    assert!(text(&refused.stderr).contains("expected 64 slices, found 128"));
+    let shown = text(&bayctl(store, &["show", "jobs"]).stdout);
+    assert!(shown.starts_with("; version 1\n"), "{shown}");
+}
+
 #[test]
 fn a_mistyped_zone_is_refused() {
     let store = start_store();
