--- a/crates/node/src/lib.rs
+++ b/crates/node/src/lib.rs
@@ -9,9 +9,11 @@
 mod run;
 mod shell_error;
 mod steward_admin;
+mod steward_connections;
 mod steward_link;
 mod steward_shell;
 mod wall_clock;
+mod within;
 
 pub use command_line::{Command, CommandError, parse_command};
 pub use gate_shell::{GateAddresses, GateShell, HttpLimits};
--- /dev/null
+++ b/crates/node/src/steward_connections.rs
@@ -0,0 +1,98 @@
+use std::net::SocketAddr;
+use std::sync::Arc;
+use std::time::Duration;
+
+use async_channel::Receiver;
+use async_io::Timer;
+use async_net::{TcpListener, TcpStream};
+use bay_steward::{Input, LinkId};
+use bay_wire::LinkMessage;
+use futures_lite::{StreamExt, future};
+
+use crate::framed::{self, LinkReceiver, LinkSender};
+use crate::steward_shell::Shared;
+use crate::within::within;
+
+/// Time after which a connection to another steward is closed.
+const PEER_LINK_LIFE: Duration = Duration::from_secs(30);
+/// Longest time for the handshake on a new connection.
+const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
+/// Time after which a quiet connection carries a sign of life.
+const HEARTBEAT_PERIOD: Duration = Duration::from_secs(2);
+
+/// Takes the connections of gates and stewards.
+pub(crate) async fn accept_links(shared: Arc<Shared>, listener: TcpListener) {
+    let mut incoming = listener.incoming();
+    while let Some(stream) = incoming.next().await {
+        let Ok(stream) = stream else { continue };
+        shared.executor().spawn(serve_link(Arc::clone(&shared), stream)).detach();
+    }
+}
+
+async fn serve_link(shared: Arc<Shared>, stream: TcpStream) {
+    let accepting = async { framed::accept(stream, shared.key(), shared.identity()).await };
+    match within(HANDSHAKE_TIMEOUT, accepting).await {
+        Some((sender, receiver)) => {
+            let (link, rx) = shared.open_link();
+            run_link(&shared, link, rx, sender, receiver).await;
+            shared.close_link(link);
+        }
+        None => shared.counters().add("link.rejected", 1),
+    }
+}
+
+/// Carries messages to another steward over a connection of its own.
+pub(crate) async fn connect_steward(
+    shared: Arc<Shared>,
+    to: SocketAddr,
+    link: LinkId,
+    rx: Receiver<LinkMessage>,
+) {
+    let connecting = async {
+        let stream = TcpStream::connect(to).await.ok()?;
+        framed::initiate(stream, shared.key(), shared.identity()).await
+    };
+    match within(HANDSHAKE_TIMEOUT, connecting).await {
+        Some((sender, receiver)) => {
+            let life = async {
+                Timer::after(PEER_LINK_LIFE).await;
+            };
+            future::or(run_link(&shared, link, rx, sender, receiver), life).await;
+        }
+        None => shared.counters().add("link.refused", 1),
+    }
+    shared.close_link(link);
+}
+
+async fn run_link(
+    shared: &Arc<Shared>,
+    link: LinkId,
+    rx: Receiver<LinkMessage>,
+    sender: LinkSender,
+    receiver: LinkReceiver,
+) {
+    let reading = read_link(Arc::clone(shared), link, receiver);
+    future::or(reading, write_link(sender, rx)).await;
+}
+
+async fn read_link(shared: Arc<Shared>, link: LinkId, mut receiver: LinkReceiver) {
+    while let Some(message) = receiver.receive().await {
+        shared.handle(Input::Link { link, message });
+    }
+}
+
+async fn write_link(mut sender: LinkSender, rx: Receiver<LinkMessage>) {
+    loop {
+        let idle = async {
+            Timer::after(HEARTBEAT_PERIOD).await;
+            Some(LinkMessage::Heartbeat)
+        };
+        let next = async { rx.recv().await.ok() };
+        let Some(message) = future::or(next, idle).await else {
+            return;
+        };
+        if sender.send(&message).await.is_none() {
+            return;
+        }
+    }
+}
--- a/crates/node/src/steward_link.rs
+++ b/crates/node/src/steward_link.rs
@@ -8,6 +8,7 @@
 use futures_lite::future;
 
 use crate::framed::{LinkReceiver, LinkSender, initiate};
+use crate::within::within;
 
 /// Pause before a lost steward is connected to again.
 const RECONNECT_PAUSE: Duration = Duration::from_millis(300);
@@ -106,14 +107,3 @@
         }
     }
 }
-
-async fn within<W, T>(span: Duration, work: W) -> Option<T>
-where
-    W: Future<Output = Option<T>>,
-{
-    let late = async {
-        Timer::after(span).await;
-        None
-    };
-    future::or(work, late).await
-}
--- a/crates/node/src/steward_shell.rs
+++ b/crates/node/src/steward_shell.rs
@@ -7,7 +7,7 @@
 use async_channel::{Receiver, Sender};
 use async_executor::{Executor, Task};
 use async_io::Timer;
-use async_net::{TcpListener, TcpStream, UdpSocket};
+use async_net::{TcpListener, UdpSocket};
 use bay_conf::Settings;
 use bay_obs::Counters;
 use bay_steward::{Input, LinkId, OrderId, Output, StatusId, Steward, StewardConfig};
@@ -17,12 +17,12 @@
 use bay_wire::{
     ClusterKey, ClusterStatus, LinkIdentity, LinkMessage, Opener, Order, OrderReply, Role, Sealer,
 };
-use futures_lite::{StreamExt, future};
+use futures_lite::future;
 
 use crate::ShellError;
 use crate::backend::post_order;
-use crate::framed::{self, LinkReceiver, LinkSender};
 use crate::steward_admin::accept_admin;
+use crate::steward_connections::{accept_links, connect_steward};
 use crate::wall_clock::wall_nanos;
 
 /// Longest wait for the store beyond that of a watch.
@@ -31,16 +31,10 @@
 const ORDER_TIMEOUT: Duration = Duration::from_millis(400);
 /// Messages that wait for a slow peer before its connection is closed.
 const LINK_QUEUE: usize = 1_024;
-/// Time after which a connection to another steward is closed.
-const PEER_LINK_LIFE: Duration = Duration::from_secs(30);
 /// Longest datagram, in bytes.
 const MAX_DATAGRAM_BYTES: usize = 64 << 10;
 /// Longest time that a planned stop waits for the terms to be handed over.
 const STOP_TIMEOUT: Duration = Duration::from_secs(10);
-/// Longest time for the handshake on a new connection.
-const HANDSHAKE_TIMEOUT: Duration = Duration::from_secs(2);
-/// Time after which a quiet connection carries a sign of life.
-const HEARTBEAT_PERIOD: Duration = Duration::from_secs(2);
 /// Pause between two looks at a stopping steward.
 const STOP_PAUSE: Duration = Duration::from_millis(20);
 
@@ -121,7 +115,7 @@
             address,
         });
         let shell = StewardShell { shared, tasks: Arc::default() };
-        shell.spawn(accept(Arc::clone(&shell.shared), listener));
+        shell.spawn(accept_links(Arc::clone(&shell.shared), listener));
         shell.spawn(accept_admin(Arc::clone(&shell.shared), admin));
         Ok(shell)
     }
@@ -164,6 +158,11 @@
         &self.counters
     }
 
+    /// The key that all processes share.
+    pub(crate) fn key(&self) -> &ClusterKey {
+        &self.key
+    }
+
     /// The executor of the steward's tasks.
     pub(crate) fn executor(&self) -> &Executor<'static> {
         &self.executor
@@ -182,12 +181,13 @@
         rx.recv().await.ok()
     }
 
-    fn identity(&self) -> LinkIdentity {
+    /// Who this end of a connection is.
+    pub(crate) fn identity(&self) -> LinkIdentity {
         LinkIdentity { node: self.node, role: Role::Steward, incarnation: self.incarnation }
     }
 
     /// Gives the steward an input and does what it asks for.
-    fn handle(self: &Arc<Shared>, input: Input) {
+    pub(crate) fn handle(self: &Arc<Shared>, input: Input) {
         if self.ended.load(Ordering::Relaxed) {
             return;
         }
@@ -257,7 +257,8 @@
         self.send_link(link, message);
     }
 
-    fn open_link(&self) -> (LinkId, Receiver<LinkMessage>) {
+    /// Numbers a connection and makes the queue of its messages.
+    pub(crate) fn open_link(&self) -> (LinkId, Receiver<LinkMessage>) {
         let (tx, rx) = async_channel::bounded(LINK_QUEUE);
         let mut links = lock(&self.links);
         links.last += 1;
@@ -266,7 +267,8 @@
         (link, rx)
     }
 
-    fn close_link(self: &Arc<Shared>, link: LinkId) {
+    /// Forgets a connection.
+    pub(crate) fn close_link(self: &Arc<Shared>, link: LinkId) {
         let mut links = lock(&self.links);
         links.senders.remove(&link);
         links.to_stewards.retain(|_, other| *other != link);
@@ -327,92 +329,6 @@
     }
 }
 
-async fn accept(shared: Arc<Shared>, listener: TcpListener) {
-    let mut incoming = listener.incoming();
-    while let Some(stream) = incoming.next().await {
-        let Ok(stream) = stream else { continue };
-        shared.executor.spawn(serve_link(Arc::clone(&shared), stream)).detach();
-    }
-}
-
-async fn serve_link(shared: Arc<Shared>, stream: TcpStream) {
-    let accepting = async { framed::accept(stream, &shared.key, shared.identity()).await };
-    match within(HANDSHAKE_TIMEOUT, accepting).await {
-        Some((sender, receiver)) => {
-            let (link, rx) = shared.open_link();
-            run_link(&shared, link, rx, sender, receiver).await;
-            shared.close_link(link);
-        }
-        None => shared.counters.add("link.rejected", 1),
-    }
-}
-
-async fn connect_steward(
-    shared: Arc<Shared>,
-    to: SocketAddr,
-    link: LinkId,
-    rx: Receiver<LinkMessage>,
-) {
-    let connecting = async {
-        let stream = TcpStream::connect(to).await.ok()?;
-        framed::initiate(stream, &shared.key, shared.identity()).await
-    };
-    match within(HANDSHAKE_TIMEOUT, connecting).await {
-        Some((sender, receiver)) => {
-            let life = async {
-                Timer::after(PEER_LINK_LIFE).await;
-            };
-            future::or(run_link(&shared, link, rx, sender, receiver), life).await;
-        }
-        None => shared.counters.add("link.refused", 1),
-    }
-    shared.close_link(link);
-}
-
-async fn run_link(
-    shared: &Arc<Shared>,
-    link: LinkId,
-    rx: Receiver<LinkMessage>,
-    sender: LinkSender,
-    receiver: LinkReceiver,
-) {
-    let reading = read_link(Arc::clone(shared), link, receiver);
-    future::or(reading, write_link(sender, rx)).await;
-}
-
-async fn read_link(shared: Arc<Shared>, link: LinkId, mut receiver: LinkReceiver) {
-    while let Some(message) = receiver.receive().await {
-        shared.handle(Input::Link { link, message });
-    }
-}
-
-async fn write_link(mut sender: LinkSender, rx: Receiver<LinkMessage>) {
-    loop {
-        let idle = async {
-            Timer::after(HEARTBEAT_PERIOD).await;
-            Some(LinkMessage::Heartbeat)
-        };
-        let next = async { rx.recv().await.ok() };
-        let Some(message) = future::or(next, idle).await else {
-            return;
-        };
-        if sender.send(&message).await.is_none() {
-            return;
-        }
-    }
-}
-
-async fn within<W, T>(span: Duration, work: W) -> Option<T>
-where
-    W: Future<Output = Option<T>>,
-{
-    let late = async {
-        Timer::after(span).await;
-        None
-    };
-    future::or(work, late).await
-}
-
 /// Logs what an operator wants to see; what recurs many times a second is left to the counters.
 fn log_event(name: &'static str) {
     match name {
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -30,9 +30,6 @@
 mod term_record;
 mod term_slot;
 
-mod assignment;
-
-pub use assignment::{Assignment, AssignmentRow};
 pub use config::{Holder, OwnConfig, StewardState, StewardView};
 pub use input::{CallId, KeyRate, OrderId, OwnInput, SliceRate};
 pub use message::{DeputyReport, LeaseLeft, Mandate, OwnBody, OwnMessage};
--- a/crates/steward/src/lib.rs
+++ b/crates/steward/src/lib.rs
@@ -8,6 +8,7 @@
 mod steward;
 mod store_calls;
 mod store_watch;
+mod views;
 
 pub use config::StewardConfig;
 pub use datagram::StewardDatagram;
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -5,17 +5,15 @@
 use bay_member::{
     LinkHandle, Member, MemberConfig, MemberState, Peers, PeersOutput, Seed, candidates, is_watcher,
 };
-use bay_own::{
-    Holder, KeyRate, OrderId as OwnOrderId, OwnConfig, OwnInput, OwnOutput, Owner, StewardState,
-    StewardView, TermRecord,
-};
+use bay_own::{KeyRate, OrderId as OwnOrderId, OwnConfig, OwnInput, OwnOutput, Owner};
 use bay_store::{Change, Host, Object, ObjectKey, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::{NodeId, ServiceName, ZoneName};
-use bay_wire::{Item, LinkMessage, ServiceRates, TermStatus, decode, encode};
+use bay_types::NodeId;
+use bay_wire::{Item, LinkMessage, ServiceRates, decode, encode};
 
 use crate::config_items::own_input;
 use crate::store_calls::{Caller, StoreCalls};
+use crate::views::{member_counter, steward_view, term_status};
 use crate::{
     Input, LinkId, OrderId, Output, StatusId, StewardConfig, StewardDatagram, StoreWatch,
     WatchOutput, item_of_change, object_of_item,
@@ -353,32 +351,3 @@
         Err(_) => out.push(Output::Count("datagram.too-long")),
     }
 }
-
-fn member_counter(member: &Member) -> &'static str {
-    match member.state {
-        MemberState::Alive => "member.alive",
-        MemberState::Suspect => "member.suspect",
-        MemberState::Leaving => "member.leaving",
-        MemberState::Dead => "member.dead",
-    }
-}
-
-fn term_status((service, zone, record): (ServiceName, ZoneName, &TermRecord)) -> TermStatus {
-    TermStatus {
-        service,
-        zone,
-        term: record.number,
-        keeper: record.keeper.node,
-        deputy: record.deputy.map(|deputy| deputy.node),
-    }
-}
-
-fn steward_view(member: &Member, candidate: bool) -> StewardView {
-    let state = match member.state {
-        MemberState::Alive | MemberState::Suspect => StewardState::Alive,
-        MemberState::Leaving => StewardState::Leaving,
-        MemberState::Dead => StewardState::Dead,
-    };
-    let holder = Holder { node: member.node, incarnation: member.incarnation };
-    StewardView { holder, zone: member.zone, state, candidate }
-}
