Give hot keys slices of their own with what gates report

Cause: the planner measures a key's heat against the rate of the whole service, which it took from the rates of slices; gates report none, so no key was ever hot. The parts' own tests gave slice rates. Change: gates report their request rate over all keys (the counts of the space-saving sketch add up to it); the planner takes the larger of both sums. The whole-steward test failed first: a key with a third of the requests was still in its range after a minute; now it has a slot at all nine gates. Not there yet: slots are placed by count of slices, not by the key's rate.

--- a/crates/call/src/hot_keys.rs
+++ b/crates/call/src/hot_keys.rs
@@ -14,6 +14,7 @@
 pub struct HotKeys {
     counts: HashMap<KeyHash, u32>,
     last: Vec<HotKeyRate>,
+    last_total: f64,
     started: Time,
     rng: SmallRng,
 }
@@ -40,7 +41,7 @@
     /// A sketch that has seen nothing; the seed picks the sample.
     pub fn new(now: Time, seed: u64) -> HotKeys {
         let rng = SmallRng::seed_from_u64(seed);
-        HotKeys { counts: HashMap::new(), last: Vec::new(), started: now, rng }
+        HotKeys { counts: HashMap::new(), last: Vec::new(), last_total: 0.0, started: now, rng }
     }
 
     /// Counts a request.
@@ -63,6 +64,12 @@
         &self.last
     }
 
+    /// Requests a second of the last whole window, over all keys.
+    pub fn total(&mut self, now: Time) -> f64 {
+        self.roll(now);
+        self.last_total
+    }
+
     fn evict(&mut self) -> u32 {
         let least = self.counts.iter().map(|(key, count)| (*count, *key)).min();
         let Some((count, key)) = least else {
@@ -78,6 +85,8 @@
             return;
         }
         let scale = f64::from(HotKeys::SAMPLE) / span.as_secs_f64();
+        // The counts of the algorithm add up to the hits.
+        self.last_total = self.counts.values().copied().map(f64::from).sum::<f64>() * scale;
         let rate = |(key, count)| HotKeyRate { key, rate: f64::from(count) * scale };
         self.last = self.counts.drain().map(rate).collect();
         self.last.sort_by(|a, b| b.rate.total_cmp(&a.rate).then(a.key.cmp(&b.key)));
--- a/crates/call/tests/parts.rs
+++ b/crates/call/tests/parts.rs
@@ -100,5 +100,7 @@
     assert!(rates.len() <= HotKeys::REPORTED);
     assert_eq!(rates[0].key, KeyHash(7));
     assert!((8_000.0..12_000.0).contains(&rates[0].rate), "{rates:?}");
+    let total = keys.total(Time::from_millis(5_000));
+    assert!((18_000.0..22_000.0).contains(&total), "{total}");
     assert!(keys.rates(Time::from_millis(11_000)).is_empty());
 }
--- a/crates/fakes/src/own_driver/faults.rs
+++ b/crates/fakes/src/own_driver/faults.rs
@@ -211,6 +211,7 @@
         for index in 0..self.stewards.len() {
             let input = OwnInput::Rates {
                 service,
+                total: 0,
                 gate: NodeId(1_000),
                 keys: keys.to_vec(),
                 slices: slices.to_vec(),
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -142,6 +142,13 @@
         }
     }
 
+    /// How many requests a second of a service name a key, at this gate.
+    pub fn keyed_rate(&mut self, now: Time, service: ServiceName) -> f64 {
+        let id = self.names.get(&service);
+        let service = id.and_then(|id| self.services.get_mut(*id));
+        service.map_or(0.0, |service| service.hot_keys.total(now))
+    }
+
     /// The services whose servers own keys.
     pub fn keyed_services(&self) -> impl Iterator<Item = ServiceName> + '_ {
         let keyed =
--- a/crates/node/src/gate_shell/following.rs
+++ b/crates/node/src/gate_shell/following.rs
@@ -60,6 +60,7 @@
             let services: Vec<_> = gate.keyed_services().collect();
             let rates = |service| ServiceRates {
                 service,
+                total_per_second: gate.keyed_rate(now, service).round() as u32,
                 keys: gate.hot_keys(now, service).iter().map(wire_rate).collect(),
             };
             let all = services.into_iter().map(rates);
--- a/crates/own/src/input.rs
+++ b/crates/own/src/input.rs
@@ -59,6 +59,8 @@
         service: ServiceName,
         /// The gate's host.
         gate: NodeId,
+        /// Requests a second, over all keys.
+        total: u32,
         /// The gate's hottest keys.
         keys: Vec<KeyRate>,
         /// The gate's busiest slices.
--- a/crates/own/src/owner.rs
+++ b/crates/own/src/owner.rs
@@ -138,9 +138,9 @@
             OwnInput::Store { id, result } => self.store_answer(now, id, result, out),
             OwnInput::Order { id, reply } => self.order_answer(now, id, reply, out),
             OwnInput::Peer { from, message } => self.peer(now, from, message, out),
-            OwnInput::Rates { service, gate, keys, slices } => {
+            OwnInput::Rates { service, gate, total, keys, slices } => {
                 if let Some(service) = self.services.get_mut(&service) {
-                    service.rates.report(now, gate, keys, slices);
+                    service.rates.report(now, gate, total, keys, slices);
                 }
             }
             OwnInput::Stop => {
--- a/crates/own/src/rates.rs
+++ b/crates/own/src/rates.rs
@@ -21,6 +21,7 @@
 #[derive(Debug)]
 struct Report {
     at: Time,
+    total: u32,
     keys: Vec<KeyRate>,
     slices: Vec<SliceRate>,
 }
@@ -31,10 +32,11 @@
         &mut self,
         now: Time,
         gate: NodeId,
+        total: u32,
         keys: Vec<KeyRate>,
         slices: Vec<SliceRate>,
     ) {
-        self.reports.insert(gate, Report { at: now, keys, slices });
+        self.reports.insert(gate, Report { at: now, total, keys, slices });
         self.reports.retain(|_, report| now < report.at + REPORT_LIFE);
         self.keys.clear();
         self.slices.clear();
@@ -46,7 +48,9 @@
                 *self.slices.entry(slice.slice).or_default() += f64::from(slice.per_second);
             }
         }
-        self.total = self.slices.values().sum();
+        let totals = self.reports.values().map(|report| f64::from(report.total));
+        // Reports of slices may leave out the idle ones, and totals may be missing.
+        self.total = self.slices.values().sum::<f64>().max(totals.sum());
     }
 
     /// A slice's load, where a slice of mean rate counts as two: one for being owned, one for its
--- a/crates/steward/src/steward.rs
+++ b/crates/steward/src/steward.rs
@@ -249,8 +249,14 @@
     fn take_rates(&mut self, now: Time, gate: NodeId, rates: ServiceRates, out: &mut Vec<Output>) {
         let keys =
             rates.keys.iter().map(|rate| KeyRate { key: rate.key, per_second: rate.per_second });
-        let (service, keys) = (rates.service, keys.collect());
-        self.own(now, OwnInput::Rates { service, gate, keys, slices: Vec::new() }, out);
+        let input = OwnInput::Rates {
+            service: rates.service,
+            gate,
+            total: rates.total_per_second,
+            keys: keys.collect(),
+            slices: Vec::new(),
+        };
+        self.own(now, input, out);
     }
 
     /// Lets membership act and does what it asks for.
--- a/crates/steward/tests/steward.rs
+++ b/crates/steward/tests/steward.rs
@@ -6,6 +6,7 @@
 
 use bay_conf::ZoneState;
 use bay_time::Time;
+use bay_types::KeyHash;
 use bay_wire::ItemKey;
 use test_case::test_case;
 
@@ -104,6 +105,23 @@
     assert_eq!(site.served(0), RANGES as usize);
 }
 
+#[test]
+fn a_hot_key_gets_a_slice_of_its_own_within_a_minute() {
+    let mut site = started(9, 17);
+    let hot = KeyHash(1 << 40);
+    for _ in 0..12 {
+        for index in 0..9 {
+            site.report_rate(index, hot, 500, 1_500);
+        }
+        site.pass(Duration::from_secs(5), one_owner);
+    }
+    for node in &site.nodes {
+        let route = node.gate.table.lookup(hot).expect("the key has an owner");
+        assert!(route.slice.0 >= RANGES, "the key is still in its range");
+    }
+    assert_eq!(site.served(0), RANGES as usize);
+}
+
 #[test]
 fn a_new_document_is_in_force_everywhere_and_stays() {
     let mut site = started(9, 6);
--- a/crates/steward/tests/support/mod.rs
+++ b/crates/steward/tests/support/mod.rs
@@ -14,7 +14,10 @@
 use bay_types::{
     HostName, Incarnation, KeyHash, NodeId, Revision, ServiceName, SliceLayout, ZoneName,
 };
-use bay_wire::{ClusterStatus, Interest, ItemKey, ItemVersion, LinkMessage, Role, Routes, decode};
+use bay_wire::{
+    ClusterStatus, HotKeyRate, Interest, ItemKey, ItemVersion, LinkMessage, Role, Routes,
+    ServiceRates, decode,
+};
 
 const STORE_DELAY: Duration = Duration::from_millis(3);
 const NET_DELAY: Duration = Duration::from_millis(1);
@@ -204,6 +207,15 @@
         self.nodes[index].up = false;
     }
 
+    /// Has the gate of a host report how often it sees a key.
+    pub fn report_rate(&mut self, index: usize, key: KeyHash, per_second: u32, total: u32) {
+        let keys = vec![HotKeyRate { key, per_second }];
+        let message =
+            LinkMessage::Rates(ServiceRates { service: service(), total_per_second: total, keys });
+        let link = LinkId(GATE_LINKS + index as u64);
+        self.post(NET_DELAY, index, Input::Link { link, message });
+    }
+
     pub fn stop(&mut self, index: usize) {
         self.post(NET_DELAY, index, Input::Stop);
     }
--- a/crates/wire/src/rates.rs
+++ b/crates/wire/src/rates.rs
@@ -6,6 +6,8 @@
 pub struct ServiceRates {
     /// The service.
     pub service: ServiceName,
+    /// Requests a second, over all keys.
+    pub total_per_second: u32,
     /// The gate's hottest keys.
     pub keys: Vec<HotKeyRate>,
 }
