--- a/crates/node/tests/processes.rs
+++ b/crates/node/tests/processes.rs
@@ -141,3 +141,15 @@
     }
     fs::remove_dir_all(&folder).unwrap();
 }
+
+#[test]
+fn the_files_of_the_first_service_have_no_mistakes() {
+    let root = Path::new(env!("CARGO_MANIFEST_DIR")).join("../..");
+    let check = |program: &str, args: &[&str]| {
+        let output = Command::new(binary(program)).args(args).current_dir(&root).output().unwrap();
+        assert!(output.status.success(), "{}", String::from_utf8_lossy(&output.stderr));
+    };
+    let folder = "docs/first-service";
+    check("dragonflybay", &["gate", "--check", "--settings", &format!("{folder}/settings.ini")]);
+    check("bayctl", &["apply", "--check", &format!("{folder}/jobs.ini")]);
+}
