--- a/crates/own/src/bounds.rs
+++ b/crates/own/src/bounds.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
+use bay_conf::KeyedRules;
 use bay_time::Time;
 use bay_types::ServerName;
 
@@ -25,3 +26,12 @@
     }
     ends
 }
+
+/// How much longer than the longest outage a term holds: the time from its last renewal before the
+/// outage to its first one after it.
+const HOLD_MARGIN: Duration = Duration::from_secs(15);
+
+/// How long a term holds from its last known renewal.
+pub(crate) fn hold_of(rules: &KeyedRules) -> Duration {
+    rules.outage_hold + HOLD_MARGIN
+}
--- a/crates/own/src/campaign.rs
+++ b/crates/own/src/campaign.rs
@@ -1,10 +1,10 @@
 use std::time::Duration;
 
-use bay_conf::KeyedRules;
 use bay_store::{Expect, ObjectKey, StoreReply, StoreRequest, StoreResult};
 use bay_time::Time;
 use bay_types::{Revision, ServiceName, Term, ZoneName};
 
+use crate::bounds::hold_of;
 use crate::call::Call;
 use crate::deputy::Deputy;
 use crate::keeper::Keeper;
@@ -16,9 +16,6 @@
 
 /// Pause between two renewals of a term.
 pub(crate) const TERM_RENEWAL: Duration = Duration::from_secs(5);
-/// How much longer than the longest outage a term holds: the time from its last renewal before the
-/// outage to its first one after it.
-const HOLD_MARGIN: Duration = Duration::from_secs(15);
 
 impl Owner {
     /// Looks after every term.
@@ -153,7 +150,7 @@
         if !record.deputy.is_some_and(works) {
             let other = candidates.iter().find(|other| Some(**other) != record.deputy).copied();
             if other.is_some() {
-                change_deputy(&mut record, other);
+                record.change_deputy(other);
                 out.push(OwnOutput::Count("own.deputy.changed"));
             }
         }
@@ -347,23 +344,3 @@
         }
     }
 }
-
-fn change_deputy(record: &mut TermRecord, deputy: Option<Holder>) {
-    let number = Term(record.number.0 + 1);
-    if let Some(before) = record.deputy {
-        record.former.push(crate::FormerHolder {
-            holder: before,
-            before: number,
-            stopped: false,
-            lease_ms: record.lease_ms,
-            hold_ms: record.hold_ms,
-        });
-    }
-    record.number = number;
-    record.deputy = deputy;
-}
-
-/// How long a term holds from its last known renewal.
-fn hold_of(rules: &KeyedRules) -> Duration {
-    rules.outage_hold + HOLD_MARGIN
-}
--- a/crates/own/src/lib.rs
+++ b/crates/own/src/lib.rs
@@ -25,6 +25,7 @@
 mod shard;
 mod shard_slot;
 mod shard_writes;
+mod standing;
 mod stewards;
 mod term_judge;
 mod term_record;
--- a/crates/own/src/owner.rs
+++ b/crates/own/src/owner.rs
@@ -4,7 +4,7 @@
 use bay_conf::{ServiceDoc, ZoneState};
 use bay_store::{Object, StoreRequest, StoreResult};
 use bay_time::Time;
-use bay_types::{NodeId, Revision, ServiceName, ZoneName};
+use bay_types::{Revision, ServiceName, ZoneName};
 use bay_wire::{Order, OrderReply, OrderRole};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
@@ -88,27 +88,6 @@
         self.stopping && !self.services.values().any(keeps)
     }
 
-    /// Whether this process keeps or assists in any term.
-    pub fn keeps_any(&self) -> bool {
-        let keeps =
-            |service: &ServiceState| !service.keepers.is_empty() || !service.deputies.is_empty();
-        self.services.values().any(keeps)
-    }
-
-    /// The terms that this process knows.
-    pub fn terms(&self) -> impl Iterator<Item = (ServiceName, ZoneName, &TermRecord)> + '_ {
-        let of = |service: &ServiceState| service.name;
-        self.services.values().flat_map(move |service| {
-            let records = service.terms.iter().map(|(zone, slot)| (*zone, slot.record.as_ref()));
-            records.filter_map(move |(zone, record)| Some((of(service), zone, record?)))
-        })
-    }
-
-    /// The host whose steward plans a service.
-    pub fn planner(&self, service: ServiceName) -> Option<NodeId> {
-        self.stewards.planner(service).map(|holder| holder.node)
-    }
-
     /// The time of the next [`OwnInput::Tick`].
     pub fn next_deadline(&self, now: Time) -> Time {
         let mut next = self.next_campaign;
--- /dev/null
+++ b/crates/own/src/standing.rs
@@ -0,0 +1,28 @@
+use bay_types::{NodeId, ServiceName, ZoneName};
+
+use crate::TermRecord;
+use crate::owner::Owner;
+use crate::service_state::ServiceState;
+
+impl Owner {
+    /// Whether this process keeps or assists in any term.
+    pub fn keeps_any(&self) -> bool {
+        let keeps =
+            |service: &ServiceState| !service.keepers.is_empty() || !service.deputies.is_empty();
+        self.services.values().any(keeps)
+    }
+
+    /// The terms that this process knows.
+    pub fn terms(&self) -> impl Iterator<Item = (ServiceName, ZoneName, &TermRecord)> + '_ {
+        let of = |service: &ServiceState| service.name;
+        self.services.values().flat_map(move |service| {
+            let records = service.terms.iter().map(|(zone, slot)| (*zone, slot.record.as_ref()));
+            records.filter_map(move |(zone, record)| Some((of(service), zone, record?)))
+        })
+    }
+
+    /// The host whose steward plans a service.
+    pub fn planner(&self, service: ServiceName) -> Option<NodeId> {
+        self.stewards.planner(service).map(|holder| holder.node)
+    }
+}
--- a/crates/own/src/term_record.rs
+++ b/crates/own/src/term_record.rs
@@ -78,6 +78,22 @@
         }));
         former
     }
+
+    /// Names another deputy, which begins a term; the earlier one becomes a former holder.
+    pub(crate) fn change_deputy(&mut self, deputy: Option<Holder>) {
+        let number = Term(self.number.0 + 1);
+        if let Some(before) = self.deputy {
+            self.former.push(FormerHolder {
+                holder: before,
+                before: number,
+                stopped: false,
+                lease_ms: self.lease_ms,
+                hold_ms: self.hold_ms,
+            });
+        }
+        self.number = number;
+        self.deputy = deputy;
+    }
 }
 
 /// The service and zone of a term's key.
