Hold each target's connection limit across gates

Cause: the shell used a constant of 12 connections a gate: 108 from nine gates to a target that takes 50. Change: the pool's cap (the gate's even share and one for each request in flight) bounds what the shell opens, and an idle connection is kept only within the share. Test: a gate whose share is nothing keeps no idle connection (without the change it waits for ever).

--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -123,7 +123,8 @@
 }
 
 async fn connect(shared: &Shared, order: &AttemptOrder) -> Option<Leased> {
-    let lease = async { shared.pool.lease(order.to, order.fresh).await.ok() };
+    let cap = shared.connection_cap(order.call, order.attempt);
+    let lease = async { shared.pool.lease(order.to, order.fresh, cap).await.ok() };
     let late = async {
         Timer::after(order.time_left.min(CONNECT_TIMEOUT)).await;
         None
--- a/crates/node/src/gate_shell/pool.rs
+++ b/crates/node/src/gate_shell/pool.rs
@@ -42,6 +42,8 @@
 struct Place {
     pool: Arc<ConnectionPool>,
     to: SocketAddr,
+    /// Connections that this gate may have to the target, this one in use.
+    cap: usize,
     suspected: u64,
 }
 
@@ -60,7 +62,7 @@
         ConnectionPool { limits, meters, targets: Mutex::default() }
     }
 
-    /// Takes an idle connection, or opens one.
+    /// Takes an idle connection, or opens one while the gate has fewer than `cap`.
     ///
     /// # Errors
     /// Returns an error if no connection comes about.
@@ -68,11 +70,12 @@
         self: &Arc<ConnectionPool>,
         to: SocketAddr,
         fresh: bool,
+        cap: usize,
     ) -> Result<Leased, ConnectError> {
         if fresh {
             self.suspect(to);
         }
-        let (place, idle) = self.reserve(to)?;
+        let (place, idle) = self.reserve(to, cap)?;
         if let Some(connection) = idle {
             return Ok(Leased { connection, place });
         }
@@ -85,11 +88,13 @@
     fn reserve(
         self: &Arc<ConnectionPool>,
         to: SocketAddr,
+        cap: usize,
     ) -> Result<(Place, Option<Connection>), ConnectError> {
+        let cap = cap.min(self.limits.connections_per_target);
         let now = BootClock.now();
         let mut targets = lock(&self.targets);
         let target = targets.entry(to).or_default();
-        let place = |suspected| Place { pool: Arc::clone(self), to, suspected };
+        let place = |suspected| Place { pool: Arc::clone(self), to, cap, suspected };
         while let Some(idle) = target.idle.pop() {
             let young = now.since(idle.since) < self.limits.reuse_time;
             if young && idle.connection.is_quiet() {
@@ -97,7 +102,7 @@
             }
             target.open -= 1;
         }
-        if target.open >= self.limits.connections_per_target {
+        if target.open >= cap {
             return Err(ConnectError::AtLimit);
         }
         target.open += 1;
@@ -141,7 +146,9 @@
             return;
         };
         let trusted = target.suspected == place.suspected;
-        if trusted && target.idle.len() < place.pool.limits.idle_per_target {
+        // An idle connection has no request of its own to allow for it.
+        let within_share = target.open < place.cap;
+        if trusted && within_share && target.idle.len() < place.pool.limits.idle_per_target {
             target.idle.push(IdleConnection { connection, since: BootClock.now() });
             // The place's end frees one, which the idle connection takes.
             target.open += 1;
--- a/crates/node/src/gate_shell/shared.rs
+++ b/crates/node/src/gate_shell/shared.rs
@@ -128,6 +128,11 @@
         lock(&self.gate).may_send(BootClock.now(), call, attempt)
     }
 
+    /// How many connections this gate may have to an attempt's target, over all requests.
+    pub(crate) fn connection_cap(&self, call: CallId, attempt: AttemptId) -> usize {
+        lock(&self.gate).connection_cap(call, attempt).unwrap_or(1) as usize
+    }
+
     /// Counts a refusal of the shell's own and makes its answer.
     pub(crate) fn refuse(&self, kind: ErrorKind) -> Response {
         let retry_after = lock(&self.gate).refused_by_shell(kind);
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -130,6 +130,18 @@
     });
 }
 
+#[test]
+fn a_gate_without_a_share_keeps_no_idle_connection() {
+    let plan = Plan { connections: 4, ..Plan::default() };
+    with_site(plan, async |site| {
+        for _ in 0..3 {
+            assert_eq!(site.ask(GET).await.status(), 200);
+            until(|| site.gate.connections_to(site.targets[0].address) == 0).await;
+        }
+        assert_eq!(site.target().counts().connections, 3);
+    });
+}
+
 #[test]
 fn a_caller_that_hangs_up_cancels_its_request() {
     with_site(slow_target(Duration::from_secs(3_600)), async |site| {
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -24,6 +24,8 @@
     pub limits: HttpLimits,
     pub targets: Vec<TargetOptions>,
     pub requests: &'static str,
+    /// Connections that a target takes, over all gates.
+    pub connections: u32,
     pub max_connections: u32,
     pub max_connections_per_peer: u32,
     pub drain: Duration,
@@ -35,6 +37,7 @@
             limits: HttpLimits::default(),
             targets: vec![TargetOptions { service_time: Duration::ZERO, ..Default::default() }],
             requests: "",
+            connections: 110,
             max_connections: 100,
             max_connections_per_peer: 100,
             drain: Duration::from_millis(50),
@@ -169,8 +172,8 @@
 fn document(plan: &Plan, targets: &[SocketAddr]) -> Item {
     let mut text = format!(
         "[service]\nname = photos\nhosts = photos.example\nkind = pooled\n\
-         [requests]\n{}\n[limits]\nslots = 4\ncold_slots = 4\nconnections = 110\n",
-        plan.requests
+         [requests]\n{}\n[limits]\nslots = 4\ncold_slots = 4\nconnections = {}\n",
+        plan.requests, plan.connections
     );
     for (at, target) in targets.iter().enumerate() {
         text.push_str(&format!("[server t{at}]\naddress = {target}\nzone = north\n"));
