--- a/crates/node/src/command_line.rs
+++ b/crates/node/src/command_line.rs
@@ -19,6 +19,8 @@
         /// The settings file.
         settings: String,
     },
+    /// Runs a router on the users' platform, which tells where its settings are.
+    Router,
     /// Runs a steward.
     Steward {
         /// The settings file.
@@ -53,13 +55,16 @@
     options.optflag("V", "version", "prints the version");
     let matches = options.parse(args).map_err(|error| CommandError(error.to_string()))?;
     if matches.opt_present("help") {
-        let brief = "Usage: dragonflybay gate|steward --settings FILE [--check]";
+        let brief = "Usage: dragonflybay gate|steward --settings FILE [--check]\n       dragonflybay router";
         return Ok(Command::Help(options.usage(brief)));
     }
     if matches.opt_present("version") {
         return Ok(Command::Version);
     }
     let settings = matches.opt_str("settings");
+    if settings.is_none() && matches.free == ["router"] {
+        return Ok(Command::Router);
+    }
     let settings =
         settings.ok_or_else(|| CommandError(String::from("expected --settings FILE")))?;
     let process = match matches.free.as_slice() {
--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -1,5 +1,5 @@
 use std::net::{SocketAddr, TcpListener, TcpStream};
-use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
 use async_executor::{Executor, Task};
@@ -12,21 +12,18 @@
 use bay_wire::{ClusterKey, Item, LinkIdentity, Role};
 
 use crate::ShellError;
+use crate::http1::lock;
 use crate::steward_link::follow_steward;
 use crate::wall_clock::wall_nanos;
 
 mod admin;
 mod admission;
 mod answer;
-mod answer_check;
 mod attempt;
-mod buffer_gauge;
 mod call_run;
 mod caller;
 mod caller_side;
-mod connection;
 mod following;
-mod framing;
 mod head_bytes;
 mod headers;
 mod http_limits;
@@ -34,14 +31,11 @@
 mod messages;
 mod peers;
 mod pool;
-mod raw_head;
-mod request_check;
 mod shared;
-mod spare_buffers;
 mod upload;
-mod watchdog;
 
 pub use http_limits::HttpLimits;
+pub(crate) use pool::{ConnectError, ConnectionPool, Leased};
 
 use admin::serve_admin;
 use admission::Admission;
@@ -278,7 +272,3 @@
         shared.take_counts();
     }
 }
-
-fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
-    mutex.lock().unwrap_or_else(PoisonError::into_inner)
-}
--- a/crates/node/src/gate_shell/admission.rs
+++ b/crates/node/src/gate_shell/admission.rs
@@ -5,7 +5,7 @@
 use bay_conf::GateSettings;
 use bay_types::ErrorKind;
 
-use super::lock;
+use crate::http1::lock;
 
 /// Bounds the open connections of callers.
 #[derive(Debug)]
--- a/crates/node/src/gate_shell/answer.rs
+++ b/crates/node/src/gate_shell/answer.rs
@@ -5,18 +5,18 @@
 use bay_call::{AttemptFailure, AttemptId, Event, LoadReport, NotRunReason};
 use http_types::{Method, Response};
 
-use super::answer_check::AnswerFacts;
 use super::attempt::body_failure;
-use super::buffer_gauge::HeldBytes;
 use super::caller_side::{CallerSide, poll_gone};
-use super::framing::{BodyError, BodyReader, Framing};
 use super::headers::remove_hop_headers;
 use super::http_limits::HttpLimits;
-use super::lock;
 use super::messages::encode_answer;
 use super::pool::Leased;
 use super::upload::{LAST_CHUNK, append};
-use super::watchdog::Patience;
+use crate::http1::answer_check::AnswerFacts;
+use crate::http1::buffer_gauge::HeldBytes;
+use crate::http1::framing::{BodyError, BodyReader, Framing};
+use crate::http1::lock;
+use crate::http1::watchdog::Patience;
 
 /// A target's answer, in whole or up to what is kept of it.
 #[derive(Debug)]
--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -10,15 +10,15 @@
 use futures_lite::future;
 
 use super::answer::Answer;
-use super::answer_check::{AnswerFacts, check_answer};
 use super::caller_side::{CallerSide, KeptBody};
-use super::framing::{BodyError, BodyReader};
 use super::messages::{AttemptHeaders, decode_answer};
 use super::pool::Leased;
-use super::raw_head::{RawHeadError, read_raw_head};
 use super::shared::Shared;
 use super::upload::{Upload, UploadEnd};
-use super::watchdog::Patience;
+use crate::http1::answer_check::{AnswerFacts, check_answer};
+use crate::http1::framing::{BodyError, BodyReader, Framing};
+use crate::http1::raw_head::{RawHeadError, read_raw_head};
+use crate::http1::watchdog::Patience;
 
 /// Longest time for a connection to come about.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
@@ -161,6 +161,9 @@
         let head = read_raw_head(&mut leased.connection, shared.limits.head_bytes).await;
         let head = head.map_err(head_failure)?;
         let facts = check_answer(&head, request.to_head).map_err(|_| AttemptFailure::BadAnswer)?;
+        if facts.framing == Framing::UntilEnd {
+            return Err(AttemptFailure::BadAnswer);
+        }
         if !facts.is_interim() {
             return Ok((head, facts));
         }
--- a/crates/node/src/gate_shell/call_run.rs
+++ b/crates/node/src/gate_shell/call_run.rs
@@ -12,9 +12,9 @@
 use super::answer::Answer;
 use super::attempt::{AttemptEnd, AttemptOrder, Outgoing, run_attempt};
 use super::caller_side::{CallerSide, poll_gone};
-use super::lock;
 use super::mailbox::Mailbox;
 use super::shared::Shared;
+use crate::http1::lock;
 
 /// Serves one request: runs the attempts that the gate asks for until it says how to answer.
 pub(crate) struct CallRun<'a> {
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -13,15 +13,15 @@
 use super::attempt::Outgoing;
 use super::call_run::{CallEnd, CallRun};
 use super::caller_side::{CallerSide, KeptBody};
-use super::connection::Connection;
-use super::lock;
 use super::mailbox::Mailbox;
 use super::messages::{decode_request, encode_refusal, encode_request};
-use super::raw_head::{RawHeadError, read_raw_head};
-use super::request_check::{RequestFacts, check_request};
 use super::shared::{Phase, Shared};
-use super::watchdog::Patience;
 use crate::http_head::{HttpHead, host_name};
+use crate::http1::connection::Connection;
+use crate::http1::lock;
+use crate::http1::raw_head::{RawHeadError, read_raw_head};
+use crate::http1::request_check::{RequestFacts, check_request};
+use crate::http1::watchdog::Patience;
 use crate::refusal::refusal;
 
 /// Most bytes that are read from a caller after a refusal, so that it gets to read it.
--- a/crates/node/src/gate_shell/caller_side.rs
+++ b/crates/node/src/gate_shell/caller_side.rs
@@ -4,13 +4,13 @@
 
 use bay_types::ErrorKind;
 
-use super::buffer_gauge::HeldBytes;
-use super::connection::Connection;
-use super::framing::{BodyError, BodyReader, Framing};
 use super::http_limits::HttpLimits;
-use super::lock;
-use super::request_check::RequestFacts;
-use super::watchdog::Patience;
+use crate::http1::buffer_gauge::HeldBytes;
+use crate::http1::connection::Connection;
+use crate::http1::framing::{BodyError, BodyReader, Framing};
+use crate::http1::lock;
+use crate::http1::request_check::RequestFacts;
+use crate::http1::watchdog::Patience;
 
 /// Tells a caller that it may send its body.
 const GO_AHEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
--- a/crates/node/src/gate_shell/http_limits.rs
+++ b/crates/node/src/gate_shell/http_limits.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use super::watchdog::Patience;
+use crate::http1::watchdog::Patience;
 
 /// Bounds on what one connection or request may cost the gate.
 #[derive(Debug, Clone, PartialEq, Eq)]
--- a/crates/node/src/gate_shell/mailbox.rs
+++ b/crates/node/src/gate_shell/mailbox.rs
@@ -4,7 +4,7 @@
 
 use bay_call::Action;
 
-use super::lock;
+use crate::http1::lock;
 
 /// Carries the gate's actions to the task that serves a request.
 #[derive(Debug, Default)]
--- a/crates/node/src/gate_shell/messages.rs
+++ b/crates/node/src/gate_shell/messages.rs
@@ -6,11 +6,11 @@
 use futures_lite::{AsyncRead, io};
 use http_types::{Body, Method, Request, Response};
 
-use super::answer_check::AnswerFacts;
-use super::framing::Framing;
 use super::head_bytes::HeadBytes;
 use super::headers::remove_hop_headers;
-use super::request_check::RequestFacts;
+use crate::http1::answer_check::AnswerFacts;
+use crate::http1::framing::Framing;
+use crate::http1::request_check::RequestFacts;
 
 /// Bytes of a head that are encoded at once.
 const ENCODE_BYTES: usize = 2 * 1024;
--- a/crates/node/src/gate_shell/peers.rs
+++ b/crates/node/src/gate_shell/peers.rs
@@ -5,7 +5,7 @@
 use bay_types::{Incarnation, NodeId};
 use bay_wire::{ClusterKey, Opener, PeerMessage, Role, Sealer, decode, encode};
 
-use super::lock;
+use crate::http1::lock;
 
 /// Longest datagram between gates, in bytes; it fits one Ethernet frame.
 const MAX_DATAGRAM: usize = 1_400;
--- a/crates/node/src/gate_shell/pool.rs
+++ b/crates/node/src/gate_shell/pool.rs
@@ -4,9 +4,9 @@
 
 use bay_time::{BootClock, Clock, Time};
 
-use super::connection::{Connection, Meters};
 use super::http_limits::HttpLimits;
-use super::lock;
+use crate::http1::connection::{Connection, Meters};
+use crate::http1::lock;
 
 /// The gate's connections to targets.
 #[derive(Debug)]
--- a/crates/node/src/gate_shell/shared.rs
+++ b/crates/node/src/gate_shell/shared.rs
@@ -14,12 +14,12 @@
 use http_types::Response;
 
 use super::admission::Admission;
-use super::connection::Meters;
 use super::http_limits::HttpLimits;
-use super::lock;
 use super::mailbox::Mailbox;
 use super::peers::PeerSender;
 use super::pool::ConnectionPool;
+use crate::http1::connection::Meters;
+use crate::http1::lock;
 use crate::refusal::refusal;
 
 /// What all tasks of a gate have in common.
--- a/crates/node/src/gate_shell/upload.rs
+++ b/crates/node/src/gate_shell/upload.rs
@@ -4,13 +4,13 @@
 
 use bay_types::ErrorKind;
 
-use super::buffer_gauge::HeldBytes;
 use super::caller_side::{CallerSide, KeptBody};
-use super::connection::Connection;
-use super::framing::Framing;
 use super::http_limits::HttpLimits;
-use super::lock;
-use super::watchdog::Patience;
+use crate::http1::buffer_gauge::HeldBytes;
+use crate::http1::connection::Connection;
+use crate::http1::framing::Framing;
+use crate::http1::lock;
+use crate::http1::watchdog::Patience;
 
 /// The end of a body in chunks.
 pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
--- /dev/null
+++ b/crates/node/src/http1.rs
@@ -0,0 +1,17 @@
+//! HTTP/1.1 connections, heads and bodies, for both sides of a gate or router.
+
+use std::sync::{Mutex, MutexGuard, PoisonError};
+
+pub(crate) mod answer_check;
+pub(crate) mod buffer_gauge;
+pub(crate) mod connection;
+pub(crate) mod framing;
+pub(crate) mod raw_head;
+pub(crate) mod request_check;
+pub(crate) mod spare_buffers;
+pub(crate) mod watchdog;
+
+/// Locks a mutex; one that a panicking task left locked is still usable.
+pub(crate) fn lock<T>(mutex: &Mutex<T>) -> MutexGuard<'_, T> {
+    mutex.lock().unwrap_or_else(PoisonError::into_inner)
+}
--- a/crates/node/src/gate_shell/answer_check.rs
+++ b/crates/node/src/http1/answer_check.rs
@@ -19,6 +19,10 @@
     pub(crate) has_date: bool,
     /// Whether the head says what the body is.
     pub(crate) has_content_type: bool,
+    /// Whether the body has an encoding besides its framing.
+    pub(crate) has_encoding: bool,
+    /// How long the target keeps the connection open between requests, in seconds.
+    pub(crate) keep_alive: Option<u64>,
 }
 
 /// Why an answer's head is not taken.
@@ -35,8 +39,7 @@
 /// Checks the raw head of an answer to a request.
 ///
 /// # Errors
-/// Returns an error if the answer's end could not be told from the end of its connection, or if
-/// two parsers might read the head differently.
+/// Returns an error if two parsers might read the head differently.
 pub(crate) fn check_answer(head: &[u8], to_head_request: bool) -> Result<AnswerFacts, BadHead> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
@@ -56,6 +59,8 @@
         close: false,
         has_date: false,
         has_content_type: false,
+        has_encoding: false,
+        keep_alive: None,
     };
     let mut chunked = false;
     for header in response.headers.iter() {
@@ -77,6 +82,10 @@
                 let mut options = value.split(|byte| *byte == b',').map(<[u8]>::trim_ascii);
                 facts.close |= options.any(|option| option.eq_ignore_ascii_case(b"close"));
             }
+            name if name.eq_ignore_ascii_case("content-encoding") => facts.has_encoding = true,
+            name if name.eq_ignore_ascii_case("keep-alive") => {
+                facts.keep_alive = keep_alive_timeout(value);
+            }
             name if name.eq_ignore_ascii_case("date") => facts.has_date = true,
             name if name.eq_ignore_ascii_case("content-type") => facts.has_content_type = true,
             _ => {}
@@ -97,7 +106,12 @@
         (true, _, _, _) | (false, _, Some(0), _) => Ok(Framing::Empty),
         (false, _, Some(length), _) => Ok(Framing::Length(length)),
         (false, _, None, true) => Ok(Framing::Chunked),
-        // The body would end with the connection, however that ends.
-        (false, _, None, false) => Err(BadHead),
+        (false, _, None, false) => Ok(Framing::UntilEnd),
     }
 }
+
+/// The value of `timeout` in a header such as `timeout=5, max=100`.
+fn keep_alive_timeout(value: &[u8]) -> Option<u64> {
+    let mut options = std::str::from_utf8(value).ok()?.split(',');
+    options.find_map(|option| option.trim().strip_prefix("timeout=")?.parse().ok())
+}
--- a/crates/node/src/gate_shell/framing.rs
+++ b/crates/node/src/http1/framing.rs
@@ -20,6 +20,8 @@
     Length(u64),
     /// The body comes in chunks.
     Chunked,
+    /// The body ends with its connection; only answers may end so.
+    UntilEnd,
 }
 
 impl Framing {
@@ -28,7 +30,7 @@
         match self {
             Framing::Empty => Some(0),
             Framing::Length(len) => Some(len),
-            Framing::Chunked => None,
+            Framing::Chunked | Framing::UntilEnd => None,
         }
     }
 }
@@ -51,6 +53,7 @@
     Chunk { left: u64 },
     ChunkEnd,
     Trailers,
+    UntilEnd,
     Done,
 }
 
@@ -72,6 +75,7 @@
             Framing::Empty | Framing::Length(0) => State::Done,
             Framing::Length(left) => State::Length { left },
             Framing::Chunked => State::ChunkHead,
+            Framing::UntilEnd => State::UntilEnd,
         };
         BodyReader { state, received: 0 }
     }
@@ -98,6 +102,10 @@
                 return Poll::Ready(Ok(count));
             }
             match ready!(connection.poll_fill(cx)) {
+                Ok(0) if self.state == State::UntilEnd => {
+                    self.state = State::Done;
+                    return Poll::Ready(Ok(0));
+                }
                 Ok(0) => return Poll::Ready(Err(BodyError::Cut)),
                 Ok(_) => {}
                 Err(_) if connection.expired() => return Poll::Ready(Err(BodyError::Silent)),
@@ -130,6 +138,7 @@
                     let count = unused.len().min(most);
                     return Ok((count > 0).then_some(count));
                 }
+                State::UntilEnd => return Ok((!unused.is_empty()).then_some(unused.len())),
                 State::ChunkHead => self.chunk_head(unused)?,
                 State::ChunkEnd => self.chunk_end(unused)?,
                 State::Trailers => self.trailers(unused)?,
--- a/crates/node/src/gate_shell/raw_head.rs
+++ b/crates/node/src/http1/raw_head.rs
@@ -31,7 +31,8 @@
     poll_fn(|cx| poll_raw_head(connection, cx, most, &mut searched)).await
 }
 
-fn poll_raw_head(
+/// Like [`read_raw_head`]; `searched` is zero at the start and kept between polls.
+pub(crate) fn poll_raw_head(
     connection: &mut Connection,
     cx: &mut Context<'_>,
     most: usize,
--- /dev/null
+++ b/crates/node/src/router_shell/http_client.rs
@@ -0,0 +1,74 @@
+use std::future::poll_fn;
+use std::io::Write;
+use std::net::SocketAddr;
+
+use bay_router::{AnswerFields, HttpCall, RouterWire};
+
+use crate::http1::answer_check::check_answer;
+use crate::http1::connection::Connection;
+use crate::http1::framing::{BodyReader, Framing};
+use crate::http1::raw_head::read_raw_head;
+
+/// Longest head of an answer, in bytes.
+const MAX_HEAD: usize = 8 * 1024;
+
+/// Most headers of an answer.
+const MAX_HEADERS: usize = 64;
+
+/// An answer to a call.
+#[derive(Debug)]
+pub(crate) struct CallAnswer {
+    pub(crate) status: u16,
+    pub(crate) fields: AnswerFields,
+    pub(crate) body: Vec<u8>,
+    /// Whether the connection can be used again.
+    pub(crate) reusable: bool,
+}
+
+/// Makes a call on a connection; `None` if the answer was lost.
+pub(crate) async fn call(
+    wire: &dyn RouterWire,
+    connection: &mut Connection,
+    to: SocketAddr,
+    call: &HttpCall,
+) -> Option<CallAnswer> {
+    connection.write_all(&encode(to, call)).await.ok()?;
+    let head = read_raw_head(connection, MAX_HEAD).await.ok()?;
+    let facts = check_answer(&head, false).ok()?;
+    let mut reader = BodyReader::new(facts.framing);
+    let mut body = Vec::with_capacity(facts.framing.len().unwrap_or(0).min(1 << 16) as usize);
+    loop {
+        let count = poll_fn(|cx| reader.poll_available(connection, cx)).await.ok()?;
+        if count == 0 {
+            break;
+        }
+        body.extend_from_slice(&connection.unused()[..count]);
+        reader.consume(connection, count);
+    }
+    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    let mut response = httparse::Response::new(&mut headers);
+    response.parse(&head).ok()?;
+    let mut fields = AnswerFields::default();
+    for header in response.headers.iter() {
+        wire.read_answer(&header.name.to_ascii_lowercase(), header.value, &mut fields);
+    }
+    let kept = !facts.close && facts.framing != Framing::UntilEnd;
+    let reusable = kept && connection.unused().is_empty();
+    Some(CallAnswer { status: facts.status, fields, body, reusable })
+}
+
+fn encode(to: SocketAddr, call: &HttpCall) -> Vec<u8> {
+    let mut out = Vec::with_capacity(256);
+    // Writing to a vector does not fail.
+    let _: std::io::Result<()> =
+        write!(out, "{} {} HTTP/1.1\r\nHost: {to}\r\n", call.verb.as_str(), call.path);
+    if let Some((content_type, body)) = &call.body {
+        let _: std::io::Result<()> =
+            write!(out, "Content-Type: {content_type}\r\nContent-Length: {}\r\n", body.len());
+    }
+    out.extend_from_slice(b"\r\n");
+    if let Some((_, body)) = &call.body {
+        out.extend_from_slice(body);
+    }
+    out
+}
--- /dev/null
+++ b/crates/node/src/router_shell/reply.rs
@@ -0,0 +1,61 @@
+use std::io::Write;
+use std::time::Duration;
+
+use bay_router::RouterWire;
+use bay_types::ErrorKind;
+use http_types::StatusCode;
+
+use super::attempt::ServerAnswer;
+
+/// What a caller is sent for one request.
+#[derive(Debug)]
+pub(crate) struct Reply {
+    /// The head, up to the headers that the connection adds.
+    pub(crate) head: Vec<u8>,
+    /// The body.
+    pub(crate) body: Vec<u8>,
+    /// Whether the connection is closed after it.
+    pub(crate) close: bool,
+}
+
+impl Reply {
+    /// A server's answer.
+    pub(crate) fn answer(answer: ServerAnswer) -> Reply {
+        Reply { head: answer.head, body: answer.body, close: false }
+    }
+
+    /// An answer of the router's own.
+    pub(crate) fn refusal(
+        wire: &dyn RouterWire,
+        kind: ErrorKind,
+        retry_after: Option<Duration>,
+    ) -> Reply {
+        let status = wire.status(kind);
+        let reason = StatusCode::try_from(status).map_or("Error", |code| code.canonical_reason());
+        let body = format!("{kind}\n").into_bytes();
+        let mut head = Vec::with_capacity(192);
+        // Writing to a vector does not fail.
+        let _: std::io::Result<()> = write!(
+            head,
+            "HTTP/1.1 {status} {reason}\r\nContent-Type: text/plain\r\nContent-Length: {}\r\n\
+             Bay-Error: {kind}\r\nBay-Outcome: {}\r\n",
+            body.len(),
+            kind.outcome()
+        );
+        if let Some(span) = retry_after {
+            let value = wire.retry_after(span);
+            let _: std::io::Result<()> = write!(head, "Retry-After: {value}\r\n");
+        }
+        Reply { head, body, close: false }
+    }
+
+    /// The bytes to send.
+    pub(crate) fn into_bytes(mut self, close: bool) -> Vec<u8> {
+        if close {
+            self.head.extend_from_slice(b"Connection: close\r\n");
+        }
+        self.head.extend_from_slice(b"\r\n");
+        self.head.append(&mut self.body);
+        self.head
+    }
+}
--- /dev/null
+++ b/crates/node/src/router_shell/serve.rs
@@ -0,0 +1,222 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bay_router::{AttemptFields, AttemptResult, Choice, Pick, RequestState, Verdict};
+use bay_time::{BootClock, Clock, Time};
+use bay_types::ErrorKind;
+use futures_lite::future;
+
+use super::attempt::{Outgoing, ServerAnswer, exchange};
+use super::reply::Reply;
+use super::request_head::RequestHead;
+use super::shell::Shell;
+use crate::gate_shell::{ConnectError, Leased};
+
+/// Longest time for a connection to a server to open.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// Pause while all of this router's connections to a server are in use.
+const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
+
+/// A caller's request with its body.
+#[derive(Debug)]
+pub(crate) struct Incoming {
+    pub(crate) head: RequestHead,
+    pub(crate) body: Vec<u8>,
+}
+
+/// Tells the router that an attempt has ended, also if it is cancelled.
+struct InFlight {
+    shell: Rc<Shell>,
+    choice: Choice,
+}
+
+impl Drop for InFlight {
+    fn drop(&mut self) {
+        self.shell.router.borrow_mut().on_ended(&self.choice);
+    }
+}
+
+/// Serves a request: picks servers until one has answered or the request is given up.
+pub(crate) async fn serve(shell: Rc<Shell>, incoming: Incoming) -> Reply {
+    let Incoming { head, body } = incoming;
+    let now = BootClock.now();
+    let admitted = shell.router.borrow_mut().admit(now, &head.host, &head.path, &head.fields);
+    let mut request = match admitted {
+        Ok(request) => request,
+        Err(kind) => {
+            let after = kind.retry_after().then_some(Duration::from_millis(300));
+            return refuse(&shell, &head, None, kind, after);
+        }
+    };
+    request.body_bytes = body.len() as u64;
+    let outgoing = Outgoing::new(head, body);
+    let (reply, status, server) = attempts(&shell, &mut request, &outgoing).await;
+    log_request(&outgoing.head, &request, status, server.as_ref());
+    reply
+}
+
+async fn attempts(
+    shell: &Rc<Shell>,
+    request: &mut RequestState,
+    outgoing: &Outgoing,
+) -> (Reply, u16, Option<Choice>) {
+    let mut last = None;
+    let mut answer: Option<ServerAnswer> = None;
+    loop {
+        let now = BootClock.now();
+        let pick = shell.router.borrow_mut().pick(now, request);
+        let choice = match pick {
+            Pick::Send(choice) => choice,
+            Pick::Wait(until) => {
+                Timer::after(until.since(now)).await;
+                continue;
+            }
+            Pick::Refuse(kind, after) => {
+                // What a server answered before goes before an answer of the router's own.
+                if let Some(answer) = answer {
+                    let status = answer.status;
+                    return (Reply::answer(answer), status, last);
+                }
+                let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
+                return (reply, shell.wire.status(kind), last);
+            }
+        };
+        last = Some(choice);
+        let began = now;
+        let (result, got) = attempt(shell, request, outgoing, &choice).await;
+        if let Some(got) = got {
+            let load = got.fields.load;
+            if let Some(load) = load {
+                shell.router.borrow_mut().on_report(BootClock.now(), &choice, load);
+            }
+            answer = Some(got);
+        }
+        let Some(result) = result else {
+            Timer::after(CONNECTION_PAUSE).await;
+            continue;
+        };
+        let now = BootClock.now();
+        let verdict =
+            shell.router.borrow_mut().judge(now, request, &choice, result, now.since(began));
+        match (verdict, answer.take()) {
+            (Verdict::Deliver, Some(answer)) => {
+                let status = answer.status;
+                return (Reply::answer(answer), status, last);
+            }
+            (Verdict::Retry, kept) => {
+                // A failure that the server reported is delivered if nothing better follows.
+                answer = kept.filter(|kept| !kept.fields.not_run);
+            }
+            (Verdict::Refuse(kind, after), _) => {
+                let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
+                return (reply, shell.wire.status(kind), last);
+            }
+            (Verdict::Deliver, None) => {
+                let kind = ErrorKind::BadAnswer;
+                let reply = refuse(shell, &outgoing.head, Some(request), kind, None);
+                return (reply, shell.wire.status(kind), last);
+            }
+        }
+    }
+}
+
+/// Makes one attempt; without a result, no connection was free.
+async fn attempt(
+    shell: &Rc<Shell>,
+    request: &mut RequestState,
+    outgoing: &Outgoing,
+    choice: &Choice,
+) -> (Option<AttemptResult>, Option<ServerAnswer>) {
+    let now = BootClock.now();
+    let span = request.time_left(now).min(CONNECT_TIMEOUT);
+    let mut leased = match connect(shell, choice, span).await {
+        Ok(leased) => leased,
+        Err(ConnectError::AtLimit) => return (None, None),
+        Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
+    };
+    let time_left = request.time_left(BootClock.now());
+    if time_left.is_zero() {
+        leased.give_back();
+        return (None, None);
+    }
+    shell.router.borrow_mut().on_sent(choice, request);
+    let in_flight = InFlight { shell: Rc::clone(shell), choice: *choice };
+    let fields = AttemptFields { server: choice.server, time_left };
+    let work = exchange(shell, &mut leased, outgoing, &fields);
+    let late = async {
+        Timer::after(time_left).await;
+        None
+    };
+    let ended = future::or(async { Some(work.await) }, late).await;
+    drop(in_flight);
+    match ended {
+        Some(Ok((answer, reusable))) => {
+            if reusable {
+                leased.give_back();
+            }
+            let result =
+                AttemptResult::Answered { status: answer.status, not_run: answer.fields.not_run };
+            (Some(result), Some(answer))
+        }
+        Some(Err(kind)) => (Some(AttemptResult::Lost(kind)), None),
+        None => {
+            // A connection on which nothing was answered may have gone silent for good.
+            drop(leased);
+            shell.pool.suspect(choice.address);
+            (Some(AttemptResult::TimedOut), None)
+        }
+    }
+}
+
+async fn connect(
+    shell: &Rc<Shell>,
+    choice: &Choice,
+    span: Duration,
+) -> Result<Leased, ConnectError> {
+    let lease = shell.pool.lease(choice.address, false, choice.max_connections);
+    let late = async {
+        Timer::after(span).await;
+        Err(ConnectError::Refused)
+    };
+    future::or(lease, late).await
+}
+
+fn refuse(
+    shell: &Shell,
+    head: &RequestHead,
+    request: Option<&RequestState>,
+    kind: ErrorKind,
+    after: Option<Duration>,
+) -> Reply {
+    shell.counters.add(kind.counter(), 1);
+    if request.is_none() {
+        let id = head.fields.id.as_deref().unwrap_or_default();
+        log::info!(request = id, host = head.host, path = head.path, error = kind.as_str();
+            "request refused");
+    }
+    Reply::refusal(&*shell.wire, kind, after)
+}
+
+fn log_request(head: &RequestHead, request: &RequestState, status: u16, server: Option<&Choice>) {
+    let id = head.fields.id.as_deref().unwrap_or_default();
+    let took = millis(BootClock.now(), request.arrived);
+    let server = server.map_or_else(String::new, |choice| choice.server.to_string());
+    log::info!(
+        request = id,
+        route = request.route.name.as_str(),
+        service:% = request.service,
+        key:? = request.key,
+        status = status,
+        server = server.as_str(),
+        attempts = request.attempts,
+        unsent = request.unsent,
+        took_ms = took;
+        "request answered"
+    );
+}
+
+fn millis(now: Time, since: Time) -> u64 {
+    now.since(since).as_millis() as u64
+}
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -1,15 +1,16 @@
 use std::fs;
 use std::process::ExitCode;
+use std::rc::Rc;
 use std::sync::Arc;
 
-use async_executor::Executor;
+use async_executor::{Executor, LocalExecutor};
 use async_signal::{Signal, Signals};
 use bay_conf::{LogLevel, Settings, read_cluster_secret};
 use bay_obs::{Counters, init_log};
 use bay_wire::ClusterKey;
 use futures_lite::StreamExt;
 
-use crate::{Command, GateShell, ShellError, StewardShell, parse_command};
+use crate::{Command, GateShell, RouterShell, ShellError, StewardShell, parse_command};
 
 const EXIT_FAILED: u8 = 1;
 const EXIT_USAGE: u8 = 2;
@@ -45,6 +46,7 @@
         }
         Command::Gate { settings } => run_gate(&settings)?,
         Command::Steward { settings } => run_steward(&settings)?,
+        Command::Router => run_router()?,
     }
     Ok(())
 }
@@ -95,6 +97,37 @@
     async_io::block_on(executor.run(work))
 }
 
+fn run_router() -> Result<(), ShellError> {
+    let path = bay_platform::settings_path().map_err(ShellError::Platform)?;
+    let text =
+        fs::read_to_string(&path).map_err(|_| ShellError::SettingsUnreadable(path.clone()))?;
+    let settings = bay_platform::read_settings(&text).map_err(ShellError::Platform)?;
+    // A process that already has a log keeps it.
+    let _ = init_log(bay_obs::LogLevel::Info, "router");
+    let counters = Counters::new("router", None).map_err(ShellError::Metrics)?;
+    let executor = Rc::new(LocalExecutor::new());
+    let work = async {
+        let mut signals =
+            Signals::new([Signal::Term, Signal::Int, Signal::Hup]).map_err(ShellError::Signals)?;
+        let host = settings.host;
+        let wire = Rc::new(bay_platform::PlatformWire);
+        let shell = RouterShell::start(settings, wire, counters, Rc::clone(&executor))?;
+        log::info!(host:% = host; "router starts");
+        while let Some(signal) = signals.next().await {
+            match signal {
+                // Nothing that a running router uses can change in its settings.
+                Ok(Signal::Hup) => log::info!("settings unchanged after a reload"),
+                _ => break,
+            }
+        }
+        log::info!("router stops");
+        shell.stop().await;
+        log::info!("router stopped");
+        Ok(())
+    };
+    async_io::block_on(executor.run(work))
+}
+
 fn stop_signals() -> Result<Signals, ShellError> {
     Signals::new([Signal::Term, Signal::Int]).map_err(ShellError::Signals)
 }
--- a/crates/node/src/shell_error.rs
+++ b/crates/node/src/shell_error.rs
@@ -6,6 +6,8 @@
 /// Why a process cannot start.
 #[derive(Debug)]
 pub enum ShellError {
+    /// The platform's settings cannot be used.
+    Platform(bay_platform::SettingsError),
     /// The settings file cannot be read.
     SettingsUnreadable(String),
     /// The settings have mistakes.
@@ -23,6 +25,7 @@
 impl fmt::Display for ShellError {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            ShellError::Platform(error) => write!(f, "{error}"),
             ShellError::SettingsUnreadable(path) => {
                 write!(f, "{path}: expected a readable settings file; see --settings")
             }
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -7,7 +7,7 @@
 
 pub use log::LevelFilter as LogLevel;
 
-/// Sends the process's log to standard error, one JSON object a line.
+/// Sends the process's log to standard output, one JSON object a line.
 ///
 /// # Errors
 /// Returns an error if the process already has a log.
@@ -24,7 +24,7 @@
             });
             out.finish(format_args!("{line}"));
         })
-        .chain(io::stderr())
+        .chain(io::stdout())
         .apply()
 }
 
--- /dev/null
+++ b/crates/range/src/hold.rs
@@ -0,0 +1,33 @@
+use std::time::Duration;
+
+/// How long servers hold keys without a renewal.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct HoldTimes {
+    /// The hold of one grant.
+    pub hold: Duration,
+    /// Time between two renewals.
+    pub renew: Duration,
+}
+
+impl HoldTimes {
+    /// The hold that is asked for where the platform allows it; it outlasts the loss of a granter
+    /// (takeover after [`crate::Leadership::SILENCE`] and one renewal interval).
+    const PREFERRED_HOLD: Duration = Duration::from_secs(5);
+    /// Renewals in one hold, so that a few lost ones do not end it.
+    const RENEWALS_PER_HOLD: u32 = 5;
+    /// How much slower than the granter's a server's clock may run, in percent (platform bound).
+    const CLOCK_DRIFT_PERCENT: u32 = 2;
+    /// Added to the longest hold for the order's way to the server.
+    const TRANSIT: Duration = Duration::from_millis(300);
+
+    /// Times for a platform that allows holds up to a bound.
+    pub fn within(longest: Duration) -> HoldTimes {
+        let hold = HoldTimes::PREFERRED_HOLD.min(longest);
+        HoldTimes { hold, renew: hold / HoldTimes::RENEWALS_PER_HOLD }
+    }
+
+    /// The longest time after an order was sent for which the server may hold the keys.
+    pub fn longest(&self) -> Duration {
+        self.hold + self.hold * HoldTimes::CLOCK_DRIFT_PERCENT / 100 + HoldTimes::TRANSIT
+    }
+}
--- /dev/null
+++ b/crates/range/src/leadership.rs
@@ -0,0 +1,223 @@
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::{HostName, Revision, Term};
+
+use crate::LeadershipRecord;
+
+/// Elects the granter by compare-and-set on one object of the store.
+///
+/// Followers listen to the granter's heartbeats. One that hears none reads the record and tries to
+/// replace it, which succeeds only if the granter has not renewed it in the meantime.
+#[derive(Debug)]
+pub struct Leadership {
+    host: HostName,
+    incarnation: u64,
+    delay: Duration,
+    state: State,
+    known_term: Term,
+    in_flight: bool,
+}
+
+/// What a process is at the moment.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Standing {
+    /// Another process may be the granter.
+    Following,
+    /// This process is the granter of the term.
+    Leading(Term),
+}
+
+/// A call of the store that the election needs.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub enum LeadershipAction {
+    /// Reads the record.
+    Read,
+    /// Writes the record if its revision is still the expected one, or if there is none.
+    Write {
+        /// The new record.
+        record: LeadershipRecord,
+        /// The revision that it replaces.
+        expect: Option<Revision>,
+    },
+}
+
+#[derive(Debug, Clone)]
+enum State {
+    Following {
+        silent_from: Time,
+    },
+    /// The record was read; it is replaced if it is unchanged at this time.
+    Observing {
+        at: Time,
+        seen: Option<(Revision, Term)>,
+    },
+    Leading {
+        record: LeadershipRecord,
+        revision: Revision,
+        renew_at: Time,
+        confirmed: Time,
+    },
+}
+
+impl Leadership {
+    /// Time without a heartbeat after which a follower tries to take over.
+    pub const SILENCE: Duration = Duration::from_millis(1_200);
+    /// Time between two renewals of the record.
+    const RENEW: Duration = Duration::from_millis(1_000);
+    /// Time without a confirmed renewal after which heartbeats count as silence.
+    pub const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+    /// Time after which a read or write that failed is tried again.
+    const RETRY: Duration = Duration::from_millis(700);
+
+    /// A follower; `delay` spreads the attempts of followers that notice the silence together.
+    pub fn new(host: HostName, incarnation: u64, delay: Duration, now: Time) -> Leadership {
+        let state = State::Following { silent_from: now };
+        Leadership { host, incarnation, delay, state, known_term: Term(0), in_flight: false }
+    }
+
+    /// What the process is.
+    pub fn standing(&self) -> Standing {
+        match &self.state {
+            State::Leading { record, .. } => Standing::Leading(record.term),
+            _ => Standing::Following,
+        }
+    }
+
+    /// How long ago the store last confirmed the granter; `None` for a follower.
+    pub fn unconfirmed(&self, now: Time) -> Option<Duration> {
+        match &self.state {
+            State::Leading { confirmed, .. } => Some(now.since(*confirmed)),
+            _ => None,
+        }
+    }
+
+    /// The highest term that is known.
+    pub fn known_term(&self) -> Term {
+        self.known_term
+    }
+
+    /// Takes a granter's heartbeat.
+    pub fn on_heartbeat(&mut self, now: Time, term: Term, unconfirmed: Duration) {
+        if term < self.known_term {
+            return;
+        }
+        self.known_term = term;
+        match &self.state {
+            State::Leading { record, .. } if record.term >= term => {}
+            _ if unconfirmed > Leadership::STORE_SILENCE => {
+                if matches!(self.state, State::Leading { .. }) {
+                    self.follow(now);
+                }
+            }
+            _ => self.follow(now),
+        }
+    }
+
+    /// Does what is due; at most one call is under way at a time.
+    pub fn tick(&mut self, now: Time) -> Option<LeadershipAction> {
+        if self.in_flight {
+            return None;
+        }
+        let action = match &mut self.state {
+            State::Following { silent_from } => {
+                if now.since(*silent_from) < Leadership::SILENCE + self.delay {
+                    return None;
+                }
+                LeadershipAction::Read
+            }
+            State::Observing { at, seen } => {
+                if now < *at {
+                    return None;
+                }
+                let (expect, term) = match seen {
+                    Some((revision, term)) => (Some(*revision), *term),
+                    None => (None, Term(0)),
+                };
+                let record = LeadershipRecord {
+                    host: self.host,
+                    incarnation: self.incarnation,
+                    term: Term(term.max(self.known_term).0 + 1),
+                    renewal: 0,
+                    resigned: false,
+                };
+                LeadershipAction::Write { record, expect }
+            }
+            State::Leading { record, revision, renew_at, .. } => {
+                if now < *renew_at {
+                    return None;
+                }
+                *renew_at = now + Leadership::RENEW;
+                let record = LeadershipRecord { renewal: record.renewal + 1, ..record.clone() };
+                LeadershipAction::Write { record, expect: Some(*revision) }
+            }
+        };
+        self.in_flight = true;
+        Some(action)
+    }
+
+    /// Takes the record as the store has it, after a read or a conflict.
+    pub fn on_record(&mut self, now: Time, found: Option<(Revision, LeadershipRecord)>) {
+        self.in_flight = false;
+        let Some((revision, record)) = found else {
+            self.state = State::Observing { at: now, seen: None };
+            return;
+        };
+        self.known_term = self.known_term.max(record.term);
+        let own = record.host == self.host && record.incarnation == self.incarnation;
+        if own && !record.resigned {
+            // A write took effect although its answer was lost.
+            let renew_at = now + Leadership::RENEW;
+            self.state = State::Leading { record, revision, renew_at, confirmed: now };
+            return;
+        }
+        let seen = Some((revision, record.term));
+        let former_life = record.host == self.host && record.incarnation != self.incarnation;
+        let unchanged = matches!(&self.state, State::Observing { seen: before, .. }
+            if *before == seen);
+        let at = match record.resigned || former_life || unchanged {
+            true => now,
+            false => now + Leadership::SILENCE + self.delay,
+        };
+        self.state = State::Observing { at, seen };
+    }
+
+    /// Takes note that a write took effect; `sent` is when it was sent.
+    pub fn on_written(&mut self, now: Time, sent: Time, record: LeadershipRecord, to: Revision) {
+        self.in_flight = false;
+        self.known_term = self.known_term.max(record.term);
+        if record.resigned || record.term < self.known_term {
+            return self.follow(now);
+        }
+        let renew_at = sent + Leadership::RENEW;
+        self.state = State::Leading { record, revision: to, renew_at, confirmed: sent };
+    }
+
+    /// Takes note that a read or write failed, or that its answer was lost.
+    pub fn on_failure(&mut self, now: Time) {
+        self.in_flight = false;
+        match &mut self.state {
+            State::Following { silent_from } => {
+                *silent_from = (now + Leadership::RETRY) - (Leadership::SILENCE + self.delay);
+            }
+            State::Observing { at, .. } => *at = now + Leadership::RETRY,
+            State::Leading { .. } => {}
+        }
+    }
+
+    /// The record of a granter that resigns, to be written over the last one.
+    pub fn resign(&mut self, now: Time) -> Option<LeadershipAction> {
+        let State::Leading { record, revision, .. } = &self.state else {
+            return None;
+        };
+        let record =
+            LeadershipRecord { renewal: record.renewal + 1, resigned: true, ..record.clone() };
+        let action = LeadershipAction::Write { record, expect: Some(*revision) };
+        self.follow(now);
+        Some(action)
+    }
+
+    fn follow(&mut self, now: Time) {
+        self.state = State::Following { silent_from: now };
+    }
+}
--- /dev/null
+++ b/crates/range/src/lib.rs
@@ -0,0 +1,31 @@
+//! Ownership of ordered key ranges.
+//!
+//! One granter at a time decides which server holds which keys. It writes each change to the
+//! store before it acts on it, renews the holds of the servers, and moves ranges by load.
+
+mod candidate;
+mod grant_order;
+mod granter;
+mod granter_io;
+mod hold;
+mod holding;
+mod key_loads;
+mod key_range;
+mod leadership;
+mod leadership_record;
+mod planner;
+mod range_table;
+mod sharing;
+
+pub use candidate::Candidate;
+pub use grant_order::{GrantOrder, OrderId, OrderResult};
+pub use granter::Granter;
+pub use granter_io::GranterAction;
+pub use hold::HoldTimes;
+pub use holding::{Former, Holding, OwnerId};
+pub use key_loads::KeyLoads;
+pub use key_range::KeyRange;
+pub use leadership::{Leadership, LeadershipAction, Standing};
+pub use leadership_record::LeadershipRecord;
+pub use planner::{Move, Planner};
+pub use range_table::RangeTable;
--- /dev/null
+++ b/crates/router/src/heard.rs
@@ -0,0 +1,27 @@
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::HostName;
+
+/// The routers that the granter has heard of lately.
+#[derive(Debug, Default)]
+pub struct HeardHosts {
+    last: BTreeMap<HostName, Time>,
+}
+
+impl HeardHosts {
+    /// Time without a report after which a router no longer counts.
+    const SILENCE: Duration = Duration::from_secs(4);
+
+    /// Takes note of a router's report.
+    pub fn heard(&mut self, now: Time, host: HostName) {
+        self.last.insert(host, now);
+    }
+
+    /// How many routers are alive.
+    pub fn count(&mut self, now: Time) -> u32 {
+        self.last.retain(|_, at| now.since(*at) < HeardHosts::SILENCE);
+        self.last.len() as u32
+    }
+}
--- /dev/null
+++ b/crates/router/src/request_state.rs
@@ -0,0 +1,65 @@
+use std::sync::Arc;
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::{ServerName, ServiceName};
+
+use crate::RouteSpec;
+
+/// A caller's request and what was tried for it.
+#[derive(Debug, Clone)]
+pub struct RequestState {
+    /// Its route.
+    pub route: Arc<RouteSpec>,
+    /// The service whose turn it was.
+    pub service: ServiceName,
+    /// Its key.
+    pub key: Option<u16>,
+    /// Bytes of its body.
+    pub body_bytes: u64,
+    /// When its head was read.
+    pub arrived: Time,
+    /// When it is answered at the latest.
+    pub ends_at: Time,
+    /// Attempts whose bytes were sent.
+    pub attempts: u32,
+    /// Attempts for which no connection could be opened.
+    pub unsent: u32,
+    /// Servers that are not tried again.
+    pub tried: Vec<ServerName>,
+    /// Whether a server may have run it.
+    pub may_have_run: bool,
+}
+
+impl RequestState {
+    /// Attempts to open a connection for one request.
+    pub const MAX_UNSENT: u32 = 4;
+
+    /// A request that was not tried.
+    pub fn new(
+        now: Time,
+        route: Arc<RouteSpec>,
+        service: ServiceName,
+        key: Option<u16>,
+        deadline: Option<Duration>,
+    ) -> RequestState {
+        let span = deadline.map_or(route.timeout, |deadline| deadline.min(route.timeout));
+        RequestState {
+            route,
+            service,
+            key,
+            body_bytes: 0,
+            arrived: now,
+            ends_at: now + span,
+            attempts: 0,
+            unsent: 0,
+            tried: Vec::new(),
+            may_have_run: false,
+        }
+    }
+
+    /// The time until it is answered at the latest.
+    pub fn time_left(&self, now: Time) -> Duration {
+        self.ends_at.since(now)
+    }
+}
--- /dev/null
+++ b/crates/router/src/server.rs
@@ -0,0 +1,150 @@
+use std::time::Duration;
+
+use bay_time::Time;
+
+use crate::{ColdShare, LoadReport, ServerEntry, ServerState};
+
+/// A server as this router sees it.
+#[derive(Debug, Clone)]
+pub struct Server {
+    /// What it last said of itself.
+    pub entry: ServerEntry,
+    /// Requests that this router has sent to it and that are not answered.
+    pub in_flight: u32,
+    pub(crate) cold_until: Time,
+    pub(crate) cold: ColdShare,
+    /// Time of a request without queueing, in milliseconds, as a moving average.
+    service_ms: Option<f64>,
+    /// Share of recent requests that it failed or did not run.
+    failing: f64,
+    report: Option<Reported>,
+    /// No requests are sent until then, after its connections failed.
+    avoided_until: Time,
+    refusals: u32,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Reported {
+    load: LoadReport,
+    others: u32,
+    at: Time,
+}
+
+impl Server {
+    /// Weight of a new measurement in a moving average.
+    const GAIN: f64 = 0.15;
+    /// Age at which a report of queued requests counts half.
+    const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+    /// Age after which a report of slowdown says nothing.
+    const SLOWDOWN_SPAN: Duration = Duration::from_millis(300);
+    /// How strongly failures count against a server.
+    const FAILING_WEIGHT: f64 = 5.0;
+    /// Pause after a failed connection; it doubles with each further one.
+    const AVOID: Duration = Duration::from_millis(200);
+    /// Most doublings of the pause.
+    const MAX_DOUBLINGS: u32 = 4;
+
+    /// A server of which only its entry is known.
+    pub fn new(now: Time, entry: ServerEntry) -> Server {
+        let cold_until = now + entry.warm_up_left;
+        Server {
+            entry,
+            in_flight: 0,
+            cold_until,
+            cold: ColdShare::new(now),
+            service_ms: None,
+            failing: 0.0,
+            report: None,
+            avoided_until: Time::ZERO,
+            refusals: 0,
+        }
+    }
+
+    /// Takes a newer entry of the same life of the server.
+    pub fn update(&mut self, now: Time, entry: ServerEntry) {
+        self.cold_until = now + entry.warm_up_left;
+        self.entry = entry;
+    }
+
+    /// Whether it takes requests as far as it says.
+    pub fn is_ready(&self) -> bool {
+        self.entry.state == ServerState::Ready
+    }
+
+    /// Whether it is cold after a start.
+    pub fn is_cold(&self, now: Time) -> bool {
+        now < self.cold_until
+    }
+
+    /// Whether its connections failed a moment ago.
+    pub fn is_avoided(&self, now: Time) -> bool {
+        now < self.avoided_until
+    }
+
+    /// When requests may be sent to it again after its connections failed.
+    pub fn avoided_until(&self) -> Time {
+        self.avoided_until
+    }
+
+    /// Time of a request without queueing, in milliseconds, if it was measured.
+    pub fn service_ms(&self) -> Option<f64> {
+        self.service_ms
+    }
+
+    /// Requests that run or wait at the server, as far as is known.
+    pub fn occupancy(&self, now: Time) -> f64 {
+        let others = self.report.map_or(0.0, |report| {
+            let age = now.since(report.at).as_secs_f64();
+            let halves = age / Server::REPORT_HALF_LIFE.as_secs_f64();
+            f64::from(report.others) * 0.5_f64.powf(halves)
+        });
+        f64::from(self.in_flight) + others
+    }
+
+    /// Expected time of one more request, in milliseconds.
+    pub fn expected_ms(&self, now: Time, usual_ms: f64) -> f64 {
+        let slots = f64::from(self.entry.slots.max(1));
+        let queued = (self.occupancy(now) + 1.0 - slots).max(0.0);
+        let slowdown = match self.report {
+            Some(report) if now.since(report.at) < Server::SLOWDOWN_SPAN => report.load.slowdown,
+            _ => 1.0,
+        };
+        let service_ms = self.service_ms.unwrap_or(usual_ms) * slowdown;
+        service_ms * (1.0 + queued / slots) * (1.0 + Server::FAILING_WEIGHT * self.failing)
+    }
+
+    /// Takes the load report of an answer.
+    pub fn on_report(&mut self, now: Time, load: LoadReport) {
+        let total = load.running + load.waiting;
+        // The answered request and this router's others are counted as in flight.
+        let others = total.saturating_sub(self.in_flight);
+        self.report = Some(Reported { load, others, at: now });
+    }
+
+    /// Takes note that it answered a request that it ran.
+    pub fn on_served(&mut self, took: Duration, sent_occupancy: f64, failed: bool) {
+        self.refusals = 0;
+        self.avoided_until = Time::ZERO;
+        self.failing += Server::GAIN * (f64::from(u8::from(failed)) - self.failing);
+        let slots = f64::from(self.entry.slots.max(1));
+        let queued = (sent_occupancy + 1.0 - slots).max(0.0);
+        let slowdown = self.report.map_or(1.0, |report| report.load.slowdown.max(0.1));
+        let sample = took.as_secs_f64() * 1000.0 / (1.0 + queued / slots) / slowdown;
+        self.service_ms = Some(match self.service_ms {
+            Some(mean) => mean + Server::GAIN * (sample - mean),
+            None => sample,
+        });
+    }
+
+    /// Takes note that it did not run a request, or that its answer was lost.
+    pub fn on_failed(&mut self) {
+        self.failing += Server::GAIN * (1.0 - self.failing);
+    }
+
+    /// Takes note that no connection to it could be opened.
+    pub fn on_unreachable(&mut self, now: Time) {
+        let pause = Server::AVOID * (1 << self.refusals.min(Server::MAX_DOUBLINGS));
+        self.refusals += 1;
+        self.avoided_until = now + pause;
+    }
+}
--- /dev/null
+++ b/crates/router/src/service_pool.rs
@@ -0,0 +1,55 @@
+use std::collections::{BTreeSet, HashMap};
+
+use bay_types::ServerName;
+
+use crate::{OwnerMap, RetryBudget, ServiceSpec};
+
+/// A service with its servers and budgets.
+#[derive(Debug)]
+pub struct ServicePool {
+    /// What the configuration says of it.
+    pub spec: ServiceSpec,
+    /// Its servers.
+    pub servers: BTreeSet<ServerName>,
+    /// Further attempts.
+    pub retries: RetryBudget,
+    /// The owners of its keys, if it is keyed.
+    pub owners: OwnerMap,
+    /// Requests by key since the last report to the granter.
+    pub key_counts: HashMap<u16, u32>,
+    /// Time of a request at a server that was not measured, in milliseconds.
+    pub usual_ms: f64,
+}
+
+impl ServicePool {
+    /// Time of a request where nothing was measured, in milliseconds.
+    const UNKNOWN_MS: f64 = 50.0;
+    /// Weight of a new measurement in the moving average.
+    const GAIN: f64 = 0.02;
+    /// Most keys that are counted between two reports.
+    const MAX_KEYS: usize = 2_048;
+
+    /// A service without servers.
+    pub fn new(spec: ServiceSpec, retries: RetryBudget) -> ServicePool {
+        ServicePool {
+            spec,
+            servers: BTreeSet::new(),
+            retries,
+            owners: OwnerMap::default(),
+            key_counts: HashMap::new(),
+            usual_ms: ServicePool::UNKNOWN_MS,
+        }
+    }
+
+    /// Takes note of a request's time at a server.
+    pub fn on_served(&mut self, service_ms: f64) {
+        self.usual_ms += ServicePool::GAIN * (service_ms - self.usual_ms);
+    }
+
+    /// Counts a request for a key.
+    pub fn count_key(&mut self, key: u16) {
+        if self.key_counts.len() < ServicePool::MAX_KEYS || self.key_counts.contains_key(&key) {
+            *self.key_counts.entry(key).or_default() += 1;
+        }
+    }
+}
--- a/crates/types/src/error_kind.rs
+++ b/crates/types/src/error_kind.rs
@@ -58,6 +58,8 @@
     TooManyConnections "too-many-connections" 429 NotRun Later;
     /// No service answers for this host name.
     UnknownHost "unknown-host" 421 NotRun No;
+    /// No route matches the request's host name and path.
+    NoRoute "no-route" 404 NotRun No;
     /// The method is not one that the gate passes on.
     MethodNotAllowed "method-not-allowed" 405 NotRun No;
     /// The service is keyed and the request names no key.
