--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -262,7 +262,7 @@
             GranterAction::Order { id, to, address, order } => {
                 let ordering = Rc::clone(shell);
                 shell.spawn(async move {
-                    let result = orders::send(&ordering, address, &order).await;
+                    let result = orders::send(&ordering, to.server, address, &order).await;
                     log::debug!(server:% = to.server, order:? = order, result:? = result; "order");
                     let now = BootClock.now();
                     with_granter(&ordering, service, term, |granter, out| {
--- a/crates/node/src/router_shell/http_client.rs
+++ b/crates/node/src/router_shell/http_client.rs
@@ -32,7 +32,7 @@
     to: SocketAddr,
     call: &HttpCall,
 ) -> Option<CallAnswer> {
-    connection.write_all(&encode(to, call)).await.ok()?;
+    connection.write_all(&encode(wire, to, call)).await.ok()?;
     let head = read_raw_head(connection, MAX_HEAD).await.ok()?;
     let facts = check_answer(&head, false).ok()?;
     let mut reader = BodyReader::new(facts.framing);
@@ -57,11 +57,14 @@
     Some(CallAnswer { status: facts.status, fields, body, reusable })
 }
 
-fn encode(to: SocketAddr, call: &HttpCall) -> Vec<u8> {
+fn encode(wire: &dyn RouterWire, to: SocketAddr, call: &HttpCall) -> Vec<u8> {
     let mut out = Vec::with_capacity(256);
     // Writing to a vector does not fail.
     let _: std::io::Result<()> =
         write!(out, "{} {} HTTP/1.1\r\nHost: {to}\r\n", call.verb.as_str(), call.path);
+    if let Some(server) = call.server {
+        wire.write_server(server, &mut out);
+    }
     if let Some((content_type, body)) = &call.body {
         let _: std::io::Result<()> =
             write!(out, "Content-Type: {content_type}\r\nContent-Length: {}\r\n", body.len());
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use bay_range::{GrantOrder, OrderResult};
+use bay_types::ServerName;
 use futures_lite::future;
 
 use super::http_client::call;
@@ -26,12 +27,17 @@
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
 /// Sends an order to a server.
-pub(crate) async fn send(shell: &Rc<Shell>, to: SocketAddr, order: &GrantOrder) -> OrderResult {
+pub(crate) async fn send(
+    shell: &Rc<Shell>,
+    server: ServerName,
+    to: SocketAddr,
+    order: &GrantOrder,
+) -> OrderResult {
     let mut leased = match connect(shell, to).await {
         Ok(leased) => leased,
         Err(result) => return result,
     };
-    let http = shell.wire.order_call(order);
+    let http = shell.wire.order_call(server, order);
     let timeout = match order {
         GrantOrder::Grant { .. } => GRANT_TIMEOUT,
         GrantOrder::Release { .. } => RELEASE_TIMEOUT,
--- a/crates/range/src/grant_order.rs
+++ b/crates/range/src/grant_order.rs
@@ -43,6 +43,8 @@
     },
     /// The server has seen a higher fencing token.
     Outdated,
+    /// Another server is at the address, so that the server has ended.
+    OtherServer,
     /// The server does not know the order.
     Rejected,
     /// Nothing listens at the server's address.
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -477,6 +477,7 @@
                     false => Phase::Granting { next: now, in_flight: false },
                 }
             }
+            OrderResult::OtherServer => Phase::Granting { next: now, in_flight: false },
             _ => Phase::Releasing { next: now + Granter::RETRY, in_flight: false },
         };
     }
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -3,7 +3,7 @@
 
 use bay_range::{GrantOrder, OrderResult};
 use bay_store::{Object, StoreError, StoreRequest, StoreResult};
-use bay_types::{ErrorKind, Revision};
+use bay_types::{ErrorKind, Revision, ServerName};
 
 use crate::{AnswerFields, AttemptFields, Config, HeaderUse, RequestFields, ServerEntry};
 
@@ -15,6 +15,9 @@
     /// Appends the headers of an attempt.
     fn write_attempt(&self, attempt: &AttemptFields, out: &mut Vec<u8>);
 
+    /// Appends the header that names the only server that may take a request.
+    fn write_server(&self, server: ServerName, out: &mut Vec<u8>);
+
     /// Takes in one header of a server's answer; `name` is in lower case.
     fn read_answer(&self, name: &str, value: &[u8], into: &mut AnswerFields);
 
@@ -68,7 +71,7 @@
     -> Result<ObjectPage, StoreError>;
 
     /// The call for an order to a server.
-    fn order_call(&self, order: &GrantOrder) -> HttpCall;
+    fn order_call(&self, server: ServerName, order: &GrantOrder) -> HttpCall;
 
     /// Reads a server's answer to an order.
     fn order_answer(&self, order: &GrantOrder, status: u16, fields: &AnswerFields) -> OrderResult;
@@ -81,6 +84,8 @@
     pub verb: HttpVerb,
     /// The path and query.
     pub path: String,
+    /// The only server that may take the call, if it goes to a server.
+    pub server: Option<ServerName>,
     /// The content type and the body, if there is one.
     pub body: Option<(&'static str, Vec<u8>)>,
 }
