--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -3,8 +3,10 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::task::{Context, Poll, ready};
+use std::time::Duration;
 
 use async_io::Async;
+use socket2::{SockRef, TcpKeepalive};
 
 use super::buffer_gauge::BufferGauge;
 use super::spare_buffers::{Buffer, SpareBuffers};
@@ -13,6 +15,18 @@
 /// Length of a connection's buffer, in bytes; longer than any head.
 const BUFFER_BYTES: usize = 16 * 1024;
 
+/// Time without bytes from the peer after which its side of the connection is probed.
+const PROBE_AFTER: Duration = Duration::from_secs(1);
+
+/// Time between two probes.
+const PROBE_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Unanswered probes after which the connection is broken.
+const PROBES: u32 = 2;
+
+/// Longest time for which sent bytes may stay unacknowledged.
+const UNACKNOWLEDGED_LIMIT: Duration = Duration::from_millis(2_000);
+
 /// A TCP connection with the bytes that were read from it and not yet used.
 ///
 /// Without such bytes it holds no buffer, so that an idle connection costs little.
@@ -65,6 +79,21 @@
         Ok(Connection::new(stream, meters))
     }
 
+    /// Finds out within seconds if the peer no longer answers on this connection, while it is
+    /// waited for.
+    pub(crate) fn probe_peer(&self) {
+        let socket = SockRef::from(self.stream.get_ref());
+        let probes = TcpKeepalive::new()
+            .with_time(PROBE_AFTER)
+            .with_interval(PROBE_INTERVAL)
+            .with_retries(PROBES);
+        let set = socket.set_tcp_keepalive(&probes);
+        let set = set.and_then(|()| socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED_LIMIT)));
+        if let Err(error) = set {
+            log::warn!(error:% = error; "connection not probed");
+        }
+    }
+
     /// Says how long the peer may be waited for from now on.
     pub(crate) fn be_patient(&self, patience: Patience) {
         self.clock.restart(patience);
--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -10,8 +10,12 @@
 
 use super::shell::Shell;
 
-/// Longest wait of a watch at the store.
-const WATCH_WAIT: Duration = Duration::from_secs(20);
+/// Longest wait of a watch of documents with a bound on when they are in force; short, since only
+/// an answer shows that the connection has not gone silent.
+const WATCH_WAIT: Duration = Duration::from_secs(2);
+
+/// Longest wait of a watch of the routers.
+const HOSTS_WAIT: Duration = Duration::from_secs(10);
 
 /// Time between two watches of the servers' entries, which change with every heartbeat.
 const SERVERS_INTERVAL: Duration = Duration::from_millis(600);
@@ -49,6 +53,15 @@
         }
     }
 
+    /// Longest wait of a watch.
+    fn wait(self) -> Duration {
+        match self {
+            Feed::Servers => SERVERS_INTERVAL,
+            Feed::Config | Feed::Zones => WATCH_WAIT,
+            Feed::Hosts => HOSTS_WAIT,
+        }
+    }
+
     /// Time between two watches.
     fn interval(self) -> Duration {
         match self {
@@ -76,7 +89,7 @@
                 Err(_) => false,
             },
             Some(since) => {
-                let request = StoreRequest::Watch { prefix, since, wait: WATCH_WAIT };
+                let request = StoreRequest::Watch { prefix, since, wait: feed.wait() };
                 match shell.store.call(&request).await {
                     Ok(StoreReply::Changes(body)) => {
                         store_back(&shell, was_lost);
@@ -89,7 +102,10 @@
                         }
                         true
                     }
-                    _ => false,
+                    other => {
+                        log::info!(feed:? = feed, result:? = other; "watch failed");
+                        false
+                    }
                 }
             }
         };
--- a/crates/node/src/router_shell/serve.rs
+++ b/crates/node/src/router_shell/serve.rs
@@ -52,18 +52,32 @@
     };
     request.body_bytes = body.len() as u64;
     let outgoing = Outgoing::new(head, body);
-    let (reply, status, server) = attempts(&shell, &mut request, &outgoing).await;
-    log_request(&outgoing.head, &request, status, server.as_ref());
-    reply
+    let served = attempts(&shell, &mut request, &outgoing).await;
+    log_request(&outgoing.head, &request, &served);
+    served.reply
 }
 
-async fn attempts(
-    shell: &Rc<Shell>,
-    request: &mut RequestState,
-    outgoing: &Outgoing,
-) -> (Reply, u16, Option<Choice>) {
-    let mut last = None;
+/// How a request ended.
+struct Served {
+    reply: Reply,
+    status: u16,
+    /// Why the router gave it up, if it did.
+    error: Option<ErrorKind>,
+    /// The last server that was picked.
+    server: Option<Choice>,
+}
+
+async fn attempts(shell: &Rc<Shell>, request: &mut RequestState, outgoing: &Outgoing) -> Served {
+    let mut server = None;
     let mut answer: Option<ServerAnswer> = None;
+    let deliver = |answer: ServerAnswer, server| {
+        let status = answer.status;
+        Served { reply: Reply::answer(answer), status, error: None, server }
+    };
+    let give_up = |request: &RequestState, kind, after, server| {
+        let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
+        Served { reply, status: shell.wire.status(kind), error: Some(kind), server }
+    };
     loop {
         let now = BootClock.now();
         let pick = shell.router.borrow_mut().pick(now, request);
@@ -75,20 +89,16 @@
             }
             Pick::Refuse(kind, after) => {
                 // What a server answered before goes before an answer of the router's own.
-                if let Some(answer) = answer {
-                    let status = answer.status;
-                    return (Reply::answer(answer), status, last);
-                }
-                let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
-                return (reply, shell.wire.status(kind), last);
+                return match answer {
+                    Some(answer) => deliver(answer, server),
+                    None => give_up(request, kind, after, server),
+                };
             }
         };
-        last = Some(choice);
-        let began = now;
+        server = Some(choice);
         let (result, got) = attempt(shell, request, outgoing, &choice).await;
         if let Some(got) = got {
-            let load = got.fields.load;
-            if let Some(load) = load {
+            if let Some(load) = got.fields.load {
                 shell.router.borrow_mut().on_report(BootClock.now(), &choice, load);
             }
             answer = Some(got);
@@ -97,26 +107,16 @@
             Timer::after(CONNECTION_PAUSE).await;
             continue;
         };
-        let now = BootClock.now();
+        let took = BootClock.now().since(now);
         let verdict =
-            shell.router.borrow_mut().judge(now, request, &choice, result, now.since(began));
+            shell.router.borrow_mut().judge(BootClock.now(), request, &choice, result, took);
         match (verdict, answer.take()) {
-            (Verdict::Deliver, Some(answer)) => {
-                let status = answer.status;
-                return (Reply::answer(answer), status, last);
-            }
-            (Verdict::Retry, kept) => {
-                // A failure that the server reported is delivered if nothing better follows.
-                answer = kept.filter(|kept| !kept.fields.not_run);
-            }
-            (Verdict::Refuse(kind, after), _) => {
-                let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
-                return (reply, shell.wire.status(kind), last);
-            }
+            (Verdict::Deliver, Some(answer)) => return deliver(answer, server),
+            // A failure that the server reported is delivered if nothing better follows.
+            (Verdict::Retry, kept) => answer = kept.filter(|kept| !kept.fields.not_run),
+            (Verdict::Refuse(kind, after), _) => return give_up(request, kind, after, server),
             (Verdict::Deliver, None) => {
-                let kind = ErrorKind::BadAnswer;
-                let reply = refuse(shell, &outgoing.head, Some(request), kind, None);
-                return (reply, shell.wire.status(kind), last);
+                return give_up(request, ErrorKind::BadAnswer, None, server);
             }
         }
     }
@@ -199,20 +199,22 @@
     Reply::refusal(&*shell.wire, kind, after)
 }
 
-fn log_request(head: &RequestHead, request: &RequestState, status: u16, server: Option<&Choice>) {
+fn log_request(head: &RequestHead, request: &RequestState, served: &Served) {
     let id = head.fields.id.as_deref().unwrap_or_default();
-    let took = millis(BootClock.now(), request.arrived);
-    let server = server.map_or_else(String::new, |choice| choice.server.to_string());
+    let server = served.server.map_or_else(String::new, |choice| choice.server.to_string());
     log::info!(
         request = id,
         route = request.route.name.as_str(),
         service:% = request.service,
         key:? = request.key,
-        status = status,
+        status = served.status,
+        error = served.error.map_or("", ErrorKind::as_str),
         server = server.as_str(),
+        expected_ms = served.server.map_or(0, |choice| choice.expected_ms as u64),
+        occupancy = served.server.map_or(0.0, |choice| choice.occupancy),
         attempts = request.attempts,
         unsent = request.unsent,
-        took_ms = took;
+        took_ms = millis(BootClock.now(), request.arrived);
         "request answered"
     );
 }
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -20,6 +20,9 @@
 /// Longest time for the store to answer a call that does not wait.
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// Longest time for the answer to a watch after its wait has ended.
+const WATCH_MARGIN: Duration = Duration::from_millis(700);
+
 /// Most idle connections that are kept.
 const MAX_IDLE: usize = 3;
 
@@ -59,11 +62,11 @@
     /// # Errors
     /// Returns an error that says whether a write may have taken effect.
     pub(crate) async fn call(&self, request: &StoreRequest) -> StoreResult {
-        let wait = match request {
-            StoreRequest::Watch { wait, .. } => *wait,
-            _ => Duration::ZERO,
+        let timeout = match request {
+            StoreRequest::Watch { wait, .. } => *wait + WATCH_MARGIN,
+            _ => CALL_TIMEOUT,
         };
-        let answer = self.exchange(&self.wire.store_call(request), CALL_TIMEOUT + wait).await?;
+        let answer = self.exchange(&self.wire.store_call(request), timeout).await?;
         self.note(self.wire.store_answer(request, answer.status, &answer.body))
     }
 
@@ -126,7 +129,12 @@
                 None => break,
             }
         }
-        let open = async { Connection::open(self.address, &self.meters).await.ok() };
+        let open = async {
+            let connection = Connection::open(self.address, &self.meters).await.ok()?;
+            // A watch waits for long without a byte.
+            connection.probe_peer();
+            Some(connection)
+        };
         let late = async {
             Timer::after(CONNECT_TIMEOUT).await;
             None
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -5,7 +5,7 @@
 use bay_types::{Term, Token};
 
 use crate::granter_io::GranterAction;
-use crate::planner::Planner;
+use crate::planner::{Held, Planner};
 use crate::sharing::Sharing;
 use crate::{
     Candidate, Former, GrantOrder, HoldTimes, Holding, KeyLoads, KeyRange, OrderId, OrderResult,
@@ -29,6 +29,8 @@
     next_order: u64,
     plan_at: Time,
     settle_at: Option<Time>,
+    /// How many servers there were before the first assignment, and since when.
+    first_seen: (usize, Time),
     /// The directory's entries of servers that still have keys, by owner.
     known: BTreeMap<OwnerId, Candidate>,
 }
@@ -82,6 +84,8 @@
     const RETRY: Duration = Duration::from_millis(250);
     /// Time for which a moved range stays where it is.
     const REST: Duration = Duration::from_millis(1_500);
+    /// Time without a new server before keys are assigned for the first time.
+    const FIRST_ASSIGNMENT_WAIT: Duration = Duration::from_millis(2_500);
     /// Time over which settled moves are gathered into one save.
     const SETTLE: Duration = Duration::from_millis(400);
 
@@ -101,6 +105,7 @@
             next_order: 0,
             plan_at: now,
             settle_at: None,
+            first_seen: (0, now),
             known: BTreeMap::new(),
         };
         let token = granter.token();
@@ -241,7 +246,7 @@
         let able: Vec<&Candidate> = candidates.iter().filter(|each| each.eligible).collect();
         let warm: Vec<&Candidate> = able.iter().copied().filter(|each| !each.cold).collect();
         let takers = if warm.is_empty() { able } else { warm };
-        if takers.is_empty() {
+        if takers.is_empty() || !self.may_begin(now, takers.len(), loads) {
             return;
         }
         let mut sharing = Sharing::new(&takers, candidates, loads);
@@ -263,17 +268,27 @@
         }
     }
 
+    /// Whether keys may be assigned: the first time only once all servers had time to be listed,
+    /// so that the keys need not be moved to those that come a moment later.
+    fn may_begin(&mut self, now: Time, servers: usize, loads: &KeyLoads) -> bool {
+        if self.first_seen.0 != servers {
+            self.first_seen = (servers, now);
+        }
+        let settled = now.since(self.first_seen.1) >= Granter::FIRST_ASSIGNMENT_WAIT;
+        !self.slots.is_empty() || settled || loads.total() > 0.0
+    }
+
     fn rebalance(&mut self, now: Time, candidates: &[Candidate], loads: &KeyLoads) {
-        let holdings: Vec<(KeyRange, OwnerId, bool)> = self
+        let held: Vec<Held> = self
             .slots
             .iter()
             .map(|slot| {
                 let rested = now.since(slot.moved_at) >= Granter::REST;
                 let movable = rested && matches!(slot.phase, Phase::Held { .. });
-                (slot.holding.range, slot.holding.owner, movable)
+                Held { range: slot.holding.range, owner: slot.holding.owner, movable }
             })
             .collect();
-        for step in Planner::plan(loads, &holdings, candidates) {
+        for step in Planner::plan(loads, &held, candidates) {
             self.assign(now, step.range, step.to);
         }
     }
--- a/crates/range/src/lib.rs
+++ b/crates/range/src/lib.rs
@@ -27,5 +27,5 @@
 pub use key_range::KeyRange;
 pub use leadership::{Leadership, LeadershipAction, Standing};
 pub use leadership_record::LeadershipRecord;
-pub use planner::{Move, Planner};
+pub use planner::{Held, Move, Planner};
 pub use range_table::RangeTable;
--- a/crates/range/src/planner.rs
+++ b/crates/range/src/planner.rs
@@ -15,13 +15,24 @@
     pub to: OwnerId,
 }
 
-struct Share<'a> {
-    candidate: &'a Candidate,
+/// A range, who holds it, and whether it may move.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Held {
+    /// The keys.
+    pub range: KeyRange,
+    /// The server that holds them.
+    pub owner: OwnerId,
+    /// Whether they may go to another server now.
+    pub movable: bool,
+}
+
+#[derive(Debug)]
+struct Share {
     capacity: f64,
     rate: f64,
 }
 
-impl Share<'_> {
+impl Share {
     fn utilisation(&self) -> f64 {
         self.rate / self.capacity
     }
@@ -29,34 +40,31 @@
 
 impl Planner {
     /// Utilisation below which a server's keys stay: queueing is negligible there.
-    const BUSY: f64 = 0.5;
+    const BUSY: f64 = 0.45;
+    /// Utilisation down to which a busy server is relieved.
+    const RELIEVED: f64 = 0.35;
     /// How far above the mean a server's utilisation has to be.
     const EXCESS: f64 = 1.25;
+    /// Share of its server's load above which a key cannot be relieved by moving others.
+    const DOMINANT: f64 = 0.6;
+    /// How much more a server has to bear for a key to move to it.
+    const UPGRADE: f64 = 1.3;
     /// Most moves of one plan, so that their effect is seen before the next.
-    const MAX_MOVES: usize = 4;
-    /// Utilisation up to which a server is given keys.
-    const ROOM: f64 = 0.9;
+    const MAX_MOVES: usize = 24;
     /// Time a request takes where no server has reported one, in milliseconds.
     const UNKNOWN_SERVICE_MS: f64 = 100.0;
 
-    /// The moves for the given holdings; `movable` tells which ranges may move at all.
-    pub fn plan(
-        loads: &KeyLoads,
-        holdings: &[(KeyRange, OwnerId, bool)],
-        candidates: &[Candidate],
-    ) -> Vec<Move> {
+    /// The moves that even out the load.
+    pub fn plan(loads: &KeyLoads, holdings: &[Held], candidates: &[Candidate]) -> Vec<Move> {
         let usual = Planner::usual_service_ms(candidates);
-        let mut shares: BTreeMap<OwnerId, Share<'_>> = candidates
+        let mut shares: BTreeMap<OwnerId, Share> = candidates
             .iter()
             .filter(|candidate| candidate.eligible && !candidate.cold)
-            .map(|candidate| {
-                let capacity = candidate.capacity(usual);
-                (candidate.owner, Share { candidate, capacity, rate: 0.0 })
-            })
+            .map(|each| (each.owner, Share { capacity: each.capacity(usual), rate: 0.0 }))
             .collect();
-        for (range, owner, _) in holdings {
-            if let Some(share) = shares.get_mut(owner) {
-                share.rate += loads.rate(*range);
+        for held in holdings {
+            if let Some(share) = shares.get_mut(&held.owner) {
+                share.rate += loads.rate(held.range);
             }
         }
         let capacity: f64 = shares.values().map(|share| share.capacity).sum();
@@ -64,18 +72,19 @@
             return Vec::new();
         }
         let mean = loads.total() / capacity;
+        let mut held = holdings.to_vec();
         let mut moves: Vec<Move> = Vec::new();
         while moves.len() < Planner::MAX_MOVES {
-            let Some(step) = Planner::step(loads, holdings, &shares, mean, &moves) else {
+            let Some((from, rate, next)) = Planner::step(loads, &held, &shares, mean) else {
                 break;
             };
-            let (from, rate, next) = step;
             if let Some(share) = shares.get_mut(&from) {
                 share.rate -= rate;
             }
             if let Some(share) = shares.get_mut(&next.to) {
                 share.rate += rate;
             }
+            cut(&mut held, next.range);
             moves.push(next);
         }
         moves
@@ -93,36 +102,60 @@
     /// One move from the busiest server to the idlest.
     fn step(
         loads: &KeyLoads,
-        holdings: &[(KeyRange, OwnerId, bool)],
-        shares: &BTreeMap<OwnerId, Share<'_>>,
+        held: &[Held],
+        shares: &BTreeMap<OwnerId, Share>,
         mean: f64,
-        planned: &[Move],
     ) -> Option<(OwnerId, f64, Move)> {
-        let order = |a: &&Share<'_>, b: &&Share<'_>| a.utilisation().total_cmp(&b.utilisation());
-        let busiest = shares.values().max_by(order)?;
-        let idlest = shares.values().min_by(order)?;
+        let by_use = |a: &(&OwnerId, &Share), b: &(&OwnerId, &Share)| {
+            a.1.utilisation().total_cmp(&b.1.utilisation())
+        };
+        let (to, idlest) = shares.iter().min_by(by_use)?;
         let limit = Planner::BUSY.max(mean * Planner::EXCESS);
-        if busiest.utilisation() <= limit {
-            return None;
+        let mut busy: Vec<_> =
+            shares.iter().filter(|(_, share)| share.utilisation() > limit).collect();
+        busy.sort_by(|a, b| by_use(b, a));
+        let target = mean.max(Planner::RELIEVED);
+        let room = (mean.max(Planner::RELIEVED) - idlest.utilisation()) * idlest.capacity;
+        for (from, busiest) in busy {
+            let surplus = (busiest.utilisation() - target) * busiest.capacity;
+            let amount = surplus.min(room);
+            if amount <= 0.0 {
+                continue;
+            }
+            let ranges = held.iter().filter(|held| held.owner == *from && held.movable);
+            let cuts = ranges.flat_map(|held| Planner::cuts(loads, held.range, amount));
+            let value = |cut: &(KeyRange, f64)| Planner::value(cut, amount);
+            let best = cuts.max_by(|a, b| value(a).total_cmp(&value(b)));
+            if let Some((range, rate)) = best.filter(|(_, rate)| *rate > 0.0) {
+                return Some((*from, rate, Move { range, to: *to }));
+            }
+            if let Some(step) = Planner::upgrade(loads, held, shares, *from) {
+                return Some(step);
+            }
         }
-        let target = mean.max(Planner::BUSY);
-        let surplus = (busiest.utilisation() - target) * busiest.capacity;
-        let room_to = mean.max(target.min(Planner::ROOM));
-        let room = (room_to - idlest.utilisation()) * idlest.capacity;
-        let amount = surplus.min(room);
-        if amount <= 0.0 {
+        None
+    }
+
+    /// Moves a key that alone is too much for its server to one that bears much more.
+    fn upgrade(
+        loads: &KeyLoads,
+        held: &[Held],
+        shares: &BTreeMap<OwnerId, Share>,
+        from: OwnerId,
+    ) -> Option<(OwnerId, f64, Move)> {
+        let share = shares.get(&from)?;
+        let own = held.iter().filter(|held| held.owner == from && held.movable);
+        let keys = own.flat_map(|held| loads.within(held.range));
+        let (key, rate) = keys.max_by(|(_, a), (_, b)| a.total_cmp(b))?;
+        if rate < share.rate * Planner::DOMINANT {
             return None;
         }
-        let from = busiest.candidate.owner;
-        let free = |range: KeyRange| planned.iter().all(|planned| !planned.range.overlaps(range));
-        let ranges = holdings
-            .iter()
-            .filter(|(range, owner, movable)| *owner == from && *movable && free(*range));
-        let cuts = ranges.flat_map(|(range, _, _)| Planner::cuts(loads, *range, amount));
-        let best =
-            cuts.max_by(|a, b| Planner::value(a, amount).total_cmp(&Planner::value(b, amount)));
-        let (range, rate) = best?;
-        (rate > 0.0).then_some((from, rate, Move { range, to: idlest.candidate.owner }))
+        let by_capacity =
+            |a: &(&OwnerId, &Share), b: &(&OwnerId, &Share)| a.1.capacity.total_cmp(&b.1.capacity);
+        let (to, best) = shares.iter().max_by(by_capacity)?;
+        let better = best.capacity >= share.capacity * Planner::UPGRADE;
+        let range = KeyRange::new(key, key);
+        better.then_some((from, rate, Move { range, to: *to }))
     }
 
     /// How well a cut fits: most of the amount, with few keys.
@@ -186,3 +219,23 @@
         Some((range, total))
     }
 }
+
+/// Removes a range from what is held; the rest of a cut range may still move.
+fn cut(held: &mut Vec<Held>, range: KeyRange) {
+    let mut rest = Vec::new();
+    held.retain(|each| {
+        if !each.range.overlaps(range) {
+            return true;
+        }
+        if each.range.first < range.first {
+            let range = KeyRange::new(each.range.first, range.first - 1);
+            rest.push(Held { range, ..*each });
+        }
+        if each.range.last > range.last {
+            let range = KeyRange::new(range.last + 1, each.range.last);
+            rest.push(Held { range, ..*each });
+        }
+        false
+    });
+    held.append(&mut rest);
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -48,7 +48,7 @@
     /// Share of the other requests' bound on connections that one router leaves unused.
     const CONNECTION_SHARE: f64 = 0.8;
     /// How far expected times may exceed the latency objective before a request is refused.
-    const MAX_STRETCH: f64 = 2.0;
+    const MAX_STRETCH: f64 = 1.0;
     /// Most routers before any was heard of.
     const FEW_ROUTERS: u32 = 3;
 
@@ -313,7 +313,7 @@
             }
             return self.refuse(now, request, ErrorKind::NoOwner);
         };
-        if self.is_hopeless(now, request, choice.expected_ms) {
+        if !choice.free_slot && self.is_hopeless(now, request, choice.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
         if !self.take_cold(now, choice.server, &request.service) {
@@ -352,7 +352,7 @@
         let Some((_, choice)) = best else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
-        if self.is_hopeless(now, request, choice.expected_ms) {
+        if !choice.free_slot && self.is_hopeless(now, request, choice.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
         Pick::Send(choice)
@@ -428,6 +428,7 @@
             max_connections: (share as usize).max(1),
             occupancy: server.occupancy(now),
             expected_ms: server.expected_ms(now, pool.usual_ms),
+            free_slot: server.has_free_slot(now),
         }
     }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -37,6 +37,8 @@
     const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
     /// Age after which a report of slowdown says nothing.
     const SLOWDOWN_SPAN: Duration = Duration::from_millis(300);
+    /// How much of a reported slowdown is expected to last for a request.
+    const SLOWDOWN_WEIGHT: f64 = 0.5;
     /// How strongly failures count against a server.
     const FAILING_WEIGHT: f64 = 5.0;
     /// Pause after a failed connection; it doubles with each further one.
@@ -101,12 +103,19 @@
         f64::from(self.in_flight) + others
     }
 
+    /// Whether one more request would be run at once, as far as is known.
+    pub fn has_free_slot(&self, now: Time) -> bool {
+        self.occupancy(now) + 1.0 <= f64::from(self.entry.slots.max(1))
+    }
+
     /// Expected time of one more request, in milliseconds.
     pub fn expected_ms(&self, now: Time, usual_ms: f64) -> f64 {
         let slots = f64::from(self.entry.slots.max(1));
         let queued = (self.occupancy(now) + 1.0 - slots).max(0.0);
         let slowdown = match self.report {
-            Some(report) if now.since(report.at) < Server::SLOWDOWN_SPAN => report.load.slowdown,
+            Some(report) if now.since(report.at) < Server::SLOWDOWN_SPAN => {
+                1.0 + (report.load.slowdown - 1.0) * Server::SLOWDOWN_WEIGHT
+            }
             _ => 1.0,
         };
         let service_ms = self.service_ms.unwrap_or(usual_ms) * slowdown;
@@ -122,18 +131,21 @@
     }
 
     /// Takes note that it answered a request that it ran.
+    ///
+    /// Only requests that did not queue tell the time without queueing.
     pub fn on_served(&mut self, took: Duration, sent_occupancy: f64, failed: bool) {
         self.refusals = 0;
         self.avoided_until = Time::ZERO;
         self.failing += Server::GAIN * (f64::from(u8::from(failed)) - self.failing);
         let slots = f64::from(self.entry.slots.max(1));
-        let queued = (sent_occupancy + 1.0 - slots).max(0.0);
-        let slowdown = self.report.map_or(1.0, |report| report.load.slowdown.max(0.1));
-        let sample = took.as_secs_f64() * 1000.0 / (1.0 + queued / slots) / slowdown;
-        self.service_ms = Some(match self.service_ms {
-            Some(mean) => mean + Server::GAIN * (sample - mean),
-            None => sample,
-        });
+        let waiting = self.report.map_or(0.0, |report| f64::from(report.load.waiting));
+        let queued = (sent_occupancy + 1.0 - slots).max(waiting);
+        let sample = took.as_secs_f64() * 1000.0;
+        self.service_ms = match self.service_ms {
+            None => Some(sample / (1.0 + queued / slots)),
+            Some(mean) if queued <= 0.0 => Some(mean + Server::GAIN * (sample - mean)),
+            known => known,
+        };
     }
 
     /// Takes note that it did not run a request, or that its answer was lost.
