--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -37,6 +37,12 @@
 /// Time without the store's confirmation after which nothing is moved.
 const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
 
+/// Time between two logs of the ranges that no server serves.
+const UNSERVED_LOG: Duration = Duration::from_secs(1);
+
+/// Most ranges in one such log.
+const MAX_LOGGED_RANGES: usize = 8;
+
 /// Weight of a newer report in the mean time of a server.
 const TIME_GAIN: f64 = 0.3;
 
@@ -61,6 +67,7 @@
     loads: KeyLoads,
     times: BTreeMap<ServerName, f64>,
     published: u64,
+    log_at: Time,
 }
 
 impl Granting {
@@ -80,6 +87,21 @@
         }
     }
 
+    /// Takes note of the predecessor's end if a report shows that it follows, or has restarted.
+    fn settle_by(&mut self, now: Time, report: &Report) {
+        let Some(predecessor) = self.leadership.predecessor() else {
+            return;
+        };
+        if !predecessor.settled || predecessor.host != report.host {
+            return;
+        }
+        log::info!(host:% = report.host; "predecessor no longer grants");
+        self.leadership.settle();
+        for granter in self.services.values_mut().filter_map(|each| each.granter.as_mut()) {
+            granter.predecessors_ended(now);
+        }
+    }
+
     fn term(&self) -> Option<Term> {
         match self.leadership.standing() {
             Standing::Leading(term) => Some(term),
@@ -185,6 +207,10 @@
             granted.loads.decay(now);
             let candidates = granted.with_times(candidates);
             if let Some(granter) = &mut granted.granter {
+                if now >= granted.log_at {
+                    granted.log_at = now + UNSERVED_LOG;
+                    log_unserved(service, granter);
+                }
                 let renew_only = unconfirmed > MOVE_LIMIT;
                 granter.tick(now, &candidates, &granted.loads, renew_only, &mut actions);
             }
@@ -194,6 +220,22 @@
     heartbeat(shell, now, term, unconfirmed);
 }
 
+/// Logs the ranges that no server serves.
+fn log_unserved(service: ServiceName, granter: &Granter) {
+    for (holding, reason) in granter.unserved().take(MAX_LOGGED_RANGES) {
+        log::info!(
+            service:% = service,
+            first = holding.range.first,
+            last = holding.range.last,
+            owner:% = holding.owner.server,
+            former = holding.former.map_or_else(String::new, |f| f.owner.server.to_string()),
+            token = holding.token.0,
+            reason = reason;
+            "keys without a serving owner"
+        );
+    }
+}
+
 impl Granted {
     fn new() -> Granted {
         Granted {
@@ -203,6 +245,7 @@
             loads: KeyLoads::default(),
             times: BTreeMap::new(),
             published: 0,
+            log_at: Time::ZERO,
         }
     }
 
@@ -250,7 +293,11 @@
         "range table taken over"
     );
     granted.revision = revision;
-    granted.granter = Some(Granter::take_over(now, term, times, table));
+    let mut granter = Granter::take_over(now, term, times, table);
+    if granting.leadership.predecessor().is_none() {
+        granter.predecessors_ended(now);
+    }
+    granted.granter = Some(granter);
 }
 
 fn act(shell: &Rc<Shell>, service: ServiceName, term: Term, actions: Vec<GranterAction>) {
@@ -266,7 +313,8 @@
                     log::debug!(server:% = to.server, order:? = order, result:? = result; "order");
                     let now = BootClock.now();
                     with_granter(&ordering, service, term, |granter, out| {
-                        granter.on_order(now, id, &result, out);
+                        let candidates = ordering.router.borrow().candidates(now, service);
+                        granter.on_order(now, id, &result, &candidates, out);
                     });
                 });
             }
@@ -377,6 +425,7 @@
         PeerMessage::Heartbeat(Heartbeat {
             host: shell.settings.host,
             term,
+            renewal: granting.leadership.renewal(),
             unconfirmed_ms: unconfirmed.as_millis() as u32,
             routers: granting.heard.count(now),
             published: services.map(|(name, granted)| (*name, granted.published)).collect(),
@@ -410,6 +459,7 @@
 fn take_report(shell: &Shell, now: Time, report: &Report) {
     let granting = &mut *shell.granting.borrow_mut();
     granting.heard.heard(now, report.host);
+    granting.settle_by(now, report);
     for part in &report.services {
         let Some(granted) = granting.services.get_mut(&part.service) else {
             continue;
@@ -456,7 +506,7 @@
             return;
         }
         let unconfirmed = Duration::from_millis(u64::from(heartbeat.unconfirmed_ms));
-        granting.leadership.on_heartbeat(now, heartbeat.term, unconfirmed);
+        granting.leadership.on_heartbeat(now, heartbeat.term, heartbeat.renewal, unconfirmed);
         let changed = granting.leader.is_none_or(|(_, term)| term != heartbeat.term);
         if changed {
             log::info!(host:% = heartbeat.host, term = heartbeat.term.0; "granter heard");
--- a/crates/range/src/holding.rs
+++ b/crates/range/src/holding.rs
@@ -1,3 +1,5 @@
+use std::net::SocketAddr;
+
 use bay_types::{ServerName, Token};
 use serde::{Deserialize, Serialize};
 
@@ -19,6 +21,8 @@
     pub range: KeyRange,
     /// The server that owns them.
     pub owner: OwnerId,
+    /// Where the server takes orders.
+    pub address: SocketAddr,
     /// The fencing token of the grant.
     pub token: Token,
     /// The owner before, as long as it may still hold the keys.
@@ -30,6 +34,8 @@
 pub struct Former {
     /// The server.
     pub owner: OwnerId,
+    /// Where the server takes orders.
+    pub address: SocketAddr,
     /// The fencing token of its grant.
     pub token: Token,
 }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -16,9 +16,23 @@
     delay: Duration,
     state: State,
     known_term: Term,
+    /// The renewal that the last heartbeat told.
+    heard_renewal: Option<(Term, u64)>,
+    predecessor: Option<Predecessor>,
     in_flight: bool,
 }
 
+/// The granter before this one.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Predecessor {
+    /// Its host.
+    pub host: HostName,
+    /// Its start.
+    pub incarnation: u64,
+    /// Whether the granters before it are known to have ended.
+    pub settled: bool,
+}
+
 /// What a process is at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -50,7 +64,7 @@
     /// The record was read; it is replaced if it is unchanged at this time.
     Observing {
         at: Time,
-        seen: Option<(Revision, Term)>,
+        seen: Option<(Revision, LeadershipRecord)>,
     },
     Leading {
         record: LeadershipRecord,
@@ -66,14 +80,23 @@
     /// Time between two renewals of the record.
     const RENEW: Duration = Duration::from_millis(1_000);
     /// Time without a confirmed renewal after which heartbeats count as silence.
-    pub const STORE_SILENCE: Duration = Duration::from_millis(2_500);
+    pub const STORE_SILENCE: Duration = Duration::from_millis(1_800);
     /// Time after which a read or write that failed is tried again.
     const RETRY: Duration = Duration::from_millis(700);
 
     /// A follower; `delay` spreads the attempts of followers that notice the silence together.
     pub fn new(host: HostName, incarnation: u64, delay: Duration, now: Time) -> Leadership {
         let state = State::Following { silent_from: now };
-        Leadership { host, incarnation, delay, state, known_term: Term(0), in_flight: false }
+        Leadership {
+            host,
+            incarnation,
+            delay,
+            state,
+            known_term: Term(0),
+            heard_renewal: None,
+            predecessor: None,
+            in_flight: false,
+        }
     }
 
     /// What the process is.
@@ -97,19 +120,36 @@
         self.known_term
     }
 
+    /// The granter before this one, if it may still renew holds.
+    pub fn predecessor(&self) -> Option<Predecessor> {
+        self.predecessor
+    }
+
+    /// Takes note that no earlier granter renews holds any more.
+    pub fn settle(&mut self) {
+        self.predecessor = None;
+    }
+
+    /// The number of the last renewal.
+    pub fn renewal(&self) -> u64 {
+        match &self.state {
+            State::Leading { record, .. } => record.renewal,
+            _ => 0,
+        }
+    }
+
     /// Takes a granter's heartbeat.
-    pub fn on_heartbeat(&mut self, now: Time, term: Term, unconfirmed: Duration) {
+    pub fn on_heartbeat(&mut self, now: Time, term: Term, renewal: u64, unconfirmed: Duration) {
         if term < self.known_term {
             return;
         }
         self.known_term = term;
+        self.heard_renewal = Some((term, renewal));
         match &self.state {
             State::Leading { record, .. } if record.term >= term => {}
-            _ if unconfirmed > Leadership::STORE_SILENCE => {
-                if matches!(self.state, State::Leading { .. }) {
-                    self.follow(now);
-                }
-            }
+            State::Leading { .. } => self.follow(now),
+            // The granter has lost the store; another one may still reach it.
+            _ if unconfirmed > Leadership::STORE_SILENCE => {}
             _ => self.follow(now),
         }
     }
@@ -131,7 +171,7 @@
                     return None;
                 }
                 let (expect, term) = match seen {
-                    Some((revision, term)) => (Some(*revision), *term),
+                    Some((revision, record)) => (Some(*revision), record.term),
                     None => (None, Term(0)),
                 };
                 let record = LeadershipRecord {
@@ -140,6 +180,7 @@
                     term: Term(term.max(self.known_term).0 + 1),
                     renewal: 0,
                     resigned: false,
+                    settled: false,
                 };
                 LeadershipAction::Write { record, expect }
             }
@@ -148,7 +189,9 @@
                     return None;
                 }
                 *renew_at = now + Leadership::RENEW;
-                let record = LeadershipRecord { renewal: record.renewal + 1, ..record.clone() };
+                let renewal = record.renewal + 1;
+                let settled = self.predecessor.is_none();
+                let record = LeadershipRecord { renewal, settled, ..record.clone() };
                 LeadershipAction::Write { record, expect: Some(*revision) }
             }
         };
@@ -167,15 +210,20 @@
         let own = record.host == self.host && record.incarnation == self.incarnation;
         if own && !record.resigned {
             // A write took effect although its answer was lost.
+            if let State::Observing { seen: Some((_, before)), .. } = &self.state {
+                self.predecessor = self.predecessor_of(before);
+            }
             let renew_at = now + Leadership::RENEW;
             self.state = State::Leading { record, revision, renew_at, confirmed: now };
             return;
         }
-        let seen = Some((revision, record.term));
-        let former_life = record.host == self.host && record.incarnation != self.incarnation;
+        let ended = record.resigned || record.host == self.host;
+        // A granter that renewed since its last heartbeat may be alive although it is not heard.
+        let silent = self.heard_renewal == Some((record.term, record.renewal));
+        let seen = Some((revision, record));
         let unchanged = matches!(&self.state, State::Observing { seen: before, .. }
             if *before == seen);
-        let at = match record.resigned || former_life || unchanged {
+        let at = match ended || silent || unchanged {
             true => now,
             false => now + Leadership::SILENCE + self.delay,
         };
@@ -189,6 +237,9 @@
         if record.resigned || record.term < self.known_term {
             return self.follow(now);
         }
+        if let State::Observing { seen, .. } = &self.state {
+            self.predecessor = seen.as_ref().and_then(|(_, seen)| self.predecessor_of(seen));
+        }
         let renew_at = sent + Leadership::RENEW;
         self.state = State::Leading { record, revision: to, renew_at, confirmed: sent };
     }
@@ -217,6 +268,13 @@
         Some(action)
     }
 
+    /// The granter of an earlier term, unless it is known to have ended with all before it.
+    fn predecessor_of(&self, record: &LeadershipRecord) -> Option<Predecessor> {
+        let ended = record.resigned || record.host == self.host;
+        let LeadershipRecord { host, incarnation, settled, .. } = *record;
+        (!ended || !settled).then_some(Predecessor { host, incarnation, settled })
+    }
+
     fn follow(&mut self, now: Time) {
         self.state = State::Following { silent_from: now };
     }
--- a/crates/range/src/leadership_record.rs
+++ b/crates/range/src/leadership_record.rs
@@ -14,4 +14,6 @@
     pub renewal: u64,
     /// Whether the granter has resigned, so that a successor need not wait.
     pub resigned: bool,
+    /// Whether all earlier granters are known to renew no holds any more.
+    pub settled: bool,
 }
--- a/crates/range/src/lib.rs
+++ b/crates/range/src/lib.rs
@@ -16,6 +16,8 @@
 mod planner;
 mod range_table;
 mod sharing;
+mod slot;
+mod staging;
 
 pub use candidate::Candidate;
 pub use grant_order::{GrantOrder, OrderId, OrderResult};
@@ -25,7 +27,7 @@
 pub use holding::{Former, Holding, OwnerId};
 pub use key_loads::KeyLoads;
 pub use key_range::KeyRange;
-pub use leadership::{Leadership, LeadershipAction, Standing};
+pub use leadership::{Leadership, LeadershipAction, Predecessor, Standing};
 pub use leadership_record::LeadershipRecord;
 pub use planner::{Held, Move, Planner};
 pub use range_table::RangeTable;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -23,6 +23,8 @@
     pub host: HostName,
     /// The granter's term.
     pub term: Term,
+    /// Counts the renewals of the granter's record.
+    pub renewal: u64,
     /// Milliseconds since the store last confirmed the granter.
     pub unconfirmed_ms: u32,
     /// How many routers have reported lately.
