Take no refused connection for the end of a server; name all granters that may linger

Takeovers doubled because a heartbeat heard during a read was forgotten. Orders that were not sent no longer extend a hold.

--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -87,16 +87,12 @@
         }
     }
 
-    /// Takes note of the predecessor's end if a report shows that it follows, or has restarted.
+    /// Takes note that the host of a report follows, or has restarted.
     fn settle_by(&mut self, now: Time, report: &Report) {
-        let Some(predecessor) = self.leadership.predecessor() else {
-            return;
-        };
-        if !predecessor.settled || predecessor.host != report.host {
+        if !self.leadership.on_follower(report.host) {
             return;
         }
-        log::info!(host:% = report.host; "predecessor no longer grants");
-        self.leadership.settle();
+        log::info!(host:% = report.host; "no earlier granter is left");
         for granter in self.services.values_mut().filter_map(|each| each.granter.as_mut()) {
             granter.predecessors_ended(now);
         }
@@ -180,7 +176,11 @@
     }
     granting.services.clear();
     match after {
-        Some(term) => log::info!(term = term.0; "granter of a new term"),
+        Some(term) => log::info!(
+            term = term.0,
+            lingering = granting.leadership.has_lingering();
+            "granter of a new term"
+        ),
         None => log::info!(term = granting.leadership.known_term().0; "no longer granter"),
     }
 }
@@ -294,7 +294,7 @@
     );
     granted.revision = revision;
     let mut granter = Granter::take_over(now, term, times, table);
-    if granting.leadership.predecessor().is_none() {
+    if !granting.leadership.has_lingering() {
         granter.predecessors_ended(now);
     }
     granted.granter = Some(granter);
@@ -313,8 +313,7 @@
                     log::debug!(server:% = to.server, order:? = order, result:? = result; "order");
                     let now = BootClock.now();
                     with_granter(&ordering, service, term, |granter, out| {
-                        let candidates = ordering.router.borrow().candidates(now, service);
-                        granter.on_order(now, id, &result, &candidates, out);
+                        granter.on_order(now, id, &result, out);
                     });
                 });
             }
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -43,6 +43,8 @@
     range: KeyRange,
     release: bool,
     sent: Time,
+    /// When the owner's last possible hold ended before the order was sent.
+    until_before: Time,
 }
 
 impl Granter {
@@ -140,7 +142,6 @@
         now: Time,
         id: OrderId,
         result: &OrderResult,
-        candidates: &[Candidate],
         out: &mut Vec<GranterAction>,
     ) {
         let Some(order) = self.orders.remove(&id) else {
@@ -155,14 +156,13 @@
             let served = slot.serves();
             let former = slot.holding.former.filter(|former| former.token == order.token);
             if slot.has_token(order.token) && !order.release {
-                slot.on_grant(now, order.sent, result, &self.times);
+                slot.on_grant(now, order.sent, order.until_before, result, &self.times);
                 if slot.is_held() && !served {
                     self.settle_at.get_or_insert(now + Granter::SETTLE);
                 }
-            } else if let Some(former) = former {
-                let listed = candidates.iter().any(|each| each.owner == former.owner);
+            } else if former.is_some() {
                 if order.release {
-                    slot.on_release(now, result, listed);
+                    slot.on_release(now, result);
                 } else if result.may_take_effect() {
                     slot.former_doubt = slot.former_doubt.max(order.sent + longest);
                 }
@@ -350,6 +350,7 @@
                 });
                 slot.expire(now, ended);
             }
+            let until_before = slot.owner_until;
             let Some((order, to, address, token)) = due(slot, now, &self.times, &self.orders)
             else {
                 continue;
@@ -358,7 +359,7 @@
             self.next_order += 1;
             let id = OrderId(self.next_order);
             let range = slot.holding.range;
-            self.orders.insert(id, PendingOrder { token, range, release, sent: now });
+            self.orders.insert(id, PendingOrder { token, range, release, sent: now, until_before });
             out.push(GranterAction::Order { id, to, address, order });
         }
     }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -3,7 +3,7 @@
 use bay_time::Time;
 use bay_types::{HostName, Revision, Term};
 
-use crate::LeadershipRecord;
+use crate::{EarlierGranter, LeadershipRecord};
 
 /// Elects the granter by compare-and-set on one object of the store.
 ///
@@ -18,21 +18,10 @@
     known_term: Term,
     /// The renewal that the last heartbeat told.
     heard_renewal: Option<(Term, u64)>,
-    predecessor: Option<Predecessor>,
+    lingering: Vec<EarlierGranter>,
     in_flight: bool,
 }
 
-/// The granter before this one.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct Predecessor {
-    /// Its host.
-    pub host: HostName,
-    /// Its start.
-    pub incarnation: u64,
-    /// Whether the granters before it are known to have ended.
-    pub settled: bool,
-}
-
 /// What a process is at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Standing {
@@ -94,7 +83,7 @@
             state,
             known_term: Term(0),
             heard_renewal: None,
-            predecessor: None,
+            lingering: Vec::new(),
             in_flight: false,
         }
     }
@@ -120,14 +109,17 @@
         self.known_term
     }
 
-    /// The granter before this one, if it may still renew holds.
-    pub fn predecessor(&self) -> Option<Predecessor> {
-        self.predecessor
+    /// Whether earlier granters may still renew holds.
+    pub fn has_lingering(&self) -> bool {
+        !self.lingering.is_empty()
     }
 
-    /// Takes note that no earlier granter renews holds any more.
-    pub fn settle(&mut self) {
-        self.predecessor = None;
+    /// Takes note that a host follows this granter, or runs a new process; returns whether that
+    /// was the last earlier granter.
+    pub fn on_follower(&mut self, host: HostName) -> bool {
+        let before = self.lingering.len();
+        self.lingering.retain(|earlier| earlier.host != host);
+        before > 0 && self.lingering.is_empty()
     }
 
     /// The number of the last renewal.
@@ -170,9 +162,11 @@
                 if now < *at {
                     return None;
                 }
-                let (expect, term) = match seen {
-                    Some((revision, record)) => (Some(*revision), record.term),
-                    None => (None, Term(0)),
+                let (expect, term, lingering) = match seen {
+                    Some((revision, record)) => {
+                        (Some(*revision), record.term, record.lingering_after(self.host))
+                    }
+                    None => (None, Term(0), Vec::new()),
                 };
                 let record = LeadershipRecord {
                     host: self.host,
@@ -180,7 +174,7 @@
                     term: Term(term.max(self.known_term).0 + 1),
                     renewal: 0,
                     resigned: false,
-                    settled: false,
+                    lingering,
                 };
                 LeadershipAction::Write { record, expect }
             }
@@ -190,8 +184,8 @@
                 }
                 *renew_at = now + Leadership::RENEW;
                 let renewal = record.renewal + 1;
-                let settled = self.predecessor.is_none();
-                let record = LeadershipRecord { renewal, settled, ..record.clone() };
+                let lingering = self.lingering.clone();
+                let record = LeadershipRecord { renewal, lingering, ..record.clone() };
                 LeadershipAction::Write { record, expect: Some(*revision) }
             }
         };
@@ -210,13 +204,19 @@
         let own = record.host == self.host && record.incarnation == self.incarnation;
         if own && !record.resigned {
             // A write took effect although its answer was lost.
-            if let State::Observing { seen: Some((_, before)), .. } = &self.state {
-                self.predecessor = self.predecessor_of(before);
+            if self.standing() == Standing::Following {
+                self.lingering.clone_from(&record.lingering);
             }
             let renew_at = now + Leadership::RENEW;
             self.state = State::Leading { record, revision, renew_at, confirmed: now };
             return;
         }
+        if let State::Following { silent_from } = self.state
+            && now.since(silent_from) < Leadership::SILENCE
+        {
+            // The granter was heard while the call was under way.
+            return;
+        }
         let ended = record.resigned || record.host == self.host;
         // A granter that renewed since its last heartbeat may be alive although it is not heard.
         let silent = self.heard_renewal == Some((record.term, record.renewal));
@@ -237,8 +237,8 @@
         if record.resigned || record.term < self.known_term {
             return self.follow(now);
         }
-        if let State::Observing { seen, .. } = &self.state {
-            self.predecessor = seen.as_ref().and_then(|(_, seen)| self.predecessor_of(seen));
+        if self.standing() == Standing::Following {
+            self.lingering.clone_from(&record.lingering);
         }
         let renew_at = sent + Leadership::RENEW;
         self.state = State::Leading { record, revision: to, renew_at, confirmed: sent };
@@ -268,13 +268,6 @@
         Some(action)
     }
 
-    /// The granter of an earlier term, unless it is known to have ended with all before it.
-    fn predecessor_of(&self, record: &LeadershipRecord) -> Option<Predecessor> {
-        let ended = record.resigned || record.host == self.host;
-        let LeadershipRecord { host, incarnation, settled, .. } = *record;
-        (!ended || !settled).then_some(Predecessor { host, incarnation, settled })
-    }
-
     fn follow(&mut self, now: Time) {
         self.state = State::Following { silent_from: now };
     }
--- a/crates/range/src/leadership_record.rs
+++ b/crates/range/src/leadership_record.rs
@@ -14,6 +14,33 @@
     pub renewal: u64,
     /// Whether the granter has resigned, so that a successor need not wait.
     pub resigned: bool,
-    /// Whether all earlier granters are known to renew no holds any more.
-    pub settled: bool,
+    /// Earlier granters that may still renew holds.
+    pub lingering: Vec<EarlierGranter>,
+}
+
+/// A granter of an earlier term.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EarlierGranter {
+    /// Its host.
+    pub host: HostName,
+    /// Numbers the start of its process.
+    pub incarnation: u64,
+}
+
+impl LeadershipRecord {
+    /// Most earlier granters that are kept; the oldest have given up by then.
+    const MAX_LINGERING: usize = 8;
+
+    /// The granters that may renew holds after `successor` has taken over.
+    pub(crate) fn lingering_after(&self, successor: HostName) -> Vec<EarlierGranter> {
+        let mut lingering = self.lingering.clone();
+        if !self.resigned {
+            lingering.push(EarlierGranter { host: self.host, incarnation: self.incarnation });
+        }
+        // A host runs one process, so that an earlier one of the successor's host has ended.
+        lingering.retain(|earlier| earlier.host != successor);
+        let surplus = lingering.len().saturating_sub(LeadershipRecord::MAX_LINGERING);
+        lingering.drain(..surplus);
+        lingering
+    }
 }
--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -139,7 +139,7 @@
     }
 
     /// Takes the answer to a release.
-    pub(crate) fn on_release(&mut self, now: Time, result: &OrderResult, former_listed: bool) {
+    pub(crate) fn on_release(&mut self, now: Time, result: &OrderResult) {
         let Phase::Releasing { .. } = self.phase else {
             return;
         };
@@ -152,8 +152,6 @@
                 }
             }
             OrderResult::OtherServer => Phase::granting(now),
-            // Neither its heartbeats nor its port are there any more.
-            OrderResult::NotListening if !former_listed => Phase::granting(now),
             _ => Phase::Releasing { next: now + Slot::RETRY, in_flight: false },
         };
     }
@@ -163,6 +161,7 @@
         &mut self,
         now: Time,
         sent: Time,
+        until_before: Time,
         result: &OrderResult,
         times: &HoldTimes,
     ) {
@@ -181,6 +180,9 @@
             _ => {
                 if result.may_take_effect() {
                     self.doubt_until = self.doubt_until.max(sent + times.longest());
+                } else if self.owner_until == sent + times.longest() {
+                    // Nothing that was sent extends the hold.
+                    self.owner_until = until_before;
                 }
                 self.retry(now);
             }
