--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -94,6 +94,13 @@
         }
     }
 
+    /// Breaks the connection off, so that bytes which have not arrived never do.
+    pub(crate) fn abort(&self) {
+        if let Err(error) = SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO)) {
+            log::warn!(error:% = error; "connection not reset");
+        }
+    }
+
     /// Says how long the peer may be waited for from now on.
     pub(crate) fn be_patient(&self, patience: Patience) {
         self.clock.restart(patience);
--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -34,6 +34,9 @@
 /// Range over which followers spread their attempts to take over.
 const TAKEOVER_SPREAD_MS: u64 = 500;
 
+/// Age up to which a router's report shows that it follows the granter.
+const FOLLOWED: Duration = Duration::from_millis(1_500);
+
 /// Time without the store's confirmation after which nothing is moved.
 const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
 
@@ -87,17 +90,34 @@
         }
     }
 
-    /// Takes note that the host of a report follows, or has restarted.
-    fn settle_by(&mut self, now: Time, report: &Report) {
-        if !self.leadership.on_follower(report.host) {
+    /// Finds out whether earlier granters may still renew holds, after a report of a host.
+    ///
+    /// Without the store an earlier granter needs the reports of half of the routers.
+    fn settle(&mut self, now: Time, host: HostName, hosts: usize) {
+        if !self.leadership.has_lingering() {
+            return;
+        }
+        let all_follow = self.leadership.on_follower(host);
+        let most_follow = self.heard.within(now, FOLLOWED) * 4 > hosts * 3;
+        if !all_follow && !most_follow {
             return;
         }
-        log::info!(host:% = report.host; "no earlier granter is left");
+        self.leadership.settle();
+        log::info!(host:% = host, all = all_follow; "no earlier granter renews holds");
+        let ended = if all_follow { now } else { now + FOLLOWED };
         for granter in self.services.values_mut().filter_map(|each| each.granter.as_mut()) {
-            granter.predecessors_ended(now);
+            granter.predecessors_ended(ended);
         }
     }
 
+    /// Whether holds may be renewed: the store or half of the routers confirm the granter.
+    fn may_renew(&self, now: Time, hosts: usize) -> bool {
+        let unconfirmed = self.leadership.unconfirmed(now).unwrap_or(Duration::MAX);
+        let followed = self.heard.within(now, FOLLOWED) * 2 >= hosts;
+        unconfirmed <= Leadership::STORE_SILENCE
+            || (followed && unconfirmed <= Granter::LONE_RENEWAL)
+    }
+
     fn term(&self) -> Option<Term> {
         match self.leadership.standing() {
             Standing::Leading(term) => Some(term),
@@ -175,6 +195,7 @@
         return;
     }
     granting.services.clear();
+    granting.heard.clear();
     match after {
         Some(term) => log::info!(
             term = term.0,
@@ -191,9 +212,8 @@
         return;
     };
     let unconfirmed = shell.granting.borrow().leadership.unconfirmed(now).unwrap_or_default();
-    if unconfirmed > Granter::LONE_RENEWAL {
-        return;
-    }
+    let hosts = shell.hosts.borrow().len();
+    let renews = shell.granting.borrow().may_renew(now, hosts);
     for service in shell.router.borrow().keyed_services() {
         let candidates = shell.router.borrow().candidates(now, service);
         let mut actions = Vec::new();
@@ -206,7 +226,7 @@
             }
             granted.loads.decay(now);
             let candidates = granted.with_times(candidates);
-            if let Some(granter) = &mut granted.granter {
+            if let Some(granter) = granted.granter.as_mut().filter(|_| renews) {
                 if now >= granted.log_at {
                     granted.log_at = now + UNSERVED_LOG;
                     log_unserved(service, granter);
@@ -286,6 +306,12 @@
         },
         _ => return,
     };
+    if table.term > term {
+        log::warn!(service:% = service, term = table.term.0; "table of a later term");
+        granting.leadership.on_heartbeat(now, table.term, 0, Duration::ZERO);
+        granting.services.clear();
+        return;
+    }
     log::info!(
         service:% = service,
         term = term.0,
@@ -355,38 +381,52 @@
     let body = serde_json::to_string(&table).unwrap_or_default();
     let result = shell.store.call(&StoreRequest::Put { key, body, expect }).await;
     let change = table.change;
-    let (saved, now_at) = match result {
-        Ok(StoreReply::Written(revision)) => (true, Some(revision)),
+    let saved = match result {
+        Ok(StoreReply::Written(revision)) => Saved::At(revision),
         Ok(StoreReply::Conflict(Some(object))) => {
             let stored = serde_json::from_str::<RangeTable>(&object.body).ok();
-            let stored = stored.map(|stored| stored.version());
-            // A write took effect although its answer was lost.
-            let own = stored == Some(table.version());
-            if stored.is_some_and(|(stored, _)| stored > term) {
-                log::warn!(service:% = service; "a granter of a later term wrote the table");
-                return;
+            match stored.map(|stored| stored.version()) {
+                // A write took effect although its answer was lost.
+                Some(version) if version == table.version() => Saved::At(object.revision),
+                _ => Saved::Overtaken,
             }
-            (own, Some(object.revision))
-        }
-        Ok(StoreReply::Conflict(None)) => (false, None),
-        result => {
-            log::warn!(service:% = service, change = change, result:? = result;
-                "range table not saved");
-            (false, revision)
         }
+        Ok(StoreReply::Conflict(None)) => Saved::Overtaken,
+        _ => Saved::Unknown,
     };
-    if let Some(granted) = shell.granting.borrow_mut().services.get_mut(&service) {
-        granted.revision = now_at;
-    }
+    log::info!(service:% = service, change = change, saved:? = saved,
+        ranges = table.holdings.len(); "range table");
     let now = BootClock.now();
-    log::info!(service:% = service, change = change, saved = saved, ranges = table.holdings.len();
-        "range table");
+    {
+        let granting = &mut *shell.granting.borrow_mut();
+        if granting.term() == Some(term)
+            && let Some(granted) = granting.services.get_mut(&service)
+        {
+            match saved {
+                Saved::At(revision) => granted.revision = Some(revision),
+                // An earlier granter wrote after the table was read.
+                Saved::Overtaken => granted.granter = None,
+                Saved::Unknown => {}
+            }
+        }
+    }
     with_granter(&shell, service, term, |granter, out| match saved {
-        true => granter.on_saved(now, change, out),
-        false => granter.on_save_failed(),
+        Saved::At(_) => granter.on_saved(now, change, out),
+        Saved::Overtaken | Saved::Unknown => granter.on_save_failed(),
     });
 }
 
+/// What became of a write of a table.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Saved {
+    /// It is in the store.
+    At(Revision),
+    /// Another table is in the store.
+    Overtaken,
+    /// It may be in the store.
+    Unknown,
+}
+
 /// Tells the routers who serves which keys.
 fn publish(shell: &Rc<Shell>, service: ServiceName) {
     let owners = {
@@ -435,30 +475,35 @@
 
 /// Tells the granter what this router has seen.
 fn report(shell: &Rc<Shell>, now: Time) {
-    let leader = {
+    let (leader, term) = {
         let granting = &mut *shell.granting.borrow_mut();
         if now < granting.report_at {
             return;
         }
         granting.report_at = now + REPORT;
-        granting.leader
+        (granting.leader, granting.leadership.known_term())
     };
     let report = Report {
         host: shell.settings.host,
-        incarnation: shell.incarnation,
+        term,
         services: shell.router.borrow_mut().take_reports(),
     };
     if shell.granting.borrow().term().is_some() {
         take_report(shell, now, &report);
-    } else if let Some((address, _)) = leader {
+    } else if let Some((address, followed)) = leader
+        && followed == term
+    {
         shell.peers.send(&[address], &PeerMessage::Report(report));
     }
 }
 
 fn take_report(shell: &Shell, now: Time, report: &Report) {
     let granting = &mut *shell.granting.borrow_mut();
+    if granting.term() != Some(report.term) {
+        return;
+    }
     granting.heard.heard(now, report.host);
-    granting.settle_by(now, report);
+    granting.settle(now, report.host, shell.hosts.borrow().len());
     for part in &report.services {
         let Some(granted) = granting.services.get_mut(&part.service) else {
             continue;
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -48,6 +48,7 @@
         None
     };
     let Some(answer) = future::or(work, late).await else {
+        leased.connection.abort();
         return OrderResult::Unanswered;
     };
     let result = shell.wire.order_answer(order, answer.status, &answer.fields);
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -10,8 +10,8 @@
 use crate::slot::{Phase, Slot};
 use crate::staging::{Assignment, Staged};
 use crate::{
-    Candidate, GrantOrder, HoldTimes, Holding, KeyLoads, KeyRange, OrderId, OrderResult, OwnerId,
-    RangeTable,
+    Candidate, Former, GrantOrder, HoldTimes, Holding, KeyLoads, KeyRange, OrderId, OrderResult,
+    OwnerId, RangeTable,
 };
 
 /// Decides which server holds which keys of one service, and keeps the holds alive.
@@ -33,6 +33,8 @@
     orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
     plan_at: Time,
+    /// Until when servers may hold keys by the orders of earlier granters.
+    stale_until: Time,
     /// How many servers there were before the first assignment, and since when.
     first_seen: (usize, Time),
 }
@@ -66,6 +68,8 @@
     /// Every holding keeps its owner and gets a new token, so that servers refuse the orders of
     /// earlier granters once they have seen it.
     pub fn take_over(now: Time, term: Term, times: HoldTimes, stored: RangeTable) -> Granter {
+        // Until a server has acknowledged the new term, an earlier granter may renew its holds.
+        let until = now + Granter::LONE_RENEWAL + times.longest();
         let mut granter = Granter {
             times,
             term,
@@ -78,11 +82,10 @@
             orders: BTreeMap::new(),
             next_order: 0,
             plan_at: now,
+            stale_until: until,
             first_seen: (0, now),
         };
         let token = granter.token();
-        // Until a server has acknowledged the new term, an earlier granter may renew its holds.
-        let until = now + Granter::LONE_RENEWAL + times.longest();
         for holding in stored.holdings {
             let holding = Holding { token, ..holding };
             match granter.slots.last_mut() {
@@ -98,6 +101,7 @@
     /// Takes note that the earlier granters renew no holds any more.
     pub fn predecessors_ended(&mut self, now: Time) {
         let until = now + self.times.longest();
+        self.stale_until = self.stale_until.min(until);
         for slot in &mut self.slots {
             slot.bound(until);
         }
@@ -164,7 +168,7 @@
                 if order.release {
                     slot.on_release(now, result);
                 } else if result.may_take_effect() {
-                    slot.former_doubt = slot.former_doubt.max(order.sent + longest);
+                    slot.former_doubt = slot.former_doubt.max(now + longest);
                 }
             }
             publish |= served != slot.serves();
@@ -343,11 +347,11 @@
         }
         for slot in &mut self.slots {
             if let Some(former) = slot.holding.former {
-                // Another life of the server, or another server at its address, holds nothing.
-                let ended = candidates.iter().any(|each| {
-                    let same_name = each.owner.server == former.owner.server;
-                    (same_name || each.address == former.address) && each.owner != former.owner
-                });
+                if candidates.iter().any(|each| has_restarted(&former, each)) {
+                    // The new life does not know the tokens that the last one had seen.
+                    slot.former_doubt = slot.former_doubt.max(self.stale_until);
+                }
+                let ended = candidates.iter().any(|each| has_ended(&former, each));
                 slot.expire(now, ended);
             }
             let until_before = slot.owner_until;
@@ -395,13 +399,27 @@
         }
         _ => return None,
     }
-    slot.owner_until = slot.owner_until.max(now + times.longest());
+    slot.owner_until = slot.owner_until.max(now + times.longest_unsent());
     let holding = &slot.holding;
     let handover = if slot.is_held() { None } else { slot.handover.clone() };
     let order = GrantOrder::Grant { range, token: holding.token, hold: times.hold, handover };
     Some((order, holding.owner, holding.address, holding.token))
 }
 
+/// Whether a server that is listed shows that a former owner has ended.
+///
+/// Another life at the same address shows nothing: a renewal may have reached it.
+fn has_ended(former: &Former, listed: &Candidate) -> bool {
+    let same_server = listed.owner.server == former.owner.server;
+    let same_address = listed.address == former.address;
+    listed.owner != former.owner && same_server != same_address
+}
+
+/// Whether a former owner's address belongs to a later life of the same server.
+fn has_restarted(former: &Former, listed: &Candidate) -> bool {
+    listed.owner.server == former.owner.server && listed.owner.started != former.owner.started
+}
+
 fn adjacent(a: KeyRange, b: KeyRange) -> bool {
     u32::from(a.last) + 1 == u32::from(b.first)
 }
--- a/crates/range/src/hold.rs
+++ b/crates/range/src/hold.rs
@@ -17,8 +17,10 @@
     const RENEWALS_PER_HOLD: u32 = 5;
     /// How much slower than the granter's a server's clock may run, in percent (platform bound).
     const CLOCK_DRIFT_PERCENT: u32 = 2;
-    /// Added to the longest hold for the order's way to the server.
-    const TRANSIT: Duration = Duration::from_millis(300);
+    /// Added to the longest hold for what is late at either end.
+    const MARGIN: Duration = Duration::from_millis(150);
+    /// Longest time from the decision to send an order to its result.
+    const ORDER: Duration = Duration::from_millis(1_000);
 
     /// Times for a platform that allows holds up to a bound.
     pub fn within(longest: Duration) -> HoldTimes {
@@ -26,8 +28,13 @@
         HoldTimes { hold, renew: hold / HoldTimes::RENEWALS_PER_HOLD }
     }
 
-    /// The longest time after an order was sent for which the server may hold the keys.
+    /// The longest time after an order's arrival for which the server may hold the keys.
     pub fn longest(&self) -> Duration {
-        self.hold + self.hold * HoldTimes::CLOCK_DRIFT_PERCENT / 100 + HoldTimes::TRANSIT
+        self.hold + self.hold * HoldTimes::CLOCK_DRIFT_PERCENT / 100 + HoldTimes::MARGIN
+    }
+
+    /// The same after the decision to send an order whose result is not known yet.
+    pub fn longest_unsent(&self) -> Duration {
+        self.longest() + HoldTimes::ORDER
     }
 }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -114,6 +114,11 @@
         !self.lingering.is_empty()
     }
 
+    /// Takes note that no earlier granter renews holds any more.
+    pub fn settle(&mut self) {
+        self.lingering.clear();
+    }
+
     /// Takes note that a host follows this granter, or runs a new process; returns whether that
     /// was the last earlier granter.
     pub fn on_follower(&mut self, host: HostName) -> bool {
--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -156,7 +156,9 @@
         };
     }
 
-    /// Takes the answer to a grant.
+    /// Takes the result of a grant.
+    ///
+    /// A hold counts from the arrival of the grant, which is no later than its result.
     pub(crate) fn on_grant(
         &mut self,
         now: Time,
@@ -165,28 +167,21 @@
         result: &OrderResult,
         times: &HoldTimes,
     ) {
-        match result {
-            OrderResult::Granted => {
-                if !self.acknowledged {
-                    // From now on the owner refuses earlier granters.
-                    self.owner_until = sent + times.longest();
-                    self.acknowledged = true;
-                }
-                self.holding.former = None;
-                self.handover = None;
-                let renew_at = (sent + times.renew).max(now);
-                self.phase = Phase::Held { renew_at, in_flight: false };
-            }
-            _ => {
-                if result.may_take_effect() {
-                    self.doubt_until = self.doubt_until.max(sent + times.longest());
-                } else if self.owner_until == sent + times.longest() {
-                    // Nothing that was sent extends the hold.
-                    self.owner_until = until_before;
-                }
-                self.retry(now);
+        if *result != OrderResult::Granted {
+            self.owner_until = until_before;
+            if result.may_take_effect() {
+                self.owner_until = until_before.max(now + times.longest());
+                self.doubt_until = self.doubt_until.max(now + times.longest());
             }
+            return self.retry(now);
         }
+        self.owner_until = now + times.longest();
+        // From now on the owner refuses earlier granters.
+        self.acknowledged = true;
+        self.holding.former = None;
+        self.handover = None;
+        let renew_at = (sent + times.renew).max(now);
+        self.phase = Phase::Held { renew_at, in_flight: false };
     }
 
     /// Sends the present order again after a pause.
--- /dev/null
+++ b/crates/range/tests/granter.rs
@@ -0,0 +1,178 @@
+//! The granter on virtual time: every key has an owner, and never two.
+
+mod support;
+
+use std::time::Duration;
+
+use rand::RngExt;
+use support::{Trouble, World};
+use test_case::test_case;
+
+const SETTLED: Duration = Duration::from_secs(6);
+
+fn settled_world(servers: usize, seed: u64) -> World {
+    let mut world = World::new(servers, seed);
+    world.elect();
+    world.run(SETTLED);
+    assert_eq!(world.held_share(), 1.0);
+    world
+}
+
+#[test]
+fn all_keys_are_granted_once_the_servers_are_listed() {
+    let world = settled_world(5, 1);
+    assert_eq!(world.holders(0).len(), 1);
+}
+
+#[test]
+fn servers_that_are_listed_a_moment_later_get_keys_without_a_move() {
+    let mut world = World::new(6, 1);
+    for server in &mut world.servers[2..] {
+        server.listed = false;
+    }
+    world.elect();
+    world.run(Duration::from_millis(1_000));
+    for server in &mut world.servers {
+        server.listed = true;
+    }
+    world.run(SETTLED);
+    let first_change = world.stored.holdings.iter().all(|holding| holding.former.is_none());
+    assert!(first_change);
+    let owners: std::collections::BTreeSet<_> =
+        world.stored.holdings.iter().map(|holding| holding.owner).collect();
+    assert_eq!(owners.len(), 6);
+}
+
+#[test]
+fn the_keys_of_a_restarted_server_are_granted_again_within_two_seconds() {
+    let mut world = settled_world(4, 2);
+    world.restart(0);
+    world.run(Duration::from_secs(2));
+    assert_eq!(world.held_share(), 1.0);
+}
+
+#[test]
+fn the_keys_of_a_silent_server_move_once_its_hold_has_run_out() {
+    let mut world = settled_world(4, 3);
+    world.servers[0].reachable = false;
+    world.run(Duration::from_secs(1));
+    world.servers[0].listed = false;
+    world.run(world.times.longest());
+    world.servers[0].up = false;
+    world.run(Duration::from_secs(1));
+    assert_eq!(world.held_share(), 1.0);
+}
+
+#[test]
+fn a_store_outage_takes_no_key_out_of_service() {
+    let mut world = settled_world(4, 4);
+    world.store_up = false;
+    world.run(Duration::from_secs(10));
+    assert_eq!(world.held_share(), 1.0);
+}
+
+#[test]
+fn moves_that_cannot_be_saved_leave_the_keys_with_their_owner() {
+    let mut world = settled_world(4, 5);
+    for _ in 0..200 {
+        world.loads.add(7, 1);
+        world.loads.add(8, 1);
+    }
+    world.step();
+    world.store_up = false;
+    world.run(Duration::from_secs(4));
+    assert_eq!(world.held_share(), 1.0);
+}
+
+#[test]
+fn busy_keys_are_spread_over_the_servers() {
+    let mut world = settled_world(4, 6);
+    for _ in 0..150 {
+        for key in 0..20 {
+            world.loads.add(key, if world.random.random_bool(0.1) { 1 } else { 0 });
+        }
+        world.run(Duration::from_millis(100));
+        for key in 100..140_u16 {
+            world.loads.add(key, 1);
+        }
+    }
+    let owners: std::collections::BTreeSet<_> =
+        (100..140).flat_map(|key| world.holders(key)).collect();
+    assert!(owners.len() >= 3, "busy keys are on {owners:?}");
+}
+
+#[test]
+fn a_successor_serves_all_keys_while_the_earlier_granter_goes_on() {
+    let mut world = settled_world(5, 7);
+    world.elect();
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.held_share(), 1.0);
+    world.servers[1].candidate.eligible = false;
+    world.run(Duration::from_secs(3));
+    assert_eq!(world.held_share(), 1.0);
+}
+
+/// A renewal may reach its server long after it was decided on.
+#[test_case(11)]
+#[test_case(12)]
+#[test_case(13)]
+fn a_renewal_that_arrives_late_is_waited_for(seed: u64) {
+    let mut world = settled_world(4, seed);
+    world.trouble.transit_ms = 900;
+    for round in 0..8 {
+        world.run(Duration::from_millis(2_500));
+        let index = round % 4;
+        world.servers[index].reachable = false;
+        world.servers[index].listed = false;
+        world.run(Duration::from_secs(5));
+        world.servers[index].reachable = true;
+        world.servers[index].listed = true;
+    }
+}
+
+#[test]
+fn random_troubles_never_give_a_key_two_owners() {
+    for seed in (0..40).chain([893]) {
+        let mut world = World::new(5, seed);
+        world.elect();
+        world.run(SETTLED);
+        for _ in 0..25 {
+            random_event(&mut world);
+            let span = world.random.random_range(100..2_500);
+            world.run(Duration::from_millis(span));
+        }
+    }
+}
+
+fn random_event(world: &mut World) {
+    let index = world.random.random_range(0..world.servers.len());
+    match world.random.random_range(0..11) {
+        0 => world.restart(index),
+        1 => world.servers[index].reachable ^= true,
+        2 => world.servers[index].listed ^= true,
+        3 => world.servers[index].candidate.eligible ^= true,
+        4 => world.servers[index].candidate.cold ^= true,
+        5 => world.store_up ^= true,
+        6 if world.granters.len() < 8 => {
+            world.elect();
+        }
+        7 => {
+            // An earlier granter is lost.
+            let last = world.granters.len() - 1;
+            world.granters[..last].fill_with(|| None);
+        }
+        8 => {
+            let lost = world.random.random_range(0.0..0.4);
+            let late = world.random.random_range(0.0..0.3);
+            let transit_ms = world.random.random_range(1..500);
+            world.trouble = Trouble { lost, late, transit_ms };
+        }
+        9 => {
+            let key: u16 = world.random.random();
+            for each in key..key.saturating_add(50) {
+                world.loads.add(each, 20);
+            }
+        }
+        _ => world.trouble = Trouble { transit_ms: 5, ..Trouble::default() },
+    }
+}
--- a/crates/router/src/heard.rs
+++ b/crates/router/src/heard.rs
@@ -19,6 +19,16 @@
         self.last.insert(host, now);
     }
 
+    /// Forgets all reports.
+    pub fn clear(&mut self) {
+        self.last.clear();
+    }
+
+    /// How many routers have reported within a time.
+    pub fn within(&self, now: Time, span: Duration) -> usize {
+        self.last.values().filter(|at| now.since(**at) <= span).count()
+    }
+
     /// How many routers are alive.
     pub fn count(&mut self, now: Time) -> u32 {
         self.last.retain(|_, at| now.since(*at) < HeardHosts::SILENCE);
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -47,8 +47,8 @@
 pub struct Report {
     /// The router's host.
     pub host: HostName,
-    /// Numbers the start of the router's process.
-    pub incarnation: u64,
+    /// The term of the granter that it follows.
+    pub term: Term,
     /// The services with keys.
     pub services: Vec<ServiceReport>,
 }
