--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,6 +15,9 @@
     RouterSettings, Server, ServerEntry, ServerTime, ServicePool, ServiceReport, Verdict,
 };
 
+/// Servers of a zone that are compared for a request.
+const SAMPLE: usize = 2;
+
 /// Picks servers for callers' requests and decides what becomes of them.
 #[derive(Debug)]
 pub struct Router {
@@ -326,8 +329,7 @@
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
-        let mut best: Option<(f64, Choice)> = None;
-        let mut cold = Vec::new();
+        let (mut near, mut far, mut cold) = (Vec::new(), Vec::new(), Vec::new());
         for name in &pool.servers {
             let Some(server) = self.directory.get(*name) else {
                 continue;
@@ -338,9 +340,20 @@
             }
             if self.directory.may_be_cold(now, server) {
                 cold.push(*name);
-                continue;
+            } else if server.entry.zone == self.settings.zone {
+                near.push(*name);
+            } else {
+                far.push(*name);
             }
-            let choice = self.choice(now, *name, server, pool);
+        }
+        let mut best: Option<(f64, Choice)> = None;
+        for name in
+            sample(&mut self.random, &near).into_iter().chain(sample(&mut self.random, &far))
+        {
+            let Some(server) = self.directory.get(name) else {
+                continue;
+            };
+            let choice = self.choice(now, name, server, pool);
             let cost = choice.expected_ms + self.zone_cost(server, request);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
@@ -609,6 +622,13 @@
     }
 }
 
+/// A few servers at random: routers that do not see each other's requests would all send to the
+/// one that looks best.
+fn sample(random: &mut SmallRng, names: &[ServerName]) -> Vec<ServerName> {
+    let count = names.len().min(SAMPLE);
+    rand::seq::index::sample(random, names.len(), count).into_iter().map(|at| names[at]).collect()
+}
+
 /// The answer to a request that may have run, whatever was the last reason to give it up.
 fn kind_of_lost(kind: ErrorKind) -> ErrorKind {
     match kind {
