--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -22,8 +22,6 @@
 struct Listed {
     server: Server,
     revision: Revision,
-    /// When the entry's removal takes effect, for one that lapsed in an outage of the store.
-    removed_at: Option<Time>,
 }
 
 /// What a change of an entry means.
@@ -41,7 +39,7 @@
 
 impl Directory {
     /// Time after an outage of the store in which lapsed entries come back (platform bound).
-    const LAPSE_GRACE: Duration = Duration::from_millis(2_200);
+    const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
     /// Whether all entries were read once.
     pub fn is_loaded(&self) -> bool {
@@ -64,7 +62,7 @@
             Some(listed) if same_life(&listed.server.entry, &entry) => {
                 let before = listed.server.is_ready();
                 listed.revision = revision;
-                listed.removed_at = None;
+                listed.server.ends_at = None;
                 listed.server.update(now, entry);
                 match (before, listed.server.is_ready()) {
                     (true, false) => DirectoryChange::Left,
@@ -73,7 +71,7 @@
                 }
             }
             _ => {
-                let listed = Listed { server: Server::new(now, entry), revision, removed_at: None };
+                let listed = Listed { server: Server::new(now, entry), revision };
                 self.servers.insert(name, listed);
                 DirectoryChange::Started
             }
@@ -110,7 +108,7 @@
             return DirectoryChange::None;
         }
         if now < self.lapse_until && listed.server.is_ready() {
-            listed.removed_at.get_or_insert(self.lapse_until);
+            listed.server.ends_at.get_or_insert(self.lapse_until);
             return DirectoryChange::None;
         }
         self.servers.remove(&name);
@@ -124,7 +122,7 @@
 
     /// Removes the entries that did not come back; returns their servers.
     pub fn expire(&mut self, now: Time) -> Vec<ServerName> {
-        let due = |listed: &Listed| listed.removed_at.is_some_and(|at| now >= at);
+        let due = |listed: &Listed| listed.server.has_ended(now);
         let gone: Vec<ServerName> =
             self.servers.iter().filter(|(_, listed)| due(listed)).map(|(name, _)| *name).collect();
         for name in &gone {
@@ -163,8 +161,8 @@
     }
 
     /// Whether a server may be sent requests.
-    pub fn takes_requests(&self, server: &Server) -> bool {
-        server.is_ready() && !self.zones_out.contains(&server.entry.zone)
+    pub fn takes_requests(&self, now: Time, server: &Server) -> bool {
+        server.is_ready() && !server.has_ended(now) && !self.zones_out.contains(&server.entry.zone)
     }
 
     /// Whether a server may be cold.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -229,7 +229,7 @@
                 address: server.entry.address,
                 zone: server.entry.zone,
                 slots: server.entry.slots,
-                eligible: self.directory.takes_requests(server),
+                eligible: self.directory.takes_requests(now, server),
                 cold: self.directory.may_be_cold(now, server),
                 service_ms: server.service_ms(),
             })
@@ -304,7 +304,7 @@
         let choice = owner.and_then(|owner| {
             let server = self.directory.get(owner.server)?;
             let same_life = server.entry.started == owner.started;
-            let usable = same_life && self.directory.takes_requests(server);
+            let usable = same_life && self.directory.takes_requests(now, server);
             let free = !server.is_avoided(now);
             (usable && free).then(|| self.choice(now, owner.server, server, pool))
         });
@@ -334,7 +334,7 @@
             let Some(server) = self.directory.get(*name) else {
                 continue;
             };
-            let usable = self.directory.takes_requests(server) && !server.is_avoided(now);
+            let usable = self.directory.takes_requests(now, server) && !server.is_avoided(now);
             if !usable || request.tried.contains(name) {
                 continue;
             }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -11,6 +11,8 @@
     pub entry: ServerEntry,
     /// Requests that this router has sent to it and that are not answered.
     pub in_flight: u32,
+    /// When the removal of its entry takes effect, if the entry lapsed in an outage of the store.
+    pub(crate) ends_at: Option<Time>,
     pub(crate) cold_until: Time,
     pub(crate) cold: ColdShare,
     /// Time of a request without queueing, in milliseconds, as a moving average.
@@ -52,6 +54,7 @@
         Server {
             entry,
             in_flight: 0,
+            ends_at: None,
             cold_until,
             cold: ColdShare::new(now),
             service_ms: None,
@@ -68,6 +71,11 @@
         self.entry = entry;
     }
 
+    /// Whether it is gone although its entry may have come back.
+    pub(crate) fn has_ended(&self, now: Time) -> bool {
+        self.ends_at.is_some_and(|at| now >= at)
+    }
+
     /// Whether it takes requests as far as it says.
     pub fn is_ready(&self) -> bool {
         self.entry.state == ServerState::Ready
