--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -20,6 +20,7 @@
 mod feeds;
 mod granting;
 mod http_client;
+mod news;
 mod orders;
 mod peers;
 mod probes;
@@ -79,6 +80,8 @@
             pool: Arc::new(ConnectionPool::new(limits.clone(), Arc::clone(&meters))),
             store: store_client::StoreClient::new(settings.store, Rc::clone(&wire), &meters),
             granting: RefCell::new(granting::Granting::new(&settings)),
+            fed: RefCell::default(),
+            told: RefCell::default(),
             hosts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             open: Cell::new(0),
--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -5,9 +5,11 @@
 use async_io::Timer;
 use bay_router::{DirectoryChange, HostRecord, ServerEntry, own_key};
 use bay_store::{Change, Expect, Object, ObjectKey, StoreReply, StoreRequest};
-use bay_time::{BootClock, Clock};
+use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServerName, ZoneName};
 
+use super::granting;
+use super::news;
 use super::shell::Shell;
 
 /// Longest wait of a watch of documents with a bound on when they are in force; short, since only
@@ -18,7 +20,13 @@
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
 
 /// Time between two watches of the servers' entries, which change with every heartbeat.
-const SERVERS_INTERVAL: Duration = Duration::from_millis(600);
+const SERVERS_INTERVAL: Duration = Duration::from_millis(500);
+
+/// Time between two checks of whether the granter tells what is in the store.
+const FED_CHECK: Duration = Duration::from_millis(200);
+
+/// Longest time for which a new process waits for the granter's news before it watches the store.
+const STARTUP_WAIT: Duration = Duration::from_millis(2_500);
 
 /// Pause after a failed call; it doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
@@ -53,6 +61,23 @@
         }
     }
 
+    fn need(self, shell: &Shell, now: Time) -> Need {
+        let fed = shell.fed.borrow();
+        let Some(state) = fed.state(now).filter(|_| granting::term(shell).is_none()) else {
+            return Need::Watch;
+        };
+        let current = match self {
+            Feed::Servers if fed.has_servers(now) => return Need::Nothing,
+            Feed::Servers => return Need::Watch,
+            Feed::Config => {
+                shell.router.borrow().config().map(|config| config.version) >= Some(state.config)
+            }
+            Feed::Zones => return Need::Nothing,
+            Feed::Hosts => shell.hosts.borrow().len() as u32 == state.hosts,
+        };
+        if current { Need::Nothing } else { Need::List }
+    }
+
     /// Longest wait of a watch.
     fn wait(self) -> Duration {
         match self {
@@ -71,16 +96,46 @@
     }
 }
 
+/// What a feed has to read from the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Need {
+    /// Nothing: the granter tells it.
+    Nothing,
+    /// All documents once, as the granter has read other ones.
+    List,
+    /// The changes as they come.
+    Watch,
+}
+
 async fn follow(shell: Rc<Shell>, feed: Feed) {
+    let started = BootClock.now();
     let mut known: Option<Revision> = None;
+    let mut listed = false;
     let mut state = FeedState::default();
     let mut pause = RETRY_PAUSE;
     loop {
+        let now = BootClock.now();
+        let starting = now.since(started) < STARTUP_WAIT && granting::term(&shell).is_none();
+        match feed.need(&shell, now) {
+            Need::Nothing => {
+                known = None;
+                Timer::after(FED_CHECK).await;
+                continue;
+            }
+            Need::Watch if starting && listed => {
+                Timer::after(FED_CHECK / 2).await;
+                continue;
+            }
+            Need::List => known = None,
+            Need::Watch => {}
+        }
         let prefix = feed.prefix(&shell).to_owned();
         let was_lost = shell.store.is_lost();
         let ok = match known {
-            None => match shell.store.list(&prefix).await {
+            // Changes since an old list follow from the granter, or from a watch.
+            None => match shell.store.list(&prefix, !listed).await {
                 Ok((objects, revision)) => {
+                    listed = true;
                     store_back(&shell, was_lost);
                     state.replace(&shell, feed, objects, revision);
                     known = Some(revision);
@@ -110,6 +165,11 @@
             }
         };
         if ok {
+            match feed {
+                Feed::Servers => shell.told.borrow_mut().on_read(now),
+                Feed::Zones => shell.told.borrow_mut().on_zones_read(),
+                Feed::Config | Feed::Hosts => {}
+            }
             pause = RETRY_PAUSE;
             Timer::after(feed.interval()).await;
         } else {
@@ -133,7 +193,7 @@
 }
 
 impl FeedState {
-    fn replace(&mut self, shell: &Shell, feed: Feed, objects: Vec<Object>, revision: Revision) {
+    fn replace(&mut self, shell: &Rc<Shell>, feed: Feed, objects: Vec<Object>, revision: Revision) {
         match feed {
             Feed::Config => objects.iter().for_each(|object| apply_config(shell, &object.body)),
             Feed::Servers => {
@@ -144,9 +204,10 @@
                 let entries: Vec<_> = entries.collect();
                 let now = BootClock.now();
                 let changes = shell.router.borrow_mut().replace_servers(now, revision, entries);
-                for (name, change) in changes {
-                    log_server(shell, name, change, revision);
+                for (name, change) in &changes {
+                    log_server(shell, *name, *change, revision);
                 }
+                news::tell(shell, &changes);
             }
             Feed::Zones => {
                 self.zones = objects.iter().filter_map(|object| zone_name(&object.key)).collect();
@@ -159,10 +220,11 @@
         }
     }
 
-    fn change(&mut self, shell: &Shell, feed: Feed, changes: Vec<Change>) {
+    fn change(&mut self, shell: &Rc<Shell>, feed: Feed, changes: Vec<Change>) {
         if changes.is_empty() {
             return;
         }
+        let mut servers = Vec::new();
         for change in changes {
             match feed {
                 Feed::Config => {
@@ -170,7 +232,7 @@
                         apply_config(shell, body);
                     }
                 }
-                Feed::Servers => change_server(shell, &change),
+                Feed::Servers => servers.extend(change_server(shell, &change)),
                 Feed::Zones => {
                     if let Some(zone) = zone_name(&change.key) {
                         match change.body {
@@ -185,7 +247,8 @@
         match feed {
             Feed::Zones => self.apply_zones(shell),
             Feed::Hosts => self.apply_hosts(shell),
-            Feed::Config | Feed::Servers => {}
+            Feed::Servers => news::tell(shell, &servers),
+            Feed::Config => {}
         }
     }
 
@@ -233,20 +296,20 @@
     }
 }
 
-fn change_server(shell: &Shell, change: &Change) {
-    let Some(name) = server_name(&change.key) else {
-        return;
-    };
+/// Applies a change of a server's entry; returns it if it matters to requests.
+fn change_server(shell: &Shell, change: &Change) -> Option<(ServerName, DirectoryChange)> {
+    let name = server_name(&change.key)?;
     let entry = change.body.as_deref().map(|body| read_server(shell, name, body));
     let entry = match entry {
         // An entry of another writer names no server to use, and does not end one.
-        Some(None) => return,
+        Some(None) => return None,
         Some(entry) => entry,
         None => None,
     };
     let now = BootClock.now();
     let applied = shell.router.borrow_mut().apply_server(now, name, change.revision, entry);
     log_server(shell, name, applied, change.revision);
+    (applied != DirectoryChange::None).then_some((name, applied))
 }
 
 fn read_server(shell: &Shell, name: ServerName, body: &str) -> Option<ServerEntry> {
@@ -259,7 +322,13 @@
     }
 }
 
-fn log_server(shell: &Shell, name: ServerName, change: DirectoryChange, revision: Revision) {
+/// Logs a change of a server and drops connections to an earlier life of it.
+pub(crate) fn log_server(
+    shell: &Shell,
+    name: ServerName,
+    change: DirectoryChange,
+    revision: Revision,
+) {
     if change == DirectoryChange::None {
         return;
     }
--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -1,4 +1,4 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -13,9 +13,10 @@
 };
 use bay_store::{Expect, Object, StoreReply, StoreRequest};
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{HostName, Revision, ServerName, ServiceName, Term};
+use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use xxhash_rust::xxh3::xxh3_64;
 
+use super::news;
 use super::orders;
 use super::shell::{Phase, Shell};
 
@@ -129,8 +130,7 @@
 /// Takes part in granting for as long as the process lives.
 pub(crate) async fn run(shell: Rc<Shell>) {
     loop {
-        let ready = shell.router.borrow().is_ready();
-        if ready && shell.phase.get() == Phase::Serving {
+        if shell.phase.get() == Phase::Serving {
             step(&shell);
         }
         let leading = shell.granting.borrow().term().is_some();
@@ -196,6 +196,8 @@
     }
     granting.services.clear();
     granting.heard.clear();
+    shell.fed.borrow_mut().clear();
+    shell.told.borrow_mut().clear();
     match after {
         Some(term) => log::info!(
             term = term.0,
@@ -446,13 +448,20 @@
     shell.peers.send(&others(shell), &message);
 }
 
-fn others(shell: &Shell) -> Vec<SocketAddr> {
+/// The term of which this process is the granter.
+pub(crate) fn term(shell: &Shell) -> Option<Term> {
+    shell.granting.borrow().term()
+}
+
+/// Where the other routers take datagrams.
+pub(crate) fn others(shell: &Shell) -> Vec<SocketAddr> {
     let own = shell.settings.host;
     let hosts = shell.hosts.borrow();
     hosts.iter().filter(|(host, _)| **host != own).map(|(_, address)| *address).collect()
 }
 
 fn heartbeat(shell: &Rc<Shell>, now: Time, term: Term, unconfirmed: Duration) {
+    let feeds = news::feed_state(shell, now);
     let message = {
         let granting = &mut *shell.granting.borrow_mut();
         if now < granting.heartbeat_at {
@@ -468,6 +477,7 @@
             unconfirmed_ms: unconfirmed.as_millis() as u32,
             routers: granting.heard.count(now),
             published: services.map(|(name, granted)| (*name, granted.published)).collect(),
+            feeds,
         })
     };
     shell.peers.send(&others(shell), &message);
@@ -532,6 +542,8 @@
                 take_report(shell, now, &report);
             }
         }
+        PeerMessage::Servers(news) => news::on_news(shell, from, news),
+        PeerMessage::WantServers => news::tell_all(shell, from),
         PeerMessage::Want(service) => {
             let owners = shell.router.borrow().owners(service).cloned();
             if let Some(owners) = owners {
@@ -558,6 +570,16 @@
         granting.leader = Some((from, heartbeat.term));
     }
     on_standing(shell, before);
+    if let Some(state) = &heartbeat.feeds {
+        let mut fed = shell.fed.borrow_mut();
+        if fed.on_heartbeat(now, heartbeat.term, state.clone()) {
+            shell.peers.send(&[from], &PeerMessage::WantServers);
+        }
+        if fed.state(now).is_some() {
+            let zones = state.zones_out.iter().copied().collect();
+            set_zones_out(shell, now, zones);
+        }
+    }
     let mut router = shell.router.borrow_mut();
     let hosts: Vec<HostName> = shell.hosts.borrow().keys().copied().collect();
     router.set_hosts(now, hosts, heartbeat.routers);
@@ -569,6 +591,15 @@
     }
 }
 
+/// Takes the zones that are out as the granter has read them.
+fn set_zones_out(shell: &Shell, now: Time, zones: BTreeSet<ZoneName>) {
+    let mut router = shell.router.borrow_mut();
+    if *router.directory().zones_out() != zones {
+        log::info!(zones:? = zones; "zones out");
+        router.set_zones_out(now, zones);
+    }
+}
+
 /// Hands the granter's role over before a planned stop.
 pub(crate) async fn resign(shell: &Rc<Shell>) {
     let now = BootClock.now();
--- a/crates/node/src/router_shell/shell.rs
+++ b/crates/node/src/router_shell/shell.rs
@@ -6,10 +6,11 @@
 
 use async_executor::LocalExecutor;
 use bay_obs::Counters;
-use bay_router::{Router, RouterSettings, RouterWire};
+use bay_router::{Fed, Router, RouterSettings, RouterWire};
 use bay_types::HostName;
 
 use super::granting::Granting;
+use super::news::Told;
 use super::peers::PeerSocket;
 use super::store_client::StoreClient;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -19,6 +20,10 @@
 pub(crate) struct Shell {
     pub(crate) router: RefCell<Router>,
     pub(crate) granting: RefCell<Granting>,
+    /// What the granter tells of the store.
+    pub(crate) fed: RefCell<Fed>,
+    /// What this router tells as the granter.
+    pub(crate) told: RefCell<Told>,
     /// Where the other routers take datagrams.
     pub(crate) hosts: RefCell<BTreeMap<HostName, SocketAddr>>,
     pub(crate) settings: RouterSettings,
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -70,16 +70,21 @@
         self.note(self.wire.store_answer(request, answer.status, &answer.body))
     }
 
-    /// Reads all objects with a prefix, and the revision from which to watch them.
+    /// Reads all objects with a prefix, and the revision from which to watch them; what may be old
+    /// costs less.
     ///
     /// # Errors
     /// Returns an error if a page could not be read.
-    pub(crate) async fn list(&self, prefix: &str) -> Result<(Vec<Object>, Revision), StoreError> {
+    pub(crate) async fn list(
+        &self,
+        prefix: &str,
+        may_be_old: bool,
+    ) -> Result<(Vec<Object>, Revision), StoreError> {
         let mut objects = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
         loop {
-            let call = self.wire.list_call(prefix, after.as_deref());
+            let call = self.wire.list_call(prefix, after.as_deref(), may_be_old);
             let answer = self.exchange(&call, CALL_TIMEOUT).await?;
             let page = self.wire.list_answer(prefix, answer.status, &answer.body);
             let ObjectPage { objects: more, next, revision: at } = self.note(page)?;
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -35,6 +35,8 @@
     Left,
     /// A server takes requests again.
     Back,
+    /// A server has become cold without a restart.
+    Cold,
 }
 
 impl Directory {
@@ -61,12 +63,14 @@
             Some(listed) if revision <= listed.revision => DirectoryChange::None,
             Some(listed) if same_life(&listed.server.entry, &entry) => {
                 let before = listed.server.is_ready();
+                let warm = !listed.server.is_cold(now);
                 listed.revision = revision;
                 listed.server.ends_at = None;
                 listed.server.update(now, entry);
                 match (before, listed.server.is_ready()) {
                     (true, false) => DirectoryChange::Left,
                     (false, true) => DirectoryChange::Back,
+                    _ if warm && listed.server.is_cold(now) => DirectoryChange::Cold,
                     _ => DirectoryChange::None,
                 }
             }
@@ -145,6 +149,11 @@
         &self.zones_out
     }
 
+    /// The revision of a server's entry.
+    pub fn revision(&self, name: ServerName) -> Option<Revision> {
+        self.servers.get(&name).map(|listed| listed.revision)
+    }
+
     /// A server that is listed.
     pub fn get(&self, name: ServerName) -> Option<&Server> {
         self.servers.get(&name).map(|listed| &listed.server)
--- /dev/null
+++ b/crates/router/src/fed.rs
@@ -0,0 +1,124 @@
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::{Revision, ServerName, Term};
+
+use crate::{FeedState, ServerEntry, ServerNews};
+
+/// What a router gets of the store's documents from the granter instead of the store.
+///
+/// One router reads the store and tells the others; each reads it itself only while it hears
+/// nothing recent, so that the calls do not grow with the number of routers.
+#[derive(Debug, Default)]
+pub struct Fed {
+    heard: Option<Heard>,
+    /// The term and number of the last changes of servers that were applied.
+    applied: Option<(Term, u64)>,
+    /// The parts of a whole list that have arrived.
+    parts: Vec<Option<ServerNews>>,
+}
+
+#[derive(Debug, Clone)]
+struct Heard {
+    at: Time,
+    term: Term,
+    state: FeedState,
+}
+
+/// The servers of a whole list.
+pub type ServerList = Vec<(ServerName, Revision, ServerEntry)>;
+
+/// What news of servers lead to.
+#[derive(Debug, Clone, PartialEq)]
+pub enum News {
+    /// Nothing yet.
+    Nothing,
+    /// These changes.
+    Changes(Vec<(ServerName, Revision, Option<ServerEntry>)>),
+    /// This whole list.
+    All(ServerList),
+    /// Changes are missing, so that the whole list is needed.
+    Gap,
+}
+
+impl Fed {
+    /// Time without a heartbeat after which the servers are read from the store.
+    const SERVERS_SILENCE: Duration = Duration::from_millis(700);
+    /// The same for the other documents, which change rarely.
+    const SILENCE: Duration = Duration::from_millis(1_200);
+    /// Age of what the granter has read up to which it stands for the store.
+    const FRESH: Duration = Duration::from_millis(1_000);
+
+    /// Takes the state that a granter's heartbeat tells; returns whether the list of servers is
+    /// needed.
+    pub fn on_heartbeat(&mut self, now: Time, term: Term, state: FeedState) -> bool {
+        let behind = self.applied != Some((term, state.servers));
+        self.heard = Some(Heard { at: now, term, state });
+        behind
+    }
+
+    /// Forgets the granter, such as when this router becomes it.
+    pub fn clear(&mut self) {
+        *self = Fed::default();
+    }
+
+    /// Whether the granter's news of servers stand for the store.
+    pub fn has_servers(&self, now: Time) -> bool {
+        self.heard.as_ref().is_some_and(|heard| {
+            heard.is_fresh(now, Fed::SERVERS_SILENCE)
+                && self.applied == Some((heard.term, heard.state.servers))
+        })
+    }
+
+    /// What the granter has read, if that stands for the store.
+    pub fn state(&self, now: Time) -> Option<&FeedState> {
+        let heard = self.heard.as_ref().filter(|heard| heard.is_fresh(now, Fed::SILENCE))?;
+        Some(&heard.state)
+    }
+
+    /// Takes news of servers.
+    pub fn on_news(&mut self, news: ServerNews) -> News {
+        let Some((part, parts)) = news.part else {
+            return self.on_changes(news);
+        };
+        let fits = self.parts.len() == usize::from(parts)
+            && self
+                .parts
+                .iter()
+                .flatten()
+                .all(|other| (other.term, other.number) == (news.term, news.number));
+        if !fits {
+            self.parts = vec![None; usize::from(parts)];
+        }
+        let version = (news.term, news.number);
+        if let Some(slot) = self.parts.get_mut(usize::from(part)) {
+            *slot = Some(news);
+        }
+        if self.parts.iter().any(Option::is_none) {
+            return News::Nothing;
+        }
+        self.applied = Some(version);
+        let servers = std::mem::take(&mut self.parts).into_iter().flatten();
+        let servers = servers.flat_map(|news| news.servers);
+        let listed = |(name, revision, entry): (_, _, Option<_>)| Some((name, revision, entry?));
+        News::All(servers.filter_map(listed).collect())
+    }
+
+    fn on_changes(&mut self, news: ServerNews) -> News {
+        match self.applied {
+            Some((term, number)) if term == news.term && number + 1 == news.number => {
+                self.applied = Some((term, news.number));
+                News::Changes(news.servers)
+            }
+            Some((term, number)) if term == news.term && number >= news.number => News::Nothing,
+            _ => News::Gap,
+        }
+    }
+}
+
+impl Heard {
+    fn is_fresh(&self, now: Time, silence: Duration) -> bool {
+        let age = Duration::from_millis(u64::from(self.state.age_ms));
+        now.since(self.at) < silence && age < Fed::FRESH
+    }
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -7,6 +7,7 @@
 mod config;
 mod counter;
 mod directory;
+mod fed;
 mod heard;
 mod load_report;
 mod own_objects;
@@ -30,12 +31,14 @@
 pub use config::{CallerLimits, Config, RouteKind, RouteSpec, ServiceSpec};
 pub use counter::Counter;
 pub use directory::{Directory, DirectoryChange};
+pub use fed::{Fed, News, ServerList};
 pub use heard::HeardHosts;
 pub use load_report::LoadReport;
 pub use own_objects::{HostRecord, own_key};
 pub use owner_map::OwnerMap;
 pub use peer_message::{
-    Heartbeat, KeyCount, PeerMessage, Report, ServerTime, ServiceOwners, ServiceReport,
+    FeedState, Heartbeat, KeyCount, PeerMessage, Report, ServerNews, ServerTime, ServiceOwners,
+    ServiceReport,
 };
 pub use pick::{Choice, Pick};
 pub use request_state::RequestState;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,7 +1,7 @@
-use bay_types::{HostName, ServerName, ServiceName, Term};
+use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::OwnerMap;
+use crate::{OwnerMap, ServerEntry};
 
 /// A datagram between routers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -14,6 +14,23 @@
     Report(Report),
     /// Asks the granter for the owners of a service's keys.
     Want(ServiceName),
+    /// From the granter: servers that have changed.
+    Servers(ServerNews),
+    /// Asks the granter for all servers.
+    WantServers,
+}
+
+/// Changes of servers, or a part of all of them.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct ServerNews {
+    /// The granter's term.
+    pub term: Term,
+    /// Numbers the changes within the term; these lead to this number.
+    pub number: u64,
+    /// For all servers: the part's index and how many there are.
+    pub part: Option<(u16, u16)>,
+    /// The servers with the revision of each; without an entry, a server was removed.
+    pub servers: Vec<(ServerName, Revision, Option<ServerEntry>)>,
 }
 
 /// Says that the granter is alive.
@@ -31,6 +48,23 @@
     pub routers: u32,
     /// The versions of the services' owners.
     pub published: Vec<(ServiceName, u64)>,
+    /// What the granter has read from the store.
+    pub feeds: Option<FeedState>,
+}
+
+/// How far the granter has followed the documents in the store.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct FeedState {
+    /// Milliseconds since it last read the servers' changes.
+    pub age_ms: u32,
+    /// Numbers the changes of servers that it has told.
+    pub servers: u64,
+    /// The configuration's version.
+    pub config: u64,
+    /// The zones that are out.
+    pub zones_out: Vec<ZoneName>,
+    /// How many routers are listed.
+    pub hosts: u32,
 }
 
 /// The owners of a service's keys.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -71,6 +71,11 @@
         self.entry = entry;
     }
 
+    /// Its entry as it would say it now.
+    pub fn entry_now(&self, now: Time) -> ServerEntry {
+        ServerEntry { warm_up_left: self.cold_until.since(now), ..self.entry.clone() }
+    }
+
     /// Whether it is gone although its entry may have come back.
     pub(crate) fn has_ended(&self, now: Time) -> bool {
         self.ends_at.is_some_and(|at| now >= at)
--- a/crates/router/src/server_entry.rs
+++ b/crates/router/src/server_entry.rs
@@ -2,9 +2,10 @@
 use std::time::Duration;
 
 use bay_types::{ServiceName, ZoneName};
+use serde::{Deserialize, Serialize};
 
 /// What a server says of itself in the store.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ServerEntry {
     /// The service that it belongs to.
     pub service: ServiceName,
@@ -25,7 +26,7 @@
 }
 
 /// Whether a server takes requests.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum ServerState {
     /// It takes requests.
     Ready,
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -60,8 +60,9 @@
     /// Returns an error that says whether a write may have taken effect.
     fn store_answer(&self, request: &StoreRequest, status: u16, body: &[u8]) -> StoreResult;
 
-    /// The call that lists a page of the objects with a prefix, after a key if there is one.
-    fn list_call(&self, prefix: &str, after: Option<&str>) -> HttpCall;
+    /// The call that lists a page of the objects with a prefix, after a name if there is one; a
+    /// page that may be old costs the store less.
+    fn list_call(&self, prefix: &str, after: Option<&str>, may_be_old: bool) -> HttpCall;
 
     /// Reads a page.
     ///
