--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -20,7 +20,7 @@
 const HOSTS_WAIT: Duration = Duration::from_secs(10);
 
 /// Time between two watches of the servers' entries, which change with every heartbeat.
-const SERVERS_INTERVAL: Duration = Duration::from_millis(500);
+const SERVERS_INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time between two checks of whether the granter tells what is in the store.
 const FED_CHECK: Duration = Duration::from_millis(200);
@@ -166,7 +166,7 @@
         };
         if ok {
             match feed {
-                Feed::Servers => shell.told.borrow_mut().on_read(now),
+                Feed::Servers => shell.told.borrow_mut().on_read(BootClock.now()),
                 Feed::Zones => shell.told.borrow_mut().on_zones_read(),
                 Feed::Config | Feed::Hosts => {}
             }
--- a/crates/router/src/fed.rs
+++ b/crates/router/src/fed.rs
@@ -47,7 +47,7 @@
     /// The same for the other documents, which change rarely.
     const SILENCE: Duration = Duration::from_millis(1_200);
     /// Age of what the granter has read up to which it stands for the store.
-    const FRESH: Duration = Duration::from_millis(1_000);
+    const FRESH: Duration = Duration::from_millis(1_400);
 
     /// Takes the state that a granter's heartbeat tells; returns whether the list of servers is
     /// needed.
