--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -32,8 +32,17 @@
 /// Time between two reports to the granter.
 const REPORT: Duration = Duration::from_millis(300);
 
-/// Range over which followers spread their attempts to take over.
-const TAKEOVER_SPREAD_MS: u64 = 500;
+/// Range over which followers of one size spread their attempts to take over.
+const TAKEOVER_SPREAD_MS: u64 = 300;
+
+/// Longest additional delay of a small machine's attempt to take over.
+const SMALL_MACHINE_DELAY: Duration = Duration::from_millis(700);
+
+/// Processor share with which a machine is large enough to be the granter of a large fleet.
+const AMPLE_CORES: f64 = 0.2;
+
+/// The same for its link, in megabits a second.
+const AMPLE_LINK_MBPS: f64 = 100.0;
 
 /// Age up to which a router's report shows that it follows the granter.
 const FOLLOWED: Duration = Duration::from_millis(1_500);
@@ -71,6 +80,8 @@
     loads: KeyLoads,
     times: BTreeMap<ServerName, f64>,
     published: u64,
+    /// Whether the owners have changed since they were published.
+    unpublished: bool,
     log_at: Time,
 }
 
@@ -78,8 +89,7 @@
     /// A follower.
     pub(crate) fn new(settings: &RouterSettings) -> Granting {
         let now = BootClock.now();
-        let spread = xxh3_64(settings.host.as_str().as_bytes()) % TAKEOVER_SPREAD_MS;
-        let delay = Duration::from_millis(spread);
+        let delay = takeover_delay(settings);
         let incarnation = crate::wall_clock::wall_nanos();
         Granting {
             leadership: Leadership::new(settings.host, incarnation, delay, now),
@@ -127,6 +137,15 @@
     }
 }
 
+/// How long a follower waits after the granter has gone silent, besides the common time.
+///
+/// Larger machines wait less, so that the granter is one that can tell the others in time.
+fn takeover_delay(settings: &RouterSettings) -> Duration {
+    let size = (settings.cores / AMPLE_CORES).min(settings.link_mbps / AMPLE_LINK_MBPS).min(1.0);
+    let spread = xxh3_64(settings.host.as_str().as_bytes()) % TAKEOVER_SPREAD_MS;
+    SMALL_MACHINE_DELAY.mul_f64(1.0 - size) + Duration::from_millis(spread)
+}
+
 /// Takes part in granting for as long as the process lives.
 pub(crate) async fn run(shell: Rc<Shell>) {
     loop {
@@ -216,7 +235,8 @@
     let unconfirmed = shell.granting.borrow().leadership.unconfirmed(now).unwrap_or_default();
     let hosts = shell.hosts.borrow().len();
     let renews = shell.granting.borrow().may_renew(now, hosts);
-    for service in shell.router.borrow().keyed_services() {
+    let services = shell.router.borrow().keyed_services();
+    for service in services {
         let candidates = shell.router.borrow().candidates(now, service);
         let mut actions = Vec::new();
         {
@@ -238,6 +258,7 @@
             }
         }
         act(shell, service, term, actions);
+        publish(shell, service);
     }
     heartbeat(shell, now, term, unconfirmed);
 }
@@ -267,6 +288,7 @@
             loads: KeyLoads::default(),
             times: BTreeMap::new(),
             published: 0,
+            unpublished: false,
             log_at: Time::ZERO,
         }
     }
@@ -345,7 +367,12 @@
                     });
                 });
             }
-            GranterAction::Publish => publish(shell, service),
+            GranterAction::Publish => {
+                let granting = &mut *shell.granting.borrow_mut();
+                if let Some(granted) = granting.services.get_mut(&service) {
+                    granted.unpublished = true;
+                }
+            }
         }
     }
 }
@@ -429,7 +456,7 @@
     Unknown,
 }
 
-/// Tells the routers who serves which keys.
+/// Tells the routers who serves which keys, if that has changed.
 fn publish(shell: &Rc<Shell>, service: ServiceName) {
     let owners = {
         let granting = &mut *shell.granting.borrow_mut();
@@ -437,15 +464,19 @@
         else {
             return;
         };
-        let Some(granter) = &granted.granter else {
+        let Some(granter) = granted.granter.as_ref().filter(|_| granted.unpublished) else {
             return;
         };
+        granted.unpublished = false;
         granted.published += 1;
         OwnerMap { term, published: granted.published, ranges: granter.serving() }
     };
-    shell.router.borrow_mut().set_owners(service, owners.clone());
-    let message = PeerMessage::Owners(ServiceOwners { service, owners });
-    shell.peers.send(&others(shell), &message);
+    let router = &mut *shell.router.borrow_mut();
+    let changes = router.owners(service).map(|before| owners.changes_since(before));
+    router.set_owners(service, owners);
+    if let Some(changes) = changes {
+        shell.peers.send(&others(shell), &PeerMessage::OwnerChanges(service, changes));
+    }
 }
 
 /// The term of which this process is the granter.
@@ -534,6 +565,11 @@
     let now = BootClock.now();
     match message {
         PeerMessage::Heartbeat(heartbeat) => on_heartbeat(shell, now, from, &heartbeat),
+        PeerMessage::OwnerChanges(service, changes) => {
+            if !shell.router.borrow_mut().change_owners(service, &changes) {
+                shell.peers.send(&[from], &PeerMessage::Want(service));
+            }
+        }
         PeerMessage::Owners(ServiceOwners { service, owners }) => {
             shell.router.borrow_mut().set_owners(service, owners);
         }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -35,7 +35,7 @@
 pub use heard::HeardHosts;
 pub use load_report::LoadReport;
 pub use own_objects::{HostRecord, own_key};
-pub use owner_map::OwnerMap;
+pub use owner_map::{OwnerChanges, OwnerMap};
 pub use peer_message::{
     FeedState, Heartbeat, KeyCount, PeerMessage, Report, ServerNews, ServerTime, ServiceOwners,
     ServiceReport,
--- a/crates/router/src/owner_map.rs
+++ b/crates/router/src/owner_map.rs
@@ -19,6 +19,32 @@
         (self.term, self.published)
     }
 
+    /// What leads from an older map to this one.
+    pub fn changes_since(&self, older: &OwnerMap) -> OwnerChanges {
+        let only = |a: &OwnerMap, b: &OwnerMap| {
+            let missing = a.ranges.iter().filter(|each| !b.ranges.contains(each));
+            missing.copied().collect::<Vec<_>>()
+        };
+        OwnerChanges {
+            term: self.term,
+            published: self.published,
+            removed: only(older, self).into_iter().map(|(range, _)| range).collect(),
+            added: only(self, older),
+        }
+    }
+
+    /// Applies the changes that follow this map; returns whether they do.
+    pub fn apply(&mut self, changes: &OwnerChanges) -> bool {
+        if changes.term != self.term || changes.published != self.published + 1 {
+            return false;
+        }
+        self.published = changes.published;
+        self.ranges.retain(|(range, _)| !changes.removed.contains(range));
+        self.ranges.extend(&changes.added);
+        self.ranges.sort_by_key(|(range, _)| *range);
+        true
+    }
+
     /// The owner of a key, if it is served.
     pub fn owner(&self, key: u16) -> Option<OwnerId> {
         let at = self.ranges.partition_point(|(range, _)| range.last < key);
@@ -26,3 +52,16 @@
         range.contains(key).then_some(*owner)
     }
 }
+
+/// The difference between two maps of which one follows the other.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct OwnerChanges {
+    /// The granter's term.
+    pub term: Term,
+    /// The number of the later map.
+    pub published: u64,
+    /// Ranges of the earlier map that the later one does not have.
+    pub removed: Vec<KeyRange>,
+    /// Ranges of the later map that the earlier one does not have.
+    pub added: Vec<(KeyRange, OwnerId)>,
+}
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,13 +1,15 @@
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{OwnerMap, ServerEntry};
+use crate::{OwnerChanges, OwnerMap, ServerEntry};
 
 /// A datagram between routers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub enum PeerMessage {
     /// From the granter to every router.
     Heartbeat(Heartbeat),
+    /// From the granter to every router: what has changed of a service's owners.
+    OwnerChanges(ServiceName, OwnerChanges),
     /// From the granter to a router that has older owners.
     Owners(ServiceOwners),
     /// From every router to the granter.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -11,8 +11,8 @@
 
 use crate::{
     AttemptResult, CallerLimits, Choice, ColdShare, Config, Counter, Directory, DirectoryChange,
-    KeyCount, LoadReport, OwnerMap, Pick, RequestFields, RequestState, RetryBudget, RouteMap,
-    RouterSettings, Server, ServerEntry, ServerTime, ServicePool, ServiceReport, Verdict,
+    KeyCount, LoadReport, OwnerChanges, OwnerMap, Pick, RequestFields, RequestState, RetryBudget,
+    RouteMap, RouterSettings, Server, ServerEntry, ServerTime, ServicePool, ServiceReport, Verdict,
 };
 
 /// Servers of a zone that are compared for a request.
@@ -206,6 +206,11 @@
         true
     }
 
+    /// Takes changes of the owners of a service's keys; returns whether they follow what is known.
+    pub fn change_owners(&mut self, service: ServiceName, changes: &OwnerChanges) -> bool {
+        self.pools.get_mut(&service).is_some_and(|pool| pool.owners.apply(changes))
+    }
+
     /// The owners of a service's keys.
     pub fn owners(&self, service: ServiceName) -> Option<&OwnerMap> {
         self.pools.get(&service).map(|pool| &pool.owners)
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -17,6 +17,8 @@
     pub(crate) cold: ColdShare,
     /// Time of a request without queueing, in milliseconds, as a moving average.
     service_ms: Option<f64>,
+    /// Whether the time was measured since it was last reported.
+    measured: bool,
     /// Share of recent requests that it failed or did not run.
     failing: f64,
     report: Option<Reported>,
@@ -58,6 +60,7 @@
             cold_until,
             cold: ColdShare::new(now),
             service_ms: None,
+            measured: false,
             failing: 0.0,
             report: None,
             avoided_until: Time::ZERO,
@@ -106,6 +109,11 @@
         self.service_ms
     }
 
+    /// The time of a request if it was measured since the last call.
+    pub fn take_measured(&mut self) -> Option<f64> {
+        std::mem::take(&mut self.measured).then_some(self.service_ms).flatten()
+    }
+
     /// Requests that run or wait at the server, as far as is known.
     pub fn occupancy(&self, now: Time) -> f64 {
         let others = self.report.map_or(0.0, |report| {
@@ -154,6 +162,7 @@
         let waiting = self.report.map_or(0.0, |report| f64::from(report.load.waiting));
         let queued = (sent_occupancy + 1.0 - slots).max(waiting);
         let sample = took.as_secs_f64() * 1000.0;
+        self.measured = true;
         self.service_ms = match self.service_ms {
             None => Some(sample / (1.0 + queued / slots)),
             Some(mean) if queued <= 0.0 => Some(mean + Server::GAIN * (sample - mean)),
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -20,6 +20,10 @@
     pub metrics: SocketAddr,
     /// The store.
     pub store: SocketAddr,
+    /// Share of a core that the process has.
+    pub cores: f64,
+    /// Bandwidth of the machine's link, in megabits a second.
+    pub link_mbps: f64,
     /// Memory of the machine, in bytes.
     pub memory_bytes: u64,
     /// File descriptors that the process may use.
