--- a/crates/node/src/gate_shell/http_limits.rs
+++ b/crates/node/src/gate_shell/http_limits.rs
@@ -24,6 +24,8 @@
     pub connections_per_target: usize,
     /// Most idle connections of this gate to one target.
     pub idle_per_target: usize,
+    /// Connections that are kept idle although as many as allowed are open.
+    pub idle_beyond_cap: usize,
     /// Time after which an idle connection to a target is not used again.
     pub reuse_time: Duration,
     /// Time without an answer's first byte after which a cancelled attempt speaks against the
@@ -45,6 +47,7 @@
             kept_body: 64 * 1024,
             connections_per_target: 12,
             idle_per_target: 4,
+            idle_beyond_cap: 0,
             reuse_time: Duration::from_secs(4),
             suspect_after: Duration::from_millis(250),
             linger: Duration::from_secs(1),
--- a/crates/node/src/gate_shell/pool.rs
+++ b/crates/node/src/gate_shell/pool.rs
@@ -1,6 +1,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
+use std::time::Duration;
 
 use bay_time::{BootClock, Clock, Time};
 
@@ -75,7 +76,20 @@
         if fresh {
             self.suspect(to);
         }
-        let (place, idle) = self.reserve(to, cap)?;
+        self.lease_idle_for(to, cap, self.limits.reuse_time).await
+    }
+
+    /// Like [`ConnectionPool::lease`], with a connection that was idle for no longer than this.
+    ///
+    /// # Errors
+    /// Returns an error if no connection comes about.
+    pub(crate) async fn lease_idle_for(
+        self: &Arc<ConnectionPool>,
+        to: SocketAddr,
+        cap: usize,
+        longest_idle: Duration,
+    ) -> Result<Leased, ConnectError> {
+        let (place, idle) = self.reserve(to, cap, longest_idle)?;
         if let Some(connection) = idle {
             return Ok(Leased { connection, place });
         }
@@ -89,6 +103,7 @@
         self: &Arc<ConnectionPool>,
         to: SocketAddr,
         cap: usize,
+        longest_idle: Duration,
     ) -> Result<(Place, Option<Connection>), ConnectError> {
         let cap = cap.min(self.limits.connections_per_target);
         let now = BootClock.now();
@@ -96,7 +111,7 @@
         let target = targets.entry(to).or_default();
         let place = |suspected| Place { pool: Arc::clone(self), to, cap, suspected };
         while let Some(idle) = target.idle.pop() {
-            let young = now.since(idle.since) < self.limits.reuse_time;
+            let young = now.since(idle.since) < longest_idle.min(self.limits.reuse_time);
             if young && idle.connection.is_quiet() {
                 return Ok((place(target.suspected), Some(idle.connection)));
             }
@@ -147,7 +162,7 @@
         };
         let trusted = target.suspected == place.suspected;
         // An idle connection has no request of its own to allow for it.
-        let within_share = target.open < place.cap;
+        let within_share = target.open < place.cap + place.pool.limits.idle_beyond_cap;
         if trusted && within_share && target.idle.len() < place.pool.limits.idle_per_target {
             target.idle.push(IdleConnection { connection, since: BootClock.now() });
             // The place's end frees one, which the idle connection takes.
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -73,7 +73,9 @@
         let metrics = Async::<TcpListener>::bind(settings.metrics).map_err(at(settings.metrics))?;
         let peers = peers::bind(settings.peer).map_err(at(settings.peer))?;
         let meters = Arc::new(Meters::default());
-        let limits = HttpLimits::default();
+        // The last connection that a router may have to a server is kept, as it is its only one
+        // in a large fleet.
+        let limits = HttpLimits { idle_beyond_cap: 1, ..HttpLimits::default() };
         let seed = BootClock.now().as_nanos() ^ wall_nanos();
         let shell = Rc::new(Shell {
             router: RefCell::new(Router::new(settings.clone(), seed)),
--- a/crates/node/src/router_shell/serve.rs
+++ b/crates/node/src/router_shell/serve.rs
@@ -16,6 +16,10 @@
 /// Longest time for a connection to a server to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
+/// Idle time after which a connection is not used for a request that may run once only: if its
+/// server has closed it in the meantime, nobody knows whether the request ran.
+const ONCE_REUSE_TIME: Duration = Duration::from_millis(1_500);
+
 /// Pause while all of this router's connections to a server are in use.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
@@ -131,7 +135,11 @@
 ) -> (Option<AttemptResult>, Option<ServerAnswer>) {
     let now = BootClock.now();
     let span = request.time_left(now).min(CONNECT_TIMEOUT);
-    let mut leased = match connect(shell, choice, span).await {
+    let longest_idle = match request.route.idempotent() {
+        true => shell.limits.reuse_time,
+        false => ONCE_REUSE_TIME,
+    };
+    let mut leased = match connect(shell, choice, span, longest_idle).await {
         Ok(leased) => leased,
         Err(ConnectError::AtLimit) => return (None, None),
         Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
@@ -174,8 +182,10 @@
     shell: &Rc<Shell>,
     choice: &Choice,
     span: Duration,
+    longest_idle: Duration,
 ) -> Result<Leased, ConnectError> {
-    let lease = shell.pool.lease(choice.address, false, choice.max_connections);
+    let cap = choice.max_connections;
+    let lease = shell.pool.lease_idle_for(choice.address, cap, longest_idle);
     let late = async {
         Timer::after(span).await;
         Err(ConnectError::Refused)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -37,7 +37,7 @@
     /// milliseconds; bytes between zones are what the platform charges most for.
     const CROSS_ZONE_MS_PER_KB: f64 = 3.0;
     /// Expected time that any request costs in another zone, in milliseconds.
-    const CROSS_ZONE_MS: f64 = 2.0;
+    const CROSS_ZONE_MS: f64 = 15.0;
     /// Pause before an owner is looked for again.
     const OWNER_PAUSE: Duration = Duration::from_millis(15);
     /// Share of the latency objective for which a request waits for its key's owner.
