--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -167,6 +167,11 @@
         lead(shell, now);
     }
     report(shell, now);
+    let crashes = shell.router.borrow_mut().take_crashes();
+    if !crashes.is_empty() {
+        log::warn!(requests = crashes.len(); "servers ended while they ran requests");
+        shell.peers.send(&others(shell), &PeerMessage::Crashes(crashes));
+    }
 }
 
 /// Performs a call of the election.
@@ -579,6 +584,10 @@
             }
         }
         PeerMessage::Servers(news) => news::on_news(shell, from, news),
+        PeerMessage::Crashes(crashes) => {
+            let mut router = shell.router.borrow_mut();
+            crashes.into_iter().for_each(|crash| router.on_crash(now, crash));
+        }
         PeerMessage::WantServers => news::tell_all(shell, from),
         PeerMessage::Want(service) => {
             let owners = shell.router.borrow().owners(service).cloned();
--- a/crates/node/src/router_shell/request_head.rs
+++ b/crates/node/src/router_shell/request_head.rs
@@ -30,6 +30,8 @@
     pub(crate) bytes: Vec<u8>,
     /// The host name, without a port.
     pub(crate) host: String,
+    /// The method, the path and the query.
+    pub(crate) target: String,
     /// The path, without the query.
     pub(crate) path: String,
     /// Whether the answer has no body, whatever its head says.
@@ -75,8 +77,9 @@
             }
         }
         let path = target.split('?').next().unwrap_or_default().to_owned();
+        let target = format!("{method} {target}");
         let to_head = method == "HEAD";
-        Ok(RequestHead { bytes, host, path, to_head, fields, facts })
+        Ok(RequestHead { bytes, host, target, path, to_head, fields, facts })
     }
 
     /// Whether the request has no body and may be answered beside others of its connection.
--- a/crates/node/src/router_shell/serve.rs
+++ b/crates/node/src/router_shell/serve.rs
@@ -6,6 +6,7 @@
 use bay_time::{BootClock, Clock, Time};
 use bay_types::ErrorKind;
 use futures_lite::future;
+use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::attempt::{Outgoing, ServerAnswer, exchange};
 use super::reply::Reply;
@@ -20,6 +21,9 @@
 /// server has closed it in the meantime, nobody knows whether the request ran.
 const ONCE_REUSE_TIME: Duration = Duration::from_millis(1_500);
 
+/// Bytes of a body that tell it apart from others.
+const DIGEST_BYTES: usize = 4 * 1024;
+
 /// Pause while all of this router's connections to a server are in use.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
@@ -55,12 +59,19 @@
         }
     };
     request.body_bytes = body.len() as u64;
+    request.digest = digest(&head, &body);
     let outgoing = Outgoing::new(head, body);
     let served = attempts(&shell, &mut request, &outgoing).await;
     log_request(&outgoing.head, &request, &served);
     served.reply
 }
 
+/// Tells requests apart by what a server is asked to do, whoever sends them again.
+fn digest(head: &RequestHead, body: &[u8]) -> u64 {
+    let body = xxh3_64(&body[..body.len().min(DIGEST_BYTES)]);
+    xxh3_64_with_seed(head.target.as_bytes(), xxh3_64_with_seed(head.host.as_bytes(), body))
+}
+
 /// How a request ended.
 struct Served {
     reply: Reply,
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -16,6 +16,10 @@
     /// Until when a missing entry may still come back after an outage of the store.
     lapse_until: Time,
     loaded: bool,
+    /// Revisions at which servers were removed, so that an older entry does not bring one back.
+    removed: BTreeMap<ServerName, Revision>,
+    /// Lives of servers that have ended since the last call of [`Directory::take_ended`].
+    ended: Vec<(ServerName, u64)>,
 }
 
 #[derive(Debug)]
@@ -43,6 +47,9 @@
     /// Time after an outage of the store in which lapsed entries come back (platform bound).
     const LAPSE_GRACE: Duration = Duration::from_millis(2_000);
 
+    /// Most removals that are remembered.
+    const MAX_REMOVED: usize = 4_096;
+
     /// Whether all entries were read once.
     pub fn is_loaded(&self) -> bool {
         self.loaded
@@ -74,9 +81,14 @@
                     _ => DirectoryChange::None,
                 }
             }
+            None if self.removed.get(&name).is_some_and(|at| revision <= *at) => {
+                DirectoryChange::None
+            }
             _ => {
                 let listed = Listed { server: Server::new(now, entry), revision };
-                self.servers.insert(name, listed);
+                if let Some(before) = self.servers.insert(name, listed) {
+                    self.ended.push((name, before.server.entry.started));
+                }
                 DirectoryChange::Started
             }
         }
@@ -115,10 +127,26 @@
             listed.server.ends_at.get_or_insert(self.lapse_until);
             return DirectoryChange::None;
         }
-        self.servers.remove(&name);
+        self.forget(name, revision);
         DirectoryChange::Left
     }
 
+    fn forget(&mut self, name: ServerName, revision: Revision) {
+        if let Some(listed) = self.servers.remove(&name) {
+            self.ended.push((name, listed.server.entry.started));
+        }
+        if self.removed.len() >= Directory::MAX_REMOVED {
+            self.removed.clear();
+        }
+        // The entry of a removal may tell the revision of the last write only.
+        self.removed.insert(name, revision);
+    }
+
+    /// Lives of servers that have ended since the last call.
+    pub fn take_ended(&mut self) -> Vec<(ServerName, u64)> {
+        std::mem::take(&mut self.ended)
+    }
+
     /// Takes note that the store answers again after an outage.
     pub fn on_store_back(&mut self, now: Time) {
         self.lapse_until = now + Directory::LAPSE_GRACE;
@@ -130,7 +158,8 @@
         let gone: Vec<ServerName> =
             self.servers.iter().filter(|(_, listed)| due(listed)).map(|(name, _)| *name).collect();
         for name in &gone {
-            self.servers.remove(name);
+            let revision = self.revision(*name).unwrap_or_default();
+            self.forget(*name, revision);
         }
         gone
     }
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,7 +1,7 @@
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
-use crate::{OwnerChanges, OwnerMap, ServerEntry};
+use crate::{Crash, OwnerChanges, OwnerMap, ServerEntry};
 
 /// A datagram between routers.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -20,6 +20,8 @@
     Servers(ServerNews),
     /// Asks the granter for all servers.
     WantServers,
+    /// From a router to every other: servers that crashed while they ran a request.
+    Crashes(Vec<Crash>),
 }
 
 /// Changes of servers, or a part of all of them.
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -15,6 +15,8 @@
     pub service: ServiceName,
     /// Its key.
     pub key: Option<u16>,
+    /// Tells it apart from others by what a server is asked to do.
+    pub digest: u64,
     /// Bytes of its body.
     pub body_bytes: u64,
     /// When its head was read.
@@ -48,6 +50,7 @@
             route,
             service,
             key,
+            digest: 0,
             body_bytes: 0,
             arrived: now,
             ends_at: now + span,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,9 +10,10 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::{
-    AttemptResult, CallerLimits, Choice, ColdShare, Config, Counter, Directory, DirectoryChange,
-    KeyCount, LoadReport, OwnerChanges, OwnerMap, Pick, RequestFields, RequestState, RetryBudget,
-    RouteMap, RouterSettings, Server, ServerEntry, ServerTime, ServicePool, ServiceReport, Verdict,
+    AttemptResult, CallerLimits, Choice, ColdShare, Config, Counter, Crash, CrashWatch, Directory,
+    DirectoryChange, KeyCount, LoadReport, OwnerChanges, OwnerMap, Pick, RequestFields,
+    RequestState, RetryBudget, RouteMap, RouterSettings, Server, ServerEntry, ServerTime,
+    ServicePool, ServiceReport, Verdict,
 };
 
 /// Servers of a zone that are compared for a request.
@@ -26,6 +27,8 @@
     routes: RouteMap,
     pools: HashMap<ServiceName, ServicePool>,
     directory: Directory,
+    crashes: CrashWatch,
+    found_crashes: Vec<Crash>,
     hosts: Vec<HostName>,
     routers: u32,
     random: SmallRng,
@@ -63,6 +66,8 @@
             routes: RouteMap::default(),
             pools: HashMap::new(),
             directory: Directory::default(),
+            crashes: CrashWatch::default(),
+            found_crashes: Vec::new(),
             hosts: Vec::new(),
             routers: Router::FEW_ROUTERS,
             random: SmallRng::seed_from_u64(seed),
@@ -131,6 +136,7 @@
     ) -> DirectoryChange {
         let change = self.directory.apply(now, name, revision, entry);
         self.index(name);
+        self.find_crashes(now);
         change
     }
 
@@ -145,6 +151,7 @@
         for (name, _) in &changes {
             self.index(*name);
         }
+        self.find_crashes(now);
         changes
     }
 
@@ -159,9 +166,27 @@
         for name in &gone {
             self.index(*name);
         }
+        self.find_crashes(now);
         gone
     }
 
+    /// Looks which requests ran at servers that have ended.
+    fn find_crashes(&mut self, now: Time) {
+        for (server, started) in self.directory.take_ended() {
+            self.found_crashes.extend(self.crashes.on_ended(now, server, started));
+        }
+    }
+
+    /// The crashes found since the last call, for the other routers.
+    pub fn take_crashes(&mut self) -> Vec<Crash> {
+        std::mem::take(&mut self.found_crashes)
+    }
+
+    /// Takes a crash that another router has found.
+    pub fn on_crash(&mut self, now: Time, crash: Crash) {
+        self.crashes.on_crash(now, crash);
+    }
+
     fn index(&mut self, name: ServerName) {
         let service = self.directory.get(name).map(|server| server.entry.service);
         for (other, pool) in &mut self.pools {
@@ -288,6 +313,9 @@
 
     /// Picks the server of the next attempt.
     pub fn pick(&mut self, now: Time, request: &RequestState) -> Pick {
+        if let Some(span) = self.crashes.banned(now, request.digest) {
+            return Pick::Refuse(ErrorKind::Quarantined, Some(span));
+        }
         if request.time_left(now).is_zero() {
             let kind = match request.may_have_run {
                 true => ErrorKind::DeadlineUnknown,
@@ -568,6 +596,16 @@
         result: AttemptResult,
         took: Duration,
     ) {
+        match result {
+            AttemptResult::Answered { not_run: false, .. } => {
+                self.crashes.on_completed(request.digest);
+            }
+            AttemptResult::Lost(ErrorKind::ConnectionLost) => {
+                let Choice { server, started, .. } = *choice;
+                self.crashes.on_lost(now, Crash { digest: request.digest, server, started });
+            }
+            _ => {}
+        }
         let Some(server) = self.directory.get_mut(choice.server) else {
             return;
         };
--- /dev/null
+++ b/crates/router/tests/directory.rs
@@ -0,0 +1,101 @@
+//! What the store lists, and in which order it becomes known.
+
+mod support;
+
+use std::collections::BTreeSet;
+use std::time::Duration;
+
+use bay_router::{Directory, DirectoryChange, ServerState};
+use bay_types::Revision;
+use support::{at, entry, server, zone};
+
+fn listed() -> Directory {
+    let mut directory = Directory::default();
+    directory.replace(at(0), Revision(5), vec![(server("s"), Revision(5), entry("p", "a", 1))]);
+    directory
+}
+
+#[test]
+fn an_entry_older_than_the_known_one_changes_nothing() {
+    let mut directory = listed();
+    let draining = bay_router::ServerEntry { state: ServerState::Draining, ..entry("p", "a", 1) };
+    let change = directory.apply(at(1), server("s"), Revision(7), Some(draining));
+    assert_eq!(change, DirectoryChange::Left);
+    let change = directory.apply(at(2), server("s"), Revision(6), Some(entry("p", "a", 1)));
+    assert_eq!(change, DirectoryChange::None);
+    assert!(!directory.get(server("s")).unwrap().is_ready());
+}
+
+#[test]
+fn an_entry_older_than_a_removal_does_not_bring_a_server_back() {
+    let mut directory = listed();
+    directory.apply(at(1), server("s"), Revision(9), None);
+    let change = directory.apply(at(2), server("s"), Revision(8), Some(entry("p", "a", 1)));
+    assert_eq!(change, DirectoryChange::None);
+    assert!(directory.get(server("s")).is_none());
+}
+
+#[test]
+fn another_life_of_a_server_is_another_server() {
+    let mut directory = listed();
+    let restarted = bay_router::ServerEntry { started: 2, ..entry("p", "a", 1) };
+    let change = directory.apply(at(1), server("s"), Revision(6), Some(restarted));
+    assert_eq!(change, DirectoryChange::Started);
+    assert_eq!(directory.take_ended(), vec![(server("s"), 1)]);
+}
+
+/// An entry that lapsed in an outage of the store counts until two seconds after it, and no longer.
+#[test]
+fn a_lapsed_entry_ends_two_seconds_after_the_outage() {
+    let mut directory = listed();
+    directory.on_store_back(at(10_000));
+    assert_eq!(
+        directory.apply(at(10_100), server("s"), Revision(9), None),
+        DirectoryChange::None
+    );
+    let takes = |directory: &Directory, millis| {
+        directory.takes_requests(at(millis), directory.get(server("s")).unwrap())
+    };
+    assert!(takes(&directory, 11_900));
+    assert!(!takes(&directory, 12_000));
+    assert_eq!(directory.expire(at(12_000)), vec![server("s")]);
+}
+
+#[test]
+fn a_lapsed_entry_that_comes_back_goes_on() {
+    let mut directory = listed();
+    directory.on_store_back(at(10_000));
+    directory.apply(at(10_100), server("s"), Revision(9), None);
+    directory.apply(at(11_000), server("s"), Revision(10), Some(entry("p", "a", 1)));
+    assert!(directory.expire(at(13_000)).is_empty());
+    assert!(directory.takes_requests(at(13_000), directory.get(server("s")).unwrap()));
+}
+
+#[test]
+fn a_removal_without_an_outage_takes_effect_at_once() {
+    let mut directory = listed();
+    let change = directory.apply(at(1), server("s"), Revision(9), None);
+    assert_eq!(change, DirectoryChange::Left);
+}
+
+#[test]
+fn servers_of_a_zone_that_is_out_take_no_requests_and_may_be_cold_when_it_returns() {
+    let mut directory = listed();
+    let warm_up = Duration::from_secs(3);
+    directory.set_zones_out(at(1), BTreeSet::from([zone("a")]), warm_up);
+    assert!(!directory.takes_requests(at(2), directory.get(server("s")).unwrap()));
+    directory.set_zones_out(at(5_000), BTreeSet::new(), warm_up);
+    let listed = directory.get(server("s")).unwrap();
+    assert!(directory.takes_requests(at(5_001), listed));
+    assert!(directory.may_be_cold(at(7_999), listed));
+    assert!(!directory.may_be_cold(at(8_001), listed));
+}
+
+#[test]
+fn a_server_that_turns_cold_without_a_restart_is_noticed() {
+    let mut directory = listed();
+    let cold =
+        bay_router::ServerEntry { warm_up_left: Duration::from_secs(2), ..entry("p", "a", 1) };
+    let change = directory.apply(at(1), server("s"), Revision(6), Some(cold));
+    assert_eq!(change, DirectoryChange::Cold);
+}
--- /dev/null
+++ b/crates/router/tests/limits.rs
@@ -0,0 +1,91 @@
+//! Limits that hold over all routers: the retry budget and cold servers.
+
+mod support;
+
+use std::time::Duration;
+
+use bay_router::{Bounds, ColdShare, RetryBudget};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use support::at;
+use test_case::test_case;
+
+const WINDOW_MS: u64 = 10_000;
+
+/// In any window, the retries of all routers stay within ratio times requests plus the extra.
+#[test_case(1, 40.0; "one busy router")]
+#[test_case(9, 20.0; "nine routers")]
+#[test_case(80, 2.0; "eighty quiet routers")]
+fn retries_stay_within_the_budget_of_all_routers(routers: u32, per_second: f64) {
+    let bounds = Bounds {
+        retry_ratio: 0.2,
+        retry_extra: 58.0,
+        retry_window: Duration::from_millis(WINDOW_MS),
+        ..Bounds::default()
+    };
+    let mut random = SmallRng::seed_from_u64(u64::from(routers));
+    let mut budgets: Vec<RetryBudget> = (0..routers)
+        .map(|_| {
+            let mut budget = RetryBudget::new(&bounds);
+            budget.set_routers(at(0), routers);
+            budget
+        })
+        .collect();
+    let (mut requests, mut retries) = (Vec::new(), Vec::new());
+    for millis in (0..40_000).step_by(10) {
+        for budget in &mut budgets {
+            if random.random_bool(per_second * 0.01) {
+                budget.on_request(at(millis));
+                requests.push(millis);
+                // Every request wants two retries.
+                for _ in 0..2 {
+                    if budget.take(at(millis)) {
+                        retries.push(millis);
+                    }
+                }
+            }
+        }
+    }
+    let within = |times: &[u64], from: u64| {
+        times.iter().filter(|at| (from..from + WINDOW_MS).contains(at)).count() as f64
+    };
+    for from in (0..30_000).step_by(50) {
+        let allowed = within(&requests, from) * 0.2 + 58.0;
+        assert!(within(&retries, from) <= allowed, "window from {from} ms");
+    }
+    assert!(!retries.is_empty());
+}
+
+#[test]
+fn a_router_that_joins_lowers_the_share_at_once_and_one_that_leaves_raises_it_later() {
+    let bounds = Bounds { retry_ratio: 0.0, retry_extra: 60.0, ..Bounds::default() };
+    let mut budget = RetryBudget::new(&bounds);
+    budget.set_routers(at(0), 10);
+    budget.set_routers(at(1_000), 2);
+    let taken = (0..100).filter(|_| budget.take(at(2_000))).count();
+    assert!(taken <= 6, "{taken} retries while ten routers may have spent their parts");
+}
+
+/// In any second, what all senders send to a cold server stays within its bound.
+#[test_case(5.0, 9; "swanline")]
+#[test_case(18.0, 8; "puhas kott")]
+#[test_case(2.0, 80; "few requests, many routers")]
+fn cold_servers_get_no_more_than_they_bear(rate: f64, routers: u32) {
+    const OVERSHOOT: f64 = 1.5;
+    const SLACK: f64 = 5.0;
+    let senders = ColdShare::senders(rate, routers);
+    let mut shares = vec![ColdShare::new(at(0)); senders as usize];
+    let mut sent = Vec::new();
+    for millis in (0..5_000).step_by(5) {
+        for share in &mut shares {
+            if share.take(at(millis), rate, senders) {
+                sent.push(millis);
+            }
+        }
+    }
+    for from in (0..4_000_u64).step_by(20) {
+        let count = sent.iter().filter(|at| (from..from + 1_000).contains(at)).count() as f64;
+        assert!(count <= rate * OVERSHOOT + SLACK, "{count} in the second from {from} ms");
+    }
+    assert!(sent.len() as f64 >= rate * 2.0, "a cold server gets some requests");
+}
--- /dev/null
+++ b/crates/router/tests/news.rs
@@ -0,0 +1,78 @@
+//! What the granter tells the other routers.
+
+mod support;
+
+use bay_range::{KeyRange, OwnerId};
+use bay_router::{Fed, FeedState, News, OwnerMap, ServerNews};
+use bay_types::{Revision, Term};
+use support::{at, entry, server};
+
+fn state(servers: u64) -> FeedState {
+    FeedState { age_ms: 100, servers, config: 1, zones_out: Vec::new(), hosts: 1 }
+}
+
+fn news(number: u64, part: Option<(u16, u16)>, name: &str) -> ServerNews {
+    let servers = vec![(server(name), Revision(number), Some(entry("p", "a", 1)))];
+    ServerNews { term: Term(1), number, part, servers }
+}
+
+#[test]
+fn a_list_counts_once_all_of_its_parts_have_arrived() {
+    let mut fed = Fed::default();
+    assert!(fed.on_heartbeat(at(0), Term(1), state(3)));
+    assert_eq!(fed.on_news(news(3, Some((1, 2)), "y")), News::Nothing);
+    assert!(!fed.has_servers(at(1)));
+    let News::All(servers) = fed.on_news(news(3, Some((0, 2)), "x")) else {
+        panic!("expected the whole list");
+    };
+    assert_eq!(servers.len(), 2);
+    assert!(fed.has_servers(at(1)));
+}
+
+#[test]
+fn parts_of_different_lists_are_never_mixed() {
+    let mut fed = Fed::default();
+    fed.on_news(news(3, Some((0, 2)), "x"));
+    assert_eq!(fed.on_news(news(4, Some((1, 2)), "y")), News::Nothing);
+    assert!(matches!(fed.on_news(news(4, Some((0, 2)), "z")), News::All(_)));
+}
+
+#[test]
+fn a_missed_change_is_noticed() {
+    let mut fed = Fed::default();
+    fed.on_news(news(1, Some((0, 1)), "x"));
+    assert!(matches!(fed.on_news(news(2, None, "y")), News::Changes(_)));
+    assert_eq!(fed.on_news(news(2, None, "y")), News::Nothing);
+    assert_eq!(fed.on_news(news(4, None, "z")), News::Gap);
+}
+
+#[test]
+fn silence_or_an_old_reading_sends_a_router_to_the_store() {
+    let mut fed = Fed::default();
+    fed.on_heartbeat(at(0), Term(1), state(1));
+    fed.on_news(news(1, Some((0, 1)), "x"));
+    assert!(fed.has_servers(at(600)));
+    assert!(!fed.has_servers(at(800)));
+    assert!(fed.state(at(1_000)).is_some());
+    assert!(fed.state(at(1_300)).is_none());
+    fed.on_heartbeat(at(2_000), Term(1), FeedState { age_ms: 1_500, ..state(1) });
+    assert!(!fed.has_servers(at(2_001)));
+}
+
+#[test]
+fn owner_changes_lead_to_the_same_map() {
+    let owner = |name: &str| OwnerId { server: server(name), started: 1 };
+    let ranges = vec![(KeyRange::new(0, 99), owner("x")), (KeyRange::new(100, 199), owner("y"))];
+    let mut older = OwnerMap { term: Term(1), published: 4, ranges };
+    let ranges = vec![
+        (KeyRange::new(0, 49), owner("x")),
+        (KeyRange::new(50, 99), owner("z")),
+        (KeyRange::new(100, 199), owner("y")),
+    ];
+    let newer = OwnerMap { term: Term(1), published: 5, ranges };
+    let changes = newer.changes_since(&older);
+    assert_eq!((changes.removed.len(), changes.added.len()), (1, 2));
+    assert!(older.apply(&changes));
+    assert_eq!(older, newer);
+    assert!(!older.apply(&changes), "changes apply only to the map that they follow");
+}
--- /dev/null
+++ b/crates/router/tests/support/mod.rs
@@ -0,0 +1,129 @@
+//! Settings, configurations and servers for the tests.
+#![allow(dead_code, reason = "each test file uses a part")]
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bay_router::{
+    Bounds, CallerLimits, Config, Pick, RequestFields, RequestState, RouteKind, RouteSpec, Router,
+    RouterSettings, ServerEntry, ServerState, ServiceSpec,
+};
+use bay_time::Time;
+use bay_types::{HostName, Revision, ServerName, ServiceName, ZoneName};
+
+pub fn at(millis: u64) -> Time {
+    Time::from_millis(millis)
+}
+
+pub fn zone(name: &str) -> ZoneName {
+    ZoneName::new(name).unwrap()
+}
+
+pub fn service(name: &str) -> ServiceName {
+    ServiceName::new(name).unwrap()
+}
+
+pub fn server(name: &str) -> ServerName {
+    ServerName::new(name).unwrap()
+}
+
+pub fn settings(host: &str) -> RouterSettings {
+    let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
+    RouterSettings {
+        host: HostName::new(host).unwrap(),
+        zone: zone("a"),
+        listen: address(1),
+        ready: address(2),
+        peer: address(3),
+        metrics: address(4),
+        store: address(5),
+        cores: 0.2,
+        link_mbps: 1_000.0,
+        memory_bytes: 256 << 20,
+        descriptors: 4_096,
+        server_heartbeat: Duration::from_secs(1),
+        bounds: Bounds { retry_ratio: 0.2, retry_extra: 50.0, ..Bounds::default() },
+    }
+}
+
+pub fn route(host: &str, prefix: &str, kind: RouteKind, parts: &[(&str, u32)]) -> RouteSpec {
+    RouteSpec {
+        name: format!("{host}{prefix}"),
+        host: host.to_owned(),
+        prefix: prefix.to_owned(),
+        kind,
+        timeout: Duration::from_secs(2),
+        objective: Duration::from_millis(200),
+        max_attempts: 2,
+        priority: 1,
+        parts: parts.iter().map(|(name, weight)| (service(name), *weight)).collect(),
+    }
+}
+
+pub fn spec(name: &str, keyed: bool) -> ServiceSpec {
+    ServiceSpec {
+        name: service(name),
+        health_path: "/health".to_owned(),
+        max_connections: 100,
+        warm_up: Duration::from_secs(3),
+        warm_up_rate: 5.0,
+        keyed,
+    }
+}
+
+pub fn config(version: u64) -> Config {
+    Config {
+        version,
+        routes: vec![
+            route("shop", "/pool/", RouteKind::Idempotent, &[("pool", 1)]),
+            route("shop", "/once/", RouteKind::Once, &[("pool", 1)]),
+            route("shop", "/keyed/", RouteKind::Idempotent, &[("keyed", 1)]),
+        ],
+        services: vec![spec("pool", false), spec("keyed", true)],
+        limits: CallerLimits::default(),
+    }
+}
+
+pub fn entry(of: &str, in_zone: &str, index: u8) -> ServerEntry {
+    ServerEntry {
+        service: service(of),
+        address: SocketAddr::from(([10, 1, 0, index], 80)),
+        zone: zone(in_zone),
+        slots: 4,
+        state: ServerState::Ready,
+        warm_up_left: Duration::ZERO,
+        started: 1,
+        heartbeat: 1,
+    }
+}
+
+/// A router with servers of the service `pool` in zones `a` and `b`, and `keyed` in `a`.
+pub fn router(pool_a: u8, pool_b: u8, keyed: u8) -> Router {
+    let mut router = Router::new(settings("h1"), 7);
+    router.apply_config(config(1));
+    let mut entries = Vec::new();
+    for index in 0..pool_a {
+        entries.push((format!("a{index}"), entry("pool", "a", index)));
+    }
+    for index in 0..pool_b {
+        entries.push((format!("b{index}"), entry("pool", "b", 50 + index)));
+    }
+    for index in 0..keyed {
+        entries.push((format!("k{index}"), entry("keyed", "a", 100 + index)));
+    }
+    let entries = entries.into_iter().map(|(name, entry)| (server(&name), Revision(1), entry));
+    router.replace_servers(at(0), Revision(1), entries.collect());
+    router
+}
+
+pub fn admit(router: &mut Router, now: Time, path: &str, key: Option<u16>) -> RequestState {
+    let fields = RequestFields { key, ..RequestFields::default() };
+    router.admit(now, "shop", path, &fields).unwrap()
+}
+
+pub fn picked(pick: Pick) -> bay_router::Choice {
+    match pick {
+        Pick::Send(choice) => choice,
+        other => panic!("expected a server, found {other:?}"),
+    }
+}
