--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -86,6 +86,7 @@
             told: RefCell::default(),
             hosts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
+            latencies: RefCell::default(),
             open: Cell::new(0),
             incarnation: wall_nanos(),
             executor,
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -90,6 +90,9 @@
     for (name, count) in shell.counters.totals() {
         line(&name, count);
     }
+    for (name, value) in shell.latencies.borrow().values() {
+        line(&name, value);
+    }
     line("buffers.held_bytes", shell.meters.buffers.held());
     line("buffers.peak_bytes", shell.meters.buffers.peak());
     text
--- a/crates/node/src/router_shell/serve.rs
+++ b/crates/node/src/router_shell/serve.rs
@@ -62,6 +62,10 @@
     request.digest = digest(&head, &body);
     let outgoing = Outgoing::new(head, body);
     let served = attempts(&shell, &mut request, &outgoing).await;
+    let took = BootClock.now().since(request.arrived);
+    let outcome = if served.error.is_some() { "refused" } else { "answered" };
+    let name = format!("request.{}.{outcome}", request.service);
+    shell.latencies.borrow_mut().record(&name, took);
     log_request(&outgoing.head, &request, &served);
     served.reply
 }
--- a/crates/obs/src/logger.rs
+++ b/crates/obs/src/logger.rs
@@ -1,33 +1,89 @@
 use std::collections::BTreeMap;
-use std::io;
+use std::io::{self, Write};
+use std::sync::{Mutex, PoisonError};
 use std::time::{SystemTime, UNIX_EPOCH};
 
+use bay_time::{BootClock, Clock, Time};
 use log::kv::{Key, Value, VisitSource};
+use rustix::event::{PollFd, PollFlags, Timespec, poll};
 use serde_json::json;
 
+use crate::LineLimit;
+
 pub use log::LevelFilter as LogLevel;
 
 /// Sends the process's log to standard output, one JSON object a line.
 ///
+/// Lines beyond [`LineLimit`], and those for which the output has no room, are left out and
+/// counted, so that the log neither floods nor blocks the process.
+///
 /// # Errors
 /// Returns an error if the process already has a log.
 pub fn init_log(level: LogLevel, process: &'static str) -> Result<(), log::SetLoggerError> {
+    let output = Mutex::new(Output {
+        limit: LineLimit::new(BootClock.now()),
+        reported: BootClock.now(),
+        process,
+    });
     fern::Dispatch::new()
         .level(level)
-        .format(move |out, message, record| {
-            let line = json!({
-                "time_ms": wall_millis(),
-                "level": record.level().as_str(),
-                "process": process,
-                "event": message.to_string(),
-                "fields": fields(record),
-            });
-            out.finish(format_args!("{line}"));
-        })
-        .chain(io::stdout())
+        .chain(fern::Output::call(move |record| {
+            output.lock().unwrap_or_else(PoisonError::into_inner).write(record);
+        }))
         .apply()
 }
 
+/// Standard output with its limit.
+#[derive(Debug)]
+struct Output {
+    limit: LineLimit,
+    /// When lines that were left out were last told.
+    reported: Time,
+    process: &'static str,
+}
+
+impl Output {
+    fn write(&mut self, record: &log::Record<'_>) {
+        let now = BootClock.now();
+        if !self.limit.admit(now, record.level() <= log::Level::Warn) {
+            return;
+        }
+        let level = record.level().as_str();
+        let event = record.args().to_string();
+        self.write_line(level, &event, &fields(record));
+        if now.since(self.reported) >= LineLimit::report_interval()
+            && let Some(left_out) = self.limit.take_left_out()
+        {
+            self.reported = now;
+            let fields = BTreeMap::from([("lines".to_owned(), left_out.to_string())]);
+            self.write_line("WARN", "log lines left out", &fields);
+        }
+    }
+
+    fn write_line(&mut self, level: &str, event: &str, fields: &BTreeMap<String, String>) {
+        let line = json!({
+            "time_ms": wall_millis(),
+            "level": level,
+            "process": self.process,
+            "event": event,
+            "fields": fields,
+        });
+        let mut bytes = line.to_string().into_bytes();
+        bytes.push(b'\n');
+        let mut stdout = io::stdout().lock();
+        if !has_room(&stdout) || stdout.write_all(&bytes).and_then(|()| stdout.flush()).is_err() {
+            self.limit.on_blocked();
+        }
+    }
+}
+
+/// Whether a line can be written without waiting for the reader.
+fn has_room(stdout: &io::StdoutLock<'_>) -> bool {
+    let mut fds = [PollFd::new(stdout, PollFlags::OUT)];
+    let at_once = Timespec { tv_sec: 0, tv_nsec: 0 };
+    matches!(poll(&mut fds, Some(&at_once)), Ok(1..))
+}
+
 // Only for people who read the log; no decision depends on the wall clock.
 fn wall_millis() -> u64 {
     let since = SystemTime::now().duration_since(UNIX_EPOCH);
--- a/crates/router/tests/directory.rs
+++ b/crates/router/tests/directory.rs
@@ -49,10 +49,7 @@
 fn a_lapsed_entry_ends_two_seconds_after_the_outage() {
     let mut directory = listed();
     directory.on_store_back(at(10_000));
-    assert_eq!(
-        directory.apply(at(10_100), server("s"), Revision(9), None),
-        DirectoryChange::None
-    );
+    assert_eq!(directory.apply(at(10_100), server("s"), Revision(9), None), DirectoryChange::None);
     let takes = |directory: &Directory, millis| {
         directory.takes_requests(at(millis), directory.get(server("s")).unwrap())
     };
