--- a/crates/call/src/counter.rs
+++ b/crates/call/src/counter.rs
@@ -29,7 +29,7 @@
     Done "outcome.done";
     /// Answers of targets that broke off while they were passed on.
     Aborted "outcome.aborted";
-    /// Callers that hung up before they had their answer.
+    /// Callers that closed the connection before they had their answer.
     CallerGone "outcome.caller-gone";
     /// Attempts started.
     Attempts "attempt.started";
@@ -45,7 +45,7 @@
     RetryCold "retry.cold";
     /// Retries because the target was about to leave.
     RetryDraining "retry.draining";
-    /// Retries because no connection came about.
+    /// Retries because no connection was made.
     RetryNotConnected "retry.not-connected";
     /// Retries because the connection was lost.
     RetryLost "retry.lost";
--- a/crates/call/src/event.rs
+++ b/crates/call/src/event.rs
@@ -30,7 +30,7 @@
         /// Whether the shell still has the whole request, so that it can be sent again.
         replayable: bool,
     },
-    /// The caller has hung up; nothing can be answered any more.
+    /// The caller has closed the connection; nothing can be answered any more.
     CallerGone,
     /// The rest of the caller's request cannot be taken: its body is too large, too slow or
     /// malformed. The caller can still be answered.
--- a/crates/call/src/quarantine.rs
+++ b/crates/call/src/quarantine.rs
@@ -24,7 +24,7 @@
 
 /// What is known of a request's fingerprint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum SuspicionState {
     /// Nothing.
     Clear,
     /// A target that ran it crashed.
@@ -89,18 +89,18 @@
     const MAX_EXPLAINED: usize = 64;
 
     /// What is known of a fingerprint.
-    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> Standing {
+    pub fn standing(&self, now: Time, fingerprint: Fingerprint) -> SuspicionState {
         if let Some(until) = self.banned.get(&fingerprint).copied() {
             if now < until {
-                return Standing::Banned { until };
+                return SuspicionState::Banned { until };
             }
-            return Standing::Suspect { crashed: None };
+            return SuspicionState::Suspect { crashed: None };
         }
         match self.suspects.get(&fingerprint) {
             Some(suspect) if suspect.cleared.is_none() && now < suspect.until => {
-                Standing::Suspect { crashed: Some(suspect.crash.target) }
+                SuspicionState::Suspect { crashed: Some(suspect.crash.target) }
             }
-            _ => Standing::Clear,
+            _ => SuspicionState::Clear,
         }
     }
 
@@ -115,19 +115,21 @@
     ) -> LossVerdict {
         let crash = Crash { target, at: now };
         match self.standing(now, fingerprint) {
-            Standing::Banned { .. } => {
+            SuspicionState::Banned { .. } => {
                 self.explain(crash);
                 LossVerdict::Known
             }
-            Standing::Clear if self.is_explained(crash) => LossVerdict::Known,
-            Standing::Clear => {
+            SuspicionState::Clear if self.is_explained(crash) => LossVerdict::Known,
+            SuspicionState::Clear => {
                 self.suspect(fingerprint, crash);
                 LossVerdict::Suspected
             }
-            Standing::Suspect { .. } if !as_suspect && self.same_crash(fingerprint, crash) => {
+            SuspicionState::Suspect { .. }
+                if !as_suspect && self.same_crash(fingerprint, crash) =>
+            {
                 LossVerdict::Known
             }
-            Standing::Suspect { .. } => {
+            SuspicionState::Suspect { .. } => {
                 self.convict(now, fingerprint, crash);
                 LossVerdict::Banned
             }
@@ -149,7 +151,7 @@
 
     /// Takes another gate's word that a fingerprint is under suspicion.
     pub fn hear_suspected(&mut self, now: Time, fingerprint: Fingerprint, target: SocketAddr) {
-        if self.standing(now, fingerprint) == Standing::Clear {
+        if self.standing(now, fingerprint) == SuspicionState::Clear {
             self.suspect(fingerprint, Crash { target, at: now });
         }
     }
--- a/crates/call/tests/parts.rs
+++ b/crates/call/tests/parts.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bay_call::{Claimant, Claims, Fingerprint, HotKeys, LossVerdict, Quarantine, Standing};
+use bay_call::{Claimant, Claims, Fingerprint, HotKeys, LossVerdict, Quarantine, SuspicionState};
 use bay_time::Time;
 use bay_types::{HostName, KeyHash, NodeId, ServiceName};
 use bay_wire::ClaimVerdict;
@@ -46,7 +46,7 @@
     assert_eq!(quarantine.lost(now, fingerprint(1), target(2), true), LossVerdict::Banned);
     quarantine.lost(now, fingerprint(4), target(2), false);
     for neighbour in [2, 3, 4] {
-        assert_eq!(quarantine.standing(now, fingerprint(neighbour)), Standing::Clear);
+        assert_eq!(quarantine.standing(now, fingerprint(neighbour)), SuspicionState::Clear);
     }
 }
 
--- a/crates/conf/src/limits.rs
+++ b/crates/conf/src/limits.rs
@@ -2,7 +2,7 @@
 
 use crate::{Section, value};
 
-/// What each target of a service bears.
+/// What each target of a service can take.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Limits {
     /// Requests that a target runs at once.
--- a/crates/conf/src/service_doc.rs
+++ b/crates/conf/src/service_doc.rs
@@ -13,7 +13,7 @@
     pub kind: ServiceKind,
     /// How its requests are handled.
     pub requests: RequestRules,
-    /// What each of its targets bears.
+    /// What each of its targets can take.
     pub limits: Limits,
     /// Its servers or targets.
     pub servers: Vec<ServerDoc>,
--- a/crates/fakes/src/queueing/central.rs
+++ b/crates/fakes/src/queueing/central.rs
@@ -29,7 +29,7 @@
     fn central_choice(&self, request: usize) -> Option<usize> {
         let gate = self.requests[request].gate;
         let free = |t: &usize| {
-            self.accepting(*t) && self.reserved[*t] < self.targets[*t].bearing(self.now)
+            self.accepting(*t) && self.reserved[*t] < self.targets[*t].capacity(self.now)
         };
         (0..self.targets.len())
             .filter(free)
--- a/crates/fakes/src/queueing/lending.rs
+++ b/crates/fakes/src/queueing/lending.rs
@@ -1,8 +1,8 @@
 use std::time::Duration;
 
 use bay_load::{
-    LoadOutput, Observation, Pick, Pool, PoolConfig, Purpose, Seen, TargetId, TargetLimits,
-    TargetSpec, Wish,
+    LoadOutput, Observation, Pick, PickRequest, Pool, PoolConfig, Purpose, Seen, TargetId,
+    TargetLimits, TargetSpec,
 };
 use bay_time::Time;
 use bay_types::{NodeId, ServiceName};
@@ -87,14 +87,14 @@
         let exclude = self.tried(request);
         let deadline = self.deadline(request);
         let state = &self.requests[request];
-        let wish = Wish {
+        let wanted = PickRequest {
             exclude: &exclude,
             customer: Some(Sim::customer_name(state.customer)),
             purpose,
             ticket: state.ticket,
-            ..Wish::new(deadline)
+            ..PickRequest::new(deadline)
         };
-        match self.pools[gate].pick(self.now, &wish) {
+        match self.pools[gate].pick(self.now, &wanted) {
             Pick::Go(permit) => {
                 self.requests[request].ticket = None;
                 let target = target_number(permit.address());
--- a/crates/fakes/src/queueing/report.rs
+++ b/crates/fakes/src/queueing/report.rs
@@ -17,7 +17,7 @@
     pub attempts: u64,
     /// Attempts started as hedges.
     pub hedges: u64,
-    /// Attempts that a target refused as above its slots or bearing.
+    /// Attempts that a target refused as above its slots or capacity.
     pub excess: u64,
     /// Of these, those at a target in a cold start.
     pub cold_excess: u64,
--- a/crates/fakes/src/queueing/site.rs
+++ b/crates/fakes/src/queueing/site.rs
@@ -79,7 +79,7 @@
 
     /// Requests a second that the targets bear, while each slot also waits for the shortest way
     /// between a gate and a target and back.
-    pub fn bears(&self, service: Duration, without: Option<usize>) -> f64 {
+    pub fn capacity(&self, service: Duration, without: Option<usize>) -> f64 {
         let rest = (0..self.targets).filter(|t| Some(self.zone_of(*t)) != without);
         let slots = rest.count() as f64 * f64::from(Site::SLOTS);
         let far = (0..self.gates).filter(|g| Some(self.zone_of(*g)) == without).count();
--- a/crates/fakes/src/queueing/target.rs
+++ b/crates/fakes/src/queueing/target.rs
@@ -17,14 +17,14 @@
     pub(super) delay: Option<Duration>,
     pub(super) cold_since: Option<Time>,
     announced: bool,
-    /// Requests above its bearing since its cold start.
+    /// Requests above its capacity since its cold start.
     excess: u32,
     /// When a gate got the first refusal of this cold start.
     pub(super) revealed: Option<Time>,
 }
 
 impl FakeTarget {
-    /// Requests above its bearing after which a cold target falls over.
+    /// Requests above its capacity after which a cold target falls over.
     const FALLS_OVER_AT: u32 = 20;
 
     pub(super) fn new(zone: usize) -> FakeTarget {
@@ -56,7 +56,7 @@
     }
 
     /// Requests that it runs at once.
-    pub(super) fn bearing(&self, now: Time) -> usize {
+    pub(super) fn capacity(&self, now: Time) -> usize {
         let Some(since) = self.cold_since else {
             return Site::SLOTS as usize;
         };
@@ -67,12 +67,12 @@
 
     /// Whether a cold start limits it now.
     pub(super) fn cold(&self, now: Time) -> bool {
-        self.bearing(now) < Site::SLOTS as usize
+        self.capacity(now) < Site::SLOTS as usize
     }
 
     /// Takes an attempt or says why not.
     pub(super) fn admit(&mut self, now: Time, attempt: usize) -> Result<(), NotRun> {
-        if self.running.len() < self.bearing(now) {
+        if self.running.len() < self.capacity(now) {
             self.running.push(attempt);
             return Ok(());
         }
--- a/crates/fakes/src/target_options.rs
+++ b/crates/fakes/src/target_options.rs
@@ -11,7 +11,7 @@
     pub slots: u32,
     /// Time that a request takes.
     pub service_time: Duration,
-    /// What it bears after each start, if it starts cold.
+    /// What it can take after each start, if it starts cold.
     pub cold_start: Option<ColdStart>,
     /// What it says of its load.
     pub report: LoadReporting,
--- a/crates/gate/src/bounds.rs
+++ b/crates/gate/src/bounds.rs
@@ -10,7 +10,7 @@
 /// gates learn of it.
 pub(crate) const SUSPECT_PAUSE: Duration = Duration::from_millis(20);
 /// Time between the runs of suspects for which there are too few targets.
-pub(crate) const SUSPECT_TURN: Duration = Duration::from_millis(10);
+pub(crate) const SUSPECT_DELAY: Duration = Duration::from_millis(10);
 /// Most such times that a suspect waits.
 pub(crate) const MAX_TURNS: u32 = 20;
 /// Time after which a suspect that found every target taken looks again.
--- a/crates/gate/src/gate.rs
+++ b/crates/gate/src/gate.rs
@@ -91,7 +91,7 @@
         }
     }
 
-    /// Sets what the gate bears.
+    /// Sets what the gate can take.
     pub fn set_limits(&mut self, limits: GateLimits) {
         self.limits = limits;
     }
--- a/crates/gate/src/limits.rs
+++ b/crates/gate/src/limits.rs
@@ -1,4 +1,4 @@
-/// What a gate bears; beyond it, requests are refused at once.
+/// What a gate can take; beyond it, requests are refused at once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct GateLimits {
     /// Requests that have not ended.
--- a/crates/gate/src/placing.rs
+++ b/crates/gate/src/placing.rs
@@ -1,8 +1,8 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bay_call::{Action, CallId, Counter, Standing};
-use bay_load::{Permit, Pick, Purpose, Ticket, Wish};
+use bay_call::{Action, CallId, Counter, SuspicionState};
+use bay_load::{Permit, Pick, PickRequest, Purpose, Ticket};
 use bay_own::Route;
 use bay_time::Time;
 use bay_types::{ErrorKind, KeyHash};
@@ -22,9 +22,9 @@
     /// Into the pool's queue.
     Queue(Ticket, Time),
     /// Nowhere until this time, so that other suspects run before.
-    Turn(Time),
+    Delay(Time),
     /// Nowhere until another suspect's run has ended, or until this time.
-    HoldBack(Time),
+    Defer(Time),
     /// Nowhere; the request is refused.
     Refuse(ErrorKind, Option<Duration>),
 }
@@ -65,14 +65,14 @@
         self.touched.push(pending.service);
         let only = route.map(|route| route.server);
         let place = match self.quarantine.standing(now, pending.fingerprint) {
-            Standing::Banned { until } => {
+            SuspicionState::Banned { until } => {
                 Place::Refuse(ErrorKind::Quarantined, Some(until.since(now)))
             }
-            Standing::Suspect { crashed } => {
+            SuspicionState::Suspect { crashed } => {
                 let quarantine = &self.quarantine;
                 place_suspect(service, pending, quarantine, now, id, only, crashed)
             }
-            Standing::Clear => {
+            SuspicionState::Clear => {
                 pending.suspect = false;
                 place_at(service, pending, now, only, pending.ticket)
             }
@@ -84,8 +84,8 @@
                 service.queued.insert(ticket, id);
                 self.wait(now, id, Phase::Queued { until }, out);
             }
-            Place::Turn(until) => self.wait(now, id, Phase::Queued { until }, out),
-            Place::HoldBack(until) => {
+            Place::Delay(until) => self.wait(now, id, Phase::Queued { until }, out),
+            Place::Defer(until) => {
                 service.held_back.insert(id);
                 self.wait(now, id, Phase::Queued { until }, out);
             }
@@ -109,13 +109,13 @@
         }
         let running = pending.permits.iter().flatten().map(|(_, permit)| permit.target());
         let exclude: Vec<_> = pending.exclude.iter().copied().chain(running).collect();
-        let wish = Wish {
+        let request = PickRequest {
             exclude: &exclude,
             customer: pending.customer,
             purpose: Purpose::Hedge,
-            ..Wish::new(pending.call.deadline())
+            ..PickRequest::new(pending.call.deadline())
         };
-        let permit = match service.pool.pick(now, &wish) {
+        let permit = match service.pool.pick(now, &request) {
             Pick::Go(permit) => permit,
             Pick::Wait { ticket, .. } => {
                 service.pool.leave_queue(ticket);
@@ -273,8 +273,9 @@
     let purpose = if pending.call.attempts() == 0 { Purpose::First } else { Purpose::Retry };
     let exclude: &[_] = if only.is_some() { &[] } else { &pending.exclude };
     let deadline = pending.call.deadline();
-    let wish = Wish { only, exclude, customer: pending.customer, purpose, ticket, deadline };
-    match service.pool.pick(now, &wish) {
+    let request =
+        PickRequest { only, exclude, customer: pending.customer, purpose, ticket, deadline };
+    match service.pool.pick(now, &request) {
         Pick::Go(permit) => Place::Go(permit),
         Pick::Wait { ticket, until } => Place::Queue(ticket, until.max(now + QUEUE_PAUSE)),
         Pick::Refuse { kind, retry_after } => Place::Refuse(kind, Some(retry_after)),
--- a/crates/gate/src/suspects.rs
+++ b/crates/gate/src/suspects.rs
@@ -6,7 +6,7 @@
 use bay_wire::{PeerMessage, QuarantineNotice, QuarantineVerdict};
 
 use crate::Gate;
-use crate::bounds::{MAX_TURNS, SUSPECT_TURN, SUSPECT_WAIT};
+use crate::bounds::{MAX_TURNS, SUSPECT_DELAY, SUSPECT_WAIT};
 use crate::notices::Notices;
 use crate::pending::Pending;
 use crate::placing::{Place, place_at};
@@ -125,13 +125,13 @@
     if !pending.suspect && turn > 0 {
         pending.suspect = true;
         let turn = u32::try_from(turn).unwrap_or(MAX_TURNS).min(MAX_TURNS);
-        return Place::Turn(now + SUSPECT_TURN * turn);
+        return Place::Delay(now + SUSPECT_DELAY * turn);
     }
     pending.suspect = true;
     let mut refusal = Place::Refuse(ErrorKind::NoTarget, None);
     for target in targets {
         if service.runs_suspect(target, id) || quarantine.occupied(now, fingerprint, target) {
-            refusal = Place::HoldBack(now + SUSPECT_WAIT);
+            refusal = Place::Defer(now + SUSPECT_WAIT);
             continue;
         }
         match place_at(service, pending, now, Some(target), None) {
--- a/crates/load/benches/pick.rs
+++ b/crates/load/benches/pick.rs
@@ -4,7 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bay_load::{Observation, Pick, Pool, PoolConfig, Seen, TargetLimits, TargetSpec, Wish};
+use bay_load::{Observation, Pick, PickRequest, Pool, PoolConfig, Seen, TargetLimits, TargetSpec};
 use bay_time::Time;
 use bay_types::{NodeId, ZoneName};
 use criterion::{BenchmarkId, Criterion, criterion_group, criterion_main};
@@ -40,7 +40,7 @@
 }
 
 fn one_request(pool: &mut Pool, now: Time, out: &mut Vec<bay_load::LoadOutput>) {
-    let Pick::Go(permit) = pool.pick(now, &Wish::new(Time::MAX)) else {
+    let Pick::Go(permit) = pool.pick(now, &PickRequest::new(Time::MAX)) else {
         return;
     };
     let target = black_box(permit.target());
@@ -67,8 +67,9 @@
     for targets in SIZES {
         group.bench_function(BenchmarkId::new("pool", targets), |b| {
             let mut pool = pool(targets);
-            let held: Vec<Pick> =
-                (0..IN_FLIGHT).map(|_| pool.pick(Time::ZERO, &Wish::new(Time::MAX))).collect();
+            let held: Vec<Pick> = (0..IN_FLIGHT)
+                .map(|_| pool.pick(Time::ZERO, &PickRequest::new(Time::MAX)))
+                .collect();
             let mut out = Vec::new();
             let mut now = Time::ZERO;
             b.iter(|| {
--- a/crates/load/examples/policies.rs
+++ b/crates/load/examples/policies.rs
@@ -70,7 +70,7 @@
   15 s taken together.
 - **zone**: requests answered while a zone is out, over the lesser of what was offered and what the
   remaining zones bear.
-- **cold**: attempts above the bearing of a quarter of the targets, restarted together, sent after
+- **cold**: attempts above the capacity of a quarter of the targets, restarted together, sent after
   the first refusal could be known to all gates.
 - **work**: attempts that reached targets at 150% load, over requests that callers sent.
 
@@ -137,7 +137,7 @@
     let zone_out = Some(ZoneOut { zone: 0, span: out..back });
     let measured = Duration::from_secs(15);
     let scenario = Scenario { zone_out, measured, ..plain(site, policy) };
-    let rest = site.bears(scenario.service, Some(0)).min(scenario.rate());
+    let rest = site.capacity(scenario.service, Some(0)).min(scenario.rate());
     run(&scenario).goodput(out, back) / rest
 }
 
--- a/crates/load/src/borrowing.rs
+++ b/crates/load/src/borrowing.rs
@@ -10,10 +10,10 @@
 use crate::target::HeldLoan;
 use crate::{LoadOutput, Pool, TargetId};
 
-/// Time after which an unanswered wish for slots counts as lost.
+/// Time after which an unanswered request for slots counts as lost.
 pub(crate) const ASK_TIMEOUT: Duration = Duration::from_millis(25);
 
-/// Homes compared for one wish.
+/// Homes compared for one request.
 const HOMES_COMPARED: usize = 8;
 
 /// Share of the loans of another zone that go back after a request although others wait, so that
@@ -136,7 +136,7 @@
         target.loans.push(HeldLoan {
             id: loan.id,
             until,
-            bearing: loan.bearing,
+            capacity: loan.capacity,
             idle_since: Some(now),
             recalled: false,
             trial: loan.trial,
--- a/crates/load/src/bearing.rs
+++ b/crates/load/src/capacity.rs
@@ -2,17 +2,17 @@
 
 use crate::TargetLimits;
 
-/// How many requests a target bears at once: few after a cold start, more as time passes.
+/// How many requests a target can take at once: few after a cold start, more as time passes.
 #[derive(Debug, Clone, Copy)]
-pub(crate) struct Bearing {
+pub(crate) struct Capacity {
     limits: TargetLimits,
     cold_since: Option<Time>,
 }
 
-impl Bearing {
-    /// The bearing of a target that is taken to be in a cold start.
-    pub(crate) fn cold(limits: TargetLimits, now: Time) -> Bearing {
-        Bearing { limits, cold_since: Some(now) }
+impl Capacity {
+    /// The capacity of a target that is taken to be in a cold start.
+    pub(crate) fn cold(limits: TargetLimits, now: Time) -> Capacity {
+        Capacity { limits, cold_since: Some(now) }
     }
 
     /// Takes other limits; a cold start goes on.
@@ -25,27 +25,27 @@
         self.cold_since = Some(now);
     }
 
-    /// Takes another gate's word that the target bears this many requests at once.
-    pub(crate) fn vouch(&mut self, now: Time, bearing: u32) {
-        if bearing >= self.limits.slots {
+    /// Takes another gate's word that the target can take this many requests at once.
+    pub(crate) fn vouch(&mut self, now: Time, capacity: u32) {
+        if capacity >= self.limits.slots {
             self.cold_since = None;
             return;
         }
-        if bearing <= self.slots(now) {
+        if capacity <= self.slots(now) {
             return;
         }
         let steps = self.limits.slots - self.limits.cold_slots;
-        let done = bearing - self.limits.cold_slots;
+        let done = capacity - self.limits.cold_slots;
         let elapsed = self.limits.warmup * done / steps;
         self.cold_since = Some(now - elapsed);
     }
 
-    /// Whether the bearing rises as time passes.
+    /// Whether the capacity rises as time passes.
     pub(crate) fn rises(&self, now: Time) -> bool {
         self.slots(now) < self.limits.slots
     }
 
-    /// Requests that the target bears at once.
+    /// Requests that the target can take at once.
     pub(crate) fn slots(&self, now: Time) -> u32 {
         let Some(since) = self.cold_since else {
             return self.limits.slots;
--- a/crates/load/src/config.rs
+++ b/crates/load/src/config.rs
@@ -9,7 +9,7 @@
     pub node: NodeId,
     /// The host's zone.
     pub zone: ZoneName,
-    /// What each target bears.
+    /// What each target can take.
     pub limits: TargetLimits,
     /// Retries allowed, as a fraction of first attempts.
     pub retry_budget: f64,
@@ -19,7 +19,7 @@
     pub seed: u64,
 }
 
-/// What each target of a service bears, over all gates.
+/// What each target of a service can take, over all gates.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct TargetLimits {
     /// Requests that a target runs at once.
--- a/crates/load/src/lender.rs
+++ b/crates/load/src/lender.rs
@@ -5,7 +5,7 @@
 use bay_wire::LoanId;
 
 use crate::TargetLimits;
-use crate::bearing::Bearing;
+use crate::capacity::Capacity;
 
 /// Time that a loan runs unless it is renewed.
 pub const LOAN_TERM: Duration = Duration::from_millis(1_500);
@@ -22,7 +22,7 @@
 /// A home's account of one target's slots.
 #[derive(Debug)]
 pub(crate) struct Lender {
-    pub(crate) bearing: Bearing,
+    pub(crate) capacity: Capacity,
     pub(crate) lent: Vec<Lent>,
     earlier_loans_until: Time,
     adopted: u32,
@@ -51,7 +51,7 @@
     /// The account of a target that had no other home.
     pub(crate) fn first(limits: TargetLimits, now: Time) -> Lender {
         Lender {
-            bearing: Bearing::cold(limits, now),
+            capacity: Capacity::cold(limits, now),
             lent: Vec::new(),
             earlier_loans_until: now,
             adopted: 0,
@@ -84,8 +84,8 @@
     }
 
     fn allowed(&self, now: Time) -> u32 {
-        let bearing = self.bearing.slots(now);
-        if now < self.earlier_loans_until { bearing.min(self.adopted) } else { bearing }
+        let capacity = self.capacity.slots(now);
+        if now < self.earlier_loans_until { capacity.min(self.adopted) } else { capacity }
     }
 
     /// Notes that the target is slow, which leaves it one request at a time, now and then.
@@ -117,9 +117,9 @@
     }
 
     /// Takes over a slot that an earlier home had given to someone.
-    pub(crate) fn adopt_own(&mut self, now: Time, bearing: u32) {
+    pub(crate) fn adopt_own(&mut self, now: Time, capacity: u32) {
         self.adopted += 1;
-        self.bearing.vouch(now, bearing);
+        self.capacity.vouch(now, capacity);
     }
 
     /// Renews a loan, or takes it over from an earlier home; says whether the borrower may go on
@@ -138,10 +138,10 @@
         }
         let taking_over = now < self.earlier_loans_until;
         if taking_over {
-            self.bearing.vouch(now, loan.bearing);
+            self.capacity.vouch(now, loan.capacity);
         }
         let used = self.lent.len() as u32 + own;
-        if used >= self.bearing.slots(now) {
+        if used >= self.capacity.slots(now) {
             return false;
         }
         self.adopted += u32::from(taking_over);
@@ -166,7 +166,7 @@
     /// Whether time alone changes what may be lent.
     pub(crate) fn changes(&self, now: Time) -> bool {
         !self.lent.is_empty()
-            || self.bearing.rises(now)
+            || self.capacity.rises(now)
             || self.slow.is_some()
             || now < self.earlier_loans_until
     }
--- a/crates/load/src/lending.rs
+++ b/crates/load/src/lending.rs
@@ -138,8 +138,8 @@
         let trial = lender.take(now);
         let until = now + LOAN_TERM;
         lender.lent.push(Lent { id: number, to: to.gate, asked: to.asked, until });
-        let bearing = lender.bearing.slots(now);
-        loans.push(Loan { id: number, target: address, bearing, trial });
+        let capacity = lender.capacity.slots(now);
+        loans.push(Loan { id: number, target: address, capacity, trial });
         self.ready.refresh(&mut self.targets, id, now);
         true
     }
@@ -221,7 +221,7 @@
             return;
         };
         match condition {
-            Condition::Cold => lender.bearing.restart(now),
+            Condition::Cold => lender.capacity.restart(now),
             Condition::Slow => lender.mark_slow(now),
             Condition::Fast => lender.mark_fast(now),
         }
--- a/crates/load/src/lib.rs
+++ b/crates/load/src/lib.rs
@@ -3,9 +3,9 @@
 //! Each target of a service has one home among the gates. The home lends the target's slots to
 //! gates by demand, for a short time, so that the limit holds over all gates.
 
-mod bearing;
 mod borrowing;
 mod budget;
+mod capacity;
 mod config;
 mod health;
 mod home;
@@ -18,6 +18,7 @@
 mod output;
 mod permit;
 mod pick;
+mod pick_request;
 mod picking;
 mod pool;
 mod queue;
@@ -27,7 +28,6 @@
 mod sweep;
 mod target;
 mod usage;
-mod wish;
 
 pub use config::{PoolConfig, TargetLimits};
 pub use lender::LOAN_TERM;
@@ -35,7 +35,7 @@
 pub use output::LoadOutput;
 pub use permit::Permit;
 pub use pick::Pick;
+pub use pick_request::{PickRequest, Purpose, Ticket};
 pub use pool::Pool;
 pub use target::{TargetId, TargetSpec};
 pub use usage::Usage;
-pub use wish::{Purpose, Ticket, Wish};
--- a/crates/load/src/membership.rs
+++ b/crates/load/src/membership.rs
@@ -71,7 +71,7 @@
         let leaves = !spec.accepts && target.spec.accepts;
         target.spec.accepts = spec.accepts;
         if let (true, Some(lender)) = (returns, &mut target.lender) {
-            lender.bearing.restart(now);
+            lender.capacity.restart(now);
         }
         if leaves {
             self.give_back_all(now, id);
@@ -128,7 +128,7 @@
         };
         let target = &mut self.targets[id];
         for loan in target.loans.drain(..).filter(|loan| loan.until > now) {
-            lender.adopt_own(now, loan.bearing);
+            lender.adopt_own(now, loan.capacity);
         }
         for busy in &mut target.busy {
             busy.loan = None;
@@ -139,7 +139,7 @@
     /// Closes the account of a target; the gate's own requests in flight become loans, for the
     /// new home to take over.
     fn leave_home(&mut self, now: Time, id: TargetId) {
-        let bearing = self.targets[id].bearing(now);
+        let capacity = self.targets[id].capacity(now);
         let target = &mut self.targets[id];
         if target.lender.take().is_none() {
             return;
@@ -150,7 +150,7 @@
             target.loans.push(HeldLoan {
                 id: number,
                 until: now + LOAN_TERM - DRIFT_MARGIN,
-                bearing,
+                capacity,
                 idle_since: None,
                 recalled: false,
                 trial: false,
--- a/crates/load/src/observing.rs
+++ b/crates/load/src/observing.rs
@@ -42,7 +42,7 @@
         };
         match &mut target.lender {
             Some(lender) => {
-                lender.bearing.restart(now);
+                lender.capacity.restart(now);
                 self.recall(id, None);
             }
             None => {
--- a/crates/load/src/wish.rs
+++ b/crates/load/src/pick_request.rs
@@ -7,7 +7,7 @@
 
 /// What a request asks of a pool.
 #[derive(Debug, Clone, Copy)]
-pub struct Wish<'a> {
+pub struct PickRequest<'a> {
     /// The only target that will do, such as a key's owner.
     pub only: Option<SocketAddr>,
     /// Targets that will not do, such as those already tried.
@@ -22,10 +22,10 @@
     pub deadline: Time,
 }
 
-impl Wish<'_> {
+impl PickRequest<'_> {
     /// A first attempt at any target.
-    pub fn new(deadline: Time) -> Wish<'static> {
-        Wish {
+    pub fn new(deadline: Time) -> PickRequest<'static> {
+        PickRequest {
             only: None,
             exclude: &[],
             customer: None,
--- a/crates/load/src/picking.rs
+++ b/crates/load/src/picking.rs
@@ -7,7 +7,7 @@
 use crate::permit::Release;
 use crate::queue::Queue;
 use crate::target::Busy;
-use crate::{Permit, Pick, Pool, Purpose, TargetId, Ticket, Wish};
+use crate::{Permit, Pick, PickRequest, Pool, Purpose, TargetId, Ticket};
 
 /// Time after which a waiting request asks again if it has not been called.
 const QUEUE_POLL: Duration = Duration::from_millis(2);
@@ -20,35 +20,35 @@
 
 impl Pool {
     /// Picks a target for a request.
-    pub fn pick(&mut self, now: Time, wish: &Wish<'_>) -> Pick {
+    pub fn pick(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
         self.drain_releases(now);
         self.arm(now);
-        if let Some(pick) = self.displaced(now, wish) {
+        if let Some(pick) = self.displaced(now, request) {
             return pick;
         }
-        if self.overtakes(wish) {
-            return self.wait_or_refuse(now, wish);
+        if self.overtakes(request) {
+            return self.wait_or_refuse(now, request);
         }
-        match self.choose(now, wish) {
-            Some(id) => self.start(now, id, wish),
-            None => self.wait_or_refuse(now, wish),
+        match self.choose(now, request) {
+            Some(id) => self.start(now, id, request),
+            None => self.wait_or_refuse(now, request),
         }
     }
 
     /// Whether a new request would overtake those that wait.
-    fn overtakes(&self, wish: &Wish<'_>) -> bool {
-        if wish.ticket.is_some() || wish.only.is_some() || self.queue.is_empty() {
+    fn overtakes(&self, request: &PickRequest<'_>) -> bool {
+        if request.ticket.is_some() || request.only.is_some() || self.queue.is_empty() {
             return false;
         }
-        wish.purpose != Purpose::Hedge && self.ready.len() <= self.queue.len()
+        request.purpose != Purpose::Hedge && self.ready.len() <= self.queue.len()
     }
 
-    fn choose(&mut self, now: Time, wish: &Wish<'_>) -> Option<TargetId> {
-        let Some(address) = wish.only else {
-            return self.ready.choose(&self.targets, now, wish.exclude, &mut self.rng);
+    fn choose(&mut self, now: Time, request: &PickRequest<'_>) -> Option<TargetId> {
+        let Some(address) = request.only else {
+            return self.ready.choose(&self.targets, now, request.exclude, &mut self.rng);
         };
         let id = *self.by_address.get(&address)?;
-        (self.has_free(now, address) && !wish.exclude.contains(&id)).then_some(id)
+        (self.has_free(now, address) && !request.exclude.contains(&id)).then_some(id)
     }
 
     /// Whether a target has a free slot, for a request that only it may serve.
@@ -57,8 +57,8 @@
         id.is_some_and(|id| self.targets[*id].free_for_only(now) > 0)
     }
 
-    fn start(&mut self, now: Time, id: TargetId, wish: &Wish<'_>) -> Pick {
-        match wish.purpose {
+    fn start(&mut self, now: Time, id: TargetId, request: &PickRequest<'_>) -> Pick {
+        match request.purpose {
             Purpose::First => {
                 self.retries.earn();
                 self.hedges.earn();
@@ -67,10 +67,10 @@
             Purpose::Hedge if self.hedges.spend() => {}
             Purpose::Hedge => return self.refuse(now, ErrorKind::ServiceOverloaded),
         }
-        if let Some(ticket) = wish.ticket {
+        if let Some(ticket) = request.ticket {
             self.queue.remove(ticket);
         }
-        self.queue.started(wish.customer);
+        self.queue.started(request.customer);
         self.next_number += 1;
         let number = self.next_number;
         let target = &mut self.targets[id];
@@ -81,13 +81,13 @@
         if self.ready.is_empty() {
             self.borrow_ahead(now);
         }
-        let release = Release { target: id, number, customer: wish.customer };
+        let release = Release { target: id, number, customer: request.customer };
         Pick::Go(Permit::new(address, silent, slot.trial, release, self.release.clone()))
     }
 
     /// The refusal of a waiting request whose place another customer has taken.
-    fn displaced(&mut self, now: Time, wish: &Wish<'_>) -> Option<Pick> {
-        let ticket = wish.ticket?;
+    fn displaced(&mut self, now: Time, request: &PickRequest<'_>) -> Option<Pick> {
+        let ticket = request.ticket?;
         if !self.queue.get_mut(ticket)?.displaced {
             return None;
         }
@@ -95,21 +95,21 @@
         Some(self.refuse(now, ErrorKind::CustomerOverShare))
     }
 
-    fn wait_or_refuse(&mut self, now: Time, wish: &Wish<'_>) -> Pick {
-        if !self.may_serve(wish.only) {
-            return self.leave_and_refuse(now, wish, ErrorKind::NoTarget);
+    fn wait_or_refuse(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
+        if !self.may_serve(request.only) {
+            return self.leave_and_refuse(now, request, ErrorKind::NoTarget);
         }
         let until = now + QUEUE_POLL;
-        if wish.purpose == Purpose::Hedge || until >= wish.deadline {
-            return self.leave_and_refuse(now, wish, ErrorKind::ServiceOverloaded);
+        if request.purpose == Purpose::Hedge || until >= request.deadline {
+            return self.leave_and_refuse(now, request, ErrorKind::ServiceOverloaded);
         }
-        let ticket = match wish.ticket {
+        let ticket = match request.ticket {
             Some(ticket) => self.wait_on(now, ticket),
-            None => self.enter_queue(now, wish),
+            None => self.enter_queue(now, request),
         };
         match ticket {
             Ok(ticket) => Pick::Wait { ticket, until },
-            Err(kind) => self.leave_and_refuse(now, wish, kind),
+            Err(kind) => self.leave_and_refuse(now, request, kind),
         }
     }
 
@@ -124,12 +124,12 @@
         Ok(ticket)
     }
 
-    fn enter_queue(&mut self, now: Time, wish: &Wish<'_>) -> Result<Ticket, ErrorKind> {
-        if self.queue.len() >= self.queue_limit() && !self.queue.make_room(wish.customer) {
+    fn enter_queue(&mut self, now: Time, request: &PickRequest<'_>) -> Result<Ticket, ErrorKind> {
+        if self.queue.len() >= self.queue_limit() && !self.queue.make_room(request.customer) {
             return Err(ErrorKind::ServiceOverloaded);
         }
-        let ticket = self.queue.push(now, wish.customer, wish.only);
-        match wish.only {
+        let ticket = self.queue.push(now, request.customer, request.only);
+        match request.only {
             Some(address) => self.borrow_only(now, address),
             None => self.borrow_for_queue(now),
         }
@@ -152,8 +152,8 @@
         }
     }
 
-    fn leave_and_refuse(&mut self, now: Time, wish: &Wish<'_>, kind: ErrorKind) -> Pick {
-        if let Some(ticket) = wish.ticket {
+    fn leave_and_refuse(&mut self, now: Time, request: &PickRequest<'_>, kind: ErrorKind) -> Pick {
+        if let Some(ticket) = request.ticket {
             self.queue.remove(ticket);
         }
         self.refuse(now, kind)
--- a/crates/load/src/reconfigure.rs
+++ b/crates/load/src/reconfigure.rs
@@ -11,7 +11,7 @@
         self.hedges = Budget::new(config.hedge_budget);
         for target in self.targets.values_mut() {
             if let Some(lender) = &mut target.lender {
-                lender.bearing.set_limits(config.limits);
+                lender.capacity.set_limits(config.limits);
             }
         }
         self.config = config;
--- a/crates/load/src/target.rs
+++ b/crates/load/src/target.rs
@@ -58,7 +58,7 @@
     pub(crate) id: LoanId,
     /// When it runs out, on this gate's clock.
     pub(crate) until: Time,
-    pub(crate) bearing: u32,
+    pub(crate) capacity: u32,
     /// Since when no request uses it, or `None` while one does.
     pub(crate) idle_since: Option<Time>,
     /// Whether it goes back as soon as it is idle.
@@ -89,7 +89,7 @@
 impl HeldLoan {
     /// The loan as messages carry it.
     pub(crate) fn listed(&self, target: SocketAddr) -> Loan {
-        Loan { id: self.id, target, bearing: self.bearing, trial: self.trial }
+        Loan { id: self.id, target, capacity: self.capacity, trial: self.trial }
     }
 
     /// Whether a request may start on it.
@@ -159,11 +159,11 @@
         }
     }
 
-    /// What the target bears, as far as this gate knows.
-    pub(crate) fn bearing(&self, now: Time) -> u32 {
+    /// What the target can take, as far as this gate knows.
+    pub(crate) fn capacity(&self, now: Time) -> u32 {
         match &self.lender {
-            Some(lender) => lender.bearing.slots(now),
-            None => self.loans.iter().map(|loan| loan.bearing).max().unwrap_or(0),
+            Some(lender) => lender.capacity.slots(now),
+            None => self.loans.iter().map(|loan| loan.capacity).max().unwrap_or(0),
         }
     }
 }
--- a/crates/load/tests/lending.rs
+++ b/crates/load/tests/lending.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bay_load::{
-    LOAN_TERM, LoadOutput, NotRun, Observation, Permit, Pick, Pool, PoolConfig, Seen, TargetLimits,
-    TargetSpec, Wish,
+    LOAN_TERM, LoadOutput, NotRun, Observation, Permit, Pick, PickRequest, Pool, PoolConfig, Seen,
+    TargetLimits, TargetSpec,
 };
 use bay_time::Time;
 use bay_types::{ErrorKind, NodeId, ZoneName};
@@ -111,13 +111,13 @@
     fn take_all(&mut self, gate: usize, address: SocketAddr) -> Vec<Permit> {
         let mut permits = Vec::new();
         for _ in 0..10 {
-            let wish = Wish { only: Some(address), ..Wish::new(Time::MAX) };
-            match self.pools[gate].pick(self.now, &wish) {
+            let request = PickRequest { only: Some(address), ..PickRequest::new(Time::MAX) };
+            match self.pools[gate].pick(self.now, &request) {
                 Pick::Go(permit) => permits.push(permit),
                 Pick::Wait { ticket, .. } => {
                     self.tick();
-                    let wish = Wish { ticket: Some(ticket), ..wish };
-                    if let Pick::Go(permit) = self.pools[gate].pick(self.now, &wish) {
+                    let request = PickRequest { ticket: Some(ticket), ..request };
+                    if let Pick::Go(permit) = self.pools[gate].pick(self.now, &request) {
                         permits.push(permit);
                     }
                     self.pools[gate].leave_queue(ticket);
@@ -137,9 +137,9 @@
 
     /// The gate that has slots without asking.
     fn find_home(&mut self, address: SocketAddr) -> usize {
-        let wish = Wish { only: Some(address), ..Wish::new(Time::MAX) };
+        let request = PickRequest { only: Some(address), ..PickRequest::new(Time::MAX) };
         for gate in 0..self.pools.len() {
-            match self.pools[gate].pick(self.now, &wish) {
+            match self.pools[gate].pick(self.now, &request) {
                 Pick::Go(_) => return gate,
                 Pick::Wait { ticket, .. } => self.pools[gate].leave_queue(ticket),
                 Pick::Refuse { .. } => {}
@@ -225,8 +225,8 @@
     gates.up[paused] = false;
     gates.pass(LOAN_TERM + Duration::from_millis(20));
     assert_eq!(gates.take_all(home, target(0)).len(), SLOTS as usize);
-    let wish = Wish { only: Some(target(0)), ..Wish::new(Time::MAX) };
-    assert!(!matches!(gates.pools[paused].pick(gates.now, &wish), Pick::Go(_)));
+    let request = PickRequest { only: Some(target(0)), ..PickRequest::new(Time::MAX) };
+    assert!(!matches!(gates.pools[paused].pick(gates.now, &request), Pick::Go(_)));
 }
 
 #[test]
@@ -280,9 +280,9 @@
     for pool in &mut gates.pools {
         pool.set_targets(gates.now, &spec(false));
     }
-    let wish = Wish::new(Time::MAX);
+    let request = PickRequest::new(Time::MAX);
     for pool in &mut gates.pools {
-        let pick = pool.pick(gates.now, &wish);
+        let pick = pool.pick(gates.now, &request);
         assert!(matches!(pick, Pick::Refuse { kind: ErrorKind::NoTarget, .. }));
     }
     for pool in &mut gates.pools {
--- a/crates/load/tests/missed_targets.rs
+++ b/crates/load/tests/missed_targets.rs
@@ -28,7 +28,7 @@
     let (out, back) = (secs(14), secs(24));
     let zone_out = Some(ZoneOut { zone: 0, span: out..back });
     let report = run(&Scenario { zone_out, ..base.clone() });
-    let rest = base.site.bears(base.service, Some(0)).min(base.rate());
+    let rest = base.site.capacity(base.service, Some(0)).min(base.rate());
     let share = report.goodput(out, back) / rest;
     assert!(share >= 0.98, "{share}");
 }
--- a/crates/load/tests/pool.rs
+++ b/crates/load/tests/pool.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
-use bay_load::{Pick, Pool, PoolConfig, TargetLimits, TargetSpec, Wish};
+use bay_load::{Pick, PickRequest, Pool, PoolConfig, TargetLimits, TargetSpec};
 use bay_time::Time;
 use bay_types::{ErrorKind, NodeId, ZoneName};
 
@@ -37,22 +37,22 @@
 #[test]
 fn a_dropped_permit_gives_its_slot_back() {
     let mut pool = pool(1);
-    let wish = Wish::new(Time::from_millis(1_000));
-    let permits: Vec<Pick> = (0..4).map(|_| pool.pick(Time::ZERO, &wish)).collect();
+    let request = PickRequest::new(Time::from_millis(1_000));
+    let permits: Vec<Pick> = (0..4).map(|_| pool.pick(Time::ZERO, &request)).collect();
     assert!(permits.iter().all(|pick| matches!(pick, Pick::Go(_))));
-    let Pick::Wait { ticket, .. } = pool.pick(Time::ZERO, &wish) else {
+    let Pick::Wait { ticket, .. } = pool.pick(Time::ZERO, &request) else {
         panic!("a request was let through above the target's slots");
     };
     drop(permits);
-    let again = Wish { ticket: Some(ticket), ..wish };
+    let again = PickRequest { ticket: Some(ticket), ..request };
     assert_eq!(pool.pop_ready(Time::ZERO), Some(ticket));
     assert!(matches!(pool.pick(Time::ZERO, &again), Pick::Go(_)));
-    assert!(matches!(pool.pick(Time::ZERO, &wish), Pick::Go(_)));
+    assert!(matches!(pool.pick(Time::ZERO, &request), Pick::Go(_)));
 }
 
 #[test]
 fn a_pool_without_targets_refuses_at_once() {
     let mut pool = pool(0);
-    let pick = pool.pick(Time::ZERO, &Wish::new(Time::from_millis(1_000)));
+    let pick = pool.pick(Time::ZERO, &PickRequest::new(Time::from_millis(1_000)));
     assert!(matches!(pick, Pick::Refuse { kind: ErrorKind::NoTarget, .. }));
 }
--- a/crates/load/tests/sharing.rs
+++ b/crates/load/tests/sharing.rs
@@ -67,7 +67,7 @@
     let report = run_with(scenario.clone(), |scenario| {
         scenario.zone_out = Some(ZoneOut { zone: 0, span: out..back });
     });
-    let rest = site.bears(scenario.service, Some(0)).min(scenario.rate());
+    let rest = site.capacity(scenario.service, Some(0)).min(scenario.rate());
     let while_out = report.goodput(out, back) / rest;
     assert!(while_out >= 0.98, "{while_out}");
     let after = report.goodput(back, end) / rest;
--- a/crates/member/src/membership.rs
+++ b/crates/member/src/membership.rs
@@ -14,7 +14,7 @@
 use crate::buckets::Buckets;
 use crate::packet::{Outgoing, PacketKind};
 use crate::probe::{INDIRECT_PROBES, PERIOD, Prober};
-use crate::record::{Health, Record, Rumor, Standing};
+use crate::record::{Health, MemberState, Record, Rumor};
 use crate::rumor_queue::{RumorQueue, transmissions};
 use crate::{Member, MemberConfig, PeerCounts, Seed};
 
@@ -63,7 +63,7 @@
     /// The membership of a node that knows of no other.
     pub fn new(config: MemberConfig, now: Time) -> Membership {
         let standing =
-            Standing { incarnation: config.incarnation, revision: 0, health: Health::Alive };
+            MemberState { incarnation: config.incarnation, revision: 0, health: Health::Alive };
         let own = Record {
             node: config.node,
             zone: config.zone,
@@ -264,7 +264,7 @@
         self.counts.suspected += 1;
         self.accused.push(node);
         let standing = record.standing.with(Health::Suspect);
-        self.merge(now, Rumor::Standing(node, standing));
+        self.merge(now, Rumor::MemberState(node, standing));
     }
 
     /// Tells the suspects of this node that they are suspected, so that they refute it at once.
@@ -291,7 +291,7 @@
         }
         self.counts.found_dead += 1;
         let standing = record.standing.with(Health::Dead);
-        self.merge(now, Rumor::Standing(node, standing));
+        self.merge(now, Rumor::MemberState(node, standing));
     }
 
     fn suspicion_time(&self) -> Duration {
@@ -321,7 +321,7 @@
     fn reconnect(&mut self, now: Time, out: &mut Vec<Outgoing>) {
         self.forget_dead(now);
         let lost = self.others.values().filter(|record| record.is_dead());
-        let mut contacts: Vec<(SocketAddr, Option<Standing>)> =
+        let mut contacts: Vec<(SocketAddr, Option<MemberState>)> =
             lost.map(|record| (record.steward, Some(record.standing))).collect();
         let unheard = self.seeds.iter().filter(|seed| !self.others.contains_key(&seed.node));
         contacts.extend(unheard.map(|seed| (seed.steward, None)));
--- a/crates/member/src/membership/exchange.rs
+++ b/crates/member/src/membership/exchange.rs
@@ -10,7 +10,7 @@
 use super::Membership;
 use crate::buckets::{BUCKETS, Buckets};
 use crate::packet::{Outgoing, PacketKind, split_list};
-use crate::record::{Record, Rumor, Standing};
+use crate::record::{MemberState, Record, Rumor};
 
 /// Time between two comparisons of the whole membership.
 const COMPARE: Duration = Duration::from_secs(5);
@@ -82,7 +82,7 @@
         &mut self,
         from: SocketAddr,
         sequence: u32,
-        known: Option<Standing>,
+        known: Option<MemberState>,
         out: &mut Vec<Outgoing>,
     ) {
         if let Some(standing) = known {
--- a/crates/member/src/membership/merge.rs
+++ b/crates/member/src/membership/merge.rs
@@ -5,14 +5,14 @@
 
 use super::{MAX_MEMBERS, Membership};
 use crate::Member;
-use crate::record::{Health, Record, Rumor, Standing};
+use crate::record::{Health, MemberState, Record, Rumor};
 
 impl Membership {
     /// Takes news of a node if it is newer than what is known.
     pub(super) fn merge(&mut self, now: Time, rumor: Rumor) {
         let (node, standing) = match rumor {
             Rumor::Record(record) => (record.node, record.standing),
-            Rumor::Standing(node, standing) => (node, standing),
+            Rumor::MemberState(node, standing) => (node, standing),
         };
         if node == self.own.node {
             self.meet_self(standing);
@@ -24,8 +24,8 @@
         }
         let record = match (rumor, known) {
             (Rumor::Record(record), _) => record,
-            (Rumor::Standing(..), Some(known)) => Record { standing, ..known },
-            (Rumor::Standing(..), None) => return,
+            (Rumor::MemberState(..), Some(known)) => Record { standing, ..known },
+            (Rumor::MemberState(..), None) => return,
         };
         if known.is_none() && self.others.len() >= MAX_MEMBERS {
             return;
@@ -65,14 +65,14 @@
     /// Adds a record to the hashes or takes it out; dead nodes are forgotten at different times,
     /// so that they do not count.
     pub(super) fn toggle(&mut self, record: &Record) {
-        let Standing { incarnation, revision, health } = record.standing;
+        let MemberState { incarnation, revision, health } = record.standing;
         if health != Health::Dead {
             self.buckets.toggle(&record.node, &(incarnation, revision));
         }
     }
 
     /// Hears what another thinks of this node, and refutes it if it is wrong.
-    pub(super) fn meet_self(&mut self, standing: Standing) {
+    pub(super) fn meet_self(&mut self, standing: MemberState) {
         let own = self.own.standing;
         if standing.incarnation > own.incarnation {
             // Another start of this host was heard later; this start goes on above it.
--- a/crates/member/src/packet.rs
+++ b/crates/member/src/packet.rs
@@ -4,7 +4,7 @@
 use bay_wire::{Interest, Item, NodeVersions, encode};
 use serde::{Deserialize, Serialize};
 
-use crate::record::{Record, Rumor, Standing};
+use crate::record::{MemberState, Record, Rumor};
 
 /// Longest payload of a datagram, in bytes; with its seal it fits an Ethernet frame.
 pub(crate) const MAX_PACKET_BYTES: usize = 1_200;
@@ -30,7 +30,7 @@
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub(crate) enum PacketKind {
     /// Asks the receiver to acknowledge; tells it what the sender thinks of it.
-    Ping { sequence: u32, receiver: Option<Standing> },
+    Ping { sequence: u32, receiver: Option<MemberState> },
     /// Acknowledges a ping.
     Ack { sequence: u32, node: NodeId },
     /// Asks the receiver to ping another node on the sender's behalf.
--- a/crates/member/src/record.rs
+++ b/crates/member/src/record.rs
@@ -11,12 +11,12 @@
     pub(crate) steward: SocketAddr,
     pub(crate) gate: Option<SocketAddr>,
     pub(crate) leaving: bool,
-    pub(crate) standing: Standing,
+    pub(crate) standing: MemberState,
 }
 
 /// How a node stands; a higher one replaces a lower one.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
-pub(crate) struct Standing {
+pub(crate) struct MemberState {
     pub(crate) incarnation: Incarnation,
     /// Raised by the node itself to change its record or to refute a suspicion.
     pub(crate) revision: u32,
@@ -37,14 +37,14 @@
     /// The node's whole record.
     Record(Record),
     /// The standing of a node whose record the receiver has.
-    Standing(NodeId, Standing),
+    MemberState(NodeId, MemberState),
 }
 
 impl Record {
     pub(crate) fn rumor(&self) -> Rumor {
         match self.standing.health {
             Health::Alive => Rumor::Record(*self),
-            Health::Suspect | Health::Dead => Rumor::Standing(self.node, self.standing),
+            Health::Suspect | Health::Dead => Rumor::MemberState(self.node, self.standing),
         }
     }
 
@@ -53,8 +53,8 @@
     }
 }
 
-impl Standing {
-    pub(crate) fn with(self, health: Health) -> Standing {
-        Standing { health, ..self }
+impl MemberState {
+    pub(crate) fn with(self, health: Health) -> MemberState {
+        MemberState { health, ..self }
     }
 }
--- a/crates/node/src/gate_shell/answer.rs
+++ b/crates/node/src/gate_shell/answer.rs
@@ -16,7 +16,7 @@
 use crate::http1::buffer_gauge::HeldBytes;
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::lock;
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// A target's answer, in whole or up to what is kept of it.
 #[derive(Debug)]
@@ -42,7 +42,7 @@
 pub(crate) enum PassError {
     /// The answer did not come in whole.
     Target(AttemptFailure),
-    /// The caller hung up or reads too slowly.
+    /// The caller closed the connection or reads too slowly.
     Caller,
     /// The gate broke it off.
     Aborted,
@@ -160,18 +160,18 @@
 /// Writes to a caller, as long as it reads fast enough.
 ///
 /// # Errors
-/// Returns an error if the caller hung up or reads too slowly.
+/// Returns an error if the caller closed the connection or reads too slowly.
 pub(crate) async fn write(
     caller: &Mutex<CallerSide>,
     bytes: &[u8],
     limits: &HttpLimits,
 ) -> Result<(), PassError> {
     let mut at = 0;
-    lock(caller).connection.be_patient(limits.body_patience());
+    lock(caller).connection.set_timeout(limits.body_timeout());
     while at < bytes.len() {
         let polled = poll_fn(|cx| lock(caller).connection.poll_write(cx, &bytes[at..])).await;
         at += polled.map_err(|_| PassError::Caller)?;
     }
-    lock(caller).connection.be_patient(Patience::Endless);
+    lock(caller).connection.set_timeout(ReadTimeout::Endless);
     Ok(())
 }
--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -18,9 +18,9 @@
 use crate::http1::answer_check::{AnswerFacts, check_answer};
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::raw_head::{RawHeadError, read_raw_head};
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
-/// Longest time for a connection to come about.
+/// Longest time for a connection to open.
 const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// Most interim answers before the final one.
@@ -59,11 +59,11 @@
 pub(crate) enum AttemptEnd {
     /// An answer is there, in whole or up to what is kept of it.
     Answered(Box<Answer>),
-    /// No answer came about.
+    /// No answer was received.
     Failed(AttemptFailure),
     /// The rest of the caller's request cannot be taken.
     CallerFailed(ErrorKind),
-    /// The caller hung up in the middle of its request.
+    /// The caller closed the connection in the middle of its request.
     CallerGone,
     /// The gate forbade the attempt at the last moment.
     Withdrawn,
@@ -105,7 +105,7 @@
         deadline_ms: order.time_left.as_millis(),
     };
     let head = headers.add_to(&request.head);
-    leased.connection.be_patient(Patience::Total(order.time_left));
+    leased.connection.set_timeout(ReadTimeout::Total(order.time_left));
     let held = shared.meters.buffers.share();
     let mut upload = Upload::new(caller, head, &request.body, &shared.limits, held);
     let sent = poll_fn(|cx| upload.poll(&mut leased.connection, cx)).await;
--- a/crates/node/src/gate_shell/call_run.rs
+++ b/crates/node/src/gate_shell/call_run.rs
@@ -45,7 +45,7 @@
         /// When the caller may come back.
         retry_after: Option<Duration>,
     },
-    /// Not at all, since the caller hung up.
+    /// Not at all, since the caller closed the connection.
     Gone,
 }
 
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -21,7 +21,7 @@
 use crate::http1::lock;
 use crate::http1::raw_head::{RawHeadError, read_raw_head};
 use crate::http1::request_check::{RequestFacts, check_request};
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 use crate::refusal::refusal;
 
 /// Most bytes that are read from a caller after a refusal, so that it gets to read it.
@@ -99,7 +99,7 @@
     let limits = &shared.limits;
     if connection.unused().is_empty() {
         connection.release();
-        connection.be_patient(Patience::Idle(limits.idle_time));
+        connection.set_timeout(ReadTimeout::Idle(limits.idle_time));
         if shared.phase() == Phase::Closing && connection.is_quiet() {
             return Err(Rejection::Unanswered);
         }
@@ -108,17 +108,17 @@
             if !connection.expired() || connection.is_quiet() {
                 return Err(Rejection::Unanswered);
             }
-            connection.be_patient(Patience::Idle(limits.idle_time));
+            connection.set_timeout(ReadTimeout::Idle(limits.idle_time));
         }
     }
-    connection.be_patient(Patience::Total(limits.head_time));
+    connection.set_timeout(ReadTimeout::Total(limits.head_time));
     let mut head = match read_raw_head(connection, limits.head_bytes).await {
         Ok(head) => head,
         Err(RawHeadError::Silent) => return Err(Rejection::Answered(ErrorKind::SlowCaller)),
         Err(RawHeadError::TooLarge) => return Err(Rejection::Answered(ErrorKind::HeadTooLarge)),
         Err(RawHeadError::Ended | RawHeadError::Cut) => return Err(Rejection::Unanswered),
     };
-    connection.be_patient(Patience::Endless);
+    connection.set_timeout(ReadTimeout::Endless);
     let facts = check_request(&mut head, limits.headers).map_err(Rejection::Answered)?;
     Ok(CheckedHead { head, facts })
 }
@@ -252,7 +252,7 @@
 /// Answers with an error and closes the connection.
 async fn refuse(shared: &Shared, mut connection: Connection, kind: ErrorKind) {
     let res = shared.refuse(kind);
-    connection.be_patient(shared.limits.body_patience());
+    connection.set_timeout(shared.limits.body_timeout());
     let Some(bytes) = encode_refusal(res, Method::Get, true).await else {
         return;
     };
@@ -262,5 +262,5 @@
 }
 
 async fn linger(shared: &Shared, mut connection: Connection) {
-    connection.linger(Patience::Total(shared.limits.linger), MAX_LINGER_BYTES).await;
+    connection.linger(ReadTimeout::Total(shared.limits.linger), MAX_LINGER_BYTES).await;
 }
--- a/crates/node/src/gate_shell/caller_side.rs
+++ b/crates/node/src/gate_shell/caller_side.rs
@@ -10,7 +10,7 @@
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::lock;
 use crate::http1::request_check::RequestFacts;
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// Tells a caller that it may send its body.
 const GO_AHEAD: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -69,7 +69,7 @@
         if facts.expects_continue && self.connection.unused().is_empty() {
             self.connection.write_all(GO_AHEAD).await.map_err(|_| None)?;
         }
-        self.connection.be_patient(limits.body_patience());
+        self.connection.set_timeout(limits.body_timeout());
         while bytes.len() < limits.kept_body {
             let count = poll_fn(|cx| self.poll_body(cx)).await?;
             if count == 0 {
@@ -80,7 +80,7 @@
             self.consume_body(count);
             held.set(bytes.capacity());
         }
-        self.connection.be_patient(Patience::Endless);
+        self.connection.set_timeout(ReadTimeout::Endless);
         let has_more = !self.reader.is_done();
         let whole = Framing::Length(bytes.len() as u64);
         let framing = if has_more { facts.framing } else { whole };
@@ -113,7 +113,7 @@
     }
 }
 
-/// Waits until the caller has hung up.
+/// Waits until the caller has closed the connection.
 pub(crate) fn poll_gone(caller: &Mutex<CallerSide>, cx: &mut Context<'_>) -> Poll<()> {
     lock(caller).connection.poll_gone(cx)
 }
--- a/crates/node/src/gate_shell/http_limits.rs
+++ b/crates/node/src/gate_shell/http_limits.rs
@@ -1,6 +1,6 @@
 use std::time::Duration;
 
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// Bounds on what one connection or request may cost the gate.
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -57,7 +57,7 @@
 
 impl HttpLimits {
     /// How long a caller may take over a body.
-    pub(crate) fn body_patience(&self) -> Patience {
-        Patience::Progress { silence: self.silence, rate: self.body_rate }
+    pub(crate) fn body_timeout(&self) -> ReadTimeout {
+        ReadTimeout::Progress { silence: self.silence, rate: self.body_rate }
     }
 }
--- a/crates/node/src/gate_shell/pool.rs
+++ b/crates/node/src/gate_shell/pool.rs
@@ -66,7 +66,7 @@
     /// Takes an idle connection, or opens one while the gate has fewer than `cap`.
     ///
     /// # Errors
-    /// Returns an error if no connection comes about.
+    /// Returns an error if no connection is established.
     pub(crate) async fn lease(
         self: &Arc<ConnectionPool>,
         to: SocketAddr,
@@ -82,7 +82,7 @@
     /// Like [`ConnectionPool::lease`], with a connection that was idle for no longer than this.
     ///
     /// # Errors
-    /// Returns an error if no connection comes about.
+    /// Returns an error if no connection is established.
     pub(crate) async fn lease_idle_for(
         self: &Arc<ConnectionPool>,
         to: SocketAddr,
--- a/crates/node/src/gate_shell/upload.rs
+++ b/crates/node/src/gate_shell/upload.rs
@@ -10,7 +10,7 @@
 use crate::http1::connection::Connection;
 use crate::http1::framing::Framing;
 use crate::http1::lock;
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// The end of a body in chunks.
 pub(crate) const LAST_CHUNK: &[u8] = b"0\r\n\r\n";
@@ -35,7 +35,7 @@
     Answered,
     /// The rest of the caller's request cannot be taken.
     CallerFailed(ErrorKind),
-    /// The caller hung up in the middle of its request.
+    /// The caller closed the connection in the middle of its request.
     CallerGone,
 }
 
@@ -51,7 +51,7 @@
         let chunked = body.framing == Framing::Chunked;
         append(&mut head, &body.bytes, chunked);
         if body.has_more {
-            lock(caller).connection.be_patient(limits.body_patience());
+            lock(caller).connection.set_timeout(limits.body_timeout());
         }
         held.set(head.capacity());
         Upload { caller, chunked, out: head, at: 0, reading: body.has_more, held }
@@ -97,7 +97,7 @@
         self.at = 0;
         if count == 0 {
             self.reading = false;
-            caller.connection.be_patient(Patience::Endless);
+            caller.connection.set_timeout(ReadTimeout::Endless);
             if self.chunked {
                 self.out.extend_from_slice(LAST_CHUNK);
             }
@@ -122,7 +122,7 @@
     fn drop(&mut self) {
         if self.reading {
             // Nobody waits for the rest of the body any more.
-            lock(self.caller).connection.be_patient(Patience::Endless);
+            lock(self.caller).connection.set_timeout(ReadTimeout::Endless);
         }
     }
 }
--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -10,7 +10,7 @@
 
 use super::buffer_gauge::BufferGauge;
 use super::spare_buffers::{Buffer, SpareBuffers};
-use super::watchdog::{Patience, ProgressClock, Watchdog};
+use super::watchdog::{ProgressClock, ReadTimeout, Watchdog};
 
 /// Length of a connection's buffer, in bytes; longer than any head.
 const BUFFER_BYTES: usize = 16 * 1024;
@@ -102,8 +102,8 @@
     }
 
     /// Says how long the peer may be waited for from now on.
-    pub(crate) fn be_patient(&self, patience: Patience) {
-        self.clock.restart(patience);
+    pub(crate) fn set_timeout(&self, timeout: ReadTimeout) {
+        self.clock.restart(timeout);
     }
 
     /// Whether the peer was waited for too long.
@@ -251,10 +251,10 @@
 
     /// Ends the direction to the peer and reads what it still sends, so that it gets to read what
     /// was written before.
-    pub(crate) async fn linger(&mut self, patience: Patience, most: usize) {
+    pub(crate) async fn linger(&mut self, timeout: ReadTimeout, most: usize) {
         // The peer may have closed first.
         let _ = self.stream.get_ref().shutdown(std::net::Shutdown::Write);
-        self.be_patient(patience);
+        self.set_timeout(timeout);
         let mut discarded = 0;
         while discarded <= most {
             self.consume(self.unused().len());
--- a/crates/node/src/http1/watchdog.rs
+++ b/crates/node/src/http1/watchdog.rs
@@ -31,7 +31,7 @@
 
 /// How long a peer may be waited for.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Patience {
+pub(crate) enum ReadTimeout {
     /// This long altogether, whatever arrives.
     Total(Duration),
     /// This long without any byte, and altogether no longer than the bytes so far take at this
@@ -50,7 +50,7 @@
 
 #[derive(Debug)]
 struct Window {
-    patience: Patience,
+    timeout: ReadTimeout,
     waited: Duration,
     silent: Duration,
     seen: u64,
@@ -60,7 +60,7 @@
     /// A clock that is checked for as long as it lives.
     pub(crate) fn clock(&self) -> Arc<ProgressClock> {
         let window = Window {
-            patience: Patience::Endless,
+            timeout: ReadTimeout::Endless,
             waited: Duration::ZERO,
             silent: Duration::ZERO,
             seen: 0,
@@ -101,9 +101,9 @@
 
 impl ProgressClock {
     /// Starts to measure anew.
-    pub(crate) fn restart(&self, patience: Patience) {
+    pub(crate) fn restart(&self, timeout: ReadTimeout) {
         let mut window = lock(&self.window);
-        window.patience = patience;
+        window.timeout = timeout;
         window.waited = Duration::ZERO;
         window.silent = Duration::ZERO;
         self.moved.store(0, Ordering::Relaxed);
@@ -148,7 +148,7 @@
     }
 
     fn expire_idle(&self) {
-        if matches!(lock(&self.window).patience, Patience::Idle(_)) {
+        if matches!(lock(&self.window).timeout, ReadTimeout::Idle(_)) {
             self.expire();
         }
     }
@@ -167,13 +167,13 @@
         self.waited += TICK;
         self.silent = if moved == self.seen { self.silent + TICK } else { TICK };
         self.seen = moved;
-        match self.patience {
-            Patience::Total(total) | Patience::Idle(total) => self.waited >= total,
-            Patience::Progress { silence, rate } => {
+        match self.timeout {
+            ReadTimeout::Total(total) | ReadTimeout::Idle(total) => self.waited >= total,
+            ReadTimeout::Progress { silence, rate } => {
                 let allowed = silence + Duration::from_millis(moved * 1_000 / rate.max(1));
                 self.silent >= silence || self.waited >= allowed
             }
-            Patience::Endless => false,
+            ReadTimeout::Endless => false,
         }
     }
 }
--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -17,7 +17,7 @@
 use crate::http1::connection::Connection;
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::raw_head::{RawHeadError, poll_raw_head, read_raw_head};
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// Most requests of one connection that are under way at once.
 const MAX_PIPELINE: usize = 16;
@@ -131,7 +131,7 @@
         let limits = self.shell.router.borrow().caller_limits();
         if self.connection.unused().is_empty() {
             self.connection.release();
-            self.connection.be_patient(Patience::Idle(limits.idle_time));
+            self.connection.set_timeout(ReadTimeout::Idle(limits.idle_time));
             if self.shell.phase.get() == Phase::Closing && self.connection.is_quiet() {
                 return Ok(None);
             }
@@ -140,17 +140,17 @@
                 if !self.connection.expired() || self.connection.is_quiet() {
                     return Ok(None);
                 }
-                self.connection.be_patient(Patience::Idle(limits.idle_time));
+                self.connection.set_timeout(ReadTimeout::Idle(limits.idle_time));
             }
         }
-        self.connection.be_patient(Patience::Total(limits.head_time));
+        self.connection.set_timeout(ReadTimeout::Total(limits.head_time));
         let head = match read_raw_head(&mut self.connection, limits.head_bytes).await {
             Ok(head) => head,
             Err(RawHeadError::Silent) => return Err(ErrorKind::SlowCaller),
             Err(RawHeadError::TooLarge) => return Err(ErrorKind::HeadTooLarge),
             Err(RawHeadError::Ended | RawHeadError::Cut) => return Ok(None),
         };
-        self.connection.be_patient(Patience::Endless);
+        self.connection.set_timeout(ReadTimeout::Endless);
         RequestHead::read(head, &*self.shell.wire).map(Some)
     }
 
@@ -188,7 +188,7 @@
         if head.facts.expects_continue && self.connection.write_all(GO_AHEAD).await.is_err() {
             return Err(None);
         }
-        self.connection.be_patient(self.shell.limits.body_patience());
+        self.connection.set_timeout(self.shell.limits.body_timeout());
         let mut reader = BodyReader::new(framing);
         let mut body = Vec::with_capacity(framing.len().unwrap_or(0) as usize);
         loop {
@@ -208,7 +208,7 @@
                 return Err(Some(ErrorKind::BodyTooLarge));
             }
         }
-        self.connection.be_patient(Patience::Endless);
+        self.connection.set_timeout(ReadTimeout::Endless);
         Ok(body)
     }
 
@@ -252,9 +252,9 @@
         let last = self.queue.is_empty() && self.next.is_none();
         let close = close || reply.close || (stopping && last);
         let bytes = reply.into_bytes(close);
-        self.connection.be_patient(self.shell.limits.body_patience());
+        self.connection.set_timeout(self.shell.limits.body_timeout());
         let written = self.connection.write_all(&bytes).await;
-        self.connection.be_patient(Patience::Endless);
+        self.connection.set_timeout(ReadTimeout::Endless);
         if written.is_err() {
             return false;
         }
@@ -275,7 +275,7 @@
 
     /// Gives the caller time to read the answer.
     async fn linger(&mut self) {
-        let patience = Patience::Total(self.shell.limits.linger);
-        self.connection.linger(patience, MAX_LINGER_BYTES).await;
+        let timeout = ReadTimeout::Total(self.shell.limits.linger);
+        self.connection.linger(timeout, MAX_LINGER_BYTES).await;
     }
 }
--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -6,7 +6,7 @@
 use async_io::Timer;
 use bay_range::{
     Candidate, Granter, GranterAction, HoldTimes, KeyLoads, Leadership, LeadershipAction,
-    LeadershipRecord, RangeTable, Standing,
+    LeadershipRecord, RangeTable, Role,
 };
 use bay_router::{
     HeardHosts, Heartbeat, OwnerMap, PeerMessage, Report, RouterSettings, ServiceOwners, own_key,
@@ -130,9 +130,9 @@
     }
 
     fn term(&self) -> Option<Term> {
-        match self.leadership.standing() {
-            Standing::Leading(term) => Some(term),
-            Standing::Following => None,
+        match self.leadership.role() {
+            Role::Leading(term) => Some(term),
+            Role::Following => None,
         }
     }
 }
@@ -204,7 +204,7 @@
             _ => leadership.on_failure(now),
         }
     }
-    on_standing(&shell, before);
+    on_role_change(&shell, before);
 }
 
 fn read_record(object: &Object) -> Option<(Revision, LeadershipRecord)> {
@@ -212,7 +212,7 @@
 }
 
 /// Starts or ends to grant after a change of the standing.
-fn on_standing(shell: &Shell, before: Option<Term>) {
+fn on_role_change(shell: &Shell, before: Option<Term>) {
     let granting = &mut *shell.granting.borrow_mut();
     let after = granting.term();
     if before == after {
@@ -614,7 +614,7 @@
         }
         granting.leader = Some((from, heartbeat.term));
     }
-    on_standing(shell, before);
+    on_role_change(shell, before);
     if let Some(state) = &heartbeat.feeds {
         let mut fed = shell.fed.borrow_mut();
         if fed.on_heartbeat(now, heartbeat.term, state.clone()) {
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -8,7 +8,7 @@
 use super::shell::Shell;
 use crate::http1::connection::Connection;
 use crate::http1::raw_head::read_raw_head;
-use crate::http1::watchdog::Patience;
+use crate::http1::watchdog::ReadTimeout;
 
 /// Longest head of a probe, in bytes.
 const MAX_HEAD: usize = 4 * 1024;
@@ -62,7 +62,7 @@
     let mut connection = Connection::new(stream, &shell.meters);
     loop {
         connection.release();
-        connection.be_patient(Patience::Total(PROBE_IDLE));
+        connection.set_timeout(ReadTimeout::Total(PROBE_IDLE));
         let Ok(head) = read_raw_head(&mut connection, MAX_HEAD).await else {
             return;
         };
--- a/crates/node/src/steward_shell.rs
+++ b/crates/node/src/steward_shell.rs
@@ -225,7 +225,7 @@
             }
             Output::Status { id, status } => {
                 if let Some(tx) = lock(&self.status).remove(&id) {
-                    // The operator may have hung up.
+                    // The operator may have closed the connection.
                     let _ = tx.try_send(*status);
                 }
             }
--- a/crates/node/tests/connections.rs
+++ b/crates/node/tests/connections.rs
@@ -1,4 +1,4 @@
-//! Connections to targets are reused, given up when in doubt, and bounded; callers may hang up.
+//! Connections to targets are reused, given up when in doubt, and bounded; callers may close their connections.
 
 mod support;
 
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -78,7 +78,7 @@
     Some(String::from_utf8_lossy(&answer[..filled]).into_owned())
 }
 
-/// Asks until the answer is as expected; the only bound is the test runner's patience.
+/// Asks until the answer is as expected; the only bound is the test runner's timeout.
 pub fn get_until(gate: SocketAddr, path: &str, expected: &str) -> String {
     loop {
         match get(gate, path) {
--- a/crates/node/tests/support/caller.rs
+++ b/crates/node/tests/support/caller.rs
@@ -49,7 +49,7 @@
         Caller { stream: self.stream.clone(), buf: Vec::new() }
     }
 
-    /// Sends bytes; a gate that has hung up may take no more.
+    /// Sends bytes; a gate that has closed the connection may take no more.
     pub async fn send(&mut self, bytes: &[u8]) -> bool {
         self.stream.write_all(bytes).await.is_ok()
     }
--- a/crates/node/tests/support/mod.rs
+++ b/crates/node/tests/support/mod.rs
@@ -187,7 +187,7 @@
     }
 }
 
-/// Waits until something holds; the only bound is the test runner's patience.
+/// Waits until something holds; the only bound is the test runner's timeout.
 pub async fn until<F>(mut holds: F)
 where
     F: FnMut() -> bool,
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -24,7 +24,7 @@
 
 /// What a process is at the moment.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Standing {
+pub enum Role {
     /// Another process may be the granter.
     Following,
     /// This process is the granter of the term.
@@ -89,10 +89,10 @@
     }
 
     /// What the process is.
-    pub fn standing(&self) -> Standing {
+    pub fn role(&self) -> Role {
         match &self.state {
-            State::Leading { record, .. } => Standing::Leading(record.term),
-            _ => Standing::Following,
+            State::Leading { record, .. } => Role::Leading(record.term),
+            _ => Role::Following,
         }
     }
 
@@ -209,7 +209,7 @@
         let own = record.host == self.host && record.incarnation == self.incarnation;
         if own && !record.resigned {
             // A write took effect although its answer was lost.
-            if self.standing() == Standing::Following {
+            if self.role() == Role::Following {
                 self.lingering.clone_from(&record.lingering);
             }
             let renew_at = now + Leadership::RENEW;
@@ -242,7 +242,7 @@
         if record.resigned || record.term < self.known_term {
             return self.follow(now);
         }
-        if self.standing() == Standing::Following {
+        if self.role() == Role::Following {
             self.lingering.clone_from(&record.lingering);
         }
         let renew_at = sent + Leadership::RENEW;
--- a/crates/range/src/lib.rs
+++ b/crates/range/src/lib.rs
@@ -27,7 +27,7 @@
 pub use holding::{Former, Holding, OwnerId};
 pub use key_loads::KeyLoads;
 pub use key_range::KeyRange;
-pub use leadership::{Leadership, LeadershipAction, Standing};
+pub use leadership::{Leadership, LeadershipAction, Role};
 pub use leadership_record::{EarlierGranter, LeadershipRecord};
 pub use planner::{Held, Move, Planner};
 pub use range_table::RangeTable;
--- a/crates/range/src/planner.rs
+++ b/crates/range/src/planner.rs
@@ -136,7 +136,7 @@
         None
     }
 
-    /// Moves a key that alone is too much for its server to one that bears much more.
+    /// Moves a key that alone is too much for its server to one that can take much more.
     fn upgrade(
         loads: &KeyLoads,
         held: &[Held],
--- a/crates/router/src/cold_share.rs
+++ b/crates/router/src/cold_share.rs
@@ -1,6 +1,6 @@
 use bay_time::Time;
 
-/// This router's share of the requests that a cold server bears.
+/// This router's share of the requests that a cold server can take.
 ///
 /// The bound holds for all routers together. A few routers, chosen by hash for each server, send
 /// to it while it is cold, each an equal part of its rate.
@@ -22,7 +22,7 @@
         ColdShare { tokens: ColdShare::BURST, filled: now }
     }
 
-    /// How many routers send to a cold server that bears this rate.
+    /// How many routers send to a cold server that can take this rate.
     pub fn senders(rate: f64, routers: u32) -> u32 {
         (rate.floor().max(1.0) as u32).min(routers.max(1))
     }
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -58,7 +58,7 @@
     pub max_connections: u32,
     /// How long a server stays cold after its start.
     pub warm_up: Duration,
-    /// Requests a second that a cold server bears.
+    /// Requests a second that a cold server can take.
     pub warm_up_rate: f64,
     /// Whether each key has one owning server.
     pub keyed: bool,
--- a/crates/wire/src/load_message.rs
+++ b/crates/wire/src/load_message.rs
@@ -77,8 +77,8 @@
     pub id: LoanId,
     /// The target.
     pub target: SocketAddr,
-    /// Requests that the target bears at once, as its home last knew.
-    pub bearing: u32,
+    /// Requests that the target can take at once, as its home last knew.
+    pub capacity: u32,
     /// Whether it is lent to see if a slow target has become fast again.
     pub trial: bool,
 }
