--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -45,7 +45,7 @@
 const AMPLE_LINK_MBPS: f64 = 100.0;
 
 /// Age up to which a router's report shows that it follows the granter.
-const FOLLOWED: Duration = Duration::from_millis(1_500);
+const FOLLOWED: Duration = Duration::from_millis(1_000);
 
 /// Time without the store's confirmation after which nothing is moved.
 const MOVE_LIMIT: Duration = Duration::from_millis(2_000);
--- a/crates/node/src/router_shell/serve.rs
+++ b/crates/node/src/router_shell/serve.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_router::{AttemptFields, AttemptResult, Choice, Pick, RequestState, Verdict};
+use bay_router::{AttemptFields, AttemptResult, Choice, OwnerMap, Pick, RequestState, Verdict};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::ErrorKind;
 use futures_lite::future;
@@ -66,7 +66,7 @@
     let outcome = if served.error.is_some() { "refused" } else { "answered" };
     let name = format!("request.{}.{outcome}", request.service);
     shell.latencies.borrow_mut().record(&name, took);
-    log_request(&outgoing.head, &request, &served);
+    log_request(&shell, &outgoing.head, &request, &served);
     served.reply
 }
 
@@ -82,20 +82,17 @@
     status: u16,
     /// Why the router gave it up, if it did.
     error: Option<ErrorKind>,
-    /// The last server that was picked.
-    server: Option<Choice>,
 }
 
 async fn attempts(shell: &Rc<Shell>, request: &mut RequestState, outgoing: &Outgoing) -> Served {
-    let mut server = None;
     let mut answer: Option<ServerAnswer> = None;
-    let deliver = |answer: ServerAnswer, server| {
+    let deliver = |answer: ServerAnswer| {
         let status = answer.status;
-        Served { reply: Reply::answer(answer), status, error: None, server }
+        Served { reply: Reply::answer(answer), status, error: None }
     };
-    let give_up = |request: &RequestState, kind, after, server| {
+    let give_up = |request: &RequestState, kind, after| {
         let reply = refuse(shell, &outgoing.head, Some(request), kind, after);
-        Served { reply, status: shell.wire.status(kind), error: Some(kind), server }
+        Served { reply, status: shell.wire.status(kind), error: Some(kind) }
     };
     loop {
         let now = BootClock.now();
@@ -109,12 +106,11 @@
             Pick::Refuse(kind, after) => {
                 // What a server answered before goes before an answer of the router's own.
                 return match answer {
-                    Some(answer) => deliver(answer, server),
-                    None => give_up(request, kind, after, server),
+                    Some(answer) => deliver(answer),
+                    None => give_up(request, kind, after),
                 };
             }
         };
-        server = Some(choice);
         let (result, got) = attempt(shell, request, outgoing, &choice).await;
         if let Some(got) = got {
             if let Some(load) = got.fields.load {
@@ -130,12 +126,12 @@
         let verdict =
             shell.router.borrow_mut().judge(BootClock.now(), request, &choice, result, took);
         match (verdict, answer.take()) {
-            (Verdict::Deliver, Some(answer)) => return deliver(answer, server),
+            (Verdict::Deliver, Some(answer)) => return deliver(answer),
             // A failure that the server reported is delivered if nothing better follows.
             (Verdict::Retry, kept) => answer = kept.filter(|kept| !kept.fields.not_run),
-            (Verdict::Refuse(kind, after), _) => return give_up(request, kind, after, server),
+            (Verdict::Refuse(kind, after), _) => return give_up(request, kind, after),
             (Verdict::Deliver, None) => {
-                return give_up(request, ErrorKind::BadAnswer, None, server);
+                return give_up(request, ErrorKind::BadAnswer, None);
             }
         }
     }
@@ -224,21 +220,26 @@
     Reply::refusal(&*shell.wire, kind, after)
 }
 
-fn log_request(head: &RequestHead, request: &RequestState, served: &Served) {
+/// Logs the decisions about a request with what decided them.
+fn log_request(shell: &Shell, head: &RequestHead, request: &RequestState, served: &Served) {
     let id = head.fields.id.as_deref().unwrap_or_default();
-    let server = served.server.map_or_else(String::new, |choice| choice.server.to_string());
+    let router = shell.router.borrow();
+    let owners = router.owners(request.service).map(OwnerMap::version).unwrap_or_default();
+    let considered = request.considered;
     log::info!(
         request = id,
         route = request.route.name.as_str(),
         service:% = request.service,
-        key:? = request.key,
+        key = request.key.map_or_else(String::new, |key| key.to_string()),
         status = served.status,
         error = served.error.map_or("", ErrorKind::as_str),
-        server = server.as_str(),
-        expected_ms = served.server.map_or(0, |choice| choice.expected_ms as u64),
-        occupancy = served.server.map_or(0.0, |choice| choice.occupancy),
+        server = considered.map_or_else(String::new, |choice| choice.server.to_string()),
+        expected_ms = considered.map_or(0, |choice| choice.expected_ms as u64),
+        occupancy = considered.map_or(0, |choice| choice.occupancy.round() as u64),
         attempts = request.attempts,
         unsent = request.unsent,
+        config = router.config().map_or(0, |config| config.version),
+        owners = format!("{}.{}", owners.0.0, owners.1),
         took_ms = millis(BootClock.now(), request.arrived);
         "request answered"
     );
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -4,7 +4,7 @@
 use bay_time::Time;
 use bay_types::{ServerName, ServiceName};
 
-use crate::RouteSpec;
+use crate::{Choice, RouteSpec};
 
 /// A caller's request and what was tried for it.
 #[derive(Debug, Clone)]
@@ -29,6 +29,8 @@
     pub unsent: u32,
     /// Servers that are not tried again.
     pub tried: Vec<ServerName>,
+    /// The server that was considered last, also if the request was refused.
+    pub considered: Option<Choice>,
     /// Whether a server may have run it.
     pub may_have_run: bool,
 }
@@ -57,6 +59,7 @@
             attempts: 0,
             unsent: 0,
             tried: Vec::new(),
+            considered: None,
             may_have_run: false,
         }
     }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -312,7 +312,7 @@
     }
 
     /// Picks the server of the next attempt.
-    pub fn pick(&mut self, now: Time, request: &RequestState) -> Pick {
+    pub fn pick(&mut self, now: Time, request: &mut RequestState) -> Pick {
         if let Some(span) = self.crashes.banned(now, request.digest) {
             return Pick::Refuse(ErrorKind::Quarantined, Some(span));
         }
@@ -329,7 +329,7 @@
         }
     }
 
-    fn pick_owner(&mut self, now: Time, request: &RequestState, key: u16) -> Pick {
+    fn pick_owner(&mut self, now: Time, request: &mut RequestState, key: u16) -> Pick {
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
@@ -341,6 +341,7 @@
             let free = !server.is_avoided(now);
             (usable && free).then(|| self.choice(now, owner.server, server, pool))
         });
+        request.considered = choice;
         let Some(choice) = choice else {
             let waited = now.since(request.arrived).as_secs_f64();
             let longest = request.route.objective.as_secs_f64() * Router::OWNER_WAIT_SHARE;
@@ -358,7 +359,7 @@
         Pick::Send(choice)
     }
 
-    fn pick_any(&mut self, now: Time, request: &RequestState) -> Pick {
+    fn pick_any(&mut self, now: Time, request: &mut RequestState) -> Pick {
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
@@ -393,8 +394,10 @@
             }
         }
         if let Some(choice) = self.pick_cold(now, request, &cold, best.map(|(cost, _)| cost)) {
+            request.considered = Some(choice);
             return Pick::Send(choice);
         }
+        request.considered = best.map(|(_, choice)| choice);
         let Some((_, choice)) = best else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -158,6 +158,10 @@
         self.refusals = 0;
         self.avoided_until = Time::ZERO;
         self.failing += Server::GAIN * (f64::from(u8::from(failed)) - self.failing);
+        if failed {
+            // A failure may come sooner than an answer.
+            return;
+        }
         let slots = f64::from(self.entry.slots.max(1));
         let waiting = self.report.map_or(0.0, |report| f64::from(report.load.waiting));
         let queued = (sent_occupancy + 1.0 - slots).max(waiting);
--- a/crates/router/tests/picking.rs
+++ b/crates/router/tests/picking.rs
@@ -30,13 +30,13 @@
     for round in 0..50 {
         let mut request = admit(&mut router, at(round), "/once/x", None);
         request.body_bytes = 60 * 1024;
-        let choice = picked(router.pick(at(round), &request));
+        let choice = picked(router.pick(at(round), &mut request));
         assert!(choice.server.as_str().starts_with('a'));
     }
     let mut far = 0;
     for _ in 0..60 {
         let mut request = admit(&mut router, at(60), "/once/x", None);
-        let choice = picked(router.pick(at(60), &request));
+        let choice = picked(router.pick(at(60), &mut request));
         router.on_sent(&choice, &mut request);
         far += usize::from(choice.server.as_str().starts_with('b'));
     }
@@ -49,9 +49,9 @@
     let draining = ServerEntry { state: ServerState::Draining, ..entry("pool", "a", 0) };
     router.apply_server(at(1), server("a0"), Revision(2), Some(draining));
     let mut request = admit(&mut router, at(2), "/pool/x", None);
-    assert_eq!(picked(router.pick(at(2), &request)).server, server("a1"));
+    assert_eq!(picked(router.pick(at(2), &mut request)).server, server("a1"));
     request.tried.push(server("a1"));
-    assert!(matches!(router.pick(at(2), &request), Pick::Refuse(ErrorKind::NoTarget, Some(_))));
+    assert!(matches!(router.pick(at(2), &mut request), Pick::Refuse(ErrorKind::NoTarget, Some(_))));
 }
 
 /// A server that looked slow while it was overloaded is used again once it is idle.
@@ -61,19 +61,19 @@
     for round in 0..40 {
         let now = at(round * 10);
         let mut request = admit(&mut router, now, "/pool/x", None);
-        let choice = picked(router.pick(now, &request));
+        let choice = picked(router.pick(now, &mut request));
         router.on_sent(&choice, &mut request);
         let load = LoadReport { running: 4, waiting: 12, slots: 4, slowdown: 1.0 };
         router.on_report(now, &choice, load);
         router.on_ended(&choice);
         router.judge(now, &mut request, &choice, ANSWERED, Duration::from_millis(1_500));
-        if matches!(router.pick(now, &request), Pick::Refuse(..)) {
+        if matches!(router.pick(now, &mut request), Pick::Refuse(..)) {
             break;
         }
     }
     let later = at(60_000);
-    let request = admit(&mut router, later, "/pool/x", None);
-    assert!(matches!(router.pick(later, &request), Pick::Send(_)));
+    let mut request = admit(&mut router, later, "/pool/x", None);
+    assert!(matches!(router.pick(later, &mut request), Pick::Send(_)));
 }
 
 #[test]
@@ -83,7 +83,7 @@
     let mut refused = None;
     for _ in 0..60 {
         let mut request = admit(&mut router, now, "/pool/x", None);
-        match router.pick(now, &request) {
+        match router.pick(now, &mut request) {
             Pick::Send(choice) => router.on_sent(&choice, &mut request),
             Pick::Refuse(kind, after) => {
                 refused = Some((kind, after.unwrap(), request.time_left(now)));
@@ -101,11 +101,14 @@
 fn a_key_goes_to_its_owner_and_waits_a_moment_for_one() {
     let mut router = router(0, 0, 2);
     own(&mut router, 1, &[(0, 99, "k0"), (100, 199, "k1")]);
-    let request = admit(&mut router, at(0), "/keyed/x", Some(150));
-    assert_eq!(picked(router.pick(at(0), &request)).server, server("k1"));
-    let request = admit(&mut router, at(0), "/keyed/x", Some(500));
-    assert!(matches!(router.pick(at(0), &request), Pick::Wait(_)));
-    assert!(matches!(router.pick(at(101), &request), Pick::Refuse(ErrorKind::NoOwner, Some(_))));
+    let mut request = admit(&mut router, at(0), "/keyed/x", Some(150));
+    assert_eq!(picked(router.pick(at(0), &mut request)).server, server("k1"));
+    let mut request = admit(&mut router, at(0), "/keyed/x", Some(500));
+    assert!(matches!(router.pick(at(0), &mut request), Pick::Wait(_)));
+    assert!(matches!(
+        router.pick(at(101), &mut request),
+        Pick::Refuse(ErrorKind::NoOwner, Some(_))
+    ));
 }
 
 #[test]
@@ -113,15 +116,15 @@
     let mut router = router(0, 0, 2);
     own(&mut router, 2, &[(0, 99, "k1")]);
     own(&mut router, 1, &[(0, 99, "k0")]);
-    let request = admit(&mut router, at(0), "/keyed/x", Some(50));
-    assert_eq!(picked(router.pick(at(0), &request)).server, server("k1"));
+    let mut request = admit(&mut router, at(0), "/keyed/x", Some(50));
+    assert_eq!(picked(router.pick(at(0), &mut request)).server, server("k1"));
 }
 
 #[test]
 fn a_request_that_may_run_once_is_not_sent_again_once_it_may_have_run() {
     let mut router = router(3, 0, 0);
     let mut request = admit(&mut router, at(0), "/once/x", None);
-    let choice = picked(router.pick(at(0), &request));
+    let choice = picked(router.pick(at(0), &mut request));
     router.on_sent(&choice, &mut request);
     let lost = AttemptResult::Lost(ErrorKind::ConnectionLost);
     let verdict = router.judge(at(5), &mut request, &choice, lost, Duration::from_millis(5));
@@ -132,11 +135,11 @@
 fn a_request_that_was_not_run_goes_to_another_server_then_back_as_not_run() {
     let mut router = router(3, 0, 0);
     let mut request = admit(&mut router, at(0), "/once/x", None);
-    let first = picked(router.pick(at(0), &request));
+    let first = picked(router.pick(at(0), &mut request));
     router.on_sent(&first, &mut request);
     let verdict = router.judge(at(5), &mut request, &first, NOT_RUN, Duration::from_millis(5));
     assert_eq!(verdict, Verdict::Retry);
-    let second = picked(router.pick(at(5), &request));
+    let second = picked(router.pick(at(5), &mut request));
     assert_ne!(second.server, first.server);
     router.on_sent(&second, &mut request);
     let verdict = router.judge(at(9), &mut request, &second, NOT_RUN, Duration::from_millis(4));
@@ -148,19 +151,19 @@
 fn an_idempotent_request_whose_answer_was_lost_is_not_refused_as_not_run() {
     let mut router = router(3, 0, 0);
     let mut request = admit(&mut router, at(0), "/pool/x", None);
-    let first = picked(router.pick(at(0), &request));
+    let first = picked(router.pick(at(0), &mut request));
     router.on_sent(&first, &mut request);
     let lost = AttemptResult::Lost(ErrorKind::ConnectionLost);
     assert_eq!(
         router.judge(at(5), &mut request, &first, lost, Duration::from_millis(5)),
         Verdict::Retry
     );
-    let second = picked(router.pick(at(5), &request));
+    let second = picked(router.pick(at(5), &mut request));
     router.on_sent(&second, &mut request);
     let verdict = router.judge(at(9), &mut request, &second, NOT_RUN, Duration::from_millis(4));
     assert_eq!(verdict, Verdict::Refuse(ErrorKind::ConnectionLost, None));
     request.tried.extend([server("a0"), server("a1"), server("a2")]);
-    assert_eq!(router.pick(at(9), &request), Pick::Refuse(ErrorKind::ConnectionLost, None));
+    assert_eq!(router.pick(at(9), &mut request), Pick::Refuse(ErrorKind::ConnectionLost, None));
 }
 
 #[test]
@@ -172,7 +175,7 @@
         for digest in [1, 100 + round] {
             let mut request = admit(&mut router, now, "/once/x", None);
             request.digest = digest;
-            let mut choice = picked(router.pick(now, &request));
+            let mut choice = picked(router.pick(now, &mut request));
             choice.server = server(&format!("a{round}"));
             router.on_sent(&choice, &mut request);
             router.judge(now, &mut request, &choice, lost, Duration::from_millis(5));
@@ -183,7 +186,10 @@
     assert_eq!(router.take_crashes().len(), 6);
     let mut request = admit(&mut router, at(4_000), "/once/x", None);
     request.digest = 1;
-    assert!(matches!(router.pick(at(4_000), &request), Pick::Refuse(ErrorKind::Quarantined, _)));
+    assert!(matches!(
+        router.pick(at(4_000), &mut request),
+        Pick::Refuse(ErrorKind::Quarantined, _)
+    ));
     request.digest = 100;
-    assert!(matches!(router.pick(at(4_000), &request), Pick::Send(_)));
+    assert!(matches!(router.pick(at(4_000), &mut request), Pick::Send(_)));
 }
