--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -388,7 +388,8 @@
                 continue;
             };
             let choice = self.choice(now, name, server, pool);
-            let cost = choice.expected_ms + self.zone_cost(server, request);
+            let cost =
+                choice.expected_ms * server.failure_penalty() + self.zone_cost(server, request);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, choice));
             }
@@ -419,7 +420,8 @@
             let pool = self.pools.get(&request.service)?;
             let server = self.directory.get(*name)?;
             let choice = self.choice(now, *name, server, pool);
-            let cost = choice.expected_ms + self.zone_cost(server, request);
+            let cost =
+                choice.expected_ms * server.failure_penalty() + self.zone_cost(server, request);
             if best.is_none_or(|best| cost <= best) && self.take_cold(now, *name, &request.service)
             {
                 return Some(choice);
@@ -624,7 +626,7 @@
                 }
             }
             AttemptResult::NotConnected => server.on_unreachable(now),
-            AttemptResult::TimedOut => server.on_failed(),
+            AttemptResult::TimedOut => server.on_timed_out(took, choice.free_slot),
         }
     }
 
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -44,7 +44,7 @@
     /// How much of a reported slowdown is expected to last for a request.
     const SLOWDOWN_WEIGHT: f64 = 0.5;
     /// How strongly failures count against a server.
-    const FAILING_WEIGHT: f64 = 5.0;
+    const FAILING_WEIGHT: f64 = 12.0;
     /// Pause after a failed connection; it doubles with each further one.
     const AVOID: Duration = Duration::from_millis(200);
     /// Most doublings of the pause.
@@ -140,7 +140,12 @@
             _ => 1.0,
         };
         let service_ms = self.service_ms.unwrap_or(usual_ms) * slowdown;
-        service_ms * (1.0 + queued / slots) * (1.0 + Server::FAILING_WEIGHT * self.failing)
+        service_ms * (1.0 + queued / slots)
+    }
+
+    /// How much worse than its expected time tells a server is, for what it fails.
+    pub fn failure_penalty(&self) -> f64 {
+        1.0 + Server::FAILING_WEIGHT * self.failing
     }
 
     /// Takes the load report of an answer.
@@ -174,6 +179,19 @@
         };
     }
 
+    /// Takes note that it did not answer a request in time; `alone` if the request did not queue.
+    ///
+    /// Without these, only the answers that a slow server still gave in time would be counted.
+    pub fn on_timed_out(&mut self, took: Duration, alone: bool) {
+        self.on_failed();
+        let sample = took.as_secs_f64() * 1000.0;
+        let mean = self.service_ms.unwrap_or(0.0);
+        if alone && sample > mean {
+            self.measured = true;
+            self.service_ms = Some(mean + Server::GAIN * (sample - mean));
+        }
+    }
+
     /// Takes note that it did not run a request, or that its answer was lost.
     pub fn on_failed(&mut self) {
         self.failing += Server::GAIN * (1.0 - self.failing);
--- a/crates/router/tests/picking.rs
+++ b/crates/router/tests/picking.rs
@@ -193,3 +193,24 @@
     request.digest = 100;
     assert!(matches!(router.pick(at(4_000), &mut request), Pick::Send(_)));
 }
+
+/// Incident inc-73bb: servers that turned slow kept their load, as only answers in time counted.
+#[test]
+fn a_server_that_stops_answering_in_time_counts_as_slow() {
+    let mut router = router(2, 0, 0);
+    for round in 0..60 {
+        let now = at(round * 100);
+        let mut request = admit(&mut router, now, "/pool/x", None);
+        let choice = picked(router.pick(now, &mut request));
+        router.on_sent(&choice, &mut request);
+        router.on_ended(&choice);
+        let slow = choice.server == server("a0");
+        let (result, took) = match slow {
+            true => (AttemptResult::TimedOut, Duration::from_millis(2_000)),
+            false => (ANSWERED, Duration::from_millis(50)),
+        };
+        router.judge(now, &mut request, &choice, result, took);
+    }
+    let time = |name| router.directory().get(server(name)).unwrap().service_ms();
+    assert!(time("a0") > time("a1").map(|time| time * 4.0), "{:?} {:?}", time("a0"), time("a1"));
+}
