--- a/crates/node/src/router_shell/news.rs
+++ b/crates/node/src/router_shell/news.rs
@@ -107,7 +107,7 @@
     let directory = router.directory();
     names
         .map(|name| {
-            let revision = directory.revision(name).unwrap_or(Revision(u64::MAX));
+            let revision = directory.revision(name).unwrap_or_default();
             (name, revision, directory.get(name).map(|server| server.entry_now(now)))
         })
         .collect()
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -178,9 +178,10 @@
         &self.zones_out
     }
 
-    /// The revision of a server's entry.
+    /// The revision of a server's entry, or of its removal.
     pub fn revision(&self, name: ServerName) -> Option<Revision> {
-        self.servers.get(&name).map(|listed| listed.revision)
+        let listed = self.servers.get(&name).map(|listed| listed.revision);
+        listed.or_else(|| self.removed.get(&name).copied())
     }
 
     /// A server that is listed.
--- a/crates/router/tests/directory.rs
+++ b/crates/router/tests/directory.rs
@@ -96,3 +96,13 @@
     let change = directory.apply(at(1), server("s"), Revision(6), Some(cold));
     assert_eq!(change, DirectoryChange::Cold);
 }
+
+/// The removal of a server is told with a revision that its next entry exceeds.
+#[test]
+fn a_removal_keeps_its_revision_and_a_newer_entry_brings_the_server_back() {
+    let mut directory = listed();
+    directory.apply(at(1), server("s"), Revision(9), None);
+    assert_eq!(directory.revision(server("s")), Some(Revision(9)));
+    let change = directory.apply(at(2), server("s"), Revision(10), Some(entry("p", "a", 1)));
+    assert_eq!(change, DirectoryChange::Started);
+}
