--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -62,7 +62,7 @@
     /// # Errors
     /// Returns an error if an address cannot be listened on.
     pub fn start(
-        settings: RouterSettings,
+        mut settings: RouterSettings,
         wire: Rc<dyn RouterWire>,
         counters: Counters,
         executor: Rc<LocalExecutor<'static>>,
@@ -72,6 +72,10 @@
         let ready = Async::<TcpListener>::bind(settings.ready).map_err(at(settings.ready))?;
         let metrics = Async::<TcpListener>::bind(settings.metrics).map_err(at(settings.metrics))?;
         let peers = peers::bind(settings.peer).map_err(at(settings.peer))?;
+        settings.listen = front.get_ref().local_addr().map_err(at(settings.listen))?;
+        settings.ready = ready.get_ref().local_addr().map_err(at(settings.ready))?;
+        settings.metrics = metrics.get_ref().local_addr().map_err(at(settings.metrics))?;
+        settings.peer = peers.address().map_err(at(settings.peer))?;
         let meters = Arc::new(Meters::default());
         // The last connection that a router may have to a server is kept, as it is its only one
         // in a large fleet.
@@ -111,6 +115,11 @@
         Ok(router)
     }
 
+    /// Its settings, with the addresses that it listens on.
+    pub fn settings(&self) -> &RouterSettings {
+        &self.shell.settings
+    }
+
     /// Says that it is not ready, takes the last connections, finishes its requests and ends.
     pub async fn stop(&self) {
         let shell = &self.shell;
--- a/crates/node/src/router_shell/peers.rs
+++ b/crates/node/src/router_shell/peers.rs
@@ -26,6 +26,11 @@
 }
 
 impl PeerSocket {
+    /// The address that it is bound to.
+    pub(crate) fn address(&self) -> std::io::Result<SocketAddr> {
+        self.socket.get_ref().local_addr()
+    }
+
     /// Sends a message to several routers; a datagram that cannot be sent is lost.
     pub(crate) fn send(&self, to: &[SocketAddr], message: &PeerMessage) {
         let bytes = match postcard::to_stdvec(message) {
--- /dev/null
+++ b/crates/node/tests/platform/mod.rs
@@ -0,0 +1,236 @@
+//! Stand-ins for the users' platform: its store, and servers that take grants.
+
+use std::collections::BTreeMap;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::{Arc, Condvar, Mutex};
+use std::thread;
+use std::time::Duration;
+
+use serde_json::{Value, json};
+
+/// A request as a stand-in reads it.
+pub struct Received {
+    pub line: String,
+    pub headers: BTreeMap<String, String>,
+    pub body: Vec<u8>,
+}
+
+/// Reads a request; `None` at the end of the connection.
+pub fn receive(reader: &mut BufReader<TcpStream>) -> Option<Received> {
+    let mut line = String::new();
+    if reader.read_line(&mut line).ok()? == 0 {
+        return None;
+    }
+    let mut headers = BTreeMap::new();
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).ok()?;
+        let Some((name, value)) = header.trim().split_once(':') else {
+            break;
+        };
+        headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
+    }
+    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).ok()?;
+    Some(Received { line: line.trim().to_owned(), headers, body })
+}
+
+fn listen<F>(serve: F) -> SocketAddr
+where
+    F: Fn(TcpStream) + Clone + Send + 'static,
+{
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for stream in listener.incoming().flatten() {
+            let serve = serve.clone();
+            thread::spawn(move || serve(stream));
+        }
+    });
+    address
+}
+
+/// The platform's store.
+#[derive(Clone, Default)]
+pub struct FakeStore {
+    state: Arc<(Mutex<Objects>, Condvar)>,
+}
+
+#[derive(Default)]
+struct Objects {
+    revision: u64,
+    objects: BTreeMap<String, (u64, Value)>,
+    events: Vec<(u64, String, Option<Value>)>,
+}
+
+impl FakeStore {
+    /// Starts the store.
+    pub fn start() -> (FakeStore, SocketAddr) {
+        let store = FakeStore::default();
+        let serving = store.clone();
+        let address = listen(move |stream| serving.serve(&stream));
+        (store, address)
+    }
+
+    /// Writes an object, or removes it.
+    pub fn write(&self, key: &str, spec: Option<Value>) -> u64 {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        state.revision += 1;
+        let revision = state.revision;
+        match &spec {
+            Some(spec) => state.objects.insert(key.to_owned(), (revision, spec.clone())),
+            None => state.objects.remove(key),
+        };
+        state.events.push((revision, key.to_owned(), spec));
+        changed.notify_all();
+        revision
+    }
+
+    fn serve(&self, stream: &TcpStream) {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = receive(&mut reader) {
+            let (status, body) = self.answer(&request);
+            let body = body.to_string();
+            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            if (&mut &*stream).write_all((head + &body).as_bytes()).is_err() {
+                return;
+            }
+        }
+    }
+
+    fn answer(&self, request: &Received) -> (u16, Value) {
+        let mut words = request.line.split(' ');
+        let (method, target) = (words.next().unwrap(), words.next().unwrap());
+        let (path, query) = target.split_once('?').unwrap_or((target, ""));
+        let key = path.trim_start_matches("/api/objects/");
+        let number = |name: &str| {
+            let found = query.split('&').find_map(|pair| pair.strip_prefix(name));
+            found.and_then(|text| text.parse::<u64>().ok())
+        };
+        match (method, key.contains('/')) {
+            ("GET", true) => self.get(key),
+            ("GET", false) => match number("watch=") {
+                Some(since) => self.watch(key, since, number("wait-ms=").unwrap_or(0)),
+                None => self.list(key),
+            },
+            _ => self.put(key, &serde_json::from_slice(&request.body).unwrap()),
+        }
+    }
+
+    fn get(&self, key: &str) -> (u16, Value) {
+        let state = self.state.0.lock().unwrap();
+        match state.objects.get(key) {
+            Some((revision, spec)) => (200, object(key, *revision, Some(spec))),
+            None => (404, Value::Null),
+        }
+    }
+
+    fn list(&self, kind: &str) -> (u16, Value) {
+        let state = self.state.0.lock().unwrap();
+        let of_kind = state.objects.iter().filter(|(key, _)| key.starts_with(&format!("{kind}/")));
+        let items: Vec<Value> =
+            of_kind.map(|(key, (revision, spec))| object(key, *revision, Some(spec))).collect();
+        (200, json!({"items": items, "has-more": false, "as-of": state.revision}))
+    }
+
+    fn watch(&self, kind: &str, since: u64, wait_ms: u64) -> (u16, Value) {
+        let (state, changed) = &*self.state;
+        let prefix = format!("{kind}/");
+        let is_news = |(revision, key, _): &&(u64, String, Option<Value>)| {
+            *revision > since && key.starts_with(&prefix)
+        };
+        let state = state.lock().unwrap();
+        let wait = Duration::from_millis(wait_ms);
+        let (state, _) = changed
+            .wait_timeout_while(state, wait, |state| !state.events.iter().any(|e| is_news(&e)))
+            .unwrap();
+        let events: Vec<Value> = state
+            .events
+            .iter()
+            .filter(is_news)
+            .map(|(revision, key, spec)| {
+                json!({"deleted": spec.is_none(), "object": object(key, *revision, spec.as_ref())})
+            })
+            .collect();
+        (200, json!({"events": events, "as-of": state.revision}))
+    }
+
+    fn put(&self, key: &str, body: &Value) -> (u16, Value) {
+        let name = body["metadata"]["name"].as_str().unwrap();
+        let key = if key.contains('/') { key.to_owned() } else { format!("{key}/{name}") };
+        let expected = body["metadata"]["revision"].as_u64();
+        {
+            let state = self.state.0.lock().unwrap();
+            if let Some((revision, spec)) = state.objects.get(&key)
+                && expected != Some(*revision)
+            {
+                return (409, object(&key, *revision, Some(spec)));
+            }
+        }
+        let revision = self.write(&key, Some(body["spec"].clone()));
+        (200, object(&key, revision, Some(&body["spec"])))
+    }
+}
+
+fn object(key: &str, revision: u64, spec: Option<&Value>) -> Value {
+    let name = key.rsplit('/').next().unwrap();
+    json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
+}
+
+/// How a server answers requests.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub enum Manner {
+    /// With the path as the body.
+    Echo,
+    /// With a body that is cut short of its length.
+    Cut,
+    /// With its first answer to another request.
+    Crossed,
+    /// With a body that ends with the connection.
+    Unframed,
+    /// Not, and says so.
+    Shed,
+}
+
+/// A server that takes grants and requests; `id` is its name.
+pub fn start_server(id: &'static str, manner: Manner) -> SocketAddr {
+    listen(move |stream| serve_requests(&stream, id, manner))
+}
+
+fn serve_requests(stream: &TcpStream, id: &str, manner: Manner) {
+    let mut reader = BufReader::new(stream.try_clone().unwrap());
+    while let Some(request) = receive(&mut reader) {
+        let path = request.line.split(' ').nth(1).unwrap().to_owned();
+        let asked = request.headers.get("request-id").cloned().unwrap_or_default();
+        let answer = |status: u16, headers: &str, body: &str, length: usize| {
+            format!(
+                "HTTP/1.1 {status} X\r\nRequest-Id: {asked}\r\n{headers}\
+                 Content-Length: {length}\r\n\r\n{body}"
+            )
+        };
+        let signed = "Response-Signature: s\r\nInstance-Load: 1,0,4\r\n";
+        let body = format!("{id} {path} {}", request.body.len());
+        let expected = request.headers.get("expected-instance").map(String::as_str);
+        let (text, closes) = match manner {
+            _ if expected != Some(id) => (answer(421, "Not-Executed: 1\r\n", "", 0), false),
+            _ if path.starts_with("/api/") => (answer(200, "", "", 0), false),
+            Manner::Echo => (answer(200, signed, &body, body.len()), false),
+            Manner::Cut => (answer(200, signed, &body, body.len() + 50), true),
+            Manner::Shed => (answer(503, "Not-Executed: 1\r\n", "", 0), false),
+            Manner::Crossed => {
+                let other = "HTTP/1.1 200 X\r\nRequest-Id: other\r\nResponse-Signature: s\r\n\
+                             Content-Length: 5\r\n\r\nother";
+                (format!("{other}{}", answer(200, signed, &body, body.len())), false)
+            }
+            Manner::Unframed => {
+                (format!("HTTP/1.1 200 X\r\nRequest-Id: {asked}\r\n{signed}\r\n{body}"), true)
+            }
+        };
+        if (&mut &*stream).write_all(text.as_bytes()).is_err() || closes {
+            return;
+        }
+    }
+}
--- /dev/null
+++ b/crates/node/tests/router.rs
@@ -0,0 +1,222 @@
+//! The router with real sockets, against stand-ins for the platform's store and servers.
+
+mod platform;
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+use std::sync::mpsc;
+use std::thread;
+
+use async_executor::LocalExecutor;
+use bay_node::RouterShell;
+use bay_obs::Counters;
+use bay_platform::{PlatformWire, read_settings};
+use platform::{FakeStore, Manner, start_server};
+use serde_json::{Value, json};
+use test_case::test_case;
+
+/// A router's addresses.
+#[derive(Clone, Copy)]
+struct Addresses {
+    listen: SocketAddr,
+    ready: SocketAddr,
+    metrics: SocketAddr,
+}
+
+fn start_router(store: SocketAddr) -> Addresses {
+    let (tx, rx) = mpsc::channel();
+    thread::spawn(move || {
+        let text = json!({
+            "node-name": "h1", "ip": "127.0.0.1", "zone": "a",
+            "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
+            "internal-ports": [0, 0], "heartbeat": "1s", "bounds": ["hold-max=10s"],
+            "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": 256,
+                       "max-fds": 1024},
+            "platform": {"address": store},
+        });
+        let mut settings = read_settings(&text.to_string()).unwrap();
+        settings.metrics.set_port(0);
+        let executor = Rc::new(LocalExecutor::new());
+        let counters = Counters::new("router", None).unwrap();
+        let wire = Rc::new(PlatformWire);
+        let shell = RouterShell::start(settings, wire, counters, Rc::clone(&executor)).unwrap();
+        let settings = shell.settings();
+        let addresses =
+            Addresses { listen: settings.listen, ready: settings.ready, metrics: settings.metrics };
+        tx.send(addresses).unwrap();
+        async_io::block_on(executor.run(std::future::pending::<()>()));
+    });
+    rx.recv().unwrap()
+}
+
+fn server_entry(service: &str, address: SocketAddr) -> Value {
+    json!({"service": service, "address": address, "zone": "a", "version": "v1", "slots": 4,
+           "state": "ready", "warmup-left": "0ms", "sequence": 1, "born": 1})
+}
+
+fn config() -> Value {
+    json!({
+        "version": "r1",
+        "routes": {
+            "columns": ["name", "host", "path-prefix", "route-type", "timeout", "target-latency",
+                        "priority", "max-attempts", "service"],
+            "rows": [
+                ["r1", "shop", "/read/", "safe", "5s", "2s", 1, 2, "pool"],
+                ["r2", "shop", "/book/", "unsafe", "5s", "2s", 1, 2, "pool"],
+                ["r3", "shop", "/key/", "safe", "9s", "9s", 1, 2, "keyed"],
+            ],
+        },
+        "services": {
+            "columns": ["name", "health-path", "max-conns", "warmup", "warmup-per-s", "sharded"],
+            "rows": [["pool", "/health", 50, "3s", 5.0, null],
+                     ["keyed", "/health", 50, "3s", 5.0, true]],
+        },
+        "limits": {"max-header-bytes": 4096, "max-body-bytes": 100_000,
+                   "header-timeout": "3s", "idle-timeout": "15s"},
+    })
+}
+
+/// A ready router in front of the given servers of the service `pool`.
+fn start(servers: &[(&'static str, Manner)]) -> (FakeStore, Addresses) {
+    let (store, address) = FakeStore::start();
+    store.write("config/main", Some(config()));
+    for (id, manner) in servers {
+        let entry = server_entry("pool", start_server(id, *manner));
+        store.write(&format!("servers/{id}"), Some(entry));
+    }
+    let addresses = start_router(address);
+    while get(addresses.ready, "/api/ready").0 != 200 {}
+    (store, addresses)
+}
+
+fn get(address: SocketAddr, path: &str) -> (u16, String) {
+    exchange(address, &format!("GET {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\n\r\n"))
+}
+
+fn post(address: SocketAddr, path: &str, body: &str) -> (u16, String) {
+    let length = body.len();
+    exchange(
+        address,
+        &format!(
+            "POST {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nContent-Length: {length}\
+             \r\n\r\n{body}"
+        ),
+    )
+}
+
+fn exchange(address: SocketAddr, request: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(request.as_bytes()).unwrap();
+    read_answer(&mut BufReader::new(stream))
+}
+
+fn read_answer(reader: &mut BufReader<TcpStream>) -> (u16, String) {
+    let mut line = String::new();
+    reader.read_line(&mut line).unwrap();
+    let status = line.split(' ').nth(1).unwrap().parse().unwrap();
+    let mut length = 0;
+    loop {
+        let mut header = String::new();
+        reader.read_line(&mut header).unwrap();
+        let Some((name, value)) = header.trim().split_once(':') else {
+            break;
+        };
+        if name.eq_ignore_ascii_case("content-length") {
+            length = value.trim().parse().unwrap();
+        }
+    }
+    let mut body = vec![0; length];
+    reader.read_exact(&mut body).unwrap();
+    (status, String::from_utf8(body).unwrap())
+}
+
+#[test]
+fn requests_reach_the_servers_of_their_route() {
+    let (_store, router) = start(&[("i-1", Manner::Echo)]);
+    assert_eq!(get(router.listen, "/read/x"), (200, "i-1 /read/x 0".to_owned()));
+    assert_eq!(post(router.listen, "/book/y", "12345"), (200, "i-1 /book/y 5".to_owned()));
+    assert_eq!(get(router.listen, "/nowhere/").0, 404);
+}
+
+#[test]
+fn pipelined_requests_are_answered_in_their_order() {
+    let (_store, router) = start(&[("i-1", Manner::Echo)]);
+    let mut stream = TcpStream::connect(router.listen).unwrap();
+    let requests: String = (0..5)
+        .map(|index| {
+            format!("GET /read/{index} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q{index}\r\n\r\n")
+        })
+        .collect();
+    stream.write_all(requests.as_bytes()).unwrap();
+    let mut reader = BufReader::new(stream);
+    for index in 0..5 {
+        assert_eq!(read_answer(&mut reader), (200, format!("i-1 /read/{index} 0")));
+    }
+}
+
+#[test_case(Manner::Crossed; "an answer to another request comes first")]
+#[test_case(Manner::Unframed; "the body ends with the connection")]
+fn whole_answers_are_delivered(manner: Manner) {
+    let (_store, router) = start(&[("i-1", manner)]);
+    assert_eq!(post(router.listen, "/book/x", "1"), (200, "i-1 /book/x 1".to_owned()));
+}
+
+#[test]
+fn a_cut_answer_is_never_passed_on_as_whole() {
+    let (_store, router) = start(&[("i-1", Manner::Cut)]);
+    assert_eq!(post(router.listen, "/book/x", "1").0, 502);
+}
+
+#[test]
+fn a_request_that_a_server_did_not_run_goes_to_another_one() {
+    let (_store, router) = start(&[("i-1", Manner::Shed), ("i-2", Manner::Echo)]);
+    for _ in 0..10 {
+        assert_eq!(post(router.listen, "/book/x", "1"), (200, "i-2 /book/x 1".to_owned()));
+    }
+}
+
+#[test]
+fn keys_are_granted_and_their_requests_served() {
+    let (store, router) = start(&[]);
+    let entry = server_entry("keyed", start_server("i-9", Manner::Echo));
+    store.write("servers/i-9", Some(entry));
+    let request = "GET /key/x HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nShard-Key: 77\r\n\r\n";
+    loop {
+        let (status, body) = exchange(router.listen, request);
+        if status == 200 {
+            assert_eq!(body, "i-9 /key/x 0");
+            break;
+        }
+        assert_eq!(status, 503, "keys without an owner are refused as not run");
+    }
+}
+
+#[test]
+fn a_new_configuration_comes_into_force_and_a_removed_server_gets_no_request() {
+    let (store, router) = start(&[("i-1", Manner::Echo), ("i-2", Manner::Echo)]);
+    let mut newer = config();
+    newer["version"] = json!("r2");
+    newer["routes"]["rows"][0][2] = json!("/other/");
+    store.write("config/main", Some(newer));
+    while get(router.listen, "/other/x").0 == 404 {}
+    assert_eq!(get(router.listen, "/read/x").0, 404);
+    store.write("servers/i-1", None);
+    let others = |answer: (u16, String)| answer.1.starts_with("i-2");
+    let mut in_a_row = 0;
+    while in_a_row < 20 {
+        in_a_row = if others(get(router.listen, "/other/x")) { in_a_row + 1 } else { 0 };
+    }
+}
+
+#[test]
+fn bodies_that_are_too_long_are_refused_and_counters_served() {
+    let (_store, router) = start(&[("i-1", Manner::Echo)]);
+    let head = "POST /book/x HTTP/1.1\r\nHost: shop\r\nContent-Length: 100001\r\n\r\n";
+    assert_eq!(exchange(router.listen, head).0, 413);
+    get(router.listen, "/read/x");
+    let (status, text) = get(router.metrics, "/metrics");
+    assert_eq!(status, 200);
+    assert!(text.contains("request 1\n"), "{text}");
+    assert!(text.contains("request_pool_answered_count 1\n"), "{text}");
+}
