--- a/crates/router/tests/picking.rs
+++ b/crates/router/tests/picking.rs
@@ -214,3 +214,22 @@
     let time = |name| router.directory().get(server(name)).unwrap().service_ms();
     assert!(time("a0") > time("a1").map(|time| time * 4.0), "{:?} {:?}", time("a0"), time("a1"));
 }
+
+/// Incident inc-471d: servers that lose answers kept getting requests that may run once only.
+#[test]
+fn a_server_that_loses_answers_is_picked_less() {
+    let mut router = router(2, 0, 0);
+    let mut picks = 0;
+    for round in 0..200 {
+        let now = at(round * 50);
+        let mut request = admit(&mut router, now, "/once/x", None);
+        let choice = picked(router.pick(now, &mut request));
+        router.on_sent(&choice, &mut request);
+        router.on_ended(&choice);
+        let loses = choice.server == server("a0") && round % 3 == 0;
+        let result = if loses { AttemptResult::Lost(ErrorKind::ConnectionLost) } else { ANSWERED };
+        router.judge(now, &mut request, &choice, result, Duration::from_millis(50));
+        picks += usize::from(round >= 100 && choice.server == server("a0"));
+    }
+    assert!(picks < 20, "{picks} of 100 requests went to the server that loses answers");
+}
