--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -19,6 +19,7 @@
 mod caller;
 mod feeds;
 mod granting;
+mod hosts;
 mod http_client;
 mod news;
 mod orders;
--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -4,11 +4,12 @@
 
 use async_io::Timer;
 use bay_router::{DirectoryChange, HostRecord, ServerEntry, own_key};
-use bay_store::{Change, Expect, Object, ObjectKey, StoreReply, StoreRequest};
+use bay_store::{Change, Object, ObjectKey, StoreReply, StoreRequest};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServerName, ZoneName};
 
 use super::granting;
+use super::hosts;
 use super::news;
 use super::shell::Shell;
 
@@ -48,7 +49,7 @@
     for feed in [Feed::Config, Feed::Servers, Feed::Zones, Feed::Hosts] {
         shell.spawn(follow(Rc::clone(shell), feed));
     }
-    shell.spawn(register(Rc::clone(shell)));
+    shell.spawn(hosts::register(Rc::clone(shell)));
 }
 
 impl Feed {
@@ -214,7 +215,7 @@
                 self.apply_zones(shell);
             }
             Feed::Hosts => {
-                self.hosts = objects.iter().filter_map(host_record).collect();
+                self.hosts = objects.iter().filter_map(hosts::host_record).collect();
                 self.apply_hosts(shell);
             }
         }
@@ -256,7 +257,7 @@
         let Change { key, revision, body } = change;
         match body {
             Some(body) => {
-                if let Some((host, record)) = host_record(&Object { key, revision, body }) {
+                if let Some((host, record)) = hosts::host_record(&Object { key, revision, body }) {
                     self.hosts.insert(host, record);
                 }
             }
@@ -341,29 +342,7 @@
     log::info!(server:% = name, change:? = change, revision = revision.0; "server changed");
 }
 
-/// Lists this router in the store.
-async fn register(shell: Rc<Shell>) {
-    let record = HostRecord { peer: shell.settings.peer, incarnation: shell.incarnation };
-    let (Some(key), Ok(body)) =
-        (own_key::host(shell.settings.host), serde_json::to_string(&record))
-    else {
-        log::error!(host:% = shell.settings.host; "host name makes no key");
-        return;
-    };
-    let mut expect = Expect::Absent;
-    loop {
-        let put = StoreRequest::Put { key: key.clone(), body: body.clone(), expect };
-        match shell.store.call(&put).await {
-            Ok(StoreReply::Written(_)) => return,
-            Ok(StoreReply::Conflict(Some(object))) => expect = Expect::Revision(object.revision),
-            Ok(StoreReply::Conflict(None)) => expect = Expect::Absent,
-            _ => {}
-        }
-        Timer::after(RETRY_PAUSE).await;
-    }
-}
-
-fn last_part(key: &ObjectKey) -> &str {
+pub(super) fn last_part(key: &ObjectKey) -> &str {
     key.as_str().rsplit('/').next().unwrap_or_default()
 }
 
@@ -375,11 +354,6 @@
     ZoneName::new(last_part(key)).ok()
 }
 
-fn host_name(key: &ObjectKey) -> Option<HostName> {
+pub(super) fn host_name(key: &ObjectKey) -> Option<HostName> {
     HostName::new(last_part(key)).ok()
 }
-
-fn host_record(object: &Object) -> Option<(HostName, HostRecord)> {
-    let record = serde_json::from_str(&object.body).ok()?;
-    Some((host_name(&object.key)?, record))
-}
--- /dev/null
+++ b/crates/node/src/router_shell/granting/messages.rs
@@ -0,0 +1,160 @@
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bay_router::{Heartbeat, PeerMessage, Report, ServiceOwners};
+use bay_time::{BootClock, Clock, Time};
+use bay_types::{HostName, Term, ZoneName};
+
+use super::election::on_role_change;
+use super::{HEARTBEAT, REPORT, Shell, TIME_GAIN, news, others};
+
+pub(super) fn heartbeat(shell: &Rc<Shell>, now: Time, term: Term, unconfirmed: Duration) {
+    let feeds = news::feed_state(shell, now);
+    let message = {
+        let granting = &mut *shell.granting.borrow_mut();
+        if now < granting.heartbeat_at {
+            return;
+        }
+        granting.heartbeat_at = now + HEARTBEAT;
+        granting.heard.heard(now, shell.settings.host);
+        let services = granting.services.iter();
+        PeerMessage::Heartbeat(Heartbeat {
+            host: shell.settings.host,
+            term,
+            renewal: granting.leadership.renewal(),
+            unconfirmed_ms: unconfirmed.as_millis() as u32,
+            routers: granting.heard.count(now),
+            published: services.map(|(name, granted)| (*name, granted.published)).collect(),
+            feeds,
+        })
+    };
+    shell.peers.send(&others(shell), &message);
+}
+
+/// Tells the granter what this router has seen.
+pub(super) fn report(shell: &Rc<Shell>, now: Time) {
+    let (leader, term) = {
+        let granting = &mut *shell.granting.borrow_mut();
+        if now < granting.report_at {
+            return;
+        }
+        granting.report_at = now + REPORT;
+        (granting.leader, granting.leadership.known_term())
+    };
+    let report = Report {
+        host: shell.settings.host,
+        term,
+        services: shell.router.borrow_mut().take_reports(),
+    };
+    if shell.granting.borrow().term().is_some() {
+        take_report(shell, now, &report);
+    } else if let Some((address, followed)) = leader
+        && followed == term
+    {
+        shell.peers.send(&[address], &PeerMessage::Report(report));
+    }
+}
+
+fn take_report(shell: &Shell, now: Time, report: &Report) {
+    let granting = &mut *shell.granting.borrow_mut();
+    if granting.term() != Some(report.term) {
+        return;
+    }
+    granting.heard.heard(now, report.host);
+    granting.settle(now, report.host, shell.hosts.borrow().len());
+    for part in &report.services {
+        let Some(granted) = granting.services.get_mut(&part.service) else {
+            continue;
+        };
+        for count in &part.keys {
+            granted.loads.add(count.key, count.requests);
+        }
+        for time in &part.servers {
+            let sample = f64::from(time.service_ms);
+            let mean = granted.times.entry(time.server).or_insert(sample);
+            *mean += TIME_GAIN * (sample - *mean);
+        }
+    }
+}
+
+/// Takes a message of another router.
+pub(crate) fn on_message(shell: &Rc<Shell>, from: SocketAddr, message: PeerMessage) {
+    let now = BootClock.now();
+    match message {
+        PeerMessage::Heartbeat(heartbeat) => on_heartbeat(shell, now, from, &heartbeat),
+        PeerMessage::OwnerChanges(service, changes) => {
+            if !shell.router.borrow_mut().change_owners(service, &changes) {
+                shell.peers.send(&[from], &PeerMessage::Want(service));
+            }
+        }
+        PeerMessage::Owners(ServiceOwners { service, owners }) => {
+            shell.router.borrow_mut().set_owners(service, owners);
+        }
+        PeerMessage::Report(report) => {
+            if shell.granting.borrow().term().is_some() {
+                take_report(shell, now, &report);
+            }
+        }
+        PeerMessage::Servers(news) => news::on_news(shell, from, news),
+        PeerMessage::Crashes(crashes) => {
+            let mut router = shell.router.borrow_mut();
+            crashes.into_iter().for_each(|crash| router.on_crash(now, crash));
+        }
+        PeerMessage::WantServers => news::tell_all(shell, from),
+        PeerMessage::Want(service) => {
+            let owners = shell.router.borrow().owners(service).cloned();
+            if let Some(owners) = owners {
+                let message = PeerMessage::Owners(ServiceOwners { service, owners });
+                shell.peers.send(&[from], &message);
+            }
+        }
+    }
+}
+
+fn on_heartbeat(shell: &Rc<Shell>, now: Time, from: SocketAddr, heartbeat: &Heartbeat) {
+    let before = shell.granting.borrow().term();
+    {
+        let granting = &mut *shell.granting.borrow_mut();
+        if heartbeat.term < granting.leadership.known_term() {
+            return;
+        }
+        let unconfirmed = Duration::from_millis(u64::from(heartbeat.unconfirmed_ms));
+        granting.leadership.on_heartbeat(now, heartbeat.term, heartbeat.renewal, unconfirmed);
+        let changed = granting.leader.is_none_or(|(_, term)| term != heartbeat.term);
+        if changed {
+            log::info!(host:% = heartbeat.host, term = heartbeat.term.0; "granter heard");
+        }
+        granting.leader = Some((from, heartbeat.term));
+    }
+    on_role_change(shell, before);
+    if let Some(state) = &heartbeat.feeds {
+        let mut fed = shell.fed.borrow_mut();
+        if fed.on_heartbeat(now, heartbeat.term, state.clone()) {
+            shell.peers.send(&[from], &PeerMessage::WantServers);
+        }
+        if fed.state(now).is_some() {
+            let zones = state.zones_out.iter().copied().collect();
+            set_zones_out(shell, now, zones);
+        }
+    }
+    let mut router = shell.router.borrow_mut();
+    let hosts: Vec<HostName> = shell.hosts.borrow().keys().copied().collect();
+    router.set_hosts(now, hosts, heartbeat.routers);
+    for (service, published) in &heartbeat.published {
+        let known = router.owners(*service).map(bay_router::OwnerMap::version);
+        if known.is_some_and(|known| known < (heartbeat.term, *published)) {
+            shell.peers.send(&[from], &PeerMessage::Want(*service));
+        }
+    }
+}
+
+/// Takes the zones that are out as the granter has read them.
+fn set_zones_out(shell: &Shell, now: Time, zones: BTreeSet<ZoneName>) {
+    let mut router = shell.router.borrow_mut();
+    if *router.directory().zones_out() != zones {
+        log::info!(zones:? = zones; "zones out");
+        router.set_zones_out(now, zones);
+    }
+}
--- /dev/null
+++ b/crates/node/src/router_shell/hosts.rs
@@ -0,0 +1,41 @@
+use std::rc::Rc;
+use std::time::Duration;
+
+use async_io::Timer;
+use bay_router::{HostRecord, own_key};
+use bay_store::{Expect, Object, StoreReply, StoreRequest};
+use bay_types::HostName;
+
+use super::feeds::host_name;
+use super::shell::Shell;
+
+/// Pause after a write that failed.
+const RETRY_PAUSE: Duration = Duration::from_millis(150);
+
+/// Lists this router in the store.
+pub(crate) async fn register(shell: Rc<Shell>) {
+    let record = HostRecord { peer: shell.settings.peer, incarnation: shell.incarnation };
+    let (Some(key), Ok(body)) =
+        (own_key::host(shell.settings.host), serde_json::to_string(&record))
+    else {
+        log::error!(host:% = shell.settings.host; "host name makes no key");
+        return;
+    };
+    let mut expect = Expect::Absent;
+    loop {
+        let put = StoreRequest::Put { key: key.clone(), body: body.clone(), expect };
+        match shell.store.call(&put).await {
+            Ok(StoreReply::Written(_)) => return,
+            Ok(StoreReply::Conflict(Some(object))) => expect = Expect::Revision(object.revision),
+            Ok(StoreReply::Conflict(None)) => expect = Expect::Absent,
+            _ => {}
+        }
+        Timer::after(RETRY_PAUSE).await;
+    }
+}
+
+/// Reads a router's record.
+pub(crate) fn host_record(object: &Object) -> Option<(HostName, HostRecord)> {
+    let record = serde_json::from_str(&object.body).ok()?;
+    Some((host_name(&object.key)?, record))
+}
--- /dev/null
+++ b/crates/router/src/router/judging.rs
@@ -0,0 +1,164 @@
+use std::time::Duration;
+
+use bay_time::Time;
+use bay_types::ErrorKind;
+
+use super::Router;
+use crate::{AttemptResult, Choice, Counter, Crash, LoadReport, RequestState, Verdict};
+
+impl Router {
+    /// Takes note that an attempt is about to be sent.
+    pub fn on_sent(&mut self, choice: &Choice, request: &mut RequestState) {
+        request.attempts += 1;
+        *self.counts.entry(Counter::Attempt).or_default() += 1;
+        if let Some(server) = self.directory.get_mut(choice.server) {
+            server.in_flight += 1;
+        }
+    }
+
+    /// Takes note that an attempt has ended, however it did.
+    pub fn on_ended(&mut self, choice: &Choice) {
+        if let Some(server) = self.directory.get_mut(choice.server) {
+            server.in_flight = server.in_flight.saturating_sub(1);
+        }
+    }
+
+    /// Takes the load report of an answer.
+    pub fn on_report(&mut self, now: Time, choice: &Choice, load: LoadReport) {
+        if let Some(server) = self.directory.get_mut(choice.server) {
+            server.on_report(now, load);
+        }
+    }
+
+    /// Decides what becomes of a request after an attempt that took this long.
+    pub fn judge(
+        &mut self,
+        now: Time,
+        request: &mut RequestState,
+        choice: &Choice,
+        result: AttemptResult,
+        took: Duration,
+    ) -> Verdict {
+        self.observe(now, request, choice, result, took);
+        match result {
+            AttemptResult::Answered { not_run: true, .. } => {
+                self.again(now, request, choice, Counter::RetryNotRun, ErrorKind::ServiceOverloaded)
+            }
+            AttemptResult::Answered { status: 500.., .. } if request.route.idempotent() => {
+                request.may_have_run = true;
+                match self.may_retry(now, request, Counter::RetryFailed) {
+                    true => Verdict::Retry,
+                    false => Verdict::Deliver,
+                }
+            }
+            AttemptResult::Answered { .. } => Verdict::Deliver,
+            AttemptResult::NotConnected => {
+                request.unsent += 1;
+                if request.key.is_none() {
+                    request.tried.push(choice.server);
+                }
+                *self.counts.entry(Counter::RetryNotConnected).or_default() += 1;
+                if request.unsent < RequestState::MAX_UNSENT {
+                    return Verdict::Retry;
+                }
+                let (kind, after) = self.refusal(now, request, ErrorKind::Unreachable);
+                Verdict::Refuse(kind, after)
+            }
+            AttemptResult::Lost(kind) => {
+                request.may_have_run = true;
+                if !request.route.idempotent() {
+                    return Verdict::Refuse(kind, None);
+                }
+                self.again(now, request, choice, Counter::RetryLost, kind)
+            }
+            AttemptResult::TimedOut => {
+                request.may_have_run = true;
+                Verdict::Refuse(ErrorKind::DeadlineUnknown, None)
+            }
+        }
+    }
+
+    fn observe(
+        &mut self,
+        now: Time,
+        request: &RequestState,
+        choice: &Choice,
+        result: AttemptResult,
+        took: Duration,
+    ) {
+        match result {
+            AttemptResult::Answered { not_run: false, .. } => {
+                self.crashes.on_completed(request.digest);
+            }
+            AttemptResult::Lost(ErrorKind::ConnectionLost) => {
+                let Choice { server, started, .. } = *choice;
+                self.crashes.on_lost(now, Crash { digest: request.digest, server, started });
+            }
+            _ => {}
+        }
+        let Some(server) = self.directory.get_mut(choice.server) else {
+            return;
+        };
+        match result {
+            AttemptResult::Answered { not_run: true, .. } | AttemptResult::Lost(_) => {
+                server.on_failed();
+            }
+            AttemptResult::Answered { status, .. } => {
+                server.on_served(took, choice.occupancy, status >= 500);
+                let service_ms = server.service_ms();
+                if let (Some(pool), Some(ms)) = (self.pools.get_mut(&request.service), service_ms) {
+                    pool.on_served(ms);
+                }
+            }
+            AttemptResult::NotConnected => server.on_unreachable(now),
+            AttemptResult::TimedOut => server.on_timed_out(took, choice.free_slot),
+        }
+    }
+
+    /// Tries again if that is allowed, else gives the request up for this reason.
+    fn again(
+        &mut self,
+        now: Time,
+        request: &mut RequestState,
+        choice: &Choice,
+        reason: Counter,
+        kind: ErrorKind,
+    ) -> Verdict {
+        if request.key.is_none() {
+            request.tried.push(choice.server);
+        }
+        if self.may_retry(now, request, reason) {
+            return Verdict::Retry;
+        }
+        if request.may_have_run {
+            return Verdict::Refuse(kind_of_lost(kind), None);
+        }
+        let (kind, after) = self.refusal(now, request, kind);
+        Verdict::Refuse(kind, after)
+    }
+
+    fn may_retry(&mut self, now: Time, request: &RequestState, reason: Counter) -> bool {
+        let Some(pool) = self.pools.get_mut(&request.service) else {
+            return false;
+        };
+        if request.attempts >= request.route.max_attempts {
+            return false;
+        }
+        let worst = pool.usual_ms.min(request.route.objective.as_secs_f64() * 1000.0);
+        if request.time_left(now).as_secs_f64() * 1000.0 < worst {
+            return false;
+        }
+        let allowed = pool.retries.take(now);
+        let counter = if allowed { reason } else { Counter::RetryDenied };
+        *self.counts.entry(counter).or_default() += 1;
+        allowed
+    }
+}
+
+/// The answer to a request that may have run, whatever was the last reason to give it up.
+fn kind_of_lost(kind: ErrorKind) -> ErrorKind {
+    match kind {
+        ErrorKind::BadAnswer | ErrorKind::AnswerCut => kind,
+        _ => ErrorKind::ConnectionLost,
+    }
+}
