--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -32,9 +32,13 @@
 /// Pause after a failed call; it doubles up to [`MAX_RETRY_PAUSE`].
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
-/// Longest pause between failed calls.
+/// Longest pause between failed calls of the granter, which tells the others.
 const MAX_RETRY_PAUSE: Duration = Duration::from_millis(600);
 
+/// Longest pause between failed calls of the others; shorter than the time after which a router
+/// that the store serves again is bound by what it says.
+const MAX_FOLLOWER_PAUSE: Duration = Duration::from_millis(1_200);
+
 /// A kind of documents that the router follows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 enum Feed {
@@ -63,8 +67,16 @@
     }
 
     fn need(self, shell: &Shell, now: Time) -> Need {
+        let follows = granting::term(shell).is_none();
+        // Only the granter has to know at once which routers there are.
+        if self == Feed::Hosts && follows && !shell.hosts.borrow().is_empty() {
+            let fed = shell.fed.borrow();
+            let told = fed.state(now).map(|state| state.hosts);
+            let known = shell.hosts.borrow().len() as u32;
+            return if told.is_none_or(|told| told == known) { Need::Nothing } else { Need::List };
+        }
         let fed = shell.fed.borrow();
-        let Some(state) = fed.state(now).filter(|_| granting::term(shell).is_none()) else {
+        let Some(state) = fed.state(now).filter(|_| follows) else {
             return Need::Watch;
         };
         let current = match self {
@@ -74,7 +86,7 @@
                 shell.router.borrow().config().map(|config| config.version) >= Some(state.config)
             }
             Feed::Zones => return Need::Nothing,
-            Feed::Hosts => shell.hosts.borrow().len() as u32 == state.hosts,
+            Feed::Hosts => false,
         };
         if current { Need::Nothing } else { Need::List }
     }
@@ -175,7 +187,8 @@
             Timer::after(feed.interval()).await;
         } else {
             Timer::after(pause).await;
-            pause = (pause * 2).min(MAX_RETRY_PAUSE);
+            let granter = granting::term(&shell).is_some();
+            pause = (pause * 2).min(if granter { MAX_RETRY_PAUSE } else { MAX_FOLLOWER_PAUSE });
         }
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,8 +4,8 @@
 use bay_range::{Candidate, OwnerId};
 use bay_time::Time;
 use bay_types::{ErrorKind, HostName, Revision, ServerName, ServiceName, ZoneName};
-use rand::rngs::SmallRng;
 use rand::SeedableRng;
+use rand::rngs::SmallRng;
 
 use crate::{
     CallerLimits, Config, Counter, Crash, CrashWatch, Directory, DirectoryChange, KeyCount,
