Lengthen a gate's queue while targets are withdrawn

Cause: with a zone out, 97% of what remains is asked for; each gate's queue is short, so that requests were refused at one gate while others had room. Ruled out: a longer queue at all times (p99 with stragglers 1.25 to 1.49). Change: three times the queue while operators have taken targets out.

--- a/crates/load/src/picking.rs
+++ b/crates/load/src/picking.rs
@@ -18,6 +18,10 @@
 /// Requests that may wait at a gate at least.
 const MIN_QUEUE: usize = 8;
 
+/// How much longer the queue may be while operators have taken targets out of service: the rest
+/// is nearly full then, and a request that waits is served although a refused one may not be.
+const WITHDRAWN_QUEUE: usize = 3;
+
 impl Pool {
     /// Picks a target for a request.
     pub fn pick(&mut self, now: Time, request: &PickRequest<'_>) -> Pick {
@@ -139,7 +143,9 @@
     fn queue_limit(&self) -> usize {
         let slots = self.targets.len() * self.config.limits.slots as usize;
         let share = slots / self.gates.len().max(1);
-        (QUEUE_PER_SLOT * share).max(MIN_QUEUE)
+        let limit = (QUEUE_PER_SLOT * share).max(MIN_QUEUE);
+        let withdrawn = self.targets.values().any(|target| !target.spec.accepts);
+        if withdrawn { limit * WITHDRAWN_QUEUE } else { limit }
     }
 
     fn may_serve(&self, only: Option<SocketAddr>) -> bool {
--- a/crates/load/tests/missed_targets.rs
+++ b/crates/load/tests/missed_targets.rs
@@ -1,8 +1,8 @@
-//! Targets of the project that sharing by loans misses; each is listed in `KNOWN-RED.txt`.
+//! A target of the project that sharing by loans misses; it is listed in `KNOWN-RED.txt`.
 
 use std::time::Duration;
 
-use bay_fakes::queueing::{Policy, Scenario, Site, Stragglers, ZoneOut, run};
+use bay_fakes::queueing::{Policy, Scenario, Site, Stragglers, run};
 
 fn secs(secs: u64) -> Duration {
     Duration::from_secs(secs)
@@ -20,15 +20,3 @@
     let ratio = with.percentile_ms(99.0) / without.percentile_ms(99.0);
     assert!(ratio <= 1.25, "{ratio}");
 }
-
-#[test]
-fn eight_targets_in_four_zones_bear_97_percent_load_while_one_zone_is_out() {
-    let base =
-        Scenario { measured: secs(23), ..Scenario::new(Site::BOOKING, Policy::Lending, 0.7, 1) };
-    let (out, back) = (secs(14), secs(24));
-    let zone_out = Some(ZoneOut { zone: 0, span: out..back });
-    let report = run(&Scenario { zone_out, ..base.clone() });
-    let rest = base.site.capacity(base.service, Some(0)).min(base.rate());
-    let share = report.goodput(out, back) / rest;
-    assert!(share >= 0.98, "{share}");
-}
--- a/crates/load/tests/sharing.rs
+++ b/crates/load/tests/sharing.rs
@@ -116,3 +116,15 @@
     assert_eq!(report.excess, 0);
     assert!(report.answered() >= 0.98, "{}", report.answered());
 }
+
+#[test]
+fn eight_targets_in_four_zones_bear_97_percent_load_while_one_zone_is_out() {
+    let base =
+        Scenario { measured: secs(23), ..Scenario::new(Site::BOOKING, Policy::Lending, 0.7, 1) };
+    let (out, back) = (secs(14), secs(24));
+    let zone_out = Some(ZoneOut { zone: 0, span: out..back });
+    let report = run(&Scenario { zone_out, ..base.clone() });
+    let rest = base.site.capacity(base.service, Some(0)).min(base.rate());
+    let share = report.goodput(out, back) / rest;
+    assert!(share >= 0.98, "{share}");
+}
