Suspend calls while the store is lost; replace a granter that reports its loss at once

A granter that the store refuses was replaced 1.2 s after its own heartbeats said so. Change: a circuit breaker for all of a router's calls (one trial each 1.2 s, the granter 0.5 s); followers need no silence from a granter that reports that it has lost the store. Failed lists are logged.

--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -4,7 +4,7 @@
 
 use async_io::Timer;
 use bay_router::{DirectoryChange, HostRecord, ServerEntry, own_key};
-use bay_store::{Change, Object, ObjectKey, StoreReply, StoreRequest};
+use bay_store::{Change, Object, ObjectKey, StoreError, StoreReply, StoreRequest};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServerName, ZoneName};
 
@@ -154,7 +154,11 @@
                     known = Some(revision);
                     true
                 }
-                Err(_) => false,
+                Err(StoreError::Suspended) => false,
+                Err(error) => {
+                    log::info!(feed:? = feed, error:% = error; "list failed");
+                    false
+                }
             },
             Some(since) => {
                 let request = StoreRequest::Watch { prefix, since, wait: feed.wait() };
@@ -170,6 +174,7 @@
                         }
                         true
                     }
+                    Err(StoreError::Suspended) => false,
                     other => {
                         log::info!(feed:? = feed, result:? = other; "watch failed");
                         false
--- a/crates/node/src/router_shell/granting/election.rs
+++ b/crates/node/src/router_shell/granting/election.rs
@@ -56,6 +56,7 @@
     granting.heard.clear();
     shell.fed.borrow_mut().clear();
     shell.told.borrow_mut().clear();
+    shell.store.set_granter(after.is_some());
     match after {
         Some(term) => log::info!(
             term = term.0,
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -5,9 +5,9 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_router::{HttpCall, ObjectPage, RouterWire};
+use bay_router::{HttpCall, ObjectPage, RouterWire, StoreHealth};
 use bay_store::{Object, StoreError, StoreRequest, StoreResult};
-use bay_time::{BootClock, Clock, Time};
+use bay_time::{BootClock, Clock};
 use bay_types::Revision;
 use futures_lite::future;
 
@@ -26,18 +26,15 @@
 /// Most idle connections that are kept.
 const MAX_IDLE: usize = 3;
 
-/// Time without an answered call after which the store counts as lost.
-const LOST_AFTER: Duration = Duration::from_millis(1_000);
-
 /// The client of the platform's store.
 pub(crate) struct StoreClient {
     address: SocketAddr,
     wire: Rc<dyn RouterWire>,
     meters: Arc<Meters>,
     idle: RefCell<Vec<Connection>>,
-    /// Since when calls have failed.
-    failing_since: Cell<Option<Time>>,
-    lost: Cell<bool>,
+    health: RefCell<StoreHealth>,
+    /// Whether this router is the granter.
+    granter: Cell<bool>,
 }
 
 impl StoreClient {
@@ -52,8 +49,8 @@
             wire,
             meters: Arc::clone(meters),
             idle: RefCell::default(),
-            failing_since: Cell::new(None),
-            lost: Cell::new(false),
+            health: RefCell::default(),
+            granter: Cell::new(false),
         }
     }
 
@@ -100,10 +97,18 @@
 
     /// Whether the store has not answered for a while.
     pub(crate) fn is_lost(&self) -> bool {
-        self.lost.get()
+        self.health.borrow().is_lost()
+    }
+
+    /// Takes note of whether this router is the granter, on whom the others rely.
+    pub(crate) fn set_granter(&self, granter: bool) {
+        self.granter.set(granter);
     }
 
     async fn exchange(&self, http: &HttpCall, timeout: Duration) -> Result<CallAnswer, StoreError> {
+        if !self.health.borrow_mut().admits(BootClock.now(), self.granter.get()) {
+            return Err(StoreError::Suspended);
+        }
         let Some(mut connection) = self.connect().await else {
             return self.note(Err(StoreError::Unreachable));
         };
@@ -149,18 +154,14 @@
 
     /// Keeps track of whether the store answers.
     fn note<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        let now = BootClock.now();
         match &result {
             Ok(_) | Err(StoreError::Rejected) => {
-                self.failing_since.set(None);
-                if self.lost.replace(false) {
+                if self.health.borrow_mut().on_answer() {
                     log::info!(store:% = self.address; "store answers again");
                 }
             }
             Err(error) => {
-                let since = self.failing_since.get().unwrap_or(now);
-                self.failing_since.set(Some(since));
-                if now.since(since) >= LOST_AFTER && !self.lost.replace(true) {
+                if self.health.borrow_mut().on_failure(BootClock.now()) {
                     log::warn!(store:% = self.address, error:% = error; "store lost");
                 }
             }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -49,6 +49,8 @@
 enum State {
     Following {
         silent_from: Time,
+        /// No call is made before.
+        retry_at: Time,
     },
     /// The record was read; it is replaced if it is unchanged at this time.
     Observing {
@@ -75,7 +77,7 @@
 
     /// A follower; `delay` spreads the attempts of followers that notice the silence together.
     pub fn new(host: HostName, incarnation: u64, delay: Duration, now: Time) -> Leadership {
-        let state = State::Following { silent_from: now };
+        let state = State::Following { silent_from: now, retry_at: now };
         Leadership {
             host,
             incarnation,
@@ -145,7 +147,14 @@
         match &self.state {
             State::Leading { record, .. } if record.term >= term => {}
             State::Leading { .. } => self.follow(now),
-            // The granter has lost the store; another one may still reach it.
+            // The granter has lost the store; another one may still reach it. As the granter says
+            // so itself, there is no silence to wait for.
+            State::Following { silent_from, retry_at }
+                if unconfirmed > Leadership::STORE_SILENCE =>
+            {
+                let silent_from = (*silent_from).min(now - Leadership::SILENCE);
+                self.state = State::Following { silent_from, retry_at: *retry_at };
+            }
             _ if unconfirmed > Leadership::STORE_SILENCE => {}
             _ => self.follow(now),
         }
@@ -157,8 +166,9 @@
             return None;
         }
         let action = match &mut self.state {
-            State::Following { silent_from } => {
-                if now.since(*silent_from) < Leadership::SILENCE + self.delay {
+            State::Following { silent_from, retry_at } => {
+                let silent = now.since(*silent_from) >= Leadership::SILENCE + self.delay;
+                if !silent || now < *retry_at {
                     return None;
                 }
                 LeadershipAction::Read
@@ -216,7 +226,7 @@
             self.state = State::Leading { record, revision, renew_at, confirmed: now };
             return;
         }
-        if let State::Following { silent_from } = self.state
+        if let State::Following { silent_from, .. } = self.state
             && now.since(silent_from) < Leadership::SILENCE
         {
             // The granter was heard while the call was under way.
@@ -253,9 +263,7 @@
     pub fn on_failure(&mut self, now: Time) {
         self.in_flight = false;
         match &mut self.state {
-            State::Following { silent_from } => {
-                *silent_from = (now + Leadership::RETRY) - (Leadership::SILENCE + self.delay);
-            }
+            State::Following { retry_at, .. } => *retry_at = now + Leadership::RETRY,
             State::Observing { at, .. } => *at = now + Leadership::RETRY,
             State::Leading { .. } => {}
         }
@@ -274,6 +282,6 @@
     }
 
     fn follow(&mut self, now: Time) {
-        self.state = State::Following { silent_from: now };
+        self.state = State::Following { silent_from: now, retry_at: now };
     }
 }
--- /dev/null
+++ b/crates/range/tests/leadership.rs
@@ -0,0 +1,185 @@
+//! The election of the granter through one record of the store.
+
+use std::time::Duration;
+
+use bay_range::{Leadership, LeadershipAction, LeadershipRecord, Role};
+use bay_time::Time;
+use bay_types::{HostName, Revision, Term};
+use test_case::test_case;
+
+const STEP: Duration = Duration::from_millis(50);
+const HEARTBEAT: Duration = Duration::from_millis(250);
+const CONFIRMED: Duration = Duration::ZERO;
+const LOST: Duration = Duration::from_millis(1_900);
+
+fn host(index: usize) -> HostName {
+    HostName::new(&format!("edge-{index}")).unwrap()
+}
+
+/// Processes with one store.
+struct World {
+    now: Time,
+    record: Option<(Revision, LeadershipRecord)>,
+    processes: Vec<Leadership>,
+    /// Whether the store serves each process.
+    served: Vec<bool>,
+    calls: Vec<usize>,
+    heartbeat_at: Time,
+    /// Whether the granter's heartbeats arrive.
+    heard: bool,
+}
+
+impl World {
+    fn new(count: usize) -> World {
+        let now = Time::from_millis(1_000);
+        let delay = |index| Duration::from_millis(60 * index as u64);
+        World {
+            now,
+            record: None,
+            processes: (0..count)
+                .map(|index| Leadership::new(host(index), 1, delay(index), now))
+                .collect(),
+            served: vec![true; count],
+            calls: vec![0; count],
+            heartbeat_at: now,
+            heard: true,
+        }
+    }
+
+    fn leaders(&self) -> Vec<usize> {
+        let leads = |index: &usize| self.processes[*index].role() != Role::Following;
+        (0..self.processes.len()).filter(leads).collect()
+    }
+
+    fn run(&mut self, span: Duration) {
+        let until = self.now + span;
+        while self.now < until {
+            self.now += STEP;
+            for index in 0..self.processes.len() {
+                if let Some(action) = self.processes[index].tick(self.now) {
+                    self.calls[index] += 1;
+                    self.call(index, action);
+                }
+            }
+            if self.now >= self.heartbeat_at {
+                self.heartbeat_at = self.now + HEARTBEAT;
+                self.heartbeat();
+            }
+        }
+    }
+
+    fn call(&mut self, index: usize, action: LeadershipAction) {
+        let process = &mut self.processes[index];
+        if !self.served[index] {
+            return process.on_failure(self.now);
+        }
+        match action {
+            LeadershipAction::Read => process.on_record(self.now, self.record.clone()),
+            LeadershipAction::Write { record, expect } => {
+                let revision = self.record.as_ref().map(|(revision, _)| *revision);
+                if expect != revision {
+                    return process.on_record(self.now, self.record.clone());
+                }
+                let next = Revision(revision.unwrap_or_default().0 + 1);
+                self.record = Some((next, record.clone()));
+                process.on_written(self.now, self.now, record, next);
+            }
+        }
+    }
+
+    fn heartbeat(&mut self) {
+        for leader in self.leaders() {
+            let process = &self.processes[leader];
+            let Role::Leading(term) = process.role() else {
+                continue;
+            };
+            let (renewal, unconfirmed) =
+                (process.renewal(), process.unconfirmed(self.now).unwrap_or_default());
+            for index in (0..self.processes.len()).filter(|index| *index != leader && self.heard) {
+                self.processes[index].on_heartbeat(self.now, term, renewal, unconfirmed);
+            }
+        }
+    }
+}
+
+fn elected(count: usize) -> World {
+    let mut world = World::new(count);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.leaders().len(), 1);
+    world
+}
+
+#[test]
+fn one_process_becomes_the_granter_and_stays_it() {
+    let mut world = elected(5);
+    let before = world.leaders();
+    world.run(Duration::from_secs(20));
+    assert_eq!(world.leaders(), before);
+    assert_eq!(world.record.unwrap().1.term, Term(1));
+}
+
+#[test]
+fn a_granter_that_is_not_heard_is_replaced_once_it_renews_no_more() {
+    let mut world = elected(5);
+    let first = world.leaders()[0];
+    world.served[first] = false;
+    world.heard = false;
+    world.run(Duration::from_secs(4));
+    world.heard = true;
+    world.run(Duration::from_secs(1));
+    let leaders = world.leaders();
+    assert!(leaders.len() == 1 && leaders[0] != first, "{leaders:?}");
+}
+
+#[test]
+fn a_granter_that_is_not_heard_but_renews_stays() {
+    let mut world = elected(5);
+    let before = world.leaders();
+    world.heard = false;
+    world.run(Duration::from_millis(2_500));
+    world.heard = true;
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.leaders(), before);
+}
+
+/// The granter's own heartbeats tell that the store serves it no more, whenever it was renewed.
+#[test_case(0; "at once")]
+#[test_case(300; "300 ms later")]
+#[test_case(600; "600 ms later")]
+#[test_case(900; "900 ms later")]
+fn a_granter_that_the_store_refuses_is_replaced_within_two_and_a_half_seconds(after_ms: u64) {
+    let mut world = elected(5);
+    world.run(Duration::from_millis(after_ms));
+    let first = world.leaders()[0];
+    world.served[first] = false;
+    world.run(Duration::from_millis(2_500));
+    let next: Vec<usize> = world.leaders().into_iter().filter(|index| *index != first).collect();
+    assert_eq!(next.len(), 1);
+}
+
+#[test]
+fn an_outage_of_the_store_changes_no_granter_and_costs_a_follower_few_calls() {
+    let mut world = elected(5);
+    let before = world.leaders();
+    world.served.fill(false);
+    world.calls.fill(0);
+    world.run(Duration::from_secs(10));
+    let follower = (0..5).find(|index| *index != before[0]).unwrap();
+    assert!(world.calls[follower] <= 13, "{} calls", world.calls[follower]);
+    world.served.fill(true);
+    world.run(Duration::from_millis(600));
+    assert_eq!(world.leaders().len(), 1);
+}
+
+#[test]
+fn a_follower_takes_no_part_while_it_hears_the_granter() {
+    let mut process = Leadership::new(host(1), 1, Duration::ZERO, Time::from_millis(0));
+    for step in 0..40_u64 {
+        let now = Time::from_millis(step * 250);
+        process.on_heartbeat(now, Term(3), step / 4, CONFIRMED);
+        assert_eq!(process.tick(now), None);
+    }
+    let now = Time::from_millis(10_000);
+    process.on_heartbeat(now, Term(3), 10, LOST);
+    assert_eq!(process.tick(now), Some(LeadershipAction::Read));
+}
--- a/crates/store/src/error.rs
+++ b/crates/store/src/error.rs
@@ -7,6 +7,8 @@
     Unreachable,
     /// The store refused the call for now, so it took no effect.
     Unavailable,
+    /// The call was not made, as the store has not answered for a while.
+    Suspended,
     /// The answer was lost or late; a write may have taken effect.
     Unknown,
     /// The store found the call malformed or too large.
@@ -25,6 +27,9 @@
         f.write_str(match self {
             StoreError::Unreachable => "the store cannot be reached; check its address",
             StoreError::Unavailable => "the store is not available; try again later",
+            StoreError::Suspended => {
+                "the store has not answered for a while; the call was not made"
+            }
             StoreError::Unknown => "the store's answer was lost; the write may have taken effect",
             StoreError::Rejected => "the store rejected the call as malformed or too large",
         })
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -122,7 +122,9 @@
         Ok(StoreReply::Changes(body)) => json(StatusCode::Ok, &body),
         Ok(StoreReply::Hosts(hosts)) => json(StatusCode::Ok, &hosts),
         Err(StoreError::Rejected) => Response::new(StatusCode::BadRequest),
-        Err(StoreError::Unavailable) => Response::new(StatusCode::ServiceUnavailable),
+        Err(StoreError::Unavailable | StoreError::Suspended) => {
+            Response::new(StatusCode::ServiceUnavailable)
+        }
         Err(StoreError::Unreachable | StoreError::Unknown) => {
             Response::new(StatusCode::InternalServerError)
         }
