Give fast servers more keys while little queues, by mean times with a prior

Cause: keys were shared so that all servers were equally used; at a quarter of the capacity half of the lookups ran on servers that take 2.3 times as long, and 4% of them timed out. Change: wanted rates that minimise the mean time (marginal cost equal at each server, at least a quarter of the mean use); mean times out of all reports with the number of requests, a prior, and corrected for queueing; store calls suspended after 0.5 s without an answer.

--- a/crates/node/src/router_shell/granting.rs
+++ b/crates/node/src/router_shell/granting.rs
@@ -5,9 +5,9 @@
 
 use async_io::Timer;
 use bay_range::{Candidate, Granter, KeyLoads, Leadership, Role};
-use bay_router::{HeardHosts, PeerMessage, RouterSettings};
+use bay_router::{HeardHosts, MeanTimes, PeerMessage, RouterSettings};
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{HostName, Revision, ServerName, ServiceName, Term};
+use bay_types::{HostName, Revision, ServiceName, Term};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::news;
@@ -61,9 +61,6 @@
 /// Most ranges in one such log.
 const MAX_LOGGED_RANGES: usize = 8;
 
-/// Weight of a newer report in the mean time of a server.
-const TIME_GAIN: f64 = 0.3;
-
 /// This process's part in granting keys.
 pub(crate) struct Granting {
     leadership: Leadership,
@@ -83,7 +80,7 @@
     revision: Option<Revision>,
     loading: bool,
     loads: KeyLoads,
-    times: BTreeMap<ServerName, f64>,
+    times: MeanTimes,
     published: u64,
     /// Whether the owners have changed since they were published.
     unpublished: bool,
@@ -238,7 +235,7 @@
             revision: None,
             loading: false,
             loads: KeyLoads::default(),
-            times: BTreeMap::new(),
+            times: MeanTimes::default(),
             published: 0,
             unpublished: false,
             log_at: Time::ZERO,
@@ -248,8 +245,7 @@
     /// Adds what the routers have reported of the servers.
     fn with_times(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         for candidate in &mut candidates {
-            let reported = self.times.get(&candidate.owner.server).copied();
-            candidate.service_ms = reported.or(candidate.service_ms);
+            candidate.service_ms = self.times.get(candidate.owner.server);
         }
         candidates
     }
--- a/crates/node/src/router_shell/granting/messages.rs
+++ b/crates/node/src/router_shell/granting/messages.rs
@@ -8,7 +8,7 @@
 use bay_types::{HostName, Term, ZoneName};
 
 use super::election::on_role_change;
-use super::{HEARTBEAT, REPORT, Shell, TIME_GAIN, news, others};
+use super::{HEARTBEAT, REPORT, Shell, news, others};
 
 pub(super) fn heartbeat(shell: &Rc<Shell>, now: Time, term: Term, unconfirmed: Duration) {
     let feeds = news::feed_state(shell, now);
@@ -71,11 +71,7 @@
         for count in &part.keys {
             granted.loads.add(count.key, count.requests);
         }
-        for time in &part.servers {
-            let sample = f64::from(time.service_ms);
-            let mean = granted.times.entry(time.server).or_insert(sample);
-            *mean += TIME_GAIN * (sample - *mean);
-        }
+        part.servers.iter().for_each(|time| granted.times.add(time));
     }
 }
 
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -93,6 +93,9 @@
     for (name, value) in shell.latencies.borrow().values() {
         line(&name, value);
     }
+    let (sent, received) = shell.peers.bytes();
+    line("peer.sent_bytes", sent);
+    line("peer.received_bytes", received);
     line("buffers.held_bytes", shell.meters.buffers.held());
     line("buffers.peak_bytes", shell.meters.buffers.peak());
     text
--- a/crates/range/src/lib.rs
+++ b/crates/range/src/lib.rs
@@ -19,6 +19,7 @@
 mod sharing;
 mod slot;
 mod staging;
+mod wanted_rates;
 
 pub use candidate::Candidate;
 pub use grant_order::{GrantOrder, OrderId, OrderResult};
--- a/crates/range/src/planner.rs
+++ b/crates/range/src/planner.rs
@@ -1,8 +1,9 @@
 use std::collections::BTreeMap;
 
+use crate::wanted_rates::WantedRates;
 use crate::{Candidate, KeyRange, KeyRates, OwnerId};
 
-/// Finds the moves that even out the load of the servers.
+/// Finds the moves that bring the servers' load to what is best.
 #[derive(Debug, Clone, Copy)]
 pub struct Planner;
 
@@ -30,21 +31,37 @@
 struct Share {
     capacity: f64,
     rate: f64,
+    /// The rate that it should have.
+    wanted: f64,
 }
 
 impl Share {
     fn utilisation(&self) -> f64 {
         self.rate / self.capacity
     }
+
+    /// How far its utilisation is above what it should be.
+    fn excess(&self) -> f64 {
+        (self.rate - self.wanted) / self.capacity
+    }
+
+    /// Whether its rate differs enough from the wanted one to move keys.
+    fn has_surplus(&self) -> bool {
+        self.rate > self.wanted * Planner::EXCESS && self.excess() > Planner::LEAST_EXCESS
+    }
 }
 
 impl Planner {
-    /// Utilisation below which a server's keys stay: queueing is negligible there.
+    /// Utilisation below which queueing is negligible.
     const BUSY: f64 = 0.45;
-    /// Utilisation down to which a busy server is relieved.
-    const RELIEVED: f64 = 0.35;
-    /// How far above the mean a server's utilisation has to be.
+    /// How far above the wanted rate a server's rate has to be.
     const EXCESS: f64 = 1.25;
+    /// The same as a utilisation, so that small differences move nothing.
+    const LEAST_EXCESS: f64 = 0.08;
+    /// How far a cut may exceed the surplus.
+    const OVERSHOOT: f64 = 1.2;
+    /// Part of the wanted rate that a server keeps at least.
+    const KEPT_SHARE: f64 = 0.7;
     /// Share of its server's load above which a key cannot be relieved by moving others.
     const DOMINANT: f64 = 0.6;
     /// How much more a server has to bear for a key to move to it.
@@ -58,29 +75,30 @@
     /// Time a request takes where no server has reported one, in milliseconds.
     const UNKNOWN_SERVICE_MS: f64 = 100.0;
 
-    /// The moves that even out the load.
+    /// The moves that bring the servers' load to what is best.
     pub fn plan(loads: &KeyRates, holdings: &[Held], candidates: &[Candidate]) -> Vec<Move> {
         let usual = Planner::usual_service_ms(candidates);
-        let mut shares: BTreeMap<OwnerId, Share> = candidates
-            .iter()
-            .filter(|candidate| candidate.eligible && !candidate.cold)
-            .map(|each| (each.owner, Share { capacity: each.capacity(usual), rate: 0.0 }))
-            .collect();
+        let takers: Vec<&Candidate> =
+            candidates.iter().filter(|each| each.eligible && !each.cold).collect();
+        if takers.len() < 2 {
+            return Vec::new();
+        }
+        let wanted = WantedRates::new(loads.total(), &takers, usual);
+        let share = |each: &&Candidate| {
+            let wanted = wanted.of(each.owner);
+            (each.owner, Share { capacity: each.capacity(usual), rate: 0.0, wanted })
+        };
+        let mut shares: BTreeMap<OwnerId, Share> = takers.iter().map(share).collect();
         for held in holdings {
             if let Some(share) = shares.get_mut(&held.owner) {
                 share.rate += loads.rate(held.range);
             }
         }
-        let capacity: f64 = shares.values().map(|share| share.capacity).sum();
-        if shares.len() < 2 || capacity <= 0.0 {
-            return Vec::new();
-        }
-        let mean = loads.total() / capacity;
         let mut held = holdings.to_vec();
         let mut moves: Vec<Move> = Vec::new();
         let most = (shares.len() as f64 * Planner::MOVES_PER_SERVER) as usize;
         while moves.len() < most.max(Planner::MAX_MOVES) {
-            let Some((from, rate, next)) = Planner::step(loads, &held, &shares, mean) else {
+            let Some((from, rate, next)) = Planner::step(loads, &held, &shares) else {
                 break;
             };
             if let Some(share) = shares.get_mut(&from) {
@@ -104,36 +122,32 @@
         }
     }
 
-    /// One move from the busiest server to the idlest.
+    /// One move from the server with the largest excess to the one that lacks most.
     fn step(
         loads: &KeyRates,
         held: &[Held],
         shares: &BTreeMap<OwnerId, Share>,
-        mean: f64,
     ) -> Option<(OwnerId, f64, Move)> {
-        let by_use = |a: &(&OwnerId, &Share), b: &(&OwnerId, &Share)| {
-            a.1.utilisation().total_cmp(&b.1.utilisation())
-        };
-        let (to, idlest) = shares.iter().min_by(by_use)?;
-        let limit = Planner::BUSY.max(mean * Planner::EXCESS);
-        let mut busy: Vec<_> =
-            shares.iter().filter(|(_, share)| share.utilisation() > limit).collect();
-        busy.sort_by(|a, b| by_use(b, a));
-        let target = mean.max(Planner::RELIEVED);
-        let room = (mean.max(Planner::RELIEVED) - idlest.utilisation()) * idlest.capacity;
+        let by_excess =
+            |a: &(&OwnerId, &Share), b: &(&OwnerId, &Share)| a.1.excess().total_cmp(&b.1.excess());
+        let (to, idlest) = shares.iter().min_by(by_excess)?;
+        let room = idlest.wanted - idlest.rate;
+        let mut busy: Vec<_> = shares.iter().filter(|(_, share)| share.has_surplus()).collect();
+        busy.sort_by(|a, b| by_excess(b, a));
         for (from, busiest) in busy {
-            let surplus = (busiest.utilisation() - target) * busiest.capacity;
-            let amount = surplus.min(room);
-            if amount <= 0.0 {
-                continue;
-            }
+            let amount = (busiest.rate - busiest.wanted).min(room);
             let ranges = held.iter().filter(|held| held.owner == *from && held.movable);
-            let cuts = ranges.flat_map(|held| Planner::cuts(loads, held.range, amount));
+            let most = (amount * Planner::OVERSHOOT)
+                .min(busiest.rate - busiest.wanted * Planner::KEPT_SHARE);
+            let cuts = ranges.flat_map(|held| Planner::cuts(loads, held.range, most));
             let value = |cut: &(KeyRange, f64)| Planner::value(cut, amount);
             let best = cuts.max_by(|a, b| value(a).total_cmp(&value(b)));
             if let Some((range, rate)) = best.filter(|(_, rate)| *rate > 0.0) {
                 return Some((*from, rate, Move { range, to: *to }));
             }
+            if busiest.utilisation() <= Planner::BUSY {
+                continue;
+            }
             let key = Planner::spread_key(loads, held, shares, *from);
             if let Some(step) = key.or_else(|| Planner::upgrade(loads, held, shares, *from)) {
                 return Some(step);
@@ -192,11 +206,8 @@
     }
 
     /// The part at each end of a range, and the part around its busiest key, whose rate comes
-    /// closest to the amount without much exceeding it.
-    fn cuts(loads: &KeyRates, range: KeyRange, amount: f64) -> Vec<(KeyRange, f64)> {
-        /// How far a cut may exceed the amount.
-        const OVERSHOOT: f64 = 1.2;
-        let most = amount * OVERSHOOT;
+    /// closest to the most that may move.
+    fn cuts(loads: &KeyRates, range: KeyRange, most: f64) -> Vec<(KeyRange, f64)> {
         let keys: Vec<(u16, f64)> = loads.within(range).collect();
         let mut cuts = Vec::new();
         let mut rate = 0.0;
--- a/crates/range/src/sharing.rs
+++ b/crates/range/src/sharing.rs
@@ -1,6 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::planner::Planner;
+use crate::wanted_rates::WantedRates;
 use crate::{Candidate, KeyRange, KeyRates, OwnerId};
 
 /// Shares ranges without an owner out among servers, by load and number of keys.
@@ -16,7 +17,8 @@
 
 #[derive(Debug)]
 struct Taker {
-    capacity: f64,
+    /// The load that it should have.
+    wanted: f64,
     load: f64,
 }
 
@@ -36,9 +38,10 @@
         let even = loads.total() * Sharing::EVEN_SHARE + Sharing::IDLE_LOAD;
         let key_load = even / f64::from(KeyRange::ALL.len());
         let part = (loads.total() + even) / takers.len() as f64;
+        let wanted = WantedRates::new(loads.total() + even, takers, usual);
         let takers = takers
             .iter()
-            .map(|each| (each.owner, Taker { capacity: each.capacity(usual), load: 0.0 }))
+            .map(|each| (each.owner, Taker { wanted: wanted.of(each.owner), load: 0.0 }))
             .collect();
         Sharing { loads, key_load, part, takers }
     }
@@ -56,7 +59,7 @@
         for part in self.parts(range) {
             let load = self.load(part);
             let idlest = self.takers.iter_mut().min_by(|(_, a), (_, b)| {
-                ((a.load + load) / a.capacity).total_cmp(&((b.load + load) / b.capacity))
+                ((a.load + load) / a.wanted).total_cmp(&((b.load + load) / b.wanted))
             });
             let Some((owner, taker)) = idlest else {
                 return;
--- a/crates/range/tests/planner.rs
+++ b/crates/range/tests/planner.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bay_range::{Held, KeyRange, KeyRates, OwnerId, Planner};
+use bay_range::{Held, KeyRange, KeyRates, Move, OwnerId, Planner};
 use support::World;
 
 const SERVERS: usize = 30;
@@ -37,6 +37,25 @@
     rate.into_iter().map(|(owner, rate)| (owner, rate / capacity(world))).collect()
 }
 
+/// Carries a move out.
+fn apply(held: &mut Vec<Held>, step: Move) {
+    let mut rest = Vec::new();
+    held.retain(|old| {
+        if !old.range.overlaps(step.range) {
+            return true;
+        }
+        if old.range.first < step.range.first {
+            rest.push(Held { range: KeyRange::new(old.range.first, step.range.first - 1), ..*old });
+        }
+        if old.range.last > step.range.last {
+            rest.push(Held { range: KeyRange::new(step.range.last + 1, old.range.last), ..*old });
+        }
+        false
+    });
+    rest.push(Held { range: step.range, owner: step.to, movable: true });
+    held.append(&mut rest);
+}
+
 /// A key at a time, as no server has room for one without becoming busy.
 #[test]
 fn keys_that_are_too_much_for_any_idle_server_are_spread_all_the_same() {
@@ -49,15 +68,7 @@
     let before = utilisations(&world, &held, &rates);
     assert!(before.values().any(|share| *share > 8.0));
     for step in Planner::plan(&rates, &held, &candidates) {
-        let from = held.iter().position(|each| each.range.contains(step.range.first)).unwrap();
-        let old = held.remove(from);
-        if old.range.first < step.range.first {
-            held.push(Held { range: KeyRange::new(old.range.first, step.range.first - 1), ..old });
-        }
-        if old.range.last > step.range.last {
-            held.push(Held { range: KeyRange::new(step.range.last + 1, old.range.last), ..old });
-        }
-        held.push(Held { range: step.range, owner: step.to, movable: true });
+        apply(&mut held, step);
     }
     let after = utilisations(&world, &held, &rates);
     let busiest = after.values().copied().fold(0.0, f64::max);
@@ -95,3 +106,44 @@
     let most = keys.values().copied().max().unwrap_or(0);
     assert!(most <= 3, "one server holds {most} of 20 hot keys");
 }
+
+/// Lets plans take effect until there is nothing to move.
+fn settle(held: &mut Vec<Held>, rates: &KeyRates, candidates: &[bay_range::Candidate]) {
+    for _ in 0..50 {
+        let moves = Planner::plan(rates, held, candidates);
+        if moves.is_empty() {
+            return;
+        }
+        moves.into_iter().for_each(|step| apply(held, step));
+    }
+    panic!("the plans do not settle");
+}
+
+/// Lookups at light load: the slow servers' requests would be late for nothing.
+#[test]
+fn fast_servers_get_more_than_their_part_while_they_are_not_busy() {
+    let mut world = World::new(SERVERS, 3);
+    for (index, server) in world.servers.iter_mut().enumerate() {
+        server.candidate.service_ms = Some(if index % 3 == 0 { 144.0 } else { 330.0 });
+    }
+    let candidates: Vec<_> = world.servers.iter().map(|server| server.candidate).collect();
+    let capacity: f64 = candidates.iter().map(|each| each.capacity(1.0)).sum();
+    let mut rates = KeyRates::default();
+    for key in 0..4_096 {
+        rates.add(key * 16, capacity * 0.26 / 4_096.0);
+    }
+    let (mut held, _) = even(&world);
+    settle(&mut held, &rates, &candidates);
+    let mut fast = 0.0;
+    for candidate in &candidates {
+        let own = held.iter().filter(|held| held.owner == candidate.owner);
+        let rate: f64 = own.map(|held| rates.rate(held.range)).sum();
+        let use_ = rate / candidate.capacity(1.0);
+        assert!(use_ > 0.03, "a server has nothing to do");
+        assert!(use_ < 0.6, "a server is busy: {use_}");
+        fast += if candidate.service_ms < Some(200.0) { rate } else { 0.0 };
+    }
+    // Their part of the capacity is 0.53.
+    let share = fast / rates.total();
+    assert!(share > 0.75, "fast servers have {share}");
+}
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -11,6 +11,7 @@
 mod fed;
 mod heard;
 mod load_report;
+mod mean_times;
 mod own_objects;
 mod owner_map;
 mod peer_message;
@@ -37,6 +38,7 @@
 pub use fed::{Fed, News, ServerList};
 pub use heard::HeardHosts;
 pub use load_report::LoadReport;
+pub use mean_times::MeanTimes;
 pub use own_objects::{HostRecord, own_key};
 pub use owner_map::{OwnerChanges, OwnerMap};
 pub use peer_message::{
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -116,6 +116,8 @@
 pub struct ServerTime {
     /// The server.
     pub server: ServerName,
-    /// Time without queueing, in milliseconds.
+    /// Mean time without queueing, in milliseconds.
     pub service_ms: f32,
+    /// Requests over which the mean was taken.
+    pub requests: u16,
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -251,9 +251,10 @@
         for pool in self.pools.values_mut().filter(|pool| pool.spec.keyed) {
             let keys = pool.key_counts.drain();
             let keys = keys.map(|(key, requests)| KeyCount { key, requests }).collect();
+            let directory = &mut self.directory;
             let times = pool.servers.iter().filter_map(|name| {
-                let service_ms = self.directory.get(*name)?.service_ms()?;
-                Some(ServerTime { server: *name, service_ms: service_ms as f32 })
+                let (requests, service_ms) = directory.get_mut(*name)?.take_measured()?;
+                Some(ServerTime { server: *name, service_ms: service_ms as f32, requests })
             });
             reports.push(ServiceReport { service: pool.spec.name, keys, servers: times.collect() });
         }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -17,8 +17,8 @@
     pub(crate) cold: ColdShare,
     /// Time of a request without queueing, in milliseconds, as a moving average.
     service_ms: Option<f64>,
-    /// Whether the time was measured since it was last reported.
-    measured: bool,
+    /// Times without queueing since they were last reported: their number and sum.
+    measured: (u16, f64),
     /// Share of recent requests that it failed or did not run.
     failing: f64,
     report: Option<Reported>,
@@ -60,7 +60,7 @@
             cold_until,
             cold: ColdShare::new(now),
             service_ms: None,
-            measured: false,
+            measured: (0, 0.0),
             failing: 0.0,
             report: None,
             avoided_until: Time::ZERO,
@@ -109,9 +109,17 @@
         self.service_ms
     }
 
-    /// The time of a request if it was measured since the last call.
-    pub fn take_measured(&mut self) -> Option<f64> {
-        std::mem::take(&mut self.measured).then_some(self.service_ms).flatten()
+    /// How many requests without queueing were measured since the last call, and their mean time
+    /// in milliseconds.
+    pub fn take_measured(&mut self) -> Option<(u16, f64)> {
+        let (count, sum) = std::mem::take(&mut self.measured);
+        (count > 0).then(|| (count, sum / f64::from(count)))
+    }
+
+    fn measure(&mut self, sample_ms: f64) {
+        let (count, sum) = &mut self.measured;
+        *count = count.saturating_add(1);
+        *sum += sample_ms;
     }
 
     /// Requests that run or wait at the server, as far as is known.
@@ -171,7 +179,8 @@
         let waiting = self.report.map_or(0.0, |report| f64::from(report.load.waiting));
         let queued = (sent_occupancy + 1.0 - slots).max(waiting);
         let sample = took.as_secs_f64() * 1000.0;
-        self.measured = true;
+        // The granter averages over many, and has to hear of busy servers too.
+        self.measure(sample / (1.0 + queued.max(0.0) / slots));
         self.service_ms = match self.service_ms {
             None => Some(sample / (1.0 + queued / slots)),
             Some(mean) if queued <= 0.0 => Some(mean + Server::GAIN * (sample - mean)),
@@ -187,7 +196,7 @@
         let sample = took.as_secs_f64() * 1000.0;
         let mean = self.service_ms.unwrap_or(0.0);
         if alone && sample > mean {
-            self.measured = true;
+            self.measure(sample);
             self.service_ms = Some(mean + Server::GAIN * (sample - mean));
         }
     }
--- a/crates/router/src/store_health.rs
+++ b/crates/router/src/store_health.rs
@@ -15,7 +15,7 @@
 
 impl StoreHealth {
     /// Time without an answered call after which the store counts as lost.
-    const LOST_AFTER: Duration = Duration::from_millis(1_000);
+    const LOST_AFTER: Duration = Duration::from_millis(500);
     /// Time between two trials of a router that follows; below the three seconds after which a
     /// router that the store serves again is bound by what it says (platform bound).
     const TRIAL_INTERVAL: Duration = Duration::from_millis(1_200);
--- /dev/null
+++ b/crates/router/tests/reports.rs
@@ -0,0 +1,78 @@
+//! What routers tell the granter of the servers, and what it makes of it.
+
+mod support;
+
+use std::time::Duration;
+
+use bay_range::{KeyRange, OwnerId};
+use bay_router::{AttemptResult, MeanTimes, OwnerMap, Router, ServerTime};
+use bay_types::Term;
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
+use support::{admit, at, picked, router, server, service};
+
+/// Serves a request of a key in this time.
+fn serve(router: &mut Router, millis: u64, took_ms: u64) {
+    let mut request = admit(router, at(millis), "/keyed/x", Some(1));
+    let choice = picked(router.pick(at(millis), &mut request));
+    router.on_sent(&choice, &mut request);
+    router.on_ended(&choice);
+    let answered = AttemptResult::Answered { status: 200, not_run: false };
+    let took = Duration::from_millis(took_ms);
+    router.judge(at(millis) + took, &mut request, &choice, answered, took);
+}
+
+fn keyed_router() -> Router {
+    let mut router = router(0, 0, 3);
+    let owner = OwnerId { server: server("k1"), started: 1 };
+    let ranges = vec![(KeyRange::ALL, owner)];
+    router.set_owners(service("keyed"), OwnerMap { term: Term(1), published: 1, ranges });
+    router
+}
+
+#[test]
+fn a_report_tells_only_the_times_that_were_measured_since_the_last() {
+    let mut router = keyed_router();
+    serve(&mut router, 0, 80);
+    serve(&mut router, 100, 100);
+    let reports = router.take_reports();
+    let times = &reports[0].servers;
+    let expected = ServerTime { server: server("k1"), service_ms: 90.0, requests: 2 };
+    assert_eq!(times, &[expected]);
+    assert!(router.take_reports()[0].servers.is_empty());
+}
+
+#[test]
+fn the_mean_over_all_reports_settles_in_spite_of_noise_and_follows_a_slow_down() {
+    let mut random = SmallRng::seed_from_u64(3);
+    let mut means = MeanTimes::default();
+    let name = server("k1");
+    // Times vary by a factor of four.
+    let mut report = |means: &mut MeanTimes, mean_ms: f64| {
+        let service_ms = (mean_ms * random.random_range(0.4..1.6)) as f32;
+        means.add(&ServerTime { server: name, service_ms, requests: 1 });
+    };
+    for _ in 0..60 {
+        report(&mut means, 100.0);
+    }
+    assert_eq!(means.get(server("k2")), None);
+    let settled = means.get(name).unwrap();
+    assert!((80.0..120.0).contains(&settled), "{settled}");
+    for _ in 0..60 {
+        report(&mut means, 500.0);
+    }
+    let slow = means.get(name).unwrap();
+    assert!(slow > 300.0, "{slow}");
+}
+
+#[test]
+fn one_quick_answer_does_not_make_a_fast_server() {
+    let mut means = MeanTimes::default();
+    for index in 0..20 {
+        let server = server(&format!("k{index}"));
+        means.add(&ServerTime { server, service_ms: 200.0, requests: 20 });
+    }
+    let new = server("new");
+    means.add(&ServerTime { server: new, service_ms: 10.0, requests: 1 });
+    assert!(means.get(new).unwrap() > 150.0);
+}
--- a/crates/router/tests/store_health.rs
+++ b/crates/router/tests/store_health.rs
@@ -13,7 +13,7 @@
 fn lost() -> StoreHealth {
     let mut health = StoreHealth::default();
     assert!(!health.on_failure(at(0)));
-    assert!(health.on_failure(at(1_000)));
+    assert!(health.on_failure(at(500)));
     health
 }
 
@@ -21,11 +21,11 @@
 fn a_failed_call_alone_holds_no_other_back() {
     let mut health = StoreHealth::default();
     health.on_failure(at(0));
-    health.on_failure(at(900));
+    health.on_failure(at(400));
     assert!(!health.is_lost());
-    assert!(health.admits(at(901), false));
+    assert!(health.admits(at(401), false));
     assert!(!health.on_answer());
-    assert!(!health.on_failure(at(1_200)), "the failures before the answer count no more");
+    assert!(!health.on_failure(at(700)), "the failures before the answer count no more");
 }
 
 #[test]
