Elect the granter at once after a loss of all processes; read the settings again on SIGHUP

Cause: a process waited 1.2 s for a heartbeat before it read the leader's record, also when all processes had just started; SIGHUP was answered with a claim that nothing had changed, without a look at the file. SIGHUP reads the file; the bounds of the retry budget change at once, the rest is named as needing a restart. Tests: range/tests/leadership.rs, router/tests/limits.rs.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -121,6 +121,18 @@
         &self.shell.settings
     }
 
+    /// Takes settings that were read again: the retry budget's bounds take effect at once,
+    /// everything else with the next start.
+    pub fn reload(&self, settings: &RouterSettings) {
+        let bounds = settings.bounds;
+        let changed = self.shell.router.borrow_mut().set_bounds(bounds);
+        // Ports that were chosen by the system are known to the running router only.
+        let restart = settings.store != self.shell.settings.store
+            || settings.host != self.shell.settings.host
+            || settings.zone != self.shell.settings.zone;
+        log::info!(bounds_changed = changed, restart_needed = restart; "settings read again");
+    }
+
     /// Says that it is not ready, takes the last connections, finishes its requests and ends.
     pub async fn stop(&self) {
         let shell = &self.shell;
--- a/crates/node/src/run.rs
+++ b/crates/node/src/run.rs
@@ -115,8 +115,7 @@
         log::info!(host:% = host; "router starts");
         while let Some(signal) = signals.next().await {
             match signal {
-                // Nothing that a running router uses can change in its settings.
-                Ok(Signal::Hup) => log::info!("settings unchanged after a reload"),
+                Ok(Signal::Hup) => reload(&shell, &path),
                 _ => break,
             }
         }
@@ -128,6 +127,17 @@
     async_io::block_on(executor.run(work))
 }
 
+/// Reads the settings again; what cannot be used leaves the last ones in force.
+fn reload(shell: &RouterShell, path: &str) {
+    let read = fs::read_to_string(path).map_err(|error| error.to_string());
+    let settings =
+        read.and_then(|text| bay_platform::read_settings(&text).map_err(|error| error.to_string()));
+    match settings {
+        Ok(settings) => shell.reload(&settings),
+        Err(error) => log::error!(error = error; "settings rejected; the last ones stay in force"),
+    }
+}
+
 fn stop_signals() -> Result<Signals, ShellError> {
     Signals::new([Signal::Term, Signal::Int]).map_err(ShellError::Signals)
 }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -79,7 +79,9 @@
 
     /// A follower; `delay` spreads the attempts of followers that notice the silence together.
     pub fn new(host: HostName, incarnation: u64, delay: Duration, now: Time) -> Leadership {
-        let state = State::Following { silent_from: now, retry_at: now };
+        // All processes may have started together, after which no granter would ever be heard.
+        let silent_from = now - Leadership::SILENCE;
+        let state = State::Following { silent_from, retry_at: now };
         Leadership {
             host,
             incarnation,
--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -202,3 +202,30 @@
     assert!(world.processes[leaders[0]].is_after_settled());
     assert!(!world.processes[leaders[0]].has_lingering());
 }
+
+/// After a loss of all processes, the host of the last granter knows that it has ended.
+#[test]
+fn the_last_granter_s_host_takes_over_at_once_when_all_processes_start_again() {
+    let mut world = elected(5);
+    world.run(Duration::from_secs(2));
+    let last = world.leaders()[0];
+    world.processes = (0..5)
+        .map(|index| {
+            let delay = Duration::from_millis(60 * index as u64);
+            Leadership::new(host(index), 2, delay, world.now)
+        })
+        .collect();
+    world.run(Duration::from_millis(500));
+    assert_eq!(world.leaders(), [last]);
+}
+
+/// A process that starts beside a live granter leaves it alone.
+#[test]
+fn a_process_that_starts_alone_follows_the_granter() {
+    let mut world = elected(5);
+    let before = world.leaders();
+    let other = (0..5).find(|index| *index != before[0]).unwrap();
+    world.processes[other] = Leadership::new(host(other), 2, Duration::ZERO, world.now);
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.leaders(), before);
+}
--- a/crates/router/src/retry_budget.rs
+++ b/crates/router/src/retry_budget.rs
@@ -42,6 +42,13 @@
         }
     }
 
+    /// Takes other bounds; what was spent counts on.
+    pub fn set_bounds(&mut self, bounds: &Bounds) {
+        self.ratio = bounds.retry_ratio;
+        self.window = bounds.retry_window;
+        self.extra = bounds.retry_extra;
+    }
+
     /// Takes note of how many routers share the budget.
     pub fn set_routers(&mut self, now: Time, routers: u32) {
         if self.routers.back().is_none_or(|(_, last)| *last != routers) {
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 
 use crate::{
-    CallerLimits, Config, Counter, Crash, CrashWatch, Directory, DirectoryChange, KeyCount,
+    Bounds, CallerLimits, Config, Counter, Crash, CrashWatch, Directory, DirectoryChange, KeyCount,
     OwnerChanges, OwnerMap, RequestFields, RequestState, RetryBudget, RouteMap, RouterSettings,
     ServerEntry, ServerTime, ServiceOwners, ServicePool, ServiceReport,
 };
@@ -73,6 +73,18 @@
         self.config.is_some() && self.directory.is_loaded()
     }
 
+    /// Takes the platform's bounds; returns whether they have changed.
+    pub fn set_bounds(&mut self, bounds: Bounds) -> bool {
+        if self.settings.bounds == bounds {
+            return false;
+        }
+        self.settings.bounds = bounds;
+        for pool in self.pools.values_mut() {
+            pool.retries.set_bounds(&bounds);
+        }
+        true
+    }
+
     /// Counts since the start.
     pub fn counts(&self) -> &BTreeMap<Counter, u64> {
         &self.counts
--- a/crates/router/tests/limits.rs
+++ b/crates/router/tests/limits.rs
@@ -4,10 +4,10 @@
 
 use std::time::Duration;
 
-use bay_router::{Bounds, ColdShare, RetryBudget};
+use bay_router::{AttemptResult, Bounds, ColdShare, RetryBudget, Verdict};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use support::at;
+use support::{admit, at, picked, router};
 use test_case::test_case;
 
 const WINDOW_MS: u64 = 10_000;
@@ -89,3 +89,17 @@
     }
     assert!(sent.len() as f64 >= rate * 2.0, "a cold server gets some requests");
 }
+
+#[test]
+fn bounds_that_are_read_again_take_effect_at_once() {
+    let mut router = router(1, 0, 0);
+    let bounds = Bounds { retry_ratio: 0.0, retry_extra: 0.0, ..Bounds::default() };
+    assert!(router.set_bounds(bounds));
+    assert!(!router.set_bounds(bounds));
+    let mut request = admit(&mut router, at(0), "/pool/x", None);
+    let choice = picked(router.pick(at(0), &mut request));
+    router.on_sent(&choice, &mut request);
+    let not_run = AttemptResult::Answered { status: 503, not_run: true };
+    let verdict = router.judge(at(1), &mut request, &choice, not_run, Duration::from_millis(1));
+    assert!(matches!(verdict, Verdict::Refuse(..)), "{verdict:?}");
+}
