--- a/crates/node/src/gate_shell/headers.rs
+++ b/crates/node/src/gate_shell/headers.rs
@@ -1,23 +1,6 @@
 use http_types::headers::{HeaderName, Headers};
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that the gate
-/// sets itself.
-const HOP_BY_HOP: [&str; 11] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
-/// Prefix of the headers between gate, callers and targets.
-const OWN_PREFIX: &str = "bay-";
+use crate::http1::hop_headers::{connection_options, is_passed_on};
 
 /// Removes the headers that are not passed on in either direction.
 pub(crate) fn remove_hop_headers<M>(message: &mut M)
@@ -26,13 +9,8 @@
 {
     let headers = message.as_mut();
     let listed = listed_in_connection(headers);
-    let stays_here = |name: &str| {
-        name.starts_with(OWN_PREFIX)
-            || HOP_BY_HOP.contains(&name)
-            || listed.iter().any(|listed| listed == name)
-    };
-    let removed: Vec<HeaderName> =
-        headers.names().filter(|name| stays_here(name.as_str())).cloned().collect();
+    let stays_here = |name: &&HeaderName| !is_passed_on(name.as_str(), &listed);
+    let removed: Vec<HeaderName> = headers.names().filter(stays_here).cloned().collect();
     for name in removed {
         headers.remove(name);
     }
@@ -42,6 +20,5 @@
     let Some(values) = headers.get("connection") else {
         return Vec::new();
     };
-    let options = values.iter().flat_map(|value| value.as_str().split(','));
-    options.map(|option| option.trim().to_ascii_lowercase()).collect()
+    values.iter().flat_map(|value| connection_options(value.as_str())).collect()
 }
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -5,12 +5,13 @@
 use bay_router::{AnswerFields, AttemptFields, RouterWire};
 use bay_types::ErrorKind;
 
-use super::request_head::{RequestHead, append_header, is_passed_on, listed_in_connection};
+use super::request_head::{RequestHead, append_header, listed_in_connection};
 use super::shell::Shell;
 use crate::gate_shell::Leased;
 use crate::http1::answer_check::{AnswerFacts, check_answer};
 use crate::http1::connection::Connection;
 use crate::http1::framing::{BodyError, BodyReader, Framing};
+use crate::http1::hop_headers::is_passed_on;
 use crate::http1::raw_head::{RawHeadError, read_raw_head};
 
 /// Longest head of an answer, in bytes.
--- a/crates/node/src/router_shell/request_head.rs
+++ b/crates/node/src/router_shell/request_head.rs
@@ -2,27 +2,12 @@
 use bay_types::ErrorKind;
 
 use crate::http1::framing::Framing;
+use crate::http1::hop_headers::{connection_options, is_passed_on};
 use crate::http1::request_check::{RequestFacts, check_request};
 
 /// Most headers of a request.
 const MAX_HEADERS: usize = 100;
 
-/// Headers that concern one connection only (RFC 9110, section 7.6.1), and those that describe
-/// the framing, which is set anew.
-const HOP_BY_HOP: [&str; 11] = [
-    "connection",
-    "content-length",
-    "expect",
-    "keep-alive",
-    "proxy-authenticate",
-    "proxy-authorization",
-    "proxy-connection",
-    "te",
-    "trailer",
-    "transfer-encoding",
-    "upgrade",
-];
-
 /// A caller's request up to its body.
 #[derive(Debug)]
 pub(crate) struct RequestHead {
@@ -88,17 +73,11 @@
     }
 }
 
-/// Whether a header is passed on in either direction.
-pub(crate) fn is_passed_on(name: &str, listed: &[String]) -> bool {
-    !HOP_BY_HOP.contains(&name) && !name.starts_with("bay-") && !listed.iter().any(|n| n == name)
-}
-
 /// The headers that a message's `Connection` header names.
 pub(crate) fn listed_in_connection(headers: &[httparse::Header<'_>]) -> Vec<String> {
     let named = headers.iter().filter(|header| header.name.eq_ignore_ascii_case("connection"));
     let values = named.filter_map(|header| std::str::from_utf8(header.value).ok());
-    let options = values.flat_map(|value| value.split(','));
-    options.map(|option| option.trim().to_ascii_lowercase()).collect()
+    values.flat_map(connection_options).collect()
 }
 
 /// Appends a header line.
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -193,6 +193,8 @@
     Unframed,
     /// Not, and says so.
     Shed,
+    /// After a while.
+    Late,
 }
 
 /// A server that takes grants and requests; `id` is its name.
@@ -218,6 +220,10 @@
             _ if expected != Some(id) => (answer(421, "Not-Executed: 1\r\n", "", 0), false),
             _ if path.starts_with("/api/") => (answer(200, "", "", 0), false),
             Manner::Echo => (answer(200, signed, &body, body.len()), false),
+            Manner::Late => {
+                thread::sleep(Duration::from_millis(400));
+                (answer(200, signed, &body, body.len()), false)
+            }
             Manner::Cut => (answer(200, signed, &body, body.len() + 50), true),
             Manner::Shed => (answer(503, "Not-Executed: 1\r\n", "", 0), false),
             Manner::Crossed => {
--- a/crates/node/tests/router.rs
+++ b/crates/node/tests/router.rs
@@ -16,16 +16,20 @@
 use serde_json::{Value, json};
 use test_case::test_case;
 
-/// A router's addresses.
-#[derive(Clone, Copy)]
-struct Addresses {
+/// A running router.
+struct Running {
     listen: SocketAddr,
     ready: SocketAddr,
     metrics: SocketAddr,
+    /// Begins a planned stop; the channel closes once it has ended.
+    stop: async_channel::Sender<()>,
+    ended: mpsc::Receiver<()>,
 }
 
-fn start_router(store: SocketAddr) -> Addresses {
+fn start_router(store: SocketAddr) -> Running {
     let (tx, rx) = mpsc::channel();
+    let (stop, stopping) = async_channel::bounded(1);
+    let (end, ended) = mpsc::channel::<()>();
     thread::spawn(move || {
         let text = json!({
             "node-name": "h1", "ip": "127.0.0.1", "zone": "a",
@@ -42,12 +46,18 @@
         let wire = Rc::new(PlatformWire);
         let shell = RouterShell::start(settings, wire, counters, Rc::clone(&executor)).unwrap();
         let settings = shell.settings();
-        let addresses =
-            Addresses { listen: settings.listen, ready: settings.ready, metrics: settings.metrics };
-        tx.send(addresses).unwrap();
-        async_io::block_on(executor.run(std::future::pending::<()>()));
+        tx.send((settings.listen, settings.ready, settings.metrics)).unwrap();
+        let work = async {
+            // A test that stops nothing drops the sender at its end.
+            if stopping.recv().await.is_ok() {
+                shell.stop().await;
+            }
+        };
+        async_io::block_on(executor.run(work));
+        drop(end);
     });
-    rx.recv().unwrap()
+    let (listen, ready, metrics) = rx.recv().unwrap();
+    Running { listen, ready, metrics, stop, ended }
 }
 
 fn server_entry(service: &str, address: SocketAddr) -> Value {
@@ -78,16 +88,16 @@
 }
 
 /// A ready router in front of the given servers of the service `pool`.
-fn start(servers: &[(&'static str, Manner)]) -> (FakeStore, Addresses) {
+fn start(servers: &[(&'static str, Manner)]) -> (FakeStore, Running) {
     let (store, address) = FakeStore::start();
     store.write("config/main", Some(config()));
     for (id, manner) in servers {
         let entry = server_entry("pool", start_server(id, *manner));
         store.write(&format!("servers/{id}"), Some(entry));
     }
-    let addresses = start_router(address);
-    while get(addresses.ready, "/api/ready").0 != 200 {}
-    (store, addresses)
+    let router = start_router(address);
+    while get(router.ready, "/api/ready").0 != 200 {}
+    (store, router)
 }
 
 fn get(address: SocketAddr, path: &str) -> (u16, String) {
@@ -220,3 +230,26 @@
     assert!(text.contains("request 1\n"), "{text}");
     assert!(text.contains("request_pool_answered_count 1\n"), "{text}");
 }
+
+#[test]
+fn a_planned_stop_answers_every_request_that_was_read() {
+    let (_store, router) = start(&[("i-1", Manner::Late)]);
+    let kept = TcpStream::connect(router.listen).unwrap();
+    let ask = |stream: &TcpStream, id: &str| {
+        let text = format!("POST /book/{id} HTTP/1.1\r\nHost: shop\r\nRequest-Id: {id}\r\n\r\n");
+        (&mut &*stream).write_all(text.as_bytes()).unwrap();
+    };
+    ask(&kept, "a");
+    router.stop.send_blocking(()).unwrap();
+    while get(router.ready, "/api/ready").0 == 200 {}
+    // The balancer has not noticed yet: new connections and kept ones are served.
+    assert_eq!(post(router.listen, "/book/new", "1"), (200, "i-1 /book/new 1".to_owned()));
+    let mut reader = BufReader::new(kept);
+    assert_eq!(read_answer(&mut reader), (200, "i-1 /book/a 0".to_owned()));
+    // The answer closed the connection, so that the caller sends its next request elsewhere.
+    assert_eq!(reader.read(&mut [0; 1]).unwrap(), 0);
+    let last = TcpStream::connect(router.listen).unwrap();
+    ask(&last, "b");
+    assert_eq!(read_answer(&mut BufReader::new(last)), (200, "i-1 /book/b 0".to_owned()));
+    assert!(router.ended.recv().is_err(), "the stop ends");
+}
