Bound the number of ranges by giving quiet ones to their neighbours' owners

Change: above six ranges a server every other plan gives the least busy ones to a neighbour's owner, so that they are joined next; up to 1,500 changes fit one datagram.

--- a/crates/node/src/router_shell/granting/tables.rs
+++ b/crates/node/src/router_shell/granting/tables.rs
@@ -9,8 +9,8 @@
 
 use super::{Shell, orders, others};
 
-/// Most changed ranges in one datagram.
-const MAX_CHANGES: usize = 400;
+/// Most changed ranges in one datagram: 27 bytes each where all have an owner.
+const MAX_CHANGES: usize = 1_500;
 
 /// Reads a service's table at the start of a term.
 pub(super) async fn load(shell: Rc<Shell>, service: ServiceName, term: Term) {
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -33,6 +33,8 @@
     orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
     plan_at: Time,
+    /// Whether the last plan gave quiet ranges to their neighbours' owners; the next one does not.
+    absorbed: bool,
     /// Until when servers may hold keys by the orders of earlier granters.
     stale_until: Time,
     /// How many servers there were before the first assignment, and since when.
@@ -77,6 +79,7 @@
             // Results of orders of an earlier granter in this process have other numbers.
             next_order: now.as_nanos(),
             plan_at: now,
+            absorbed: false,
             stale_until: until,
             first_seen: (0, now),
         };
--- a/crates/range/src/granter/planning.rs
+++ b/crates/range/src/granter/planning.rs
@@ -1,3 +1,4 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bay_time::Time;
@@ -16,6 +17,8 @@
     const REST: Duration = Duration::from_millis(1_500);
     /// Time without a new server before keys are assigned for the first time.
     const FIRST_ASSIGNMENT_WAIT: Duration = Duration::from_millis(2_500);
+    /// Ranges for each server above which quiet ones are given to their neighbours' owners.
+    const MANY_RANGES: usize = 6;
     /// Ranges for each server above which adjacent ones of one server are joined.
     const MAX_RANGES_PER_SERVER: usize = 3;
 
@@ -27,6 +30,10 @@
             if assignments.is_empty() {
                 assignments = self.join(candidates);
             }
+            if assignments.is_empty() && !self.absorbed {
+                assignments = self.absorb(now, candidates, loads);
+            }
+            self.absorbed = !assignments.is_empty();
             if assignments.is_empty() {
                 assignments = self.rebalance(now, candidates, loads);
             }
@@ -98,6 +105,42 @@
             .collect()
     }
 
+    /// Gives the least busy ranges to the owners of their neighbours where there are many ranges,
+    /// so that they can be joined: each range is renewed, and listed at every router.
+    fn absorb(&self, now: Time, candidates: &[Candidate], loads: &KeyLoads) -> Vec<Assignment> {
+        let surplus = self.slots.len().saturating_sub(candidates.len() * Granter::MANY_RANGES);
+        if surplus == 0 {
+            return Vec::new();
+        }
+        let rested = |slot: &Slot| slot.is_held() && now.since(slot.moved_at) >= Granter::REST;
+        let warm = |owner| candidates.iter().find(|c| c.owner == owner && c.eligible && !c.cold);
+        let mut quiet: Vec<(usize, f64)> = (1..self.slots.len())
+            .filter(|at| rested(&self.slots[*at]) && self.slots[at - 1].is_held())
+            .filter(|at| {
+                let (left, own) = (&self.slots[at - 1].holding, &self.slots[*at].holding);
+                adjacent(left.range, own.range) && left.owner != own.owner
+            })
+            .map(|at| (at, loads.steady().rate(self.slots[at].holding.range)))
+            .collect();
+        quiet.sort_by(|(_, a), (_, b)| a.total_cmp(b));
+        let mut absorbed = BTreeSet::new();
+        let mut assignments = Vec::new();
+        for (at, _) in quiet {
+            if assignments.len() >= surplus {
+                break;
+            }
+            // The neighbour has to stay where it is.
+            if absorbed.contains(&(at - 1)) || absorbed.contains(&(at + 1)) {
+                continue;
+            }
+            if let Some(to) = warm(self.slots[at - 1].holding.owner) {
+                absorbed.insert(at);
+                assignments.push(Assignment { range: self.slots[at].holding.range, to: *to });
+            }
+        }
+        assignments
+    }
+
     /// Joins adjacent ranges of one server where there are many, so that few are renewed.
     fn join(&self, candidates: &[Candidate]) -> Vec<Assignment> {
         if self.slots.len() <= candidates.len() * Granter::MAX_RANGES_PER_SERVER {
--- a/crates/range/tests/planner.rs
+++ b/crates/range/tests/planner.rs
@@ -181,3 +181,26 @@
     assert!(moved < 6_554, "{moved} of 65,536 keys moved in 30 s");
     assert!(after.len() <= SERVERS * 4, "{} ranges", after.len());
 }
+
+/// A zone's servers leave and return again and again; their keys go in pieces each time.
+#[test]
+fn the_number_of_ranges_stays_bounded_while_servers_come_and_go() {
+    let mut world = World::new(SERVERS, 5);
+    world.elect();
+    world.run(Duration::from_secs(6));
+    let per_step = (capacity(&world) * SERVERS as f64 * 0.9 * 0.1) as u32;
+    for round in 0..12 {
+        for server in &mut world.servers[..10] {
+            server.candidate.eligible = round % 2 == 1;
+        }
+        for _ in 0..40 {
+            for _ in 0..per_step {
+                let key = world.random.random_range(0..=65_535);
+                world.loads.add(key, 1);
+            }
+            world.run(Duration::from_millis(100));
+        }
+    }
+    let ranges = world.stored.holdings.len();
+    assert!(ranges <= SERVERS * 9, "{ranges} ranges");
+}
