--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -33,8 +33,9 @@
     orders: BTreeMap<OrderId, PendingOrder>,
     next_order: u64,
     plan_at: Time,
-    /// Whether the last plan gave quiet ranges to their neighbours' owners; the next one does not.
-    absorbed: bool,
+    /// Whether the last plan was made before the load was looked at, to join ranges or to replace
+    /// owners; the next one does not give quiet ranges away.
+    consolidated: bool,
     /// Until when servers may hold keys by the orders of earlier granters.
     stale_until: Time,
     /// How many servers there were before the first assignment, and since when.
@@ -79,7 +80,7 @@
             // Results of orders of an earlier granter in this process have other numbers.
             next_order: now.as_nanos(),
             plan_at: now,
-            absorbed: false,
+            consolidated: false,
             stale_until: until,
             first_seen: (0, now),
         };
--- a/crates/range/src/granter/planning.rs
+++ b/crates/range/src/granter/planning.rs
@@ -30,10 +30,10 @@
             if assignments.is_empty() {
                 assignments = self.join(candidates);
             }
-            if assignments.is_empty() && !self.absorbed {
+            if assignments.is_empty() && !self.consolidated {
                 assignments = self.absorb(now, candidates, loads);
             }
-            self.absorbed = !assignments.is_empty();
+            self.consolidated = !assignments.is_empty();
             if assignments.is_empty() {
                 assignments = self.rebalance(now, candidates, loads);
             }
--- a/crates/range/src/wanted_rates.rs
+++ b/crates/range/src/wanted_rates.rs
@@ -26,8 +26,9 @@
         let time = |each: &Candidate| each.service_ms.unwrap_or(usual_ms).max(1.0);
         let rates = |level: f64| {
             let rate = |each: &&Candidate| {
-                let use_ = utilisation(level / time(each)).max(mean * WantedRates::LEAST_SHARE);
-                (each.owner, use_.min(WantedRates::MOST) * each.capacity(usual_ms))
+                let least = mean * WantedRates::LEAST_SHARE;
+                let share = utilisation(level / time(each)).max(least).min(WantedRates::MOST);
+                (each.owner, share * each.capacity(usual_ms))
             };
             servers.iter().map(rate).collect::<BTreeMap<OwnerId, f64>>()
         };
--- a/crates/range/tests/planner.rs
+++ b/crates/range/tests/planner.rs
@@ -139,9 +139,9 @@
     for candidate in &candidates {
         let own = held.iter().filter(|held| held.owner == candidate.owner);
         let rate: f64 = own.map(|held| rates.rate(held.range)).sum();
-        let use_ = rate / candidate.capacity(1.0);
-        assert!(use_ > 0.03, "a server has nothing to do");
-        assert!(use_ < 0.6, "a server is busy: {use_}");
+        let utilisation = rate / candidate.capacity(1.0);
+        assert!(utilisation > 0.03, "a server has nothing to do");
+        assert!(utilisation < 0.6, "a server is busy: {utilisation}");
         fast += if candidate.service_ms < Some(200.0) { rate } else { 0.0 };
     }
     // Their part of the capacity is 0.53.
