--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -229,3 +229,25 @@
     world.run(Duration::from_secs(5));
     assert_eq!(world.leaders(), before);
 }
+
+/// Played day swanline-gw-grown trouble-3: the last granter's host was too small to serve its
+/// routers while all started together.
+#[test]
+fn a_small_machine_that_was_the_last_granter_leaves_the_role_to_larger_ones() {
+    let mut world = World::new(5);
+    let record = LeadershipRecord {
+        host: host(0),
+        incarnation: 1,
+        term: Term(3),
+        renewal: 7,
+        resigned: false,
+        settled: false,
+        lingering: Vec::new(),
+    };
+    world.record = Some((Revision(5), record));
+    let small = Duration::from_millis(900);
+    world.processes[0] = Leadership::new(host(0), 2, small, world.now);
+    world.run(Duration::from_millis(2_500));
+    let leaders = world.leaders();
+    assert!(leaders.len() == 1 && leaders[0] != 0, "{leaders:?}");
+}
