--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -214,6 +214,8 @@
     NotExecuted,
     /// Responds after 400 ms.
     Delayed,
+    /// Like `Echo`, but names a limit of two requests per second from all routers.
+    RateLimited,
     /// Never responds to a request. Orders are still acknowledged.
     Silent,
 }
@@ -241,6 +243,10 @@
             _ if expected != Some(id) => (response(421, "Not-Executed: 1\r\n", "", 0), false),
             _ if path.starts_with("/api/") => (response(200, "", "", 0), false),
             ServerBehavior::Echo => (response(200, signed_headers, &body, body.len()), false),
+            ServerBehavior::RateLimited => {
+                let headers = format!("{signed_headers}Server-Limit: 2.0\r\n");
+                (response(200, &headers, &body, body.len()), false)
+            }
             ServerBehavior::Silent => continue,
             ServerBehavior::Delayed => {
                 thread::sleep(Duration::from_millis(400));
