Learn and log the rate limits that servers name

A router now reads the limit from each answer, tells the others when it begins, changes or ends, and logs it with its source; the metric servers_rate_limited counts the servers that name one. No decision depends on it yet.

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -5,7 +5,9 @@
 
 use async_io::Timer;
 use bay_range::{Candidate, Granter, KeyLoads, Leadership, Role};
-use bay_router::{Branch, LiveRouters, MeanServiceTimes, PeerMessage, RouterSettings};
+use bay_router::{
+    Branch, LiveRouters, MeanServiceTimes, PeerMessage, RateLimitNotice, RouterSettings,
+};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServiceName, Term};
 use xxhash_rust::xxh3::xxh3_64;
@@ -198,6 +200,21 @@
         log::warn!(requests = crashes.len(); "servers crashed while running requests");
         shell.peer_socket.send(&other_routers(shell), &PeerMessage::Crashes(crashes));
     }
+    let limits = shell.router.borrow_mut().drain_rate_limits();
+    if !limits.is_empty() {
+        limits.iter().for_each(|notice| log_rate_limit(notice, "answer"));
+        shell.peer_socket.send(&other_routers(shell), &PeerMessage::RateLimits(limits));
+    }
+}
+
+/// Logs a server's rate limit; `source` tells how this router has learned it.
+fn log_rate_limit(notice: &RateLimitNotice, source: &str) {
+    log::info!(
+        server:% = notice.server,
+        per_second = notice.per_second.map_or_else(|| "none".to_owned(), |rate| rate.to_string()),
+        source = source;
+        "rate limit of a server"
+    );
 }
 
 /// Advances the granter of every service with keys and sends a heartbeat.
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -9,7 +9,7 @@
 
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
-use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, server_updates};
+use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
 use crate::router_shell::{config_updates, hosts};
 
 /// Maximum number of ranges of an owner map in one datagram.
@@ -167,6 +167,13 @@
             let mut router = shell.router.borrow_mut();
             crashes.into_iter().for_each(|crash| router.record_crash(now, crash));
         }
+        PeerMessage::RateLimits(notices) => {
+            for notice in &notices {
+                if shell.router.borrow_mut().apply_rate_limit(now, notice) {
+                    log_rate_limit(notice, "router");
+                }
+            }
+        }
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use bay_time::{BootClock, Clock};
 
 use super::shell_state::ShellState;
 use crate::http1::connection::Connection;
@@ -97,6 +98,8 @@
         write_metric(&name, value);
     }
     write_metric("routers.known", shell.router_hosts.borrow().len() as u64);
+    let rate_limited = shell.router.borrow().directory().rate_limited_count(BootClock.now());
+    write_metric("servers.rate_limited", rate_limited as u64);
     let (sent, received) = shell.peer_socket.byte_counts();
     write_metric("peer.sent_bytes", sent);
     write_metric("peer.received_bytes", received);
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -139,9 +139,12 @@
         };
         let (result, received) = run_attempt(shell, request, outgoing, &selected).await;
         if let Some(received) = received {
+            let mut router = shell.router.borrow_mut();
             if let Some(load) = received.fields.load {
-                shell.router.borrow_mut().record_load(BootClock.now(), &selected, load);
+                router.record_load(BootClock.now(), &selected, load);
             }
+            router.record_rate_limit(BootClock.now(), &selected, received.fields.rate_limit);
+            drop(router);
             answer = Some(received);
         }
         let Some(result) = result else {
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -221,6 +221,11 @@
         self.servers.iter().map(|(name, registered)| (*name, &registered.server))
     }
 
+    /// Returns how many servers name a rate limit.
+    pub fn rate_limited_count(&self, now: Time) -> usize {
+        self.iter().filter(|(_, server)| server.rate_limit(now).is_some()).count()
+    }
+
     /// Returns whether a server is ready, still registered and not in a zone that is out.
     pub fn is_eligible(&self, now: Time, server: &Server) -> bool {
         server.is_ready() && !server.has_lapsed(now) && !self.zones_out.contains(&server.entry.zone)
--- a/crates/router/src/header_fields.rs
+++ b/crates/router/src/header_fields.rs
@@ -26,6 +26,8 @@
     pub not_run: bool,
     /// Load of the server.
     pub load: Option<LoadReport>,
+    /// Requests per second that the server takes from all routers together, while it is limited.
+    pub rate_limit: Option<f64>,
     /// Remaining warm-up time of the server.
     pub warm_up_left: Option<Duration>,
     /// Handover value that the former owner of keys passes to the next owner.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -17,6 +17,7 @@
 mod mean_service_times;
 mod owner_map;
 mod peer_message;
+mod rate_limit;
 mod reassembly_buffer;
 mod relay_plan;
 mod request_state;
@@ -49,6 +50,7 @@
     ConfigPart, FeedState, Heartbeat, KeyCount, PeerMessage, RelayOrder, RelayedMessage, Report,
     ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
 };
+pub use rate_limit::{RateLimitNotice, RateLimitState};
 pub use reassembly_buffer::ReassemblyBuffer;
 pub use relay_plan::{Branch, Recipient, plan_relays};
 pub use request_state::RequestState;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -5,7 +5,7 @@
 
 use bay_range::KeyLimit;
 
-use crate::{Crash, OwnerChanges, OwnerMap, ServerEntry};
+use crate::{Crash, OwnerChanges, OwnerMap, RateLimitNotice, ServerEntry};
 
 /// A datagram between routers, encoded with `postcard`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -40,6 +40,8 @@
     Config(ConfigPart),
     /// Sends the limits of a service's overloaded keys from the granter to every router.
     KeyLimits(ServiceName, Vec<KeyLimit>),
+    /// Sends the rate limits that a router has learned to every other router.
+    RateLimits(Vec<RateLimitNotice>),
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -2,7 +2,7 @@
 
 use bay_time::Time;
 
-use crate::{LoadReport, ServerEntry, ServerState, WarmUpLimiter};
+use crate::{LoadReport, RateLimitState, ServerEntry, ServerState, WarmUpLimiter};
 
 /// A server with its load and latency as this router observes them.
 #[derive(Debug, Clone)]
@@ -16,6 +16,8 @@
     /// End of the warm-up that the server reported.
     pub(crate) cold_until: Time,
     pub(crate) warm_up_limiter: WarmUpLimiter,
+    /// Limit of the requests of all routers, as the server named it.
+    pub(crate) rate_limit: RateLimitState,
     /// Moving average of the time of a request without queueing, in milliseconds.
     service_ms: Option<f64>,
     /// Number and sum in milliseconds of the times without queueing since the last report.
@@ -71,6 +73,7 @@
             removal_at: None,
             cold_until,
             warm_up_limiter: WarmUpLimiter::new(now),
+            rate_limit: RateLimitState::default(),
             service_ms: None,
             unreported: (0, 0.0),
             failure_rate: 0.0,
@@ -108,6 +111,12 @@
         now < self.cold_until
     }
 
+    /// Returns the requests per second that the server takes from all routers together, if it has
+    /// named a limit.
+    pub fn rate_limit(&self, now: Time) -> Option<f64> {
+        self.rate_limit.per_second(now)
+    }
+
     /// Returns whether the server gets no requests because its connections failed.
     pub fn is_backing_off(&self, now: Time) -> bool {
         now < self.backoff_until
