Keep to the rate limits that servers name, all routers together

No router evaluated the limit; arrivals didn't change when it was named. Ruled out: a limit applied by each router for itself, and keys moved to the server.

One router, by rendezvous hash of host and server, now grants the permits to send requests to a limited server. Dividing the limit among the routers would leave most of it unused where a fleet has more routers than the server takes requests. A permit may start later: requests queue by time within their latency objective, and those beyond are refused at once with Retry-After, as not run. Services without keys use their other servers first. A router that doesn't answer three requests in a row is replaced by the next one.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -25,6 +25,7 @@
 mod http_client;
 mod orders;
 mod peers;
+mod permits;
 mod probes;
 mod reply;
 mod request;
@@ -105,6 +106,7 @@
             config_parts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
+            permits: permits::Permits::default(),
             latencies: RefCell::default(),
             active_connections: Cell::new(0),
             incarnation: wall_nanos(),
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -10,7 +10,7 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
-use crate::router_shell::{config_updates, hosts};
+use crate::router_shell::{config_updates, hosts, permits};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -174,6 +174,10 @@
                 }
             }
         }
+        PeerMessage::RequestPermit(number, request) => {
+            permits::handle_request(shell, from, number, &request);
+        }
+        PeerMessage::Permit(number, permit) => permits::handle_answer(shell, number, permit),
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -3,7 +3,7 @@
 
 use async_io::Timer;
 use bay_router::{
-    AttemptFields, AttemptResult, OwnerMap, RequestState, RetryDecision, RoutingDecision,
+    AttemptFields, AttemptResult, OwnerMap, Permit, RequestState, RetryDecision, RoutingDecision,
     SelectedServer,
 };
 use bay_time::{BootClock, Clock, Time};
@@ -12,6 +12,7 @@
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
 use super::attempt::{OutgoingRequest, ServerAnswer, exchange};
+use super::permits;
 use super::reply::Reply;
 use super::request_head::RequestHead;
 use super::shell_state::ShellState;
@@ -125,6 +126,16 @@
         let decision = shell.router.borrow_mut().pick_server(now, request);
         let selected = match decision {
             RoutingDecision::Send(selected) => selected,
+            RoutingDecision::Acquire(permit_request) => {
+                let permit = permits::acquire(shell, permit_request).await;
+                if let Permit::Granted(wait) = permit {
+                    Timer::after(wait).await;
+                }
+                let now = BootClock.now();
+                let server = permit_request.server;
+                shell.router.borrow_mut().record_permit(now, request, server, permit);
+                continue;
+            }
             RoutingDecision::Wait(until) => {
                 Timer::after(until.since(now)).await;
                 continue;
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -11,6 +11,7 @@
 use super::cutoff::Cutoff;
 use super::granter::GranterRole;
 use super::peers::PeerSocket;
+use super::permits::Permits;
 use super::server_updates::FeedPublisher;
 use super::store_client::StoreClient;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -36,6 +37,7 @@
     pub(crate) limits: HttpLimits,
     pub(crate) resources: Arc<ConnectionResources>,
     pub(crate) counters: Counters,
+    pub(crate) permits: Permits,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
--- a/crates/router/src/counter.rs
+++ b/crates/router/src/counter.rs
@@ -17,6 +17,8 @@
     RetryDenied,
     /// Requests refused at once because their key gets more than its owner can run.
     KeyLimited,
+    /// Requests refused at once because of the rate limit that a server names.
+    RateLimited,
 }
 
 impl Counter {
@@ -31,6 +33,7 @@
             Counter::RetryFailed => "retry.server-failed",
             Counter::RetryDenied => "retry.budget-spent",
             Counter::KeyLimited => "request.key-limited",
+            Counter::RateLimited => "request.rate-limited",
         }
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod owner_map;
 mod peer_message;
 mod rate_limit;
+mod rate_limiter;
 mod reassembly_buffer;
 mod relay_plan;
 mod request_state;
@@ -51,6 +52,7 @@
     ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
 };
 pub use rate_limit::{RateLimitNotice, RateLimitState};
+pub use rate_limiter::{Permit, PermitRequest, RateLimiter};
 pub use reassembly_buffer::ReassemblyBuffer;
 pub use relay_plan::{Branch, Recipient, plan_relays};
 pub use request_state::RequestState;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -5,7 +5,7 @@
 
 use bay_range::KeyLimit;
 
-use crate::{Crash, OwnerChanges, OwnerMap, RateLimitNotice, ServerEntry};
+use crate::{Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry};
 
 /// A datagram between routers, encoded with `postcard`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -42,6 +42,10 @@
     KeyLimits(ServiceName, Vec<KeyLimit>),
     /// Sends the rate limits that a router has learned to every other router.
     RateLimits(Vec<RateLimitNotice>),
+    /// Asks the router that grants a server's permits for one, under a number for the answer.
+    RequestPermit(u64, PermitRequest),
+    /// Answers the request for a permit with this number.
+    Permit(u64, Permit),
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/rate_limit.rs
+++ b/crates/router/src/rate_limit.rs
@@ -33,7 +33,7 @@
 impl RateLimitState {
     /// Lowest rate in requests per second. A server that names less still gets a request now and
     /// then, as only its answers tell that the limit has ended.
-    const MIN_RATE: f64 = 0.05;
+    pub(crate) const MIN_RATE: f64 = 0.05;
     /// Time after which a limit that nothing confirms has ended.
     const TIMEOUT: Duration = Duration::from_secs(30);
     /// Interval at which the other routers are told of a limit that lasts.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,11 +10,12 @@
 use crate::{
     CallerLimits, Config, Counter, Crash, CrashDetector, Directory, DirectoryChange, KeyCount,
     OwnerChanges, OwnerMap, PlatformBounds, RateLimitNotice, RequestFields, RequestState,
-    RetryBudget, RouteMap, RouterSettings, SelectedServer, ServerEntry, ServerTiming,
-    ServiceOwners, ServicePool, ServiceReport,
+    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerTiming, ServiceOwners, ServicePool,
+    ServiceReport,
 };
 
 mod attempt_results;
+mod rate_limits;
 mod server_selection;
 
 /// Picks servers for callers' requests, and decides on retries and refusals.
@@ -34,6 +35,8 @@
     new_rate_limits: Vec<RateLimitNotice>,
     /// Hosts that run routers, sorted by name.
     hosts: Vec<HostName>,
+    /// Routers that have not answered a request for a permit, and until when none is sent to them.
+    silent_hosts: BTreeMap<HostName, Time>,
     /// Number of live routers, at least 1.
     router_count: u32,
     rng: SmallRng,
@@ -56,6 +59,7 @@
             new_crashes: Vec::new(),
             new_rate_limits: Vec::new(),
             hosts: Vec::new(),
+            silent_hosts: BTreeMap::new(),
             router_count: Router::INITIAL_ROUTER_COUNT,
             rng: SmallRng::seed_from_u64(seed),
             counts: BTreeMap::new(),
@@ -188,39 +192,6 @@
         self.crash_detector.record_crash(now, crash);
     }
 
-    /// Records the rate limit that an answer names, or that it names none.
-    pub fn record_rate_limit(
-        &mut self,
-        now: Time,
-        selected: &SelectedServer,
-        per_second: Option<f64>,
-    ) {
-        let SelectedServer { server: name, started, .. } = *selected;
-        let Some(server) = self.directory.get_mut(name) else {
-            return;
-        };
-        // A request that was sent to an earlier process may be answered after a restart.
-        if server.entry.started != started {
-            return;
-        }
-        if server.rate_limit.record_answer(now, selected.picked_at, per_second) {
-            let per_second = server.rate_limit(now);
-            self.new_rate_limits.push(RateLimitNotice { server: name, started, per_second });
-        }
-    }
-
-    /// Drains the rate limits that this router has learned, to be sent to the other routers.
-    pub fn drain_rate_limits(&mut self) -> Vec<RateLimitNotice> {
-        std::mem::take(&mut self.new_rate_limits)
-    }
-
-    /// Applies a rate limit that another router has learned; returns whether it begins or ends.
-    pub fn apply_rate_limit(&mut self, now: Time, notice: &RateLimitNotice) -> bool {
-        let server = self.directory.get_mut(notice.server);
-        let server = server.filter(|server| server.entry.started == notice.started);
-        server.is_some_and(|server| server.rate_limit.apply_notice(now, notice.per_second))
-    }
-
     /// Moves a server to the pool of its service, or out of all pools if it was removed.
     fn reindex_server(&mut self, name: ServerName) {
         let service = self.directory.get(name).map(|server| server.entry.service);
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -17,6 +17,7 @@
         request: &mut RequestState,
     ) {
         request.attempts += 1;
+        request.permit = None;
         *self.counts.entry(Counter::Attempt).or_default() += 1;
         if let Some(server) = self.directory.get_mut(selected.server) {
             server.record_sent(selected.picked_at);
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -122,6 +122,9 @@
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
+        if let Some(decision) = self.require_permit(now, request, &selected) {
+            return decision;
+        }
         if !self.acquire_warm_up_token(now, selected.server, &request.service) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
@@ -139,6 +142,7 @@
         };
         let (mut same_zone, mut other_zones, mut cold) = (Vec::new(), Vec::new(), Vec::new());
         let mut connected = Vec::new();
+        let (mut permitted, mut rate_limited) = (None, false);
         for name in &pool.servers {
             let Some(server) = self.directory.get(*name) else {
                 continue;
@@ -147,6 +151,14 @@
             if !usable || request.excluded.contains(name) {
                 continue;
             }
+            if request.permit == Some(*name) {
+                permitted = Some(self.describe_server(now, *name, server, pool));
+            }
+            let expected_ms = || server.expected_ms(now, pool.average_ms);
+            if Router::lacks_room(now, server, request, *name, expected_ms) {
+                rate_limited = true;
+                continue;
+            }
             if self.directory.may_be_cold(now, server) {
                 cold.push(*name);
             } else if server.has_idle_connection(now) {
@@ -157,6 +169,15 @@
                 other_zones.push(*name);
             }
         }
+        if let Some(selected) = permitted
+            && self.acquire_warm_up_token(now, selected.server, &request.service)
+        {
+            request.last_selected = Some(selected);
+            return RoutingDecision::Send(selected);
+        }
+        let Some(pool) = self.pools.get(&request.service) else {
+            return self.refuse(now, request, ErrorKind::NoTarget);
+        };
         let mut best: Option<(f64, SelectedServer)> = None;
         let sampled = sample(&mut self.rng, &same_zone)
             .into_iter()
@@ -166,29 +187,32 @@
                 continue;
             };
             let selected = self.describe_server(now, name, server, pool);
-            let cost = selected.expected_ms * server.failure_penalty()
-                + self.cross_zone_cost(server, request)
-                + Router::new_connection_cost(now, server, request);
+            let cost = self.cost(now, server, request, &selected);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, selected));
             }
         }
         if let Some(selected) = self.pick_cold(now, request, &cold, best.map(|(cost, _)| cost)) {
             request.last_selected = Some(selected);
-            return RoutingDecision::Send(selected);
+            let decision = self.require_permit(now, request, &selected);
+            return decision.unwrap_or(RoutingDecision::Send(selected));
         }
         request.last_selected = best.map(|(_, selected)| selected);
         let Some((_, selected)) = best else {
+            if rate_limited {
+                return self.refuse_for_rate_limit(now, request);
+            }
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
-        RoutingDecision::Send(selected)
+        let decision = self.require_permit(now, request, &selected);
+        decision.unwrap_or(RoutingDecision::Send(selected))
     }
 
     /// Picks the first cold server that has a warm-up token and costs at most `best`, the cost of
-    /// the best warm one.
+    /// the best warm one. A server for which a permit is missing needs that first.
     fn pick_cold(
         &mut self,
         now: Time,
@@ -200,11 +224,10 @@
             let pool = self.pools.get(&request.service)?;
             let server = self.directory.get(*name)?;
             let selected = self.describe_server(now, *name, server, pool);
-            let cost = selected.expected_ms * server.failure_penalty()
-                + self.cross_zone_cost(server, request)
-                + Router::new_connection_cost(now, server, request);
+            let cost = self.cost(now, server, request, &selected);
+            let needs_permit = Router::needs_permit(now, server, request, *name);
             if best.is_none_or(|best| cost <= best)
-                && self.acquire_warm_up_token(now, *name, &request.service)
+                && (needs_permit || self.acquire_warm_up_token(now, *name, &request.service))
             {
                 return Some(selected);
             }
@@ -249,19 +272,21 @@
 
     /// Returns whether this router is among the `senders` routers that send to a cold server.
     ///
-    /// The routers are ranked by a hash of host and server (rendezvous hashing).
+    /// The routers are ranked by [`Router::rank`].
     fn is_warm_up_sender(&self, name: ServerName, senders: u32) -> bool {
-        let rank = |host: &HostName| {
-            xxh3_64_with_seed(
-                name.as_str().as_bytes(),
-                xxh3_64_with_seed(host.as_str().as_bytes(), 0),
-            )
-        };
-        let own = rank(&self.settings.host);
-        let lower = self.hosts.iter().filter(|host| rank(host) < own).count();
+        let own = Router::rank(self.settings.host, name);
+        let lower = self.hosts.iter().filter(|host| Router::rank(**host, name) < own).count();
         (lower as u32) < senders
     }
 
+    /// Returns a router's rank for a server (rendezvous hashing); the lowest ones come first.
+    pub(super) fn rank(host: HostName, server: ServerName) -> u64 {
+        xxh3_64_with_seed(
+            server.as_str().as_bytes(),
+            xxh3_64_with_seed(host.as_str().as_bytes(), 0),
+        )
+    }
+
     /// Describes a server with its current load, as the choice for one more request.
     fn describe_server(
         &self,
@@ -284,6 +309,20 @@
         }
     }
 
+    /// Returns the cost of a server for a request, in milliseconds.
+    fn cost(
+        &self,
+        now: Time,
+        server: &Server,
+        request: &RequestState,
+        selected: &SelectedServer,
+    ) -> f64 {
+        selected.expected_ms * server.failure_penalty()
+            + self.cross_zone_cost(server, request)
+            + Router::new_connection_cost(now, server, request)
+            + server.permit_wait(now).as_secs_f64() * 1000.0
+    }
+
     /// Returns the surcharge for sending a request to a server in another zone, in milliseconds.
     fn cross_zone_cost(&self, server: &Server, request: &RequestState) -> f64 {
         if server.entry.zone == self.settings.zone {
@@ -310,7 +349,12 @@
         expected_ms > left.min(objective)
     }
 
-    fn refuse(&mut self, now: Time, request: &RequestState, kind: ErrorKind) -> RoutingDecision {
+    pub(super) fn refuse(
+        &mut self,
+        now: Time,
+        request: &RequestState,
+        kind: ErrorKind,
+    ) -> RoutingDecision {
         let (kind, after) = self.refusal(now, request, kind);
         RoutingDecision::Refuse(kind, after)
     }
--- a/crates/router/src/routing_decision.rs
+++ b/crates/router/src/routing_decision.rs
@@ -4,11 +4,15 @@
 use bay_time::Time;
 use bay_types::{ErrorKind, ServerName};
 
+use crate::PermitRequest;
+
 /// Next step of a request.
 #[derive(Debug, Clone, PartialEq)]
 pub enum RoutingDecision {
     /// Send it to a server.
     Send(SelectedServer),
+    /// Acquire a permit from the router that grants them, and pick again.
+    Acquire(PermitRequest),
     /// Pick again at this time.
     Wait(Time),
     /// Refuse it with an error, and a `Retry-After` if the caller may repeat it.
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -18,6 +18,8 @@
     pub(crate) warm_up_limiter: WarmUpLimiter,
     /// Limit of the requests of all routers, as the server named it.
     pub(crate) rate_limit: RateLimitState,
+    /// Earliest time for which a permit is granted, by the last denial.
+    pub(crate) next_permit_at: Time,
     /// Moving average of the time of a request without queueing, in milliseconds.
     service_ms: Option<f64>,
     /// Number and sum in milliseconds of the times without queueing since the last report.
@@ -74,6 +76,7 @@
             cold_until,
             warm_up_limiter: WarmUpLimiter::new(now),
             rate_limit: RateLimitState::default(),
+            next_permit_at: Time::ZERO,
             service_ms: None,
             unreported: (0, 0.0),
             failure_rate: 0.0,
@@ -117,6 +120,11 @@
         self.rate_limit.per_second(now)
     }
 
+    /// Returns the known wait for a permit; zero if the server names no rate limit.
+    pub fn permit_wait(&self, now: Time) -> Duration {
+        self.rate_limit(now).map_or(Duration::ZERO, |_| self.next_permit_at.since(now))
+    }
+
     /// Returns whether the server gets no requests because its connections failed.
     pub fn is_backing_off(&self, now: Time) -> bool {
         now < self.backoff_until
--- a/crates/router/tests/picking.rs
+++ b/crates/router/tests/picking.rs
@@ -94,7 +94,9 @@
                 refused = Some((kind, after.unwrap(), request.time_left(now)));
                 break;
             }
-            RoutingDecision::Wait(_) => panic!("a request without a key must not wait"),
+            decision @ (RoutingDecision::Wait(_) | RoutingDecision::Acquire(_)) => {
+                panic!("a request without a key must not wait: {decision:?}")
+            }
         }
     }
     let (kind, after, left) = refused.unwrap();
