Plan a server's keys within the rate limit that it names

With the limit kept, the owner of a limited server's keys refuses most of their requests while other servers have room: the planner still counted it at its full capacity. Its capacity is now at most its limit, so that keys move away within a plan or two and return when the limit ends.

a_server_that_names_a_rate_limit_keeps_only_the_keys_that_it_can_serve fails without the change (19.6 requests per second 4 s later, limit 4) and passes with it.

--- a/crates/range/src/candidate.rs
+++ b/crates/range/src/candidate.rs
@@ -21,6 +21,8 @@
     pub cold: bool,
     /// Time of a request without queueing, in milliseconds, if reported.
     pub service_ms: Option<f64>,
+    /// Requests per second that the server takes, if it has named a limit.
+    pub rate_limit: Option<f64>,
 }
 
 impl Candidate {
@@ -29,6 +31,7 @@
     /// `mean_service_ms` replaces a service time that is not reported.
     pub fn capacity(&self, mean_service_ms: f64) -> f64 {
         let service_ms = self.service_ms.unwrap_or(mean_service_ms).max(1.0);
-        f64::from(self.slots.max(1)) * 1000.0 / service_ms
+        let capacity = f64::from(self.slots.max(1)) * 1000.0 / service_ms;
+        self.rate_limit.map_or(capacity, |limit| limit.min(capacity))
     }
 }
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -308,6 +308,7 @@
         eligible: true,
         cold: false,
         service_ms: None,
+        rate_limit: None,
     };
     let times = HoldTimes::bounded_by(Duration::from_secs(10));
     let start = Time::from_millis(60_000);
--- a/crates/range/tests/planner.rs
+++ b/crates/range/tests/planner.rs
@@ -251,3 +251,38 @@
     }
     assert!(longest <= 40, "a server was overloaded for {} ms", longest * 100);
 }
+
+/// A limited server refuses most of its keys' requests while the others have room. It keeps only as
+/// many keys as it can serve within the 4 s over which the load is averaged.
+#[test]
+fn a_server_that_names_a_rate_limit_keeps_only_the_keys_that_it_can_serve() {
+    const SERVERS: usize = 8;
+    let mut world = World::new(SERVERS, 7);
+    world.elect();
+    world.run(Duration::from_secs(6));
+    let total = capacity(&world) * SERVERS as f64 * 0.4;
+    let limit = capacity(&world) * 0.1;
+    let traffic = |world: &mut World, steps: u32| {
+        for _ in 0..steps {
+            for _ in 0..(total * 0.1) as u32 {
+                let key = world.random.random_range(0..=65_535);
+                world.loads.add(key, 1);
+            }
+            world.run(Duration::from_millis(100));
+        }
+    };
+    let rate = |world: &World| {
+        let owner = world.servers[0].candidate.owner;
+        let own = world.stored.holdings.iter().filter(|holding| holding.owner == owner);
+        let keys: u32 = own.map(|holding| holding.range.len()).sum();
+        total * f64::from(keys) / 65_536.0
+    };
+    traffic(&mut world, 100);
+    assert!(rate(&world) > limit);
+    world.servers[0].candidate.rate_limit = Some(limit);
+    traffic(&mut world, 40);
+    assert!(rate(&world) <= limit, "{} requests per second, limit {limit}", rate(&world));
+    world.servers[0].candidate.rate_limit = None;
+    traffic(&mut world, 100);
+    assert!(rate(&world) > limit, "the keys return once the limit ends");
+}
--- a/crates/range/tests/support/mod.rs
+++ b/crates/range/tests/support/mod.rs
@@ -427,6 +427,7 @@
         eligible: true,
         cold: false,
         service_ms: Some(100.0),
+        rate_limit: None,
     };
     FakeServer {
         candidate,
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -285,6 +285,7 @@
                 eligible: self.directory.is_eligible(now, server),
                 cold: self.directory.may_be_cold(now, server),
                 service_ms: server.service_ms(),
+                rate_limit: server.rate_limit(now),
             })
         });
         servers.collect()
