--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -14,6 +14,8 @@
     pub listen: SocketAddr,
     pub ready: SocketAddr,
     pub metrics: SocketAddr,
+    /// Address for messages of other routers.
+    pub peer: SocketAddr,
     /// Requests a planned stop.
     pub stop: async_channel::Sender<()>,
     /// Closes when the planned stop is complete.
@@ -46,7 +48,7 @@
         let wire = Rc::new(PlatformWire);
         let shell = RouterShell::start(settings, wire, counters, Rc::clone(&executor)).unwrap();
         let settings = shell.settings();
-        tx.send((settings.listen, settings.ready, settings.metrics)).unwrap();
+        tx.send((settings.listen, settings.ready, settings.metrics, settings.peer)).unwrap();
         let work = async {
             // A test without a planned stop drops the sender at its end.
             if stop_requests.recv().await.is_ok() {
@@ -56,6 +58,6 @@
         async_io::block_on(executor.run(work));
         drop(stopped_tx);
     });
-    let (listen, ready, metrics) = rx.recv().unwrap();
-    RunningRouter { listen, ready, metrics, stop, stopped }
+    let (listen, ready, metrics, peer) = rx.recv().unwrap();
+    RunningRouter { listen, ready, metrics, peer, stop, stopped }
 }
