Reach the servers through another router while cut off from them

A router's only path to a server was its own. Ruled out as a remedy: reporting not ready, as first tries count and a zone may be cut off as a whole.

A router that fails to connect to three servers in a row, without a success between, counts as cut off until a direct connection succeeds; it probes one at intervals, and as soon as answers are missing or a connection fails. Meanwhile it opens connections to servers through another router, which forwards bytes and serves nothing itself, so that limits, deadlines and order of answers stay with the router that took the request. Requests for keys and orders to servers use a tunnel already when the server itself could not be reached. A request that was not written into an open tunnel has not run.

a_router_cut_off_from_all_servers_serves_through_another_router failed in all six cases before, and passes.

--- a/crates/node/src/gate_shell/pool.rs
+++ b/crates/node/src/gate_shell/pool.rs
@@ -1,4 +1,5 @@
 use std::collections::HashMap;
+use std::io;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
@@ -100,12 +101,29 @@
         cap: usize,
         max_idle: Duration,
     ) -> Result<PooledConnection, ConnectError> {
+        let opened = Connection::connect(to, &self.resources);
+        self.acquire_or_open(to, cap, max_idle, opened).await
+    }
+
+    /// Like [`ConnectionPool::acquire_with_max_idle`], with the operation that opens a connection.
+    ///
+    /// # Errors
+    /// Returns an error if the limit is reached or no connection was opened.
+    pub(crate) async fn acquire_or_open<F>(
+        self: &Arc<ConnectionPool>,
+        to: SocketAddr,
+        cap: usize,
+        max_idle: Duration,
+        opened: F,
+    ) -> Result<PooledConnection, ConnectError>
+    where
+        F: Future<Output = io::Result<Connection>>,
+    {
         let (permit, idle) = self.reserve(to, cap, max_idle)?;
         if let Some(connection) = idle {
             return Ok(PooledConnection { connection, permit, keep_alive: None });
         }
-        let opened = Connection::connect(to, &self.resources).await;
-        let connection = opened.map_err(|_| ConnectError::Refused)?;
+        let connection = opened.await.map_err(|_| ConnectError::Refused)?;
         Ok(PooledConnection { connection, permit, keep_alive: None })
     }
 
@@ -139,9 +157,14 @@
     pub(crate) fn invalidate(&self, to: SocketAddr) {
         let mut targets = lock(&self.targets);
         if let Some(target) = targets.get_mut(&to) {
-            target.open_count -= target.idle.len();
-            target.idle.clear();
-            target.generation += 1;
+            target.invalidate();
+        }
+    }
+
+    /// Like [`ConnectionPool::invalidate`], for all targets.
+    pub(crate) fn invalidate_all(&self) {
+        for target in lock(&self.targets).values_mut() {
+            target.invalidate();
         }
     }
 
@@ -162,6 +185,14 @@
     }
 }
 
+impl TargetConnections {
+    fn invalidate(&mut self) {
+        self.open_count -= self.idle.len();
+        self.idle.clear();
+        self.generation += 1;
+    }
+}
+
 impl PooledConnection {
     /// Records for how long the target keeps the connection open while it is idle.
     pub(crate) fn set_keep_alive(&mut self, keep_alive: Option<Duration>) {
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -30,9 +30,11 @@
 mod reply;
 mod request;
 mod request_head;
+mod server_connection;
 mod server_updates;
 mod shell_state;
 mod store_client;
+mod tunnel;
 
 use caller::serve_caller;
 use cutoff::Cutoff;
@@ -84,12 +86,14 @@
             Async::<TcpListener>::bind(settings.ready).map_err(listen_error(settings.ready))?;
         let metrics =
             Async::<TcpListener>::bind(settings.metrics).map_err(listen_error(settings.metrics))?;
-        let peer_socket = peers::bind_socket(settings.peer).map_err(listen_error(settings.peer))?;
+        let (peer_socket, tunnels) =
+            peers::bind_sockets(settings.peer).map_err(listen_error(settings.peer))?;
+        let peer_address = peer_socket.address().map_err(listen_error(settings.peer))?;
         settings.listen = front.get_ref().local_addr().map_err(listen_error(settings.listen))?;
         settings.ready = ready.get_ref().local_addr().map_err(listen_error(settings.ready))?;
         settings.metrics =
             metrics.get_ref().local_addr().map_err(listen_error(settings.metrics))?;
-        settings.peer = peer_socket.address().map_err(listen_error(settings.peer))?;
+        settings.peer = peer_address;
         let resources = Arc::new(ConnectionResources::default());
         // In a large fleet a router may open one connection per server. It is kept idle although
         // the limit is reached; otherwise each request would need a new one.
@@ -108,6 +112,7 @@
             cutoff: Cutoff::new(),
             permits: permits::Permits::default(),
             latencies: RefCell::default(),
+            tunnel_counts: tunnel::TunnelCounts::default(),
             active_connections: Cell::new(0),
             incarnation: wall_nanos(),
             executor,
@@ -124,6 +129,8 @@
         shell.spawn(probes::serve_readiness(Rc::clone(&shell), ready));
         shell.spawn(probes::serve_metrics(Rc::clone(&shell), metrics));
         shell.spawn(peers::receive_datagrams(Rc::clone(&shell)));
+        shell.spawn(tunnel::serve_tunnels(Rc::clone(&shell), tunnels));
+        shell.spawn(server_connection::run_probes(Rc::clone(&shell)));
         shell.spawn(granter::run(Rc::clone(&shell)));
         shell.spawn(run_cleanup(Rc::clone(&shell)));
         feeds::start_feeds(&shell);
@@ -164,7 +171,8 @@
         self.is_accepting.set(false);
         shell.phase.set(Phase::Closing);
         shell.resources.watchdog.expire_idle();
-        while shell.active_connections.get() > 0 && BootClock.now().since(started) < grace {
+        let is_busy = || shell.active_connections.get() > 0 || shell.tunnel_counts.busy() > 0;
+        while is_busy() && BootClock.now().since(started) < grace {
             if BootClock.now().since(started) + CUTOFF_LEAD >= grace {
                 shell.cutoff.raise();
             }
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -82,7 +82,7 @@
             GranterAction::Order { id, to, address, order } => {
                 let order_shell = Rc::clone(shell);
                 shell.spawn(async move {
-                    let result = orders::send_order(&order_shell, to.server, address, &order).await;
+                    let result = orders::send_order(&order_shell, to, address, &order).await;
                     log::debug!(server:% = to.server, order:? = order, result:? = result;
                         "order finished");
                     let now = BootClock.now();
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -3,16 +3,17 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_range::{GrantOrder, OrderResult};
-use bay_types::ServerName;
+use bay_range::{GrantOrder, OrderResult, OwnerId};
 use futures_lite::future;
 
 use super::http_client::send_call;
+use super::server_connection::{self, ServerEndpoint};
 use super::shell_state::ShellState;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
-/// Timeout for a connection, including the wait while all are in use.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
+/// Timeout for a connection, including the wait while all are in use. It covers a direct connection
+/// that fails and a tunnel after it.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
 
 /// Timeout for a server's answer to a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
@@ -30,11 +31,13 @@
 /// effect.
 pub(crate) async fn send_order(
     shell: &Rc<ShellState>,
-    server: ServerName,
+    owner: OwnerId,
     to: SocketAddr,
     order: &GrantOrder,
 ) -> OrderResult {
-    let mut pooled = match connect(shell, to).await {
+    let OwnerId { server, started } = owner;
+    let endpoint = ServerEndpoint { server, started, address: to, is_only_choice: true };
+    let mut pooled = match connect(shell, &endpoint).await {
         Ok(pooled) => pooled,
         Err(result) => return result,
     };
@@ -61,10 +64,14 @@
 }
 
 /// Acquires a connection to a server, waiting while all are in use.
-async fn connect(shell: &Rc<ShellState>, to: SocketAddr) -> Result<PooledConnection, OrderResult> {
+async fn connect(
+    shell: &Rc<ShellState>,
+    endpoint: &ServerEndpoint,
+) -> Result<PooledConnection, OrderResult> {
+    let max_idle = shell.limits.reuse_timeout;
     let acquire = async {
         loop {
-            match shell.pool.acquire(to, false, MAX_CONNECTIONS).await {
+            match server_connection::connect(shell, endpoint, MAX_CONNECTIONS, max_idle).await {
                 Ok(pooled) => return Ok(pooled),
                 Err(ConnectError::AtLimit) => Timer::after(CONNECTION_PAUSE).await,
                 Err(ConnectError::Refused) => return Err(OrderResult::NotListening),
--- a/crates/node/src/router_shell/peers.rs
+++ b/crates/node/src/router_shell/peers.rs
@@ -1,5 +1,5 @@
 use std::cell::Cell;
-use std::net::{SocketAddr, UdpSocket};
+use std::net::{SocketAddr, TcpListener, UdpSocket};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -12,6 +12,9 @@
 /// Maximum size of a datagram, in bytes.
 const MAX_DATAGRAM: usize = 63 * 1024;
 
+/// Maximum number of ports chosen by the system that are tried.
+const MAX_PORT_TRIES: usize = 8;
+
 /// Pause after a datagram could not be received.
 const ERROR_PAUSE: Duration = Duration::from_millis(20);
 
@@ -25,16 +28,32 @@
     received_bytes: Cell<u64>,
 }
 
-/// Opens the socket at an address.
-pub(crate) fn bind_socket(address: SocketAddr) -> std::io::Result<PeerSocket> {
-    Ok(PeerSocket {
-        socket: Async::<UdpSocket>::bind(address)?,
-        sent_bytes: Cell::new(0),
-        received_bytes: Cell::new(0),
-    })
+/// Opens the socket at an address, and a listener for tunnels at the same one, so that other routers
+/// need no further address.
+///
+/// # Errors
+/// Returns an error if the address is in use. If the system chooses the port, others are tried.
+pub(crate) fn bind_sockets(
+    address: SocketAddr,
+) -> std::io::Result<(PeerSocket, Async<TcpListener>)> {
+    let tries = if address.port() == 0 { MAX_PORT_TRIES } else { 1 };
+    let mut result = Err(std::io::ErrorKind::AddrInUse.into());
+    for _ in 0..tries {
+        let socket = Async::<UdpSocket>::bind(address)?;
+        result = Async::<TcpListener>::bind(socket.get_ref().local_addr()?)
+            .map(|listener| (PeerSocket::new(socket), listener));
+        if result.is_ok() {
+            break;
+        }
+    }
+    result
 }
 
 impl PeerSocket {
+    fn new(socket: Async<UdpSocket>) -> PeerSocket {
+        PeerSocket { socket, sent_bytes: Cell::new(0), received_bytes: Cell::new(0) }
+    }
+
     /// Returns the address to which the socket is bound.
     pub(crate) fn address(&self) -> std::io::Result<SocketAddr> {
         self.socket.get_ref().local_addr()
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -15,12 +15,10 @@
 use super::permits;
 use super::reply::Reply;
 use super::request_head::RequestHead;
+use super::server_connection::{self, ServerEndpoint};
 use super::shell_state::ShellState;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
-/// Timeout for a connection to a server.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Idle time after which a connection is not reused for a request that is not idempotent. If the
 /// server has closed the connection meanwhile, it is unknown whether the request ran.
 const NON_IDEMPOTENT_REUSE_TIME: Duration = Duration::from_millis(1_500);
@@ -192,13 +190,7 @@
     outgoing: &OutgoingRequest,
     selected: &SelectedServer,
 ) -> (Option<AttemptResult>, Option<ServerAnswer>) {
-    let now = BootClock.now();
-    let connect_timeout = request.time_left(now).min(CONNECT_TIMEOUT);
-    let max_idle = match request.route.is_idempotent() {
-        true => Duration::MAX,
-        false => NON_IDEMPOTENT_REUSE_TIME,
-    };
-    let mut pooled = match connect(shell, selected, connect_timeout, max_idle).await {
+    let mut pooled = match connect(shell, request, selected).await {
         Ok(pooled) => pooled,
         Err(ConnectError::AtLimit) => return (None, None),
         Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
@@ -239,17 +231,24 @@
 
 async fn connect(
     shell: &Rc<ShellState>,
+    request: &RequestState,
     selected: &SelectedServer,
-    connect_timeout: Duration,
-    max_idle: Duration,
 ) -> Result<PooledConnection, ConnectError> {
-    let cap = selected.max_connections;
-    let acquire = shell.pool.acquire_with_max_idle(selected.address, cap, max_idle);
+    let SelectedServer { server, started, address, .. } = *selected;
+    let is_only_choice = request.key.is_some();
+    let endpoint = ServerEndpoint { server, started, address, is_only_choice };
+    let max_idle = match request.route.is_idempotent() {
+        true => Duration::MAX,
+        false => NON_IDEMPOTENT_REUSE_TIME,
+    };
+    let time_left = request.time_left(BootClock.now());
     let timer = async {
-        sleep(connect_timeout).await;
+        sleep(time_left).await;
         Err(ConnectError::Refused)
     };
-    future::or(acquire, timer).await
+    let connected =
+        server_connection::connect(shell, &endpoint, selected.max_connections, max_idle);
+    future::or(connected, timer).await
 }
 
 async fn sleep(time: Duration) {
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -14,6 +14,7 @@
 use super::permits::Permits;
 use super::server_updates::FeedPublisher;
 use super::store_client::StoreClient;
+use super::tunnel::TunnelCounts;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
 use crate::http1::connection::ConnectionResources;
 
@@ -43,6 +44,7 @@
     pub(crate) phase: Cell<Phase>,
     /// Ends the requests that are still in flight when the process is about to end.
     pub(crate) cutoff: Cutoff,
+    pub(crate) tunnel_counts: TunnelCounts,
     /// Number of callers' connections with requests in flight.
     pub(crate) active_connections: Cell<usize>,
     /// Identifies this start of the process: the time of the start in nanoseconds.
--- a/crates/node/tests/cut_off_router.rs
+++ b/crates/node/tests/cut_off_router.rs
@@ -4,6 +4,8 @@
 
 use std::io::{BufRead, BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::thread;
+use std::time::Duration;
 
 use platform::{FakeStore, RunningRouter, ServerBehavior, start_router, start_server};
 use serde_json::{Value, json};
@@ -92,6 +94,8 @@
     while status(router.ready, "GET", "/api/ready") != 200 {}
 }
 
+/// Sends a request and returns the status of its answer. A refused caller waits for as long as the
+/// answer says.
 fn status(address: SocketAddr, method: &str, path: &str) -> u16 {
     let mut stream = TcpStream::connect(address).unwrap();
     let request = format!(
@@ -99,9 +103,12 @@
          Content-Length: 0\r\n\r\n"
     );
     stream.write_all(request.as_bytes()).unwrap();
-    let mut line = String::new();
-    BufReader::new(stream).read_line(&mut line).unwrap();
-    line.split(' ').nth(1).unwrap().parse().unwrap()
+    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
+    let status = lines.next().unwrap().split(' ').nth(1).unwrap().parse().unwrap();
+    let head = lines.take_while(|line| !line.is_empty());
+    let retry_after = head.filter_map(|line| line.strip_prefix("Retry-After: ")?.parse().ok());
+    thread::sleep(retry_after.map(Duration::from_secs_f64).sum());
+    status
 }
 
 /// The two routers have stores of their own, so that each knows the servers by other addresses: only
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -10,11 +10,12 @@
 use crate::{
     CallerLimits, Config, Counter, Crash, CrashDetector, Directory, DirectoryChange, KeyCount,
     OwnerChanges, OwnerMap, PlatformBounds, RateLimitNotice, RequestFields, RequestState,
-    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerTiming, ServiceOwners, ServicePool,
-    ServiceReport,
+    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerPaths, ServerTiming, ServiceOwners,
+    ServicePool, ServiceReport,
 };
 
 mod attempt_results;
+mod paths;
 mod rate_limits;
 mod server_selection;
 
@@ -37,6 +38,9 @@
     hosts: Vec<HostName>,
     /// Routers that have not answered a request for a permit, and until when none is sent to them.
     silent_hosts: BTreeMap<HostName, Time>,
+    paths: ServerPaths,
+    /// When the last answer of any server arrived.
+    answered_at: Time,
     /// Number of live routers, at least 1.
     router_count: u32,
     rng: SmallRng,
@@ -60,6 +64,8 @@
             new_rate_limits: Vec::new(),
             hosts: Vec::new(),
             silent_hosts: BTreeMap::new(),
+            paths: ServerPaths::default(),
+            answered_at: Time::ZERO,
             router_count: Router::INITIAL_ROUTER_COUNT,
             rng: SmallRng::seed_from_u64(seed),
             counts: BTreeMap::new(),
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -114,6 +114,9 @@
             }
             _ => {}
         }
+        if matches!(result, AttemptResult::Answered { .. }) {
+            self.answered_at = now;
+        }
         let Some(server) = self.directory.get_mut(selected.server) else {
             return;
         };
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -187,10 +187,15 @@
         };
         let service_ms = self.service_ms.unwrap_or(average_ms) * slowdown;
         // A server that turns slow or silent shows it first by the answers that are missing.
-        let oldest = self.in_flight.iter().min().map_or(0.0, |sent| now.since(*sent).as_secs_f64());
+        let oldest = self.oldest_in_flight().map_or(0.0, |sent| now.since(sent).as_secs_f64());
         service_ms.max(oldest * 1000.0) * (1.0 + queued / slots)
     }
 
+    /// Returns when the oldest attempt that hasn't ended was decided.
+    pub fn oldest_in_flight(&self) -> Option<Time> {
+        self.in_flight.iter().min().copied()
+    }
+
     /// Records that an attempt that was decided at `picked_at` is about to be sent.
     pub(crate) fn record_sent(&mut self, picked_at: Time) {
         self.in_flight.push(picked_at);
