Test the side of a tunnel that other routers connect to

Requests for unknown servers and processes, servers without a listener, malformed requests, and a planned stop while a tunnel's server owes an answer. All pass on the code as it is.

--- /dev/null
+++ b/crates/node/tests/tunnels.rs
@@ -0,0 +1,130 @@
+//! The side of a tunnel that other routers connect to.
+
+mod platform;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+
+use platform::{FakeStore, RunningRouter, ServerBehavior, start_router, start_server};
+use serde_json::json;
+use test_case::test_case;
+
+/// Encoded answers of a router.
+const OPEN: u8 = 0;
+const UNAVAILABLE: u8 = 1;
+const UNKNOWN_SERVER: u8 = 2;
+const SERVER_UNREACHABLE: u8 = 3;
+
+/// Starts a router that knows the servers `i-1`, which may have no listener, and `i-3`.
+fn start(has_listener: bool, behavior: ServerBehavior) -> (FakeStore, RunningRouter) {
+    let (store, address) = FakeStore::start();
+    store.write(
+        "config/main",
+        Some(json!({
+            "version": "r1",
+            "routes": {"columns": ["name", "host", "path-prefix", "route-type", "timeout",
+                                   "target-latency", "priority", "max-attempts", "service"],
+                       "rows": []},
+            "services": {"columns": ["name", "health-path", "max-conns", "warmup", "warmup-per-s"],
+                         "rows": [["pool", "/health", 50, "3s", 5.0]]},
+            "limits": {"max-header-bytes": 4096, "max-body-bytes": 100_000,
+                       "header-timeout": "3s", "idle-timeout": "15s"},
+        })),
+    );
+    let server = match has_listener {
+        true => start_server("i-1", behavior),
+        false => "127.0.0.1:9".parse().unwrap(),
+    };
+    // With a second server, one that does not listen does not make the router cut off.
+    for (name, address) in [("i-1", server), ("i-3", start_server("i-3", behavior))] {
+        let entry = json!({"service": "pool", "address": address, "zone": "a", "version": "v1",
+                           "slots": 4, "state": "ready", "warmup-left": "0ms", "sequence": 1,
+                           "born": 1});
+        store.write(&format!("servers/{name}"), Some(entry));
+    }
+    let router = start_router("h1", address, &["grace=2s", "hold-max=10s"]);
+    while !is_ready(router.ready) {}
+    (store, router)
+}
+
+fn is_ready(address: SocketAddr) -> bool {
+    let mut stream = TcpStream::connect(address).unwrap();
+    stream.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").unwrap();
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).unwrap();
+    head.ends_with(b"200")
+}
+
+/// Asks for a tunnel to a server's process; returns the answer, if there is one.
+fn request_tunnel(router: &RunningRouter, server: &str, started: u8) -> (TcpStream, Option<u8>) {
+    let mut body = vec![server.len() as u8];
+    body.extend_from_slice(server.as_bytes());
+    body.push(started);
+    let mut message = (body.len() as u16).to_be_bytes().to_vec();
+    message.extend_from_slice(&body);
+    send(router, &message)
+}
+
+fn send(router: &RunningRouter, message: &[u8]) -> (TcpStream, Option<u8>) {
+    let mut stream = TcpStream::connect(router.peer).unwrap();
+    stream.write_all(message).unwrap();
+    let mut answer = [0; 1];
+    let count = stream.read(&mut answer).unwrap_or(0);
+    (stream, (count == 1).then_some(answer[0]))
+}
+
+const REQUEST: &[u8] = b"GET /x HTTP/1.1\r\nExpected-Instance: i-1\r\n\r\n";
+
+#[test]
+fn bytes_pass_in_both_directions_until_the_client_closes() {
+    let (_store, router) = start(true, ServerBehavior::Echo);
+    let (mut stream, answer) = request_tunnel(&router, "i-1", 1);
+    assert_eq!(answer, Some(OPEN));
+    for _ in 0..3 {
+        stream.write_all(REQUEST).unwrap();
+        let mut text = String::new();
+        while !text.ends_with("i-1 /x 0") {
+            let mut byte = [0; 1];
+            stream.read_exact(&mut byte).unwrap();
+            text.push(char::from(byte[0]));
+        }
+    }
+}
+
+#[test_case("i-2", 1, true, UNKNOWN_SERVER; "another server")]
+#[test_case("i-1", 2, true, UNKNOWN_SERVER; "another process of the server")]
+#[test_case("i-1", 1, false, SERVER_UNREACHABLE; "no listener")]
+fn a_tunnel_that_cannot_be_opened_is_refused(
+    server: &str,
+    started: u8,
+    has_listener: bool,
+    expected: u8,
+) {
+    let (_store, router) = start(has_listener, ServerBehavior::Echo);
+    let (mut stream, answer) = request_tunnel(&router, server, started);
+    assert_eq!(answer, Some(expected));
+    assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0, "the connection is closed");
+}
+
+#[test_case(&[0xff, 0xff]; "too long")]
+#[test_case(&[0, 3, 9, 9, 9]; "not a request")]
+fn a_malformed_request_for_a_tunnel_gets_no_answer(message: &[u8]) {
+    let (_store, router) = start(true, ServerBehavior::Echo);
+    assert_eq!(send(&router, message).1, None);
+    assert_eq!(request_tunnel(&router, "i-1", 1).1, Some(OPEN), "the router serves others");
+}
+
+#[test]
+fn a_planned_stop_finishes_the_requests_in_tunnels() {
+    let (_store, router) = start(true, ServerBehavior::Delayed);
+    let (mut stream, answer) = request_tunnel(&router, "i-1", 1);
+    assert_eq!(answer, Some(OPEN));
+    router.stop.send_blocking(()).unwrap();
+    while is_ready(router.ready) {}
+    let (_, answer) = request_tunnel(&router, "i-1", 1);
+    assert_eq!(answer, Some(UNAVAILABLE), "a stopping router opens no more tunnels");
+    stream.write_all(REQUEST).unwrap();
+    let mut head = [0; 12];
+    stream.read_exact(&mut head).unwrap();
+    assert!(head.ends_with(b"200"));
+}
