Give up endless answers before they take the machine's memory

A server in trouble may send a head or a body without end. Bodies of answers now count in the gauge of all buffers, and a large one is given up as malformed while they hold a quarter of the memory; small answers are read all the same.

--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -21,6 +21,13 @@
 /// Maximum size of the body of an answer, in bytes.
 const MAX_BODY: usize = 16 * 1024 * 1024;
 
+/// Divisor of the machine's memory that gives the limit of all buffers, from which an answer with a
+/// large body is given up.
+const ANSWER_MEMORY_SHARE: u64 = 4;
+
+/// Length from which a body is large, in bytes. Smaller ones are read whatever the others take.
+const LARGE_BODY: usize = 256 * 1024;
+
 /// Maximum number of headers in an answer.
 const MAX_HEADERS: usize = 128;
 
@@ -85,8 +92,7 @@
     drop(bytes);
     for _ in 0..MAX_SKIPPED {
         let (answer, info) =
-            read_answer(&*shell.wire, &mut pooled.connection, outgoing.head.is_head_request)
-                .await?;
+            read_answer(shell, &mut pooled.connection, outgoing.head.is_head_request).await?;
         if info.is_interim() {
             continue;
         }
@@ -129,8 +135,12 @@
 }
 
 /// Reads the next whole answer, which may be an interim one.
+///
+/// # Errors
+/// Returns an error if the answer is malformed, breaks off or is too long. Its server may never stop
+/// sending.
 async fn read_answer(
-    wire: &dyn RouterWire,
+    shell: &ShellState,
     connection: &mut Connection,
     to_head_request: bool,
 ) -> Result<(ServerAnswer, ResponseInfo), ErrorKind> {
@@ -141,6 +151,8 @@
     let info = check_response(&head, to_head_request).map_err(|_| ErrorKind::BadAnswer)?;
     let mut reader = BodyReader::new(info.framing);
     let mut body = Vec::with_capacity(info.framing.len().unwrap_or(0).min(1 << 16) as usize);
+    let gauge = &shell.resources.buffer_gauge;
+    let mut held = gauge.track();
     loop {
         let count = poll_fn(|cx| reader.poll_available(connection, cx)).await;
         let count = count.map_err(|error| match error {
@@ -152,11 +164,15 @@
         }
         body.extend_from_slice(&connection.buffered()[..count]);
         reader.consume(connection, count);
-        if body.len() > MAX_BODY {
+        held.set(body.capacity());
+        let is_memory_short =
+            gauge.held_bytes() > shell.settings.memory_bytes / ANSWER_MEMORY_SHARE;
+        if body.len() > MAX_BODY || (body.len() > LARGE_BODY && is_memory_short) {
+            shell.counters.add("answer.too-long", 1);
             return Err(ErrorKind::BadAnswer);
         }
     }
-    let answer = parse_answer(wire, &head, &info, body).ok_or(ErrorKind::BadAnswer)?;
+    let answer = parse_answer(&*shell.wire, &head, &info, body).ok_or(ErrorKind::BadAnswer)?;
     Ok((answer, info))
 }
 
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -1,19 +1,20 @@
 //! Stand-ins for the platform: its object store, and servers that accept grants.
 
-#![allow(dead_code)]
+#![allow(dead_code, unused_imports, reason = "each test file uses only some of the stand-ins")]
 
 mod running_router;
 
 use std::collections::BTreeMap;
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex};
 use std::thread;
 use std::time::Duration;
 
 use serde_json::{Value, json};
 
-pub use running_router::{RunningRouter, start_router};
+pub use running_router::{RunningRouter, start_router, start_router_with_memory};
 
 /// A request to a stand-in. The names of its headers are in lower case.
 pub struct Request {
@@ -199,6 +200,21 @@
     json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
 }
 
+/// Number of connections of servers with [`ServerBehavior::Endless`] that the other side has closed.
+pub static ENDLESS_CLOSED: AtomicU64 = AtomicU64::new(0);
+
+/// Writes a head, then portions of repeated text until the other side closes the connection. The
+/// pauses let many such answers grow evenly.
+fn write_endlessly(mut stream: &TcpStream, head: &str, rest: &str) {
+    let portion = rest.repeat(131_072 / rest.len() + 1);
+    let mut result = stream.write_all(head.as_bytes());
+    while result.is_ok() {
+        result = stream.write_all(portion.as_bytes());
+        thread::sleep(Duration::from_millis(50));
+    }
+    ENDLESS_CLOSED.fetch_add(1, Ordering::Relaxed);
+}
+
 /// How a server responds to requests.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum ServerBehavior {
@@ -216,6 +232,8 @@
     Delayed,
     /// Like `Echo`, but names a limit of two requests per second from all routers.
     RateLimited,
+    /// Sends this forever, whatever the request is.
+    Endless(&'static str, &'static str),
     /// Never responds to a request. Orders are still acknowledged.
     Silent,
 }
@@ -247,6 +265,7 @@
                 let headers = format!("{signed_headers}Server-Limit: 2.0\r\n");
                 (response(200, &headers, &body, body.len()), false)
             }
+            ServerBehavior::Endless(head, rest) => return write_endlessly(stream, head, rest),
             ServerBehavior::Silent => continue,
             ServerBehavior::Delayed => {
                 thread::sleep(Duration::from_millis(400));
--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -27,6 +27,16 @@
     host: &str,
     store: SocketAddr,
     bounds: &'static [&'static str],
+) -> RunningRouter {
+    start_router_with_memory(host, store, bounds, 256)
+}
+
+/// Like [`start_router`], on a machine with this memory in megabytes.
+pub fn start_router_with_memory(
+    host: &str,
+    store: SocketAddr,
+    bounds: &'static [&'static str],
+    memory_mb: u64,
 ) -> RunningRouter {
     let host = host.to_owned();
     let (tx, rx) = mpsc::channel();
@@ -37,7 +47,7 @@
             "node-name": host, "ip": "127.0.0.1", "zone": "a",
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
             "internal-ports": [0, 0], "heartbeat": "1s", "bounds": bounds,
-            "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": 256,
+            "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": memory_mb,
                        "max-fds": 1024},
             "platform": {"address": store},
         });
