Do not take the loss of a zone for a cut from all servers

Found by reading: with a zone of servers dark, connections to three of them in a row may fail with no success between. All routers would take themselves for cut off, close their idle connections and decline to open tunnels, so that new connections to live servers failed until a probe succeeded.

The failed servers now have to be of two zones, where there are two.

--- a/crates/node/src/router_shell/server_connection.rs
+++ b/crates/node/src/router_shell/server_connection.rs
@@ -59,7 +59,14 @@
             return opened;
         }
     }
-    open_tunnel(shell, endpoint).await
+    match open_tunnel(shell, endpoint).await {
+        // Without a router that opens tunnels, a direct connection is the only hope.
+        Err(error) if error.kind() == io::ErrorKind::HostUnreachable => {
+            let opened = open_direct(shell, endpoint.server, endpoint.address).await;
+            opened.map(|stream| Connection::new(stream, &shell.resources))
+        }
+        opened => opened,
+    }
 }
 
 /// Opens a direct connection and records whether that works.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -67,7 +67,7 @@
 pub use routing_decision::{RoutingDecision, SelectedServer};
 pub use server::Server;
 pub use server_entry::{ServerEntry, ServerState};
-pub use server_paths::{ServerPath, ServerPaths};
+pub use server_paths::{ServerPath, ServerPaths, ServerSpread};
 pub use service_pool::ServicePool;
 pub use settings::{PlatformBounds, RouterSettings};
 pub use store_health::StoreHealth;
--- a/crates/router/src/router/paths.rs
+++ b/crates/router/src/router/paths.rs
@@ -1,11 +1,12 @@
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_types::{HostName, ServerName};
+use bay_types::{HostName, ServerName, ZoneName};
 use rand::seq::IteratorRandom;
 
 use super::Router;
-use crate::ServerPath;
+use crate::{ServerPath, ServerSpread};
 
 /// Paths to servers: this router's own, and tunnels through other routers.
 impl Router {
@@ -31,8 +32,13 @@
 
     /// Records that a direct connection failed; returns whether the router is cut off from now on.
     pub fn record_direct_failure(&mut self, now: Time, server: ServerName) -> bool {
-        let known_servers = self.directory.iter().count();
-        self.paths.record_failure(now, server, known_servers)
+        let Some(zone) = self.directory.get(server).map(|server| server.entry.zone) else {
+            return false;
+        };
+        let zones: BTreeSet<ZoneName> =
+            self.directory.iter().map(|(_, server)| server.entry.zone).collect();
+        let known = ServerSpread { servers: self.directory.iter().count(), zones: zones.len() };
+        self.paths.record_failure(now, server, zone, known)
     }
 
     /// Returns the server to which a direct connection is to be opened now as a probe, if any.
--- a/crates/router/src/server_paths.rs
+++ b/crates/router/src/server_paths.rs
@@ -1,8 +1,8 @@
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_types::{HostName, ServerName};
+use bay_types::{HostName, ServerName, ZoneName};
 
 /// How a connection to a server is opened.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -13,15 +13,24 @@
     Tunnel,
 }
 
+/// Numbers of registered servers and of their zones.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct ServerSpread {
+    /// Number of servers, at least 1.
+    pub servers: usize,
+    /// Number of zones, at least 1.
+    pub zones: usize,
+}
+
 /// Tells whether this router reaches servers by itself or has to tunnel through another router.
 ///
-/// A router that fails to connect to several servers in a row counts as cut off from all of them,
-/// until a direct connection succeeds. A single server that fails may have ended, or only the link
-/// to it may be lost.
+/// A router that fails to connect to several servers in a row, in more than one zone, counts as cut
+/// off from all of them, until a direct connection succeeds. A single server that fails may have
+/// ended, and a zone may have lost its power.
 #[derive(Debug, Default)]
 pub struct ServerPaths {
-    /// Last failure of a direct connection to each server.
-    failures: BTreeMap<ServerName, Time>,
+    /// Last failure of a direct connection to each server, and the server's zone.
+    failures: BTreeMap<ServerName, (Time, ZoneName)>,
     /// When the last direct connection to any server succeeded.
     succeeded_at: Time,
     is_cut_off: bool,
@@ -33,6 +42,8 @@
 impl ServerPaths {
     /// Servers to which direct connections fail in a row before the router counts as cut off.
     const MIN_FAILED_SERVERS: usize = 3;
+    /// Zones of these servers.
+    const MIN_FAILED_ZONES: usize = 2;
     /// Time for which a failed connection counts.
     const FAILURE_TIMEOUT: Duration = Duration::from_secs(1);
     /// Time for which a router that could not open a tunnel is not asked again.
@@ -65,14 +76,21 @@
 
     /// Records that a direct connection failed; returns whether the router is cut off from now on.
     ///
-    /// `known_servers` is the number of registered servers.
-    pub fn record_failure(&mut self, now: Time, server: ServerName, known_servers: usize) -> bool {
-        self.failures.insert(server, now);
+    /// `known` tells how many servers are registered, and in how many zones.
+    pub fn record_failure(
+        &mut self,
+        now: Time,
+        server: ServerName,
+        zone: ZoneName,
+        known: ServerSpread,
+    ) -> bool {
+        self.failures.insert(server, (now, zone));
+        self.failures.retain(|_, (at, _)| now.since(*at) < ServerPaths::FAILURE_TIMEOUT);
         let failed = self.recent_failures(now).count();
-        self.failures.retain(|_, at| now.since(*at) < ServerPaths::FAILURE_TIMEOUT);
-        let needed = ServerPaths::MIN_FAILED_SERVERS.min(known_servers).max(1);
+        let zones = self.recent_failures(now).collect::<BTreeSet<ZoneName>>().len();
         let was_cut_off = self.is_cut_off;
-        self.is_cut_off |= failed >= needed;
+        self.is_cut_off |= failed >= ServerPaths::MIN_FAILED_SERVERS.min(known.servers)
+            && zones >= ServerPaths::MIN_FAILED_ZONES.min(known.zones);
         self.is_cut_off && !was_cut_off
     }
 
@@ -96,15 +114,14 @@
     /// Returns whether the last direct connection to a server failed a moment ago.
     pub fn has_failed(&self, now: Time, server: ServerName) -> bool {
         let failure = self.failures.get(&server);
-        failure.is_some_and(|at| now.since(*at) < ServerPaths::FAILURE_TIMEOUT)
+        failure.is_some_and(|(at, _)| now.since(*at) < ServerPaths::FAILURE_TIMEOUT)
     }
 
-    /// Returns the times of the failures since the last success, one for each server.
-    fn recent_failures(&self, now: Time) -> impl Iterator<Item = Time> {
-        let is_recent = move |at: &Time| {
-            *at > self.succeeded_at && now.since(*at) < ServerPaths::FAILURE_TIMEOUT
-        };
-        self.failures.values().copied().filter(is_recent)
+    /// Returns the zone of each server that has failed since the last success.
+    fn recent_failures(&self, now: Time) -> impl Iterator<Item = ZoneName> {
+        let is_recent =
+            move |at: Time| at > self.succeeded_at && now.since(at) < ServerPaths::FAILURE_TIMEOUT;
+        self.failures.values().filter(move |(at, _)| is_recent(*at)).map(|(_, zone)| *zone)
     }
 
     /// Records that a router cannot open tunnels at the moment.
--- a/crates/router/tests/paths.rs
+++ b/crates/router/tests/paths.rs
@@ -4,16 +4,19 @@
 
 use std::time::Duration;
 
-use bay_router::{Router, ServerPath, ServerPaths};
+use bay_router::{Router, ServerPath, ServerPaths, ServerSpread};
 use bay_types::{HostName, ServerName};
-use support::{admit, at, picked, router, server};
+use support::{admit, at, picked, router, server, zone};
 
 fn host(name: &str) -> HostName {
     HostName::new(name).unwrap()
 }
 
+const MANY: ServerSpread = ServerSpread { servers: 10, zones: 3 };
+
+/// Records failed connections to servers; their zones are named like them.
 fn fail(paths: &mut ServerPaths, now: u64, names: &[&str]) -> bool {
-    names.iter().any(|name| paths.record_failure(at(now), server(name), 10))
+    names.iter().any(|name| paths.record_failure(at(now), server(name), zone(name), MANY))
 }
 
 #[test]
@@ -51,7 +54,18 @@
 #[test]
 fn a_router_with_fewer_servers_is_cut_off_when_all_of_them_fail() {
     let mut paths = ServerPaths::default();
-    assert!(paths.record_failure(at(1), server("a"), 1));
+    let only = ServerSpread { servers: 1, zones: 1 };
+    assert!(paths.record_failure(at(1), server("a"), zone("z"), only));
+}
+
+/// All routers would otherwise take themselves for cut off, and none would open tunnels for others.
+#[test]
+fn a_router_that_reaches_no_server_of_one_zone_is_not_cut_off() {
+    let mut paths = ServerPaths::default();
+    for name in ["a", "b", "c", "d"] {
+        assert!(!paths.record_failure(at(1), server(name), zone("z"), MANY));
+    }
+    assert!(paths.record_failure(at(2), server("e"), zone("y"), MANY));
 }
 
 /// Sends a request to a server that does not answer.
