--- a/crates/node/tests/cut_off_router.rs
+++ b/crates/node/tests/cut_off_router.rs
@@ -2,13 +2,15 @@
 
 mod platform;
 
-use std::io::{BufRead, BufReader, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 use std::thread;
 use std::time::Duration;
 
-use platform::{FakeStore, RunningRouter, ServerBehavior, start_router, start_server};
-use serde_json::{Value, json};
+use platform::{
+    FakeStore, RunningRouter, ServerBehavior, config, request_head, server_entry, start_router,
+    start_server,
+};
+use serde_json::json;
 use socket2::{Domain, Socket, Type};
 use test_case::test_case;
 
@@ -56,36 +58,15 @@
     DeadAddress { address, _sockets: sockets }
 }
 
-fn config() -> Value {
-    json!({
-        "version": "r1",
-        "routes": {
-            "columns": ["name", "host", "path-prefix", "route-type", "timeout", "target-latency",
-                        "priority", "max-attempts", "service"],
-            "rows": [["r1", "shop", "/read/", "safe", "5s", "2s", 1, 2, "pool"],
-                     ["r2", "shop", "/book/", "unsafe", "5s", "2s", 1, 2, "pool"],
-                     ["r3", "shop", "/key/", "safe", "5s", "2s", 1, 2, "keyed"]],
-        },
-        "services": {
-            "columns": ["name", "health-path", "max-conns", "warmup", "warmup-per-s", "sharded"],
-            "rows": [["pool", "/health", 50, "3s", 5.0, null],
-                     ["keyed", "/health", 50, "3s", 5.0, true]],
-        },
-        "limits": {"max-header-bytes": 4096, "max-body-bytes": 100_000,
-                   "header-timeout": "3s", "idle-timeout": "15s"},
-    })
-}
-
 /// Starts a store in which the servers have these addresses.
 fn start_store(servers: &[(&str, SocketAddr)]) -> (FakeStore, SocketAddr) {
     let (store, address) = FakeStore::start();
-    store.write("config/main", Some(config()));
+    let routes =
+        [("/read/", "safe", "pool"), ("/book/", "unsafe", "pool"), ("/key/", "safe", "keyed")];
+    store.write("config/main", Some(config("2s", &routes)));
     for (name, address) in servers {
         let service = if name.starts_with('k') { "keyed" } else { "pool" };
-        let entry = json!({"service": service, "address": address, "zone": "a", "version": "v1",
-                           "slots": 4, "state": "ready", "warmup-left": "0ms", "sequence": 1,
-                           "born": 1});
-        store.write(&format!("servers/{name}"), Some(entry));
+        store.write(&format!("servers/{name}"), Some(server_entry(service, *address, 4)));
     }
     (store, address)
 }
@@ -97,16 +78,10 @@
 /// Sends a request and returns the status of its answer. A refused caller waits for as long as the
 /// answer says.
 fn status(address: SocketAddr, method: &str, path: &str) -> u16 {
-    let mut stream = TcpStream::connect(address).unwrap();
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nShard-Key: 77\r\n\
-         Content-Length: 0\r\n\r\n"
-    );
-    stream.write_all(request.as_bytes()).unwrap();
-    let mut lines = BufReader::new(stream).lines().map_while(Result::ok);
-    let status = lines.next().unwrap().split(' ').nth(1).unwrap().parse().unwrap();
-    let head = lines.take_while(|line| !line.is_empty());
-    let retry_after = head.filter_map(|line| line.strip_prefix("Retry-After: ")?.parse().ok());
+    let head = request_head(address, method, path);
+    let status = head[0].split(' ').nth(1).unwrap().parse().unwrap();
+    let lines = head.iter();
+    let retry_after = lines.filter_map(|line| line.strip_prefix("Retry-After: ")?.parse().ok());
     thread::sleep(retry_after.map(Duration::from_secs_f64).sum());
     status
 }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -215,6 +215,52 @@
     ENDLESS_CLOSED.fetch_add(1, Ordering::Relaxed);
 }
 
+/// Returns a configuration with routes of the host `shop`, each with its path prefix, type and service,
+/// and with the services `pool` and `keyed`. Requests have 5 s and this latency objective.
+pub fn config(objective: &str, routes: &[(&str, &str, &str)]) -> Value {
+    let row = |(prefix, kind, service): &(&str, &str, &str)| {
+        json!([prefix, "shop", prefix, kind, "5s", objective, 1, 2, service])
+    };
+    json!({
+        "version": "r1",
+        "routes": {
+            "columns": ["name", "host", "path-prefix", "route-type", "timeout", "target-latency",
+                        "priority", "max-attempts", "service"],
+            "rows": routes.iter().map(row).collect::<Vec<_>>(),
+        },
+        "services": {
+            "columns": ["name", "health-path", "max-conns", "warmup", "warmup-per-s", "sharded"],
+            "rows": [["pool", "/health", 150, "3s", 5.0, null],
+                     ["keyed", "/health", 150, "3s", 5.0, true]],
+        },
+        "limits": {"max-header-bytes": 4096, "max-body-bytes": 100_000,
+                   "header-timeout": "3s", "idle-timeout": "15s"},
+    })
+}
+
+/// Returns the entry of a ready, warm server.
+pub fn server_entry(service: &str, address: SocketAddr, slots: usize) -> Value {
+    json!({"service": service, "address": address, "zone": "a", "version": "v1", "slots": slots,
+           "state": "ready", "warmup-left": "0ms", "sequence": 1, "born": 1})
+}
+
+/// Sends a request with the identifier `q` and the key 77; returns the head of the response by lines.
+pub fn request_head(address: SocketAddr, method: &str, path: &str) -> Vec<String> {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nShard-Key: 77\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let lines = BufReader::new(stream).lines().map_while(Result::ok);
+    lines.take_while(|line| !line.is_empty()).collect()
+}
+
+/// Like [`request_head`]; returns the status.
+pub fn request_status(address: SocketAddr, method: &str, path: &str) -> u16 {
+    request_head(address, method, path)[0].split(' ').nth(1).unwrap().parse().unwrap()
+}
+
 /// How a server responds to requests.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum ServerBehavior {
--- a/crates/node/tests/tunnels.rs
+++ b/crates/node/tests/tunnels.rs
@@ -3,10 +3,12 @@
 mod platform;
 
 use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpStream};
+use std::net::TcpStream;
 
-use platform::{FakeStore, RunningRouter, ServerBehavior, start_router, start_server};
-use serde_json::json;
+use platform::{
+    FakeStore, RunningRouter, ServerBehavior, config, request_status, server_entry, start_router,
+    start_server,
+};
 use test_case::test_case;
 
 /// Encoded answers of a router.
@@ -18,41 +20,22 @@
 /// Starts a router that knows the servers `i-1`, which may have no listener, and `i-3`.
 fn start(has_listener: bool, behavior: ServerBehavior) -> (FakeStore, RunningRouter) {
     let (store, address) = FakeStore::start();
-    store.write(
-        "config/main",
-        Some(json!({
-            "version": "r1",
-            "routes": {"columns": ["name", "host", "path-prefix", "route-type", "timeout",
-                                   "target-latency", "priority", "max-attempts", "service"],
-                       "rows": []},
-            "services": {"columns": ["name", "health-path", "max-conns", "warmup", "warmup-per-s"],
-                         "rows": [["pool", "/health", 50, "3s", 5.0]]},
-            "limits": {"max-header-bytes": 4096, "max-body-bytes": 100_000,
-                       "header-timeout": "3s", "idle-timeout": "15s"},
-        })),
-    );
+    store.write("config/main", Some(config("2s", &[])));
     let server = match has_listener {
         true => start_server("i-1", behavior),
         false => "127.0.0.1:9".parse().unwrap(),
     };
     // With a second server, one that does not listen does not make the router cut off.
     for (name, address) in [("i-1", server), ("i-3", start_server("i-3", behavior))] {
-        let entry = json!({"service": "pool", "address": address, "zone": "a", "version": "v1",
-                           "slots": 4, "state": "ready", "warmup-left": "0ms", "sequence": 1,
-                           "born": 1});
-        store.write(&format!("servers/{name}"), Some(entry));
+        store.write(&format!("servers/{name}"), Some(server_entry("pool", address, 4)));
     }
     let router = start_router("h1", address, &["grace=2s", "hold-max=10s"]);
-    while !is_ready(router.ready) {}
+    while !is_ready(&router) {}
     (store, router)
 }
 
-fn is_ready(address: SocketAddr) -> bool {
-    let mut stream = TcpStream::connect(address).unwrap();
-    stream.write_all(b"GET /api/ready HTTP/1.1\r\n\r\n").unwrap();
-    let mut head = [0; 12];
-    stream.read_exact(&mut head).unwrap();
-    head.ends_with(b"200")
+fn is_ready(router: &RunningRouter) -> bool {
+    request_status(router.ready, "GET", "/api/ready") == 200
 }
 
 /// Asks for a tunnel to a server's process; returns the answer, if there is one.
@@ -120,7 +103,7 @@
     let (mut stream, answer) = request_tunnel(&router, "i-1", 1);
     assert_eq!(answer, Some(OPEN));
     router.stop.send_blocking(()).unwrap();
-    while is_ready(router.ready) {}
+    while is_ready(&router) {}
     let (_, answer) = request_tunnel(&router, "i-1", 1);
     assert_eq!(answer, Some(UNAVAILABLE), "a stopping router opens no more tunnels");
     stream.write_all(REQUEST).unwrap();
