Send nothing to a limited server before the other routers are known

Found by reading: a router without the list of routers takes itself for the one that grants a server's permits. After a loss of all routers each of them would send at the server's whole limit until the list arrives. Such a router now refuses these requests as not run, as it does for cold servers.

a_router_that_does_not_know_the_others_sends_nothing_to_a_limited_server failed before (80 of 80 routers ask themselves) and passes.

--- a/crates/router/src/router/rate_limits.rs
+++ b/crates/router/src/router/rate_limits.rs
@@ -100,6 +100,10 @@
     ) -> Option<RoutingDecision> {
         let SelectedServer { server: name, started, expected_ms, .. } = *selected;
         let server = self.directory.get(name)?;
+        // A router that does not know the others cannot tell which one grants the permits.
+        if self.hosts.is_empty() && Router::needs_permit(now, server, request, name) {
+            return Some(self.refuse_for_rate_limit(now, request));
+        }
         let per_second = server.rate_limit(now).filter(|_| request.permit != Some(name))?;
         if Router::lacks_room(now, server, request, name, || expected_ms) {
             return Some(self.refuse_for_rate_limit(now, request));
--- a/crates/router/tests/rate_limits.rs
+++ b/crates/router/tests/rate_limits.rs
@@ -209,9 +209,32 @@
     assert!(fleet.busiest_window() as f64 <= allowed, "{} in 4 s", fleet.busiest_window());
 }
 
+/// After a loss of all routers each of them starts without knowing the others, and would grant permits
+/// of its own.
+#[test]
+fn a_router_that_does_not_know_the_others_sends_nothing_to_a_limited_server() {
+    let mut sent = 0;
+    for _ in 0..80 {
+        let mut router = router(1, 0, 0);
+        let limited = RateLimitNotice { server: server("a0"), started: 1, per_second: Some(4.0) };
+        router.apply_rate_limit(at(0), &limited);
+        let mut request = admit(&mut router, at(1), "/pool/x", None);
+        let decision = router.pick_server(at(1), &mut request);
+        sent += usize::from(!matches!(decision, RoutingDecision::Refuse(..)));
+    }
+    assert_eq!(sent, 0);
+}
+
+/// A router that knows only itself.
+fn lone_router(servers: u8) -> Router {
+    let mut router = router(servers, 0, 0);
+    router.set_hosts(at(0), vec![HostName::new("h1").unwrap()], 1);
+    router
+}
+
 #[test]
 fn a_request_without_room_at_one_server_goes_to_another() {
-    let mut router = router(2, 0, 0);
+    let mut router = lone_router(2);
     let limited = RateLimitNotice { server: server("a0"), started: 1, per_second: Some(0.1) };
     router.apply_rate_limit(at(0), &limited);
     for now in 0..50 {
@@ -228,7 +251,7 @@
 
 #[test]
 fn a_permit_is_used_for_one_attempt_only() {
-    let mut router = router(1, 0, 0);
+    let mut router = lone_router(1);
     let limited = RateLimitNotice { server: server("a0"), started: 1, per_second: Some(4.0) };
     router.apply_rate_limit(at(0), &limited);
     let mut request = admit(&mut router, at(0), "/pool/x", None);
