Search for silent servers only while no answer arrives

The decision whether to probe direct connections went through all servers 20 times a second at each router. A server can only be silent if no answer has arrived for as long, so that the search is needed only then; decisions are unchanged. The step is 100 ms.

--- a/crates/node/src/router_shell/server_connection.rs
+++ b/crates/node/src/router_shell/server_connection.rs
@@ -18,7 +18,7 @@
 pub(crate) const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Interval between decisions whether to probe a direct connection.
-const PROBE_STEP: Duration = Duration::from_millis(50);
+const PROBE_STEP: Duration = Duration::from_millis(100);
 
 /// A process of a server, and what a connection to it is for.
 #[derive(Debug, Clone, Copy)]
--- a/crates/router/src/router/paths.rs
+++ b/crates/router/src/router/paths.rs
@@ -52,7 +52,9 @@
                 })
             })
         };
-        let has_silent_servers = silent().count() >= Router::MIN_SILENT_SERVERS;
+        // After a recent answer no server is silent, so that the servers need not be searched.
+        let has_silent_servers = now.since(answered_at) >= Router::SILENT_AFTER
+            && silent().count() >= Router::MIN_SILENT_SERVERS;
         if !self.paths.should_probe(now, has_silent_servers) {
             return None;
         }
