Use tunnels only while cut off from all servers

A single server that fails is no longer tried through a tunnel, for requests as for orders; the backoff that was there before tunnels deals with it.

--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -36,7 +36,7 @@
     order: &GrantOrder,
 ) -> OrderResult {
     let OwnerId { server, started } = owner;
-    let endpoint = ServerEndpoint { server, started, address: to, is_only_choice: true };
+    let endpoint = ServerEndpoint { server, started, address: to };
     let mut pooled = match connect(shell, &endpoint).await {
         Ok(pooled) => pooled,
         Err(result) => return result,
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -235,8 +235,7 @@
     selected: &SelectedServer,
 ) -> Result<PooledConnection, ConnectError> {
     let SelectedServer { server, started, address, .. } = *selected;
-    let is_only_choice = request.key.is_some();
-    let endpoint = ServerEndpoint { server, started, address, is_only_choice };
+    let endpoint = ServerEndpoint { server, started, address };
     let max_idle = match request.route.is_idempotent() {
         true => Duration::MAX,
         false => NON_IDEMPOTENT_REUSE_TIME,
--- a/crates/node/src/router_shell/server_connection.rs
+++ b/crates/node/src/router_shell/server_connection.rs
@@ -20,15 +20,13 @@
 /// Interval between decisions whether to probe a direct connection.
 const PROBE_STEP: Duration = Duration::from_millis(100);
 
-/// A process of a server, and what a connection to it is for.
+/// A process of a server.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct ServerEndpoint {
     pub(crate) server: ServerName,
     /// Start time of the process.
     pub(crate) started: u64,
     pub(crate) address: SocketAddr,
-    /// Whether no other server can do the work.
-    pub(crate) is_only_choice: bool,
 }
 
 /// Takes an idle connection to a server that was idle for less than `max_idle`, or opens one while
@@ -47,10 +45,7 @@
 }
 
 async fn open(shell: &Rc<ShellState>, endpoint: &ServerEndpoint) -> io::Result<Connection> {
-    let path = || {
-        let router = shell.router.borrow();
-        router.server_path(BootClock.now(), endpoint.server, endpoint.is_only_choice)
-    };
+    let path = || shell.router.borrow().server_path();
     if path() == ServerPath::Direct {
         let opened = open_direct(shell, endpoint.server, endpoint.address).await;
         let opened = opened.map(|stream| Connection::new(stream, &shell.resources));
--- a/crates/router/src/router/paths.rs
+++ b/crates/router/src/router/paths.rs
@@ -20,9 +20,9 @@
         self.paths.is_cut_off()
     }
 
-    /// Returns how to connect to a server; with `is_only_choice` no other one can run the request.
-    pub fn server_path(&self, now: Time, server: ServerName, is_only_choice: bool) -> ServerPath {
-        self.paths.path(now, server, is_only_choice)
+    /// Returns how to connect to servers.
+    pub fn server_path(&self) -> ServerPath {
+        self.paths.path()
     }
 
     /// Records that a direct connection was opened; returns whether the router was cut off before.
--- a/crates/router/src/server_paths.rs
+++ b/crates/router/src/server_paths.rs
@@ -58,13 +58,12 @@
         self.is_cut_off
     }
 
-    /// Returns how to connect to a server.
+    /// Returns how to connect to servers.
     ///
-    /// With `is_only_choice` no other server can run the request, and a tunnel is tried as soon as
-    /// the direct connection has failed.
-    pub fn path(&self, now: Time, server: ServerName, is_only_choice: bool) -> ServerPath {
-        let has_failed = is_only_choice && self.has_failed(now, server);
-        if self.is_cut_off || has_failed { ServerPath::Tunnel } else { ServerPath::Direct }
+    /// A single server that fails is not tried through a tunnel. When a zone's servers end, all routers
+    /// would ask each other for thousands of tunnels to them.
+    pub fn path(&self) -> ServerPath {
+        if self.is_cut_off { ServerPath::Tunnel } else { ServerPath::Direct }
     }
 
     /// Records that a direct connection was opened; returns whether the router was cut off before.
