Choose the port of tunnels and datagrams among free TCP ports

The port was chosen by the datagram socket, and thousands of closing TCP connections of the same tests take those ports. The listener now chooses it. Only ports chosen by the system are affected; on the platform they are fixed.

--- a/crates/node/src/router_shell/peers.rs
+++ b/crates/node/src/router_shell/peers.rs
@@ -39,9 +39,10 @@
     let tries = if address.port() == 0 { MAX_PORT_TRIES } else { 1 };
     let mut result = Err(std::io::ErrorKind::AddrInUse.into());
     for _ in 0..tries {
-        let socket = Async::<UdpSocket>::bind(address)?;
-        result = Async::<TcpListener>::bind(socket.get_ref().local_addr()?)
-            .map(|listener| (PeerSocket::new(socket), listener));
+        // Most ports in use are those of TCP connections, so the listener comes first.
+        let listener = Async::<TcpListener>::bind(address)?;
+        result = Async::<UdpSocket>::bind(listener.get_ref().local_addr()?)
+            .map(|socket| (PeerSocket::new(socket), listener));
         if result.is_ok() {
             break;
         }
