Keep the time of an order within that by which holds are counted

Cause, from the code: with the tunnels the timeout of an order's connection rose from 300 to 700 ms, so that a grant could be sent up to 0.7 s and answered up to 1.3 s after it was decided, while the granter counts holds by an order time of 1 s at most.

The timeout is 300 ms again, and the sum is checked against HoldTimes::MAX_ORDER_TIME at compile time; with 700 ms it does not compile.

--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_range::{GrantOrder, OrderResult, OwnerId};
+use bay_range::{GrantOrder, HoldTimes, OrderResult, OwnerId};
 use futures_lite::future;
 
 use super::http_client::send_call;
@@ -11,13 +11,17 @@
 use super::shell_state::ShellState;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
-/// Timeout for a connection, including the wait while all are in use. It covers a direct connection
-/// that fails and a tunnel after it.
-const CONNECT_TIMEOUT: Duration = Duration::from_millis(700);
+/// Timeout for a connection or tunnel, including the wait while all are in use.
+const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Timeout for a server's answer to a grant.
 const GRANT_TIMEOUT: Duration = Duration::from_millis(600);
 
+// The granter counts holds from the decision to send a grant; a later one would outlast them.
+const _: () = assert!(
+    CONNECT_TIMEOUT.as_millis() + GRANT_TIMEOUT.as_millis() < HoldTimes::MAX_ORDER_TIME.as_millis()
+);
+
 /// Timeout for a server's answer to a release, for which it first finishes its work on the keys.
 const RELEASE_TIMEOUT: Duration = Duration::from_millis(3_000);
 
--- a/crates/range/src/hold_times.rs
+++ b/crates/range/src/hold_times.rs
@@ -22,7 +22,7 @@
     /// Margin for delays at the granter and at the server.
     const MARGIN: Duration = Duration::from_millis(150);
     /// Longest time from the decision to send a grant to its result.
-    const MAX_ORDER_TIME: Duration = Duration::from_millis(1_000);
+    pub const MAX_ORDER_TIME: Duration = Duration::from_millis(1_000);
 
     /// Creates the times for a platform that allows holds up to `max_hold`.
     pub fn bounded_by(max_hold: Duration) -> HoldTimes {
