Serve downloads and client accounts

Cause: a route of kind `download` made every router refuse the whole configuration, and requests ran without a client account, with their API key passed on to the server.

Change: downloads are idempotent routes. The crate bay-account maps digests of API keys to accounts; requests without a known key get 401, the key goes to no server, and the server is told the account's name.

--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -40,6 +40,8 @@
 pub(crate) struct OutgoingRequest {
     pub(crate) head: RequestHead,
     body: Vec<u8>,
+    /// Whether the headers about client accounts are the caller's own matter.
+    passes_account_headers: bool,
 }
 
 /// Complete answer of a server.
@@ -54,14 +56,21 @@
 }
 
 impl OutgoingRequest {
-    pub(crate) fn new(head: RequestHead, body: Vec<u8>) -> OutgoingRequest {
-        OutgoingRequest { head, body }
+    pub(crate) fn new(
+        head: RequestHead,
+        body: Vec<u8>,
+        passes_account_headers: bool,
+    ) -> OutgoingRequest {
+        OutgoingRequest { head, body, passes_account_headers }
     }
 
     /// Encodes the request with the headers of one attempt.
     fn encode(&self, wire: &dyn RouterWire, fields: &AttemptFields) -> Vec<u8> {
         let mut out = Vec::with_capacity(self.head.bytes.len() + self.body.len() + 128);
         out.extend_from_slice(&self.head.bytes);
+        if self.passes_account_headers {
+            out.extend_from_slice(&self.head.account_headers);
+        }
         wire.write_attempt_headers(fields, &mut out);
         if self.head.info.framing != Framing::Empty {
             // Writing to a vector cannot fail.
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -66,7 +66,8 @@
     };
     request.body_bytes = body.len() as u64;
     request.digest = request_digest(&head, &body);
-    let outgoing = OutgoingRequest::new(head, body);
+    let has_accounts = shell.router.borrow().has_accounts();
+    let outgoing = OutgoingRequest::new(head, body, !has_accounts);
     let outcome = run_attempts(&shell, &mut request, &outgoing).await;
     let elapsed = BootClock.now().since(request.arrived_at);
     let result = if outcome.error.is_some() { "refused" } else { "answered" };
@@ -202,7 +203,8 @@
     }
     shell.router.borrow_mut().record_sent(BootClock.now(), selected, request);
     let guard = AttemptGuard { shell: Rc::clone(shell), selected: *selected };
-    let fields = AttemptFields { server: selected.server, time_left };
+    let account = request.account.as_ref().map(|(account, _)| account.name);
+    let fields = AttemptFields { server: selected.server, time_left, account };
     let work = exchange(shell, &mut pooled, outgoing, &fields);
     let timer = async {
         future::or(sleep(time_left), shell.cutoff.wait()).await;
@@ -287,6 +289,7 @@
         route = request.route.name.as_str(),
         service:% = request.service,
         key = request.key.map_or_else(String::new, |key| key.to_string()),
+        account = request.account.as_ref().map_or("", |(account, _)| account.name.as_str()),
         status = outcome.status,
         error = outcome.error.map_or("", ErrorKind::as_str),
         server = selected.map_or_else(String::new, |selected| selected.server.to_string()),
--- a/crates/node/src/router_shell/request_head.rs
+++ b/crates/node/src/router_shell/request_head.rs
@@ -13,6 +13,8 @@
 pub(crate) struct RequestHead {
     /// Request line and forwarded headers, without the empty line.
     pub(crate) bytes: Vec<u8>,
+    /// Headers that are forwarded only if the configuration has no client accounts.
+    pub(crate) account_headers: Vec<u8>,
     /// Host name without a port; empty without a `Host` header.
     pub(crate) host: String,
     /// Method, path and query, separated by a space after the method.
@@ -50,6 +52,7 @@
         let connection_names = connection_header_names(request.headers);
         let mut fields = RequestFields::default();
         let mut host = String::new();
+        let mut account_headers = Vec::new();
         for header in request.headers.iter() {
             let name = header.name.to_ascii_lowercase();
             if name == "host" {
@@ -60,14 +63,26 @@
                 HeaderAction::Pass if is_forwarded(&name, &connection_names) => {
                     append_header(&mut bytes, header.name, header.value);
                 }
-                HeaderAction::Pass | HeaderAction::Replace => {}
+                HeaderAction::ReplaceForAccounts if is_forwarded(&name, &connection_names) => {
+                    append_header(&mut account_headers, header.name, header.value);
+                }
+                HeaderAction::Pass | HeaderAction::Replace | HeaderAction::ReplaceForAccounts => {}
                 HeaderAction::Malformed => return Err(ErrorKind::BadRequest),
             }
         }
         let path = target.split('?').next().unwrap_or_default().to_owned();
         let method_and_target = format!("{method} {target}");
         let is_head_request = method == "HEAD";
-        Ok(RequestHead { bytes, host, method_and_target, path, is_head_request, fields, info })
+        Ok(RequestHead {
+            bytes,
+            account_headers,
+            host,
+            method_and_target,
+            path,
+            is_head_request,
+            fields,
+            info,
+        })
     }
 
     /// Returns whether the request may be in flight together with others of its connection: a `GET`
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -1,5 +1,7 @@
+use std::sync::Arc;
 use std::time::Duration;
 
+use bay_account::AccountTable;
 use bay_types::ServiceName;
 
 /// One version of the operator's configuration.
@@ -11,6 +13,8 @@
     pub routes: Vec<RouteSpec>,
     /// Services that routes refer to.
     pub services: Vec<ServiceSpec>,
+    /// Client accounts; `None` if requests need no API key.
+    pub accounts: Option<Arc<AccountTable>>,
     /// Limits on callers' requests.
     pub limits: CallerLimits,
 }
@@ -34,6 +38,8 @@
     pub max_attempts: u32,
     /// Priority; 0 is the highest.
     pub priority: u32,
+    /// Whether requests need no API key although there are client accounts.
+    pub key_exempt: bool,
     /// Services that share the requests, with their weights.
     pub parts: Vec<(ServiceName, u32)>,
 }
@@ -45,6 +51,8 @@
     Idempotent,
     /// Requests may run at most once.
     Once,
+    /// Requests may run more than once, and their responses are large.
+    Download,
 }
 
 /// Properties of a service that the router needs.
@@ -80,7 +88,7 @@
 impl RouteSpec {
     /// Returns whether requests may run more than once.
     pub fn is_idempotent(&self) -> bool {
-        self.kind == RouteKind::Idempotent
+        matches!(self.kind, RouteKind::Idempotent | RouteKind::Download)
     }
 }
 
--- a/crates/router/src/header_fields.rs
+++ b/crates/router/src/header_fields.rs
@@ -1,6 +1,7 @@
 use std::time::Duration;
 
-use bay_types::ServerName;
+use bay_account::ApiKey;
+use bay_types::{AccountName, ServerName};
 
 use crate::LoadReport;
 
@@ -13,6 +14,8 @@
     pub deadline: Option<Duration>,
     /// Key of the request, for keyed services.
     pub key: Option<u16>,
+    /// API key of the caller's account.
+    pub api_key: Option<ApiKey>,
 }
 
 /// Values from the headers of a server's answer.
@@ -41,6 +44,8 @@
     pub server: ServerName,
     /// Time left until the deadline.
     pub time_left: Duration,
+    /// Client account on whose behalf the request runs.
+    pub account: Option<AccountName>,
 }
 
 /// Treatment of a header of a caller's request.
@@ -50,6 +55,8 @@
     Pass,
     /// Drop it; the router sets its own value for each attempt.
     Replace,
+    /// Drop it if the configuration has client accounts, else pass it on unchanged.
+    ReplaceForAccounts,
     /// Refuse the request, because the value is malformed.
     Malformed,
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -72,7 +72,7 @@
 pub use server_entry::{ServerEntry, ServerState};
 pub use server_paths::{ServerPath, ServerPaths, ServerSpread};
 pub use service_pool::ServicePool;
-pub use settings::{PlatformBounds, RouterSettings};
+pub use settings::{PlatformBounds, QuotaBounds, RouterSettings};
 pub use store_health::StoreHealth;
 pub use store_read::StoreRead;
 pub use warm_up_limiter::WarmUpLimiter;
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -1,6 +1,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bay_account::{AccountSpec, ApiKey};
 use bay_time::Time;
 use bay_types::{ServerName, ServiceName};
 
@@ -15,6 +16,8 @@
     pub service: ServiceName,
     /// Key, if the service is keyed.
     pub key: Option<u16>,
+    /// Client account on whose behalf the request runs, and the API key that identified it.
+    pub account: Option<(Arc<AccountSpec>, ApiKey)>,
     /// Digest of what a server is asked to do, set after admission; equal for repeated requests.
     pub digest: u64,
     /// Length of the body in bytes, set after admission.
@@ -58,6 +61,7 @@
             route,
             service,
             key,
+            account: None,
             digest: 0,
             body_bytes: 0,
             arrived_at: now,
@@ -72,6 +76,13 @@
         }
     }
 
+    /// Returns the rank of the request, that of its account before that of its route; 0 is the
+    /// highest.
+    pub fn rank(&self) -> u32 {
+        let account_rank = self.account.as_ref().and_then(|(account, _)| account.rank);
+        account_rank.unwrap_or(self.route.priority)
+    }
+
     /// Returns the time until the deadline; zero if it has passed.
     pub fn time_left(&self, now: Time) -> Duration {
         self.deadline.since(now)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -77,6 +77,11 @@
         self.config.as_ref()
     }
 
+    /// Returns whether the configuration in force has client accounts.
+    pub fn has_accounts(&self) -> bool {
+        self.config.as_ref().is_some_and(|config| config.accounts.is_some())
+    }
+
     /// Returns the limits on callers' requests; the defaults until a configuration is applied.
     pub fn caller_limits(&self) -> CallerLimits {
         self.config.as_ref().map_or_else(CallerLimits::default, |config| config.limits)
@@ -318,7 +323,8 @@
     /// Needs only the head. The caller sets the length of the body and the digest afterwards.
     ///
     /// # Errors
-    /// Returns `NotReady`, `NoRoute`, `NoTarget` or `KeyMissing` if the request is refused.
+    /// Returns `NotReady`, `NoRoute`, `UnknownApiKey`, `NoTarget` or `KeyMissing` if the request is
+    /// refused.
     pub fn admit(
         &mut self,
         now: Time,
@@ -330,6 +336,15 @@
             return Err(ErrorKind::NotReady);
         }
         let (route, service) = self.routes.find(host, path).ok_or(ErrorKind::NoRoute)?;
+        let accounts = self.config.as_ref().and_then(|config| config.accounts.as_ref());
+        let account = match accounts {
+            Some(accounts) if !route.key_exempt => {
+                let key = fields.api_key.ok_or(ErrorKind::UnknownApiKey)?;
+                let account = accounts.find(key).ok_or(ErrorKind::UnknownApiKey)?;
+                Some((Arc::clone(account), key))
+            }
+            _ => None,
+        };
         let pool = self.pools.get_mut(&service).ok_or(ErrorKind::NoTarget)?;
         let key = match (pool.spec.keyed, fields.key) {
             (true, None) => return Err(ErrorKind::KeyMissing),
@@ -341,6 +356,8 @@
             pool.count_key(key);
         }
         *self.counts.entry(Counter::Request).or_default() += 1;
-        Ok(RequestState::new(now, route, service, key, fields.deadline))
+        let mut request = RequestState::new(now, route, service, key, fields.deadline);
+        request.account = account;
+        Ok(request)
     }
 }
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -32,6 +32,8 @@
     pub server_heartbeat: Duration,
     /// Bounds that the platform sets.
     pub bounds: PlatformBounds,
+    /// Whether requests are admitted by rank and by the learned capacity of servers.
+    pub overload_control: bool,
 }
 
 impl RouterSettings {
@@ -61,6 +63,24 @@
     pub retry_extra: f64,
     /// Upper bound of the time for which a server holds keys.
     pub longest_hold: Duration,
+    /// Time from the withdrawal of an API key until no router uses it, whatever it can reach; `None`
+    /// if routers that are cut off may go on.
+    pub key_withdrawal: Option<Duration>,
+    /// Bounds on the quotas of client accounts.
+    pub quota: Option<QuotaBounds>,
+}
+
+/// How exactly the quotas of client accounts are kept over all routers.
+///
+/// In any window an account has at most `(rate * window + burst) * (1 + overshoot) + slack` requests.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct QuotaBounds {
+    /// Length of the sliding window.
+    pub window: Duration,
+    /// Share by which the limit may be exceeded.
+    pub overshoot: f64,
+    /// Requests by which the limit may be exceeded in addition.
+    pub slack: f64,
 }
 
 impl Default for PlatformBounds {
@@ -71,6 +91,8 @@
             retry_window: Duration::from_secs(10),
             retry_extra: 10.0,
             longest_hold: Duration::from_secs(10),
+            key_withdrawal: None,
+            quota: None,
         }
     }
 }
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -43,6 +43,7 @@
         descriptors: 4_096,
         server_heartbeat: Duration::from_secs(1),
         bounds: PlatformBounds { retry_ratio: 0.2, retry_extra: 50.0, ..PlatformBounds::default() },
+        overload_control: false,
     }
 }
 
@@ -56,6 +57,7 @@
         objective: Duration::from_millis(200),
         max_attempts: 2,
         priority: 1,
+        key_exempt: false,
         parts: parts.iter().map(|(name, weight)| (service(name), *weight)).collect(),
     }
 }
@@ -80,6 +82,7 @@
             route("shop", "/keyed/", RouteKind::Idempotent, &[("keyed", 1)]),
         ],
         services: vec![spec("pool", false), spec("keyed", true)],
+        accounts: None,
         limits: CallerLimits::default(),
     }
 }
--- a/crates/types/src/error_kind.rs
+++ b/crates/types/src/error_kind.rs
@@ -96,6 +96,12 @@
     AnswerCut "answer-cut" 502 Unknown Never;
     /// The caller's request ended early, after a target may have run it.
     RequestCut "request-cut" 400 Unknown Never;
+    /// The request has no API key, or one that no client account holds.
+    UnknownApiKey "unknown-api-key" 401 NotRun Never;
+    /// The client account has used up its quota.
+    QuotaExceeded "quota-exceeded" 429 NotRun Later;
+    /// The router cannot prove that the request's API key has not been withdrawn.
+    KeysOutdated "keys-outdated" 503 NotRun Later;
 }
 
 impl ErrorKind {
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -10,7 +10,9 @@
 
 pub use error_kind::ErrorKind;
 pub use key_hash::KeyHash;
-pub use name::{CustomerName, HostName, Name, NameError, ServerName, ServiceName, ZoneName};
+pub use name::{
+    AccountName, CustomerName, HostName, Name, NameError, ServerName, ServiceName, ZoneName,
+};
 pub use node::{Incarnation, NodeId};
 pub use outcome::Outcome;
 pub use slice::{SliceId, SliceLayout};
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -164,6 +164,8 @@
     ServerName;
     /// The name of a customer, the unit of fair sharing.
     CustomerName;
+    /// The name of a client account.
+    AccountName;
     /// The name of a host that runs gates, stewards or routers.
     HostName;
 }
