Refuse stray answers and survive malformed messages

Causes, each found by reading for faults that operators of similar systems have met: - A late copy of a server's answer to an order names no request, and was delivered to the next caller on the connection (status 409 in the test). A late copy of an answer to a request could be taken for the acknowledgement of an order. - A key limit that is no number, in a datagram, made the random draw panic and ended the process. - A planned stop could end before it had read the requests on connections that it had just accepted, and reset those still in the listener's queue.

Changes: an answer without an identifier counts only on a connection on which nothing was named before and no order was sent; an answer that names a request is no answer to an order; the gate does the same with bay-request. Shares and times of datagrams that are no numbers are ignored, and a panic in the work for one caller, peer or datagram ends only that work, is counted (panic.caught) and logged. The steps of a stop are a type of their own without I/O; the listener's queue is emptied and settles for 150 ms before the process may end.

The copy taken for an acknowledgement and the listener's queue are changed by reading, without a test that failed.

--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -145,9 +145,16 @@
     let (head, info) = read_head(shared, &mut pooled, request).await?;
     let res = decode_response(head, &info).await.ok_or(AttemptFailure::BadAnswer)?;
     let echoed_id = res.header("bay-request").map(|values| values.as_str());
-    if echoed_id.is_some_and(|echoed_id| echoed_id != id) {
+    let is_crossed = match echoed_id {
+        Some(echoed_id) => echoed_id != id,
+        None => pooled.connection.requires_request_id(),
+    };
+    if is_crossed {
         return Err(AttemptFailure::BadAnswer);
     }
+    if echoed_id.is_some() {
+        pooled.connection.set_requires_request_id();
+    }
     let reader = BodyReader::new(info.framing);
     let held = shared.resources.buffer_gauge.track();
     let mut response =
--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -40,6 +40,8 @@
     filled_len: usize,
     /// Whether the peer has closed its side.
     is_read_closed: bool,
+    /// Whether a response without the identifier of its request is a late copy of an earlier one.
+    requires_request_id: bool,
     timer: Arc<PeerTimer>,
     pool: Arc<BufferPool>,
 }
@@ -76,6 +78,7 @@
             consumed_len: 0,
             filled_len: 0,
             is_read_closed: false,
+            requires_request_id: false,
             timer,
             pool,
         }
@@ -115,6 +118,18 @@
         }
     }
 
+    /// Records that a response on this connection without the identifier of its request cannot be the
+    /// right one: the peer has named an earlier request, or was sent one without an identifier.
+    pub(crate) fn set_requires_request_id(&mut self) {
+        self.requires_request_id = true;
+    }
+
+    /// Returns whether a response without the identifier of its request is a late copy of an earlier
+    /// one.
+    pub(crate) fn requires_request_id(&self) -> bool {
+        self.requires_request_id
+    }
+
     /// Restarts the measurement of waiting times with a new timeout.
     pub(crate) fn set_timeout(&self, timeout: IoTimeout) {
         self.timer.restart(timeout);
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -1,14 +1,17 @@
 use std::cell::{Cell, RefCell};
+use std::convert::Infallible;
 use std::net::TcpListener;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use async_channel::{Receiver, Sender};
 use async_executor::LocalExecutor;
 use async_io::{Async, Timer};
 use bay_obs::Counters;
-use bay_router::{Router, RouterSettings, RouterWire};
+use bay_router::{Router, RouterSettings, RouterWire, StopSchedule, StopStep};
 use bay_time::{BootClock, Clock};
+use futures_lite::future;
 
 use crate::ShellError;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -43,20 +46,9 @@
 /// Pause after a failure to accept a connection, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
-/// Interval between checks for active connections during a planned stop.
+/// Interval between the steps of a planned stop.
 const STOP_POLL: Duration = Duration::from_millis(20);
 
-/// Time for which a stopping router still accepts connections. The balancer probes once a second
-/// and sends no more connections after two failed probes.
-const STOP_ACCEPT: Duration = Duration::from_millis(2_300);
-
-/// Part of the stop's grace period that is reserved for the process to exit.
-const STOP_MARGIN: Duration = Duration::from_millis(300);
-
-/// Time before the end of a planned stop at which the requests still in flight are answered by the
-/// router itself, so that their callers don't lose the connection without an answer.
-const CUTOFF_LEAD: Duration = Duration::from_millis(400);
-
 /// Interval between cleanups of old connections and missing servers.
 const CLEANUP_INTERVAL: Duration = Duration::from_millis(500);
 
@@ -64,8 +56,10 @@
 #[derive(Clone)]
 pub struct RouterShell {
     shell: Rc<ShellState>,
-    /// Whether callers' connections are still accepted.
-    is_accepting: Rc<Cell<bool>>,
+    /// Closed when callers' connections are no longer accepted.
+    accepting: Sender<Infallible>,
+    /// Closed once the last connection was accepted.
+    accepted: Receiver<Infallible>,
 }
 
 impl RouterShell {
@@ -124,9 +118,11 @@
             settings,
             wire,
         });
-        let is_accepting = Rc::new(Cell::new(true));
-        let router = RouterShell { shell: Rc::clone(&shell), is_accepting };
-        shell.spawn(accept_connections(Rc::clone(&shell), front, Rc::clone(&router.is_accepting)));
+        let (accepting, stop_accepting) = async_channel::bounded(1);
+        let (accepted_tx, accepted) = async_channel::bounded(1);
+        let router = RouterShell { shell: Rc::clone(&shell), accepting, accepted };
+        let accept = accept_connections(Rc::clone(&shell), front, stop_accepting, accepted_tx);
+        shell.spawn(accept);
         shell.spawn(probes::serve_readiness(Rc::clone(&shell), ready));
         shell.spawn(probes::serve_metrics(Rc::clone(&shell), metrics));
         shell.spawn(peers::receive_datagrams(Rc::clone(&shell)));
@@ -164,38 +160,59 @@
     /// router's own. Returns when all are finished or the grace period ends.
     pub async fn stop(&self) {
         let shell = &self.shell;
-        let started = BootClock.now();
+        let grace = shell.settings.bounds.stop_grace;
+        let mut schedule = StopSchedule::new(BootClock.now(), grace);
         shell.phase.set(Phase::Draining);
         granter::resign(shell).await;
-        let grace = shell.settings.bounds.stop_grace.saturating_sub(STOP_MARGIN);
-        Timer::after(STOP_ACCEPT.min(grace / 2)).await;
-        self.is_accepting.set(false);
+        while schedule.step(BootClock.now(), true) == StopStep::Accept {
+            Timer::after(STOP_POLL).await;
+        }
+        self.accepting.close();
+        // Nothing is ever sent, so receiving ends only when the channel is closed.
+        let Err(_closed) = self.accepted.recv().await;
+        schedule.record_closed(BootClock.now());
         shell.phase.set(Phase::Closing);
-        shell.resources.watchdog.expire_idle();
-        let is_busy = || shell.active_connections.get() > 0 || shell.tunnel_counts.busy() > 0;
-        while is_busy() && BootClock.now().since(started) < grace {
-            if BootClock.now().since(started) + CUTOFF_LEAD >= grace {
-                shell.cutoff.raise();
+        loop {
+            shell.resources.watchdog.expire_idle();
+            let is_busy = shell.active_connections.get() > 0 || shell.tunnel_counts.busy() > 0;
+            match schedule.step(BootClock.now(), is_busy) {
+                StopStep::Accept | StopStep::Finish => {}
+                StopStep::CutOff => shell.cutoff.raise(),
+                StopStep::End => return,
             }
             Timer::after(STOP_POLL).await;
-            shell.resources.watchdog.expire_idle();
         }
     }
 }
 
-/// Accepts callers' connections until a planned stop.
+/// Accepts callers' connections until `stop` is closed, then those that have already been established.
+///
+/// `_accepted` is closed when this returns.
 async fn accept_connections(
     shell: Rc<ShellState>,
     listener: Async<TcpListener>,
-    is_accepting: Rc<Cell<bool>>,
+    stop: Receiver<Infallible>,
+    _accepted: Sender<Infallible>,
 ) {
-    while is_accepting.get() {
-        match listener.accept().await {
-            Ok((stream, _)) => shell.spawn(serve_caller(Rc::clone(&shell), stream)),
-            Err(error) => {
+    loop {
+        let stopped = async {
+            let Err(_closed) = stop.recv().await;
+            None
+        };
+        match future::or(async { Some(listener.accept().await) }, stopped).await {
+            Some(Ok((stream, _))) => shell.spawn_isolated(serve_caller(Rc::clone(&shell), stream)),
+            Some(Err(error)) => {
                 log::warn!(error:% = error; "connection not accepted");
                 Timer::after(ACCEPT_PAUSE).await;
             }
+            None => break,
+        }
+    }
+    // Closing the listener resets the connections that are still waiting there.
+    while let Ok((stream, _)) = listener.get_ref().accept() {
+        match Async::new(stream) {
+            Ok(stream) => shell.spawn_isolated(serve_caller(Rc::clone(&shell), stream)),
+            Err(error) => log::warn!(error:% = error; "connection not accepted"),
         }
     }
 }
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -107,12 +107,16 @@
         }
         let matches_request = match (&answer.fields.id, &outgoing.head.fields.id) {
             (Some(answered), Some(asked)) => answered == asked,
+            (None, Some(_)) => !pooled.connection.requires_request_id(),
             _ => true,
         };
         if !matches_request {
             log::info!(server:% = fields.server; "answer to another request dropped");
             continue;
         }
+        if answer.fields.id.is_some() {
+            pooled.connection.set_requires_request_id();
+        }
         let is_unsigned = (200..300).contains(&answer.status) && !answer.fields.signed;
         if is_unsigned || info.has_content_encoding {
             return Err(ErrorKind::BadAnswer);
--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -1,6 +1,7 @@
 use std::collections::VecDeque;
 use std::future::poll_fn;
 use std::net::TcpStream;
+use std::panic::AssertUnwindSafe;
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::{Context, Poll};
@@ -9,6 +10,7 @@
 use async_executor::Task;
 use async_io::Async;
 use bay_types::ErrorKind;
+use futures_lite::FutureExt;
 
 use super::reply::Reply;
 use super::request::{IncomingRequest, serve_request};
@@ -183,7 +185,14 @@
         let should_close = head.info.should_close;
         let body = self.read_body(&head).await?;
         let work = serve_request(Rc::clone(&self.shell), IncomingRequest { head, body });
-        let task = self.shell.executor.spawn(work);
+        let shell = Rc::clone(&self.shell);
+        let task = self.shell.executor.spawn(async move {
+            AssertUnwindSafe(work).catch_unwind().await.unwrap_or_else(|_| {
+                shell.record_panic("request");
+                // A server may have run the request.
+                Reply::refusal(&*shell.wire, ErrorKind::ConnectionLost, None)
+            })
+        });
         self.in_flight.push_back(InFlightRequest { task, may_overlap, should_close });
         self.scanned = 0;
         Ok(())
--- a/crates/node/src/router_shell/http_client.rs
+++ b/crates/node/src/router_shell/http_client.rs
@@ -15,6 +15,9 @@
 /// Maximum number of headers in an answer.
 const MAX_HEADERS: usize = 64;
 
+/// Number of answers to requests after which a call on the same connection fails.
+const MAX_SKIPPED: usize = 8;
+
 /// Answer to a call.
 #[derive(Debug)]
 pub(crate) struct CallAnswer {
@@ -27,6 +30,9 @@
 
 /// Sends a call and reads its answer. Returns `None` if there is no complete, valid answer; the
 /// call may have taken effect.
+///
+/// An answer that names a request is a late copy of one that was sent before on the connection; calls
+/// have no identifier.
 pub(crate) async fn send_call(
     wire: &dyn RouterWire,
     connection: &mut Connection,
@@ -34,6 +40,18 @@
     call: &HttpCall,
 ) -> Option<CallAnswer> {
     connection.write_all(&encode_call(wire, to, call)).await.ok()?;
+    for _ in 0..MAX_SKIPPED {
+        let answer = read_answer(wire, connection).await?;
+        if answer.fields.id.as_deref().is_none_or(str::is_empty) {
+            return Some(answer);
+        }
+        log::info!(to:% = to, status = answer.status; "answer to another request dropped");
+    }
+    None
+}
+
+/// Reads one whole answer.
+async fn read_answer(wire: &dyn RouterWire, connection: &mut Connection) -> Option<CallAnswer> {
     let head = read_raw_head(connection, MAX_HEAD).await.ok()?;
     let info = check_response(&head, false).ok()?;
     let mut reader = BodyReader::new(info.framing);
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -61,6 +61,8 @@
         return OrderResult::Unanswered;
     };
     let result = shell.wire.parse_order_answer(order, answer.status, &answer.fields);
+    // A second copy of this answer would name no request either.
+    pooled.connection.set_requires_request_id();
     if answer.reusable {
         pooled.return_to_pool();
     }
--- a/crates/node/src/router_shell/peers.rs
+++ b/crates/node/src/router_shell/peers.rs
@@ -1,5 +1,6 @@
 use std::cell::Cell;
 use std::net::{SocketAddr, TcpListener, UdpSocket};
+use std::panic::{AssertUnwindSafe, catch_unwind};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -103,7 +104,12 @@
                 let received_bytes = &shell.peer_socket.received_bytes;
                 received_bytes.set(received_bytes.get() + count as u64);
                 match postcard::from_bytes(&buf[..count]) {
-                    Ok(message) => granter::handle_peer_message(&shell, from, message),
+                    Ok(message) => {
+                        let handle = || granter::handle_peer_message(&shell, from, message);
+                        if catch_unwind(AssertUnwindSafe(handle)).is_err() {
+                            shell.record_panic("datagram");
+                        }
+                    }
                     Err(_) => shell.counters.add("peer.malformed", 1),
                 }
             }
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -1,5 +1,6 @@
 use std::cell::{Cell, RefCell};
 use std::collections::BTreeMap;
+use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::sync::Arc;
 
@@ -9,6 +10,7 @@
     FeedPublisher, GranterFeed, HostRecord, ReassemblyBuffer, Router, RouterSettings, RouterWire,
 };
 use bay_types::HostName;
+use futures_lite::FutureExt;
 
 use super::cutoff::Cutoff;
 use super::granter::GranterRole;
@@ -74,6 +76,25 @@
         self.executor.spawn(work).detach();
     }
 
+    /// Like [`ShellState::spawn`], for work on behalf of one caller or peer: a panic ends only the task.
+    pub(crate) fn spawn_isolated<F>(self: &Rc<ShellState>, work: F)
+    where
+        F: Future<Output = ()> + 'static,
+    {
+        let shell = Rc::clone(self);
+        self.spawn(async move {
+            if AssertUnwindSafe(work).catch_unwind().await.is_err() {
+                shell.record_panic("connection");
+            }
+        });
+    }
+
+    /// Counts and logs a panic that was caught.
+    pub(crate) fn record_panic(&self, place: &str) {
+        self.counters.add("panic.caught", 1);
+        log::error!(place = place; "internal error; only the work in progress was given up");
+    }
+
     /// Returns the version of the configuration in force, zero without one.
     pub(crate) fn config_version(&self) -> u64 {
         self.router.borrow().config().map_or(0, |config| config.version)
--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -184,7 +184,7 @@
 pub(crate) async fn serve_tunnels(shell: Rc<ShellState>, listener: Async<TcpListener>) {
     loop {
         match listener.accept().await {
-            Ok((stream, _)) => shell.spawn(serve_tunnel(Rc::clone(&shell), stream)),
+            Ok((stream, _)) => shell.spawn_isolated(serve_tunnel(Rc::clone(&shell), stream)),
             Err(error) => {
                 log::warn!(error:% = error; "tunnel not accepted");
                 Timer::after(ACCEPT_PAUSE).await;
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -289,6 +289,9 @@
     Endless(&'static str, &'static str),
     /// Never responds to a request. Orders are still acknowledged.
     Silent,
+    /// Like `Echo`, but a copy of the last acknowledgement of an order precedes the next response on
+    /// its connection.
+    RepeatsOrders,
 }
 
 /// Starts a server that accepts grants and requests, and returns its address. `id` is its name.
@@ -298,6 +301,7 @@
 
 fn serve_requests(stream: &TcpStream, id: &str, behavior: ServerBehavior) {
     let mut reader = BufReader::new(stream.try_clone().unwrap());
+    let mut late_copy = String::new();
     while let Some(request) = read_request(&mut reader) {
         let path = request.request_line.split(' ').nth(1).unwrap().to_owned();
         let request_id = request.headers.get("request-id").cloned().unwrap_or_default();
@@ -312,6 +316,14 @@
         let expected = request.headers.get("expected-instance").map(String::as_str);
         let (text, closes_connection) = match behavior {
             _ if expected != Some(id) => (response(421, "Not-Executed: 1\r\n", "", 0), false),
+            ServerBehavior::RepeatsOrders if path.starts_with("/api/") => {
+                late_copy = "HTTP/1.1 409 X\r\nContent-Length: 0\r\n\r\n".to_owned();
+                ("HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n".to_owned(), false)
+            }
+            ServerBehavior::RepeatsOrders => {
+                let answer = response(200, signed_headers, &body, body.len());
+                (std::mem::take(&mut late_copy) + &answer, false)
+            }
             _ if path.starts_with("/api/") => (response(200, "", "", 0), false),
             ServerBehavior::Echo => (response(200, signed_headers, &body, body.len()), false),
             ServerBehavior::RateLimited => {
--- a/crates/router/src/mean_service_times.rs
+++ b/crates/router/src/mean_service_times.rs
@@ -29,8 +29,11 @@
     /// Otherwise a single quick answer would make a new server look fast.
     const PRIOR_REQUESTS: f64 = 8.0;
 
-    /// Adds a router's measurement of a server.
+    /// Adds a router's measurement of a server. One that is no time is ignored.
     pub fn record(&mut self, timing: &ServerTiming) {
+        if !timing.service_ms.is_finite() || timing.service_ms < 0.0 {
+            return;
+        }
         let (requests, sample) = (f64::from(timing.requests), f64::from(timing.service_ms));
         self.overall.record(sample, requests, MeanServiceTimes::OVERALL_SPAN);
         let prior = MeanTime {
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -239,7 +239,7 @@
 
     /// Records the load report of an answer.
     pub fn record_load(&mut self, now: Time, load: LoadReport) {
-        let total = load.running + load.waiting;
+        let total = load.running.saturating_add(load.waiting);
         // This router's requests, the answered one included, are counted in `in_flight`.
         let others = total.saturating_sub(self.in_flight.len() as u32);
         self.load_sample = Some(LoadSample { load, others, at: now });
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -60,7 +60,10 @@
     }
 
     /// Replaces the limits of overloaded keys, which are in the order of the keys.
-    pub fn set_key_limits(&mut self, now: Time, limits: Vec<KeyLimit>) {
+    ///
+    /// A share that is no number is ignored: it would be no probability.
+    pub fn set_key_limits(&mut self, now: Time, mut limits: Vec<KeyLimit>) {
+        limits.retain(|limit| !limit.share.is_nan());
         self.key_limits = (limits, now + ServicePool::KEY_LIMIT_TIME);
     }
 
--- /dev/null
+++ b/crates/router/src/stop_schedule.rs
@@ -0,0 +1,69 @@
+use std::time::Duration;
+
+use bay_time::Time;
+
+/// Steps of a planned stop, up to the end of the grace period.
+#[derive(Debug, Clone, Copy)]
+pub struct StopSchedule {
+    started: Time,
+    grace: Duration,
+    /// When the last connection was accepted; `None` while connections are accepted.
+    closed_at: Option<Time>,
+}
+
+/// What a router does in a planned stop.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum StopStep {
+    /// Accepts connections, as the balancer may not have noticed yet that the router is not ready.
+    Accept,
+    /// Finishes the requests in flight.
+    Finish,
+    /// Answers the requests that are still in flight itself.
+    CutOff,
+    /// Ends the process.
+    End,
+}
+
+impl StopSchedule {
+    /// Time for which a stopping router still accepts connections. The balancer probes once a second
+    /// and sends no more connections after two failed probes.
+    const ACCEPT_TIME: Duration = Duration::from_millis(2_300);
+    /// Time after the last connection was accepted before which the process does not end. The request
+    /// on a connection that has just been accepted is not counted as in flight before it is read.
+    const SETTLE_TIME: Duration = Duration::from_millis(150);
+    /// Part of the grace period that is reserved for the process to exit.
+    const MARGIN: Duration = Duration::from_millis(300);
+    /// Time before the end of the stop at which the requests still in flight are answered by the
+    /// router itself, so that their callers don't lose the connection without an answer.
+    const CUTOFF_LEAD: Duration = Duration::from_millis(400);
+
+    /// Creates the schedule of a stop that starts now and ends within the grace period.
+    pub fn new(now: Time, grace: Duration) -> StopSchedule {
+        let grace = grace.saturating_sub(StopSchedule::MARGIN);
+        StopSchedule { started: now, grace, closed_at: None }
+    }
+
+    /// Records that the last connection was accepted.
+    pub fn record_closed(&mut self, now: Time) {
+        self.closed_at = Some(now);
+    }
+
+    /// Returns the current step; `is_busy` says whether requests are in flight.
+    pub fn step(&self, now: Time, is_busy: bool) -> StopStep {
+        let elapsed = now.since(self.started);
+        let Some(closed_at) = self.closed_at else {
+            return match elapsed < StopSchedule::ACCEPT_TIME.min(self.grace / 2) {
+                true => StopStep::Accept,
+                false => StopStep::Finish,
+            };
+        };
+        let is_settled = now.since(closed_at) >= StopSchedule::SETTLE_TIME;
+        if elapsed >= self.grace || (is_settled && !is_busy) {
+            return StopStep::End;
+        }
+        match elapsed + StopSchedule::CUTOFF_LEAD >= self.grace {
+            true => StopStep::CutOff,
+            false => StopStep::Finish,
+        }
+    }
+}
