--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -27,7 +27,7 @@
 pub(crate) use election::resign;
 pub(crate) use fan_out::{fan_out, recipient_count};
 pub(crate) use messages::handle_peer_message;
-pub(crate) use publishing::{Document, fan_out_document, is_link_busy, may_publish, send_document};
+pub(crate) use publishing::{Document, fan_out_document, is_link_busy, may_publish, send_parts};
 
 use election::run_leadership_action;
 use fan_out::ReceivedHeartbeat;
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -11,7 +11,8 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{
-    HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, publishing, server_updates,
+    Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, publishing,
+    server_updates,
 };
 use crate::router_shell::{config_updates, hosts, permits};
 
@@ -201,14 +202,19 @@
         PeerMessage::Config(part) => config_updates::handle_part(shell, part),
         // A message inside a relayed one is decoded and checked there.
         PeerMessage::Relay(_) | PeerMessage::Relayed(_) => {}
+        // The next heartbeat, through a relay if there are any, repeats the request there.
+        PeerMessage::RequestOwners(_)
+            if shell.granter_role.borrow().term().is_some()
+                && !publishing::may_publish(shell, now) => {}
         PeerMessage::RequestOwners(service) => {
             let parts = shell.router.borrow().owners(service).map(|all| all.split(RANGES_PER_PART));
             let parts = parts.unwrap_or_default();
             let count = parts.len() as u16;
-            for (index, owners) in (0..).zip(parts) {
-                let owners = ServiceOwners { service, part: (index, count), owners };
-                shell.peer_socket.send(&[from], &PeerMessage::Owners(owners));
-            }
+            let message = |(index, owners)| {
+                PeerMessage::Owners(ServiceOwners { service, part: (index, count), owners })
+            };
+            let messages: Vec<PeerMessage> = (0..).zip(parts).map(message).collect();
+            publishing::send_parts(shell, now, Document::Owners(service), from, &messages);
         }
     }
 }
--- a/crates/node/src/router_shell/granter/publishing.rs
+++ b/crates/node/src/router_shell/granter/publishing.rs
@@ -3,6 +3,7 @@
 
 use bay_router::{PeerMessage, RelayOrder};
 use bay_time::Time;
+use bay_types::ServiceName;
 
 use super::ShellState;
 
@@ -12,6 +13,7 @@
     Config,
     Servers,
     Hosts,
+    Owners(ServiceName),
 }
 
 /// A datagram of a document that waits to be sent.
@@ -64,28 +66,35 @@
     send_queued(shell, now);
 }
 
-/// Queues the parts of a document of the granter for a router, unless they are queued already, and
-/// sends as much as the link has room for.
-pub(crate) fn send_document(
+/// Sends the parts of a document to a router that has requested it: at once, or by the granter as its
+/// link has room for them.
+pub(crate) fn send_parts(
     shell: &ShellState,
     now: Time,
     document: Document,
     to: SocketAddr,
     parts: &[PeerMessage],
 ) {
-    {
-        let plan = &mut shell.granter_role.borrow_mut().publish_plan;
-        if plan.queued().any(|each| each.document == document && each.to == to) {
-            return;
-        }
-        for payload in parts.iter().filter_map(|part| shell.peer_socket.encode(part)) {
-            let payload: Rc<[u8]> = Rc::from(payload);
-            plan.push(payload.len(), QueuedDatagram { document, to, payload });
-        }
+    if shell.granter_role.borrow().term().is_none() {
+        parts.iter().for_each(|part| shell.peer_socket.send(&[to], part));
+        return;
     }
+    queue_parts(shell, document, to, parts);
     send_queued(shell, now);
 }
 
+/// Queues the parts of a document of the granter for a router, unless they are queued already.
+fn queue_parts(shell: &ShellState, document: Document, to: SocketAddr, parts: &[PeerMessage]) {
+    let plan = &mut shell.granter_role.borrow_mut().publish_plan;
+    if plan.queued().any(|each| each.document == document && each.to == to) {
+        return;
+    }
+    for payload in parts.iter().filter_map(|part| shell.peer_socket.encode(part)) {
+        let payload: Rc<[u8]> = Rc::from(payload);
+        plan.push(payload.len(), QueuedDatagram { document, to, payload });
+    }
+}
+
 /// Sends the queued datagrams for which the link has room.
 pub(super) fn send_queued(shell: &ShellState, now: Time) {
     let plan = &mut shell.granter_role.borrow_mut().publish_plan;
--- a/crates/node/src/router_shell/hosts.rs
+++ b/crates/node/src/router_shell/hosts.rs
@@ -72,12 +72,7 @@
         shell.router_hosts.borrow().iter().map(|(host, record)| (*host, record.peer)).collect();
     if !hosts.is_empty() && hosts.len() <= MAX_RELAYED_HOSTS {
         let message = PeerMessage::Hosts(hosts);
-        match granter::granter_term(shell) {
-            Some(_) => {
-                granter::send_document(shell, BootClock.now(), Document::Hosts, to, &[message]);
-            }
-            None => shell.peer_socket.send(&[to], &message),
-        }
+        granter::send_parts(shell, BootClock.now(), Document::Hosts, to, &[message]);
     }
 }
 
--- a/crates/node/src/router_shell/server_updates.rs
+++ b/crates/node/src/router_shell/server_updates.rs
@@ -70,12 +70,7 @@
         PeerMessage::Servers(update)
     };
     let messages: Vec<PeerMessage> = (0..parts).map(message).collect();
-    match granter::granter_term(shell) {
-        Some(_) => {
-            granter::send_document(shell, BootClock.now(), Document::Servers, to, &messages);
-        }
-        None => messages.iter().for_each(|each| shell.peer_socket.send(&[to], each)),
-    }
+    granter::send_parts(shell, BootClock.now(), Document::Servers, to, &messages);
 }
 
 /// Returns the current entries of servers with their revisions; `None` for a removed server.
--- a/crates/router/tests/failover/machine.rs
+++ b/crates/router/tests/failover/machine.rs
@@ -35,6 +35,8 @@
     pub leadership: Leadership,
     pub breaker: StoreHealth,
     pub knows_zones: bool,
+    /// Whether the router has heard which keys have no holder.
+    pub is_told: bool,
     pub term: Term,
     pub is_loading: bool,
     pub is_loaded: bool,
@@ -64,6 +66,7 @@
             leadership: Leadership::new(host(index), 1, takeover_delay(size, spread), now),
             breaker: StoreHealth::default(),
             knows_zones: false,
+            is_told: false,
             term: Term(0),
             is_loading: false,
             is_loaded: false,
@@ -91,6 +94,7 @@
         self.breaker = StoreHealth::default();
         self.term = Term(0);
         self.knows_zones = false;
+        self.is_told = false;
         self.plan = PublishPlan::new(now, self.link_mbps);
     }
 
--- a/crates/router/tests/failover/mod.rs
+++ b/crates/router/tests/failover/mod.rs
@@ -2,6 +2,7 @@
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
+use std::rc::Rc;
 use std::time::Duration;
 
 use bay_range::{Leadership, LeadershipAction, LeadershipRecord, Role};
@@ -11,8 +12,11 @@
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
 
+pub use self::keys::Keys;
+use self::keys::NewGranter;
 use self::machine::Machine;
 
+mod keys;
 mod machine;
 
 const STORE_LOST: u64 = 18_000;
@@ -28,11 +32,13 @@
 /// Time for a connection to the store while it is down.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(500);
 const CALL_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Time from an order to its answer, rounded up to the granter's next step.
+const ORDER_TIME: Duration = Duration::from_millis(40);
 
-/// The granter that sent the first orders after the outage.
+/// The granter that has given all keys owners after the outage.
 #[derive(Debug, Clone, Copy)]
 pub struct Winner {
-    pub orders_after: Duration,
+    pub served_after: Duration,
     pub eligible: bool,
 }
 
@@ -55,6 +61,8 @@
     },
     Stop(usize),
     Start(usize),
+    /// The answers to a granter's orders arrive, and it takes its next step.
+    Orders(usize),
     /// The granter is stopped.
     Resign(usize),
     /// The breaker of a router lets a call through at the moment of the store's return.
@@ -78,11 +86,13 @@
     events: u64,
     /// Calls of the election under way.
     actions: Vec<LeadershipAction>,
+    keys: Rc<Keys>,
+    new_granter: Option<NewGranter>,
     winner: Option<Winner>,
 }
 
 impl Fleet {
-    pub fn new(count: usize, seed: u64) -> Fleet {
+    pub fn new(count: usize, seed: u64, keys: Rc<Keys>) -> Fleet {
         let mut random = SmallRng::seed_from_u64(seed);
         let now = Time::from_millis(16_000);
         let machines: Vec<Machine> =
@@ -95,6 +105,8 @@
             queue: BinaryHeap::new(),
             events: 0,
             actions: Vec::new(),
+            keys,
+            new_granter: None,
             winner: None,
         };
         let large = |fleet: &Fleet, index: usize| fleet.machines[index].is_eligible();
@@ -147,7 +159,7 @@
                 return winner;
             }
         }
-        Winner { orders_after: Duration::MAX, eligible: false }
+        Winner { served_after: Duration::MAX, eligible: false }
     }
 
     fn handle(&mut self, event: Event) {
@@ -171,6 +183,7 @@
             }
             Event::Stop(index) => self.machines[index].up = false,
             Event::Start(index) => self.machines[index].restart(self.now),
+            Event::Orders(index) => self.handle_orders(index),
             Event::Resign(index) => {
                 let machine = &mut self.machines[index];
                 let Role::Leader(term) = machine.leadership.role() else {
@@ -179,6 +192,7 @@
                 // The write fails at once, as the store counts as lost.
                 machine.leadership.resign(self.now, Some(true));
                 machine.up = false;
+                self.machines.iter_mut().for_each(|each| each.is_told = each.up);
                 self.send_heartbeats(index, term, 0, Leadership::RESIGNED);
             }
             Event::First(index) => {
@@ -298,23 +312,50 @@
             (Call::Load, true) => machine.is_loading = false,
             (Call::Load, false) => {
                 machine.record_loaded();
-                self.call(index, Call::Save, TABLE_BYTES);
+                let (term, is_told) = (machine.term, machine.is_told);
+                if now > Time::from_millis(STORE_BACK) {
+                    self.new_granter = Some(self.keys.take_over(now, term, is_told));
+                    self.advance(index);
+                }
             }
             (Call::Save, true) => {
                 self.call(index, Call::Save, TABLE_BYTES);
             }
             (Call::Save, false) => {
-                let Role::Leader(term) = machine.leadership.role() else { return };
-                let back = Time::from_millis(STORE_BACK);
-                if now > back && machine.term == term {
-                    let eligible = machine.is_eligible();
-                    let orders_after = now.since(back);
-                    self.winner = Some(Winner { orders_after, eligible });
+                if let Some(new) = &mut self.new_granter {
+                    new.record_save(now);
                 }
+                self.advance(index);
             }
         }
     }
 
+    /// Runs a step of the new granter, unless another one has replaced it.
+    fn advance(&mut self, index: usize) {
+        let now = self.now;
+        let Some(new) = &mut self.new_granter else { return };
+        if self.machines[index].leadership.role() != Role::Leader(new.term) {
+            return;
+        }
+        if self.keys.tick(now, new) {
+            self.call(index, Call::Save, TABLE_BYTES);
+        } else {
+            self.push_at(now + ORDER_TIME, Event::Orders(index));
+        }
+    }
+
+    fn handle_orders(&mut self, index: usize) {
+        let Some(new) = &mut self.new_granter else { return };
+        self.keys.answer_orders(self.now, new);
+        if self.keys.all_served(new) {
+            let served_after = self.now.since(Time::from_millis(STORE_BACK));
+            let eligible = self.machines[index].is_eligible();
+            self.winner = Some(Winner { served_after, eligible });
+        } else {
+            self.advance(index);
+        }
+    }
+
     fn run_election_call(&mut self, index: usize, action: LeadershipAction) {
         let now = self.now;
         let leadership = &mut self.machines[index].leadership;
