Ignore ended holds after later saves, and read zones soon after an outage

Cause: a granter that read its table again in its term would have applied what its predecessor had said about keys without a holder, although it had sent orders since. A router that watched the zones itself would have learnt up to 2 s after an outage whether its own zone is in service, and counted as ineligible until then.

Change: ended holds apply only to a stored table that no later term has saved. The first watch of the zones after an outage waits 50 ms. The time of the store's recovery is kept where it is noticed.

--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -21,6 +21,9 @@
 /// because only a reply shows that the connection still works.
 const WATCH_WAIT: Duration = Duration::from_secs(2);
 
+/// Longest wait of the first watch of the zones after an outage of the store.
+const RECOVERY_WAIT: Duration = Duration::from_millis(50);
+
 /// Longest wait of the granter's watch of the configuration. Its heartbeats vouch for the version only
 /// for a short time after a reply.
 const GRANTER_CONFIG_WAIT: Duration = Duration::from_millis(600);
@@ -204,8 +207,12 @@
                 }
             },
             Some(since) => {
-                let request =
-                    StoreRequest::Watch { prefix, since, wait: feed.watch_wait(is_granter) };
+                // The election waits for the first read of the zones after an outage.
+                let wait = match feed == Feed::Zones && granter::are_zones_unknown(&shell) {
+                    true => RECOVERY_WAIT,
+                    false => feed.watch_wait(is_granter),
+                };
+                let request = StoreRequest::Watch { prefix, since, wait };
                 match shell.store.call(&request).await {
                     Ok(StoreReply::Changes(body)) => {
                         record_store_recovery(&shell, was_lost);
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -26,6 +26,7 @@
 
 pub(crate) use election::resign;
 pub(crate) use fan_out::{fan_out, recipient_count};
+pub(crate) use fitness::are_zones_unknown;
 pub(crate) use messages::handle_peer_message;
 pub(crate) use publishing::{Document, fan_out_document, is_link_busy, may_publish, send_parts};
 
@@ -83,9 +84,7 @@
     publish_plan: PublishPlan<QueuedDatagram>,
     /// This router's place among those of the same fitness, from 0 to 1.
     spread: f64,
-    /// Whether the store was lost at the last step.
-    was_store_lost: bool,
-    /// When the store last answered again after it was lost.
+    /// Last recovery of the store of which the election was told.
     store_recovered_at: Option<Time>,
 }
 
@@ -132,7 +131,6 @@
             ended_holds: None,
             publish_plan: PublishPlan::new(now, settings.link_mbps),
             spread,
-            was_store_lost: false,
             store_recovered_at: None,
         }
     }
--- a/crates/node/src/router_shell/granter/fitness.rs
+++ b/crates/node/src/router_shell/granter/fitness.rs
@@ -7,24 +7,27 @@
 /// Tells the election what this router knows about itself, and that the store answers again after an
 /// outage.
 pub(super) fn update_fitness(shell: &ShellState, now: Time) {
-    let is_store_lost = shell.store.is_lost();
+    let recovered_at = shell.store.recovered_at();
     let role = &mut *shell.granter_role.borrow_mut();
-    if std::mem::replace(&mut role.was_store_lost, is_store_lost) && !is_store_lost {
-        role.store_recovered_at = Some(now);
+    if std::mem::replace(&mut role.store_recovered_at, recovered_at) != recovered_at {
         role.leadership.record_store_recovery(now);
     }
     let router = shell.router.borrow();
-    let publisher = shell.feed_publisher.borrow();
-    let zones_are_known =
-        role.store_recovered_at.is_none_or(|at| publisher.has_read_zones_since(at))
-            || shell.granter_feed.borrow().state(now).is_some();
     let fitness = Fitness {
         is_zone_out: router.directory().zones_out().contains(&shell.settings.zone),
-        is_zone_unknown: !zones_are_known,
+        is_zone_unknown: are_zones_unknown(shell)
+            && shell.granter_feed.borrow().state(now).is_none(),
         is_stopping: shell.phase.get() != Phase::Serving,
-        is_store_lost,
+        is_store_lost: shell.store.is_lost(),
         is_cut_off: router.is_cut_off(),
         ..Fitness::of_size(shell.settings.relative_size())
     };
     role.leadership.set_fitness(fitness, role.spread);
 }
+
+/// Returns whether this router has not read the zones that are out of service since the store was lost.
+pub(crate) fn are_zones_unknown(shell: &ShellState) -> bool {
+    let publisher = shell.feed_publisher.borrow();
+    let recovered_at = shell.store.recovered_at();
+    shell.store.is_lost() || recovered_at.is_some_and(|at| !publisher.has_read_zones_since(at))
+}
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -65,15 +65,17 @@
         false => granter.record_earlier_granters_ended(now),
         true => {}
     }
-    // What a granter has said before others of later terms sent orders is outdated.
     let ended = role.ended_holds.as_ref().filter(|ended| {
         !role.leadership.has_earlier_granters()
             && role.leadership.predecessor_term() == Some(ended.term)
     });
-    let ended = ended.and_then(|ended| ended.services.iter().find(|(name, _)| *name == service));
-    if let Some((_, ranges)) = ended {
+    let ended = ended.and_then(|ended| {
+        let (_, ranges) = ended.services.iter().find(|(name, _)| *name == service)?;
+        Some((ended.term, ranges))
+    });
+    if let Some((by, ranges)) = ended {
         log::info!(service:% = service, ranges = ranges.len(); "keys without a holder");
-        granter.record_ended_holds(now, ranges);
+        granter.record_ended_holds(now, by, ranges);
     }
     keyed.granter = Some(granter);
 }
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -7,7 +7,7 @@
 use async_io::Timer;
 use bay_router::{HttpCall, ObjectPage, RouterWire, StoreHealth};
 use bay_store::{Object, StoreError, StoreRequest, StoreResult};
-use bay_time::{BootClock, Clock};
+use bay_time::{BootClock, Clock, Time};
 use bay_types::Revision;
 use futures_lite::future;
 
@@ -35,6 +35,8 @@
     health: RefCell<StoreHealth>,
     /// Whether this router is the granter; the others rely on its calls.
     is_granter: Cell<bool>,
+    /// When the store last answered again after it was lost.
+    recovered_at: Cell<Option<Time>>,
 }
 
 impl StoreClient {
@@ -51,6 +53,7 @@
             idle_connections: RefCell::default(),
             health: RefCell::default(),
             is_granter: Cell::new(false),
+            recovered_at: Cell::new(None),
         }
     }
 
@@ -101,6 +104,11 @@
         self.health.borrow().is_lost()
     }
 
+    /// Returns when the store last answered again after it was lost.
+    pub(crate) fn recovered_at(&self) -> Option<Time> {
+        self.recovered_at.get()
+    }
+
     /// Records whether this router is the granter.
     pub(crate) fn set_granter(&self, is_granter: bool) {
         self.is_granter.set(is_granter);
@@ -164,6 +172,7 @@
         match &result {
             Ok(_) | Err(StoreError::Rejected) => {
                 if self.health.borrow_mut().record_success() {
+                    self.recovered_at.set(Some(BootClock.now()));
                     log::info!(store:% = self.address; "store answers again");
                 }
             }
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -22,6 +22,8 @@
 pub struct Granter {
     hold_times: HoldTimes,
     term: Term,
+    /// Term of the stored table from which this granter started.
+    stored_term: Term,
     /// Counts the changes of the table within the term; part of fencing tokens.
     change: u64,
     /// Slots in key order, without overlaps.
@@ -76,6 +78,7 @@
         let mut granter = Granter {
             hold_times,
             term,
+            stored_term: stored.term,
             change: if stored.term == term { stored.change + 1 } else { 1 },
             slots: Vec::new(),
             staged: None,
@@ -136,8 +139,14 @@
     }
 
     /// Records that no server holds keys of these ranges, by the [`Granter::ended_holds`] of the
-    /// previous granter. They need no release before the next grant.
-    pub fn record_ended_holds(&mut self, now: Time, ended: &[KeyRange]) {
+    /// granter of term `by`. They need no release before the next grant.
+    ///
+    /// Ignored if a later granter has saved the table that this one started from, as it may have sent
+    /// orders since.
+    pub fn record_ended_holds(&mut self, now: Time, by: Term, ended: &[KeyRange]) {
+        if self.stored_term > by {
+            return;
+        }
         for slot in &mut self.slots {
             let range = slot.holding.range;
             if ended.iter().any(|each| each.first <= range.first && range.last <= each.last) {
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -186,7 +186,7 @@
     }
 
     /// Records that the store answers this process again after an outage, so that the next read does
-    /// not wait for [`Leadership::RETRY_DELAY`].
+    /// not wait for the pause after a failed one.
     pub fn record_store_recovery(&mut self, now: Time) {
         match &mut self.state {
             State::Follower { retry_at, .. } | State::Observing { retry_at, .. } => {
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -367,3 +367,22 @@
         }
     }
 }
+
+/// Guards against two holders: a granter that reads its table again has sent orders since its
+/// predecessor resigned.
+#[test]
+fn what_a_predecessor_said_about_holders_is_ignored_once_the_table_is_of_a_later_term() {
+    let mut world = World::new(4, 5);
+    world.elect();
+    world.run(Duration::from_secs(6));
+    let now = world.now;
+    let stored = world.stored.clone();
+    let served = |by: Term| {
+        let mut granter = Granter::take_over(now, Term(3), world.times, stored.clone());
+        granter.record_ended_holds(now, by, &[KeyRange::ALL]);
+        granter.served_ranges().len()
+    };
+    assert_eq!(stored.term, Term(1));
+    assert_eq!(served(Term(1)), 0);
+    assert_eq!(served(Term(0)), stored.holdings.len());
+}
--- a/crates/range/tests/support/mod.rs
+++ b/crates/range/tests/support/mod.rs
@@ -344,7 +344,7 @@
         self.resign();
         if let (Some(ended), Some(granter)) = (ended, &mut self.granters[last + 1]) {
             let ended = if tells { ended } else { Vec::new() };
-            granter.record_ended_holds(now, &ended);
+            granter.record_ended_holds(now, Term(last as u64 + 1), &ended);
         }
     }
 
--- a/crates/router/tests/failover/keys.rs
+++ b/crates/router/tests/failover/keys.rs
@@ -58,7 +58,7 @@
         let mut granter = Granter::take_over(now, term, times, self.table.clone());
         granter.record_earlier_granters_ended(now);
         if is_told {
-            granter.record_ended_holds(now, &self.ended);
+            granter.record_ended_holds(now, self.table.term, &self.ended);
         }
         NewGranter { term, granter, orders: Vec::new(), saving: None }
     }
