--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -22,6 +22,8 @@
 pub struct Granter {
     hold_times: HoldTimes,
     term: Term,
+    /// Term of the stored table from which this granter started.
+    stored_term: Term,
     /// Counts the changes of the table within the term; part of fencing tokens.
     change: u64,
     /// Slots in key order, without overlaps.
@@ -76,6 +78,7 @@
         let mut granter = Granter {
             hold_times,
             term,
+            stored_term: stored.term,
             change: if stored.term == term { stored.change + 1 } else { 1 },
             slots: Vec::new(),
             staged: None,
@@ -122,6 +125,36 @@
         self.slots.iter_mut().for_each(Slot::record_predecessor_settled);
     }
 
+    /// Returns the ranges that no server can hold by any order of this granter or of an earlier one,
+    /// although they have an owner: it has left, and its last possible hold has expired.
+    ///
+    /// Earlier granters must have ended.
+    pub fn ended_holds(&self, now: Time) -> Vec<KeyRange> {
+        let in_flight =
+            |slot: &Slot| self.orders.values().any(|each| each.range.overlaps(slot.holding.range));
+        let has_ended = |slot: &&Slot| {
+            now >= self.earlier_holds_until && slot.has_no_holder(now) && !in_flight(slot)
+        };
+        self.slots.iter().filter(has_ended).map(|slot| slot.holding.range).collect()
+    }
+
+    /// Records that no server holds keys of these ranges, by the [`Granter::ended_holds`] of the
+    /// granter of term `by`. They need no release before the next grant.
+    ///
+    /// Ignored if a later granter has saved the table that this one started from, as it may have sent
+    /// orders since.
+    pub fn record_ended_holds(&mut self, now: Time, by: Term, ended: &[KeyRange]) {
+        if self.stored_term > by {
+            return;
+        }
+        for slot in &mut self.slots {
+            let range = slot.holding.range;
+            if ended.iter().any(|each| each.first <= range.first && range.last <= each.last) {
+                slot.record_no_holder(now);
+            }
+        }
+    }
+
     /// Returns whether no order, in flight or unanswered, can still give keys to a server.
     pub fn is_settled(&self, now: Time) -> bool {
         let settled = |slot: &Slot| slot.is_settled(now);
