Bound the time for which routers use a withdrawn API key

Cause: a router that was cut off from the store, suspended, restarted or fed by a granter that lags went on using the API keys of its old configuration, and a request that waited or was repeated kept the account of its first admission.

Change: where the platform bounds the withdrawal, Freshness (bay-account) holds the time at which the configuration was certainly the newest, by an own read of the store (when it was sent) or by another router's answer to RequestVouch (stamp minus age). A configuration that cannot be parsed gives no proof. A router that no other one vouches for watches the store itself.

--- a/crates/account/src/lib.rs
+++ b/crates/account/src/lib.rs
@@ -6,7 +6,9 @@
 mod account_spec;
 mod account_table;
 mod api_key;
+mod freshness;
 
 pub use account_spec::{AccountSpec, QuotaSpec};
 pub use account_table::{AccountError, AccountTable};
 pub use api_key::ApiKey;
+pub use freshness::Freshness;
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -20,6 +20,7 @@
 mod config_updates;
 mod cutoff;
 mod feeds;
+mod freshness;
 mod granter;
 mod hosts;
 mod http_client;
@@ -112,6 +113,7 @@
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
             permits: permits::Permits::default(),
+            vouch_requests: freshness::VouchRequests::default(),
             latencies: RefCell::default(),
             tunnel_counts: tunnel::TunnelCounts::default(),
             active_connections: Cell::new(0),
@@ -135,6 +137,7 @@
         shell.spawn(granter::run(Rc::clone(&shell)));
         shell.spawn(run_cleanup(Rc::clone(&shell)));
         feeds::start_feeds(&shell);
+        freshness::start(&shell);
         let resources = Arc::clone(&shell.resources);
         shell.spawn(async move { resources.watchdog.run().await });
         Ok(router)
@@ -150,6 +153,7 @@
     pub fn reload(&self, settings: &RouterSettings) {
         let bounds = settings.bounds;
         let changed = self.shell.router.borrow_mut().set_bounds(bounds);
+        freshness::start(&self.shell);
         // Listen addresses are not compared: ports chosen by the system differ from the settings.
         let restart = settings.store != self.shell.settings.store
             || settings.host != self.shell.settings.host
--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -32,6 +32,10 @@
 /// heartbeat of a server, so the pause gathers several changes in one reply.
 const SERVERS_INTERVAL: Duration = Duration::from_millis(400);
 
+/// Longest wait of the first watch of the configuration after a stale list, where API keys need a proof
+/// that they have not been withdrawn.
+const FIRST_PROOF_WAIT: Duration = Duration::from_millis(100);
+
 /// Interval between checks of whether the granter still relays a feed.
 const GRANTER_FEED_POLL: Duration = Duration::from_millis(200);
 
@@ -93,7 +97,10 @@
             Feed::Servers => StoreRead::Watch,
             Feed::Config => {
                 let known = shell.router.borrow().config().map(|config| config.version);
-                granter_feed.config_read(now, known)
+                match granter_feed.config_read(now, known) {
+                    StoreRead::Skip if needs_key_proof(shell, now, started) => StoreRead::Watch,
+                    read => read,
+                }
             }
             Feed::Zones if state.is_some() => StoreRead::Skip,
             Feed::Zones => StoreRead::Watch,
@@ -110,14 +117,23 @@
         }
     }
 
-    /// Returns the longest wait of a watch.
-    fn watch_wait(self, is_granter: bool) -> Duration {
-        match self {
+    /// Returns the longest wait of a watch; `follows_stale_list` tells whether nothing is known to be
+    /// current yet.
+    fn watch_wait(
+        self,
+        shell: &ShellState,
+        is_granter: bool,
+        follows_stale_list: bool,
+    ) -> Duration {
+        let max = shell.router.borrow().max_config_watch().filter(|_| self == Feed::Config);
+        let max = max.map(|max| if follows_stale_list { FIRST_PROOF_WAIT.min(max) } else { max });
+        let wait = match self {
             Feed::Config if is_granter => GRANTER_CONFIG_WAIT,
             Feed::Servers => SERVERS_INTERVAL,
             Feed::Config | Feed::Zones => WATCH_WAIT,
             Feed::Hosts => HOSTS_WAIT,
-        }
+        };
+        max.map_or(wait, |max| wait.min(max))
     }
 
     /// Records that the documents are as the store has them.
@@ -173,7 +189,11 @@
                 continue;
             }
             // Waits for the granter's feed, which makes the watch unnecessary.
-            StoreRead::Watch if is_starting && has_listed => {
+            StoreRead::Watch
+                if is_starting
+                    && has_listed
+                    && !(feed == Feed::Config && needs_key_proof(&shell, now, started)) =>
+            {
                 Timer::after(GRANTER_FEED_POLL / 2).await;
                 continue;
             }
@@ -184,6 +204,7 @@
         let may_list_stale = !has_listed || (feed == Feed::Servers && !is_granter);
         let prefix = feed.key_prefix(&shell).to_owned();
         let was_lost = shell.store.is_lost();
+        let sent_at = BootClock.now();
         let list_is_stale = allow_stale && may_list_stale;
         // Whether the documents are now as the store has them.
         let result = match last_revision {
@@ -204,8 +225,11 @@
                 }
             },
             Some(since) => {
-                let request =
-                    StoreRequest::Watch { prefix, since, wait: feed.watch_wait(is_granter) };
+                let request = StoreRequest::Watch {
+                    prefix,
+                    since,
+                    wait: feed.watch_wait(&shell, is_granter, listed_stale),
+                };
                 match shell.store.call(&request).await {
                     Ok(StoreReply::Changes(body)) => {
                         record_store_recovery(&shell, was_lost);
@@ -241,6 +265,9 @@
         listed_stale = is_list && list_is_stale;
         if is_current {
             feed.record_read(&shell);
+            if feed == Feed::Config && documents.has_usable_config() {
+                shell.router.borrow_mut().record_config_read(sent_at);
+            }
         }
         // A watch follows a stale list at once.
         if !listed_stale {
@@ -249,6 +276,12 @@
     }
 }
 
+/// Returns whether API keys need a proof that only a read of the configuration gives. A process that
+/// starts waits until it may have heard from the granter.
+fn needs_key_proof(shell: &ShellState, now: Time, started: Time) -> bool {
+    now.since(started) >= FIRST_HEARTBEAT_WAIT && shell.router.borrow().needs_config_read(now)
+}
+
 /// Logs that a feed is read from another source, with the granter's state by which that was decided.
 fn log_read_change(shell: &ShellState, now: Time, feed: Feed, read: StoreRead) {
     let granter_feed = shell.granter_feed.borrow();
--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -16,6 +16,8 @@
 pub(super) struct FeedDocuments {
     zones: BTreeSet<ZoneName>,
     hosts: BTreeMap<HostName, HostRecord>,
+    /// Configurations in the store that cannot be used; what they change is not known here.
+    unusable_configs: BTreeSet<ObjectKey>,
 }
 
 impl FeedDocuments {
@@ -28,7 +30,12 @@
         revision: Revision,
     ) {
         match feed {
-            Feed::Config => objects.iter().for_each(|object| apply_config(shell, &object.body)),
+            Feed::Config => {
+                self.unusable_configs.clear();
+                for object in objects {
+                    self.apply_config(shell, object.key, &object.body);
+                }
+            }
             Feed::Servers => {
                 let entries = objects.iter().filter_map(|object| {
                     let name = server_from_key(&object.key)?;
@@ -67,11 +74,12 @@
         let mut servers = Vec::new();
         for change in changes {
             match feed {
-                Feed::Config => {
-                    if let Some(body) = &change.body {
-                        apply_config(shell, body);
+                Feed::Config => match &change.body {
+                    Some(body) => self.apply_config(shell, change.key, body),
+                    None => {
+                        self.unusable_configs.remove(&change.key);
                     }
-                }
+                },
                 Feed::Servers => servers.extend(apply_server_change(shell, &change)),
                 Feed::Zones => {
                     if let Some(zone) = zone_from_key(&change.key) {
@@ -92,6 +100,20 @@
         }
     }
 
+    /// Applies a configuration that was read from the store. The granter passes a newer one on.
+    fn apply_config(&mut self, shell: &ShellState, key: ObjectKey, body: &str) {
+        match apply_config_text(shell, body) {
+            true => self.unusable_configs.remove(&key),
+            false => self.unusable_configs.insert(key),
+        };
+        config_updates::publish(shell);
+    }
+
+    /// Returns whether this build could use every configuration that it has read.
+    pub(super) fn has_usable_config(&self) -> bool {
+        self.unusable_configs.is_empty()
+    }
+
     fn apply_host_change(&mut self, change: Change) {
         let Change { key, revision, body } = change;
         match body {
@@ -121,14 +143,8 @@
     }
 }
 
-/// Applies a configuration that was read from the store. The granter passes a newer one on.
-fn apply_config(shell: &ShellState, body: &str) {
-    apply_config_text(shell, body);
-    config_updates::publish(shell);
-}
-
-/// Applies a configuration if it is newer than the one in force.
-pub(crate) fn apply_config_text(shell: &ShellState, body: &str) {
+/// Applies a configuration if it is newer than the one in force; returns whether it is valid.
+pub(crate) fn apply_config_text(shell: &ShellState, body: &str) -> bool {
     match shell.wire.parse_config(body) {
         Ok(config) => {
             let version = config.version;
@@ -138,8 +154,12 @@
                 *shell.config_text.borrow_mut() = Rc::from(body);
             }
         }
-        Err(error) => log::warn!(error:% = error; "invalid configuration"),
+        Err(error) => {
+            log::warn!(error:% = error; "invalid configuration");
+            return false;
+        }
     }
+    true
 }
 
 /// Applies a change of a server's entry; returns it unless the directory stays the same.
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -299,6 +299,11 @@
     shell.granter_role.borrow().term()
 }
 
+/// Returns the router that passed on the last heartbeat: the granter or a relay.
+pub(crate) fn heartbeat_sender(shell: &ShellState) -> Option<SocketAddr> {
+    shell.granter_role.borrow().last_heartbeat.map(|heartbeat| heartbeat.from)
+}
+
 /// Returns the datagram addresses of the other routers.
 pub(crate) fn other_routers(shell: &ShellState) -> Vec<SocketAddr> {
     let own = shell.settings.host;
--- a/crates/node/src/router_shell/granter/fan_out.rs
+++ b/crates/node/src/router_shell/granter/fan_out.rs
@@ -24,6 +24,8 @@
 #[derive(Debug, Clone, Copy)]
 pub(super) struct ReceivedHeartbeat {
     pub(super) at: Time,
+    /// The granter, or the relay that passed it on.
+    pub(super) from: SocketAddr,
     /// Whether a relay passed it on.
     pub(super) via_relay: bool,
 }
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -11,7 +11,7 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
-use crate::router_shell::{config_updates, hosts, permits};
+use crate::router_shell::{config_updates, freshness, hosts, permits};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -180,6 +180,8 @@
             permits::handle_request(shell, from, number, &request);
         }
         PeerMessage::Permit(number, permit) => permits::handle_answer(shell, number, permit),
+        PeerMessage::RequestVouch(stamp) => freshness::handle_request(shell, now, from, stamp),
+        PeerMessage::Vouch(vouch) => freshness::handle_vouch(shell, &vouch),
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
@@ -228,7 +230,7 @@
             log::info!(host:% = heartbeat.host, term = heartbeat.term.0; "granter changed");
         }
         role.leader = Some((origin, heartbeat.term));
-        role.last_heartbeat = Some(ReceivedHeartbeat { at: now, via_relay: from != origin });
+        role.last_heartbeat = Some(ReceivedHeartbeat { at: now, from, via_relay: from != origin });
     }
     handle_role_change(shell, previous_term);
     if let Some(state) = &heartbeat.feed_state {
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -101,6 +101,13 @@
     if let Some((_, age)) = shell.granter_feed.borrow().last_state(BootClock.now()) {
         write_metric("granter.state_age_ms", age.as_millis() as u64);
     }
+    let router = shell.router.borrow();
+    let proof_age =
+        router.key_proof_age(BootClock.now()).filter(|_| router.key_proof_limit().is_some());
+    drop(router);
+    if let Some(age) = proof_age {
+        write_metric("keys.proof_age_ms", age.as_millis() as u64);
+    }
     write_metric("routers.known", shell.router_hosts.borrow().len() as u64);
     let rate_limited = shell.router.borrow().directory().rate_limited_count(BootClock.now());
     write_metric("servers.rate_limited", rate_limited as u64);
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -197,7 +197,9 @@
         Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
     };
     let time_left = request.time_left(BootClock.now());
-    if time_left.is_zero() {
+    // The key may have been withdrawn while the connection was opened; the next pick refuses it then.
+    let key_check = shell.router.borrow().check_key(BootClock.now(), request);
+    if time_left.is_zero() || key_check.is_err() {
         pooled.return_to_pool();
         return (None, None);
     }
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -11,6 +11,7 @@
 use bay_types::HostName;
 
 use super::cutoff::Cutoff;
+use super::freshness::VouchRequests;
 use super::granter::GranterRole;
 use super::peers::PeerSocket;
 use super::permits::Permits;
@@ -42,6 +43,7 @@
     pub(crate) resources: Arc<ConnectionResources>,
     pub(crate) counters: Counters,
     pub(crate) permits: Permits,
+    pub(crate) vouch_requests: VouchRequests,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
@@ -79,8 +81,10 @@
         self.router.borrow().config().map_or(0, |config| config.version)
     }
 
-    /// Returns whether the balancer may send connections.
+    /// Returns whether the balancer may send connections. A router that has just started is not ready
+    /// while it would refuse all requests with API keys.
     pub(crate) fn is_ready(&self) -> bool {
-        self.phase.get() == Phase::Serving && self.router.borrow().is_ready()
+        let router = self.router.borrow();
+        self.phase.get() == Phase::Serving && router.is_ready() && !router.awaits_first_key_proof()
     }
 }
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -9,7 +9,7 @@
 use bay_router::{
     ConfigPart, Crash, FeedState, Heartbeat, HostRecord, KeyCount, OwnerChanges, OwnerMap,
     PeerMessage, Permit, PermitRequest, RateLimitNotice, RelayOrder, RelayedMessage, Report,
-    ServerEntry, ServerState, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
+    ServerEntry, ServerState, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport, Vouch,
 };
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, Token, ZoneName};
 
@@ -144,6 +144,15 @@
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
+        ("request-vouch", PeerMessage::RequestVouch(8_412_066_120_457)),
+        (
+            "vouch",
+            PeerMessage::Vouch(Vouch {
+                stamp: 8_412_066_120_457,
+                config_version: 14,
+                age_ms: 1_240,
+            }),
+        ),
     ]
 }
 
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -54,7 +54,7 @@
 pub use owner_map::{OwnerChanges, OwnerMap};
 pub use peer_message::{
     ConfigPart, FeedState, Heartbeat, KeyCount, PeerMessage, RelayOrder, RelayedMessage, Report,
-    ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
+    ServerTiming, ServerUpdate, ServiceOwners, ServiceReport, Vouch,
 };
 pub use rate_limit::{RateLimitNotice, RateLimitState};
 pub use rate_limiter::{Permit, PermitRequest, RateLimiter};
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -46,6 +46,23 @@
     RequestPermit(u64, PermitRequest),
     /// Answers the request for a permit with this number.
     Permit(u64, Permit),
+    /// Asks the router that passed on the last heartbeat for the age of its configuration. The stamp
+    /// is a reading of the sender's clock, in nanoseconds.
+    RequestVouch(u64),
+    /// Answers the request with this stamp.
+    Vouch(Vouch),
+}
+
+/// Statement of a router that its configuration was the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// Stamp of the request.
+    pub stamp: u64,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Milliseconds, rounded up, since that version was certainly the newest, when this answer was
+    /// sent.
+    pub age_ms: u32,
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use bay_account::Freshness;
 use bay_range::{Candidate, KeyLimit, OwnerId};
 use bay_time::Time;
 use bay_types::{ErrorKind, HostName, Revision, ServerName, ServiceName, ZoneName};
@@ -15,6 +16,7 @@
 };
 
 mod attempt_results;
+mod key_proof;
 mod paths;
 mod rate_limits;
 mod server_selection;
@@ -26,6 +28,8 @@
 pub struct Router {
     settings: RouterSettings,
     config: Option<Arc<Config>>,
+    /// Proof of the age of the configuration, by which API keys are used.
+    freshness: Freshness,
     routes: RouteMap,
     pools: HashMap<ServiceName, ServicePool>,
     directory: Directory,
@@ -56,6 +60,7 @@
         Router {
             settings,
             config: None,
+            freshness: Freshness::default(),
             routes: RouteMap::default(),
             pools: HashMap::new(),
             directory: Directory::default(),
@@ -323,8 +328,8 @@
     /// Needs only the head. The caller sets the length of the body and the digest afterwards.
     ///
     /// # Errors
-    /// Returns `NotReady`, `NoRoute`, `UnknownApiKey`, `NoTarget` or `KeyMissing` if the request is
-    /// refused.
+    /// Returns `NotReady`, `NoRoute`, `UnknownApiKey`, `KeysOutdated`, `NoTarget` or `KeyMissing` if
+    /// the request is refused.
     pub fn admit(
         &mut self,
         now: Time,
@@ -340,6 +345,7 @@
         let account = match accounts {
             Some(accounts) if !route.key_exempt => {
                 let key = fields.api_key.ok_or(ErrorKind::UnknownApiKey)?;
+                self.check_key_proof(now)?;
                 let account = accounts.find(key).ok_or(ErrorKind::UnknownApiKey)?;
                 Some((Arc::clone(account), key))
             }
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -49,9 +49,12 @@
 
     /// Picks the server of a request's next attempt, or decides to wait or to refuse.
     ///
-    /// A request that crashed servers, or whose time has run out, is refused. A request with a key
-    /// goes to the key's owner.
+    /// A request whose API key may have been withdrawn, that crashed servers, or whose time has run
+    /// out, is refused. A request with a key goes to the key's owner.
     pub fn pick_server(&mut self, now: Time, request: &mut RequestState) -> RoutingDecision {
+        if let Err(kind) = self.check_key(now, request) {
+            return self.refuse_for_key(now, request, kind);
+        }
         if let Some(remaining) = self.crash_detector.remaining_quarantine(now, request.digest) {
             return RoutingDecision::Refuse(ErrorKind::Quarantined, Some(remaining));
         }
