--- a/crates/router/tests/wire_compatibility.rs
+++ b/crates/router/tests/wire_compatibility.rs
@@ -13,6 +13,7 @@
 
 const V_2BEA093: &str = include_str!("golden/2bea093.txt");
 const V_1EBEA53: &str = include_str!("golden/1ebea53.txt");
+const V_6E55495: &str = include_str!("golden/6e55495.txt");
 
 /// Returns the encodings of one kind in a version's data, by name.
 fn encodings<'a>(golden: &'a str, kind: &str) -> BTreeMap<&'a str, &'a str> {
@@ -28,6 +29,7 @@
 /// Equal bytes are read by both: by the other version as its own, and by this one as checked here.
 #[test_case(V_2BEA093, 18; "2bea093")]
 #[test_case(V_1EBEA53, 22; "1ebea53")]
+#[test_case(V_6E55495, 24; "6e55495")]
 fn messages_are_encoded_as_by_landed_versions(golden: &str, count: usize) {
     let golden = encodings(golden, "message");
     assert_eq!(golden.len(), count);
@@ -41,6 +43,7 @@
 
 #[test_case(V_2BEA093; "2bea093")]
 #[test_case(V_1EBEA53; "1ebea53")]
+#[test_case(V_6E55495; "6e55495")]
 fn records_in_the_store_are_encoded_as_by_landed_versions(golden: &str) {
     let golden = encodings(golden, "record");
     assert_eq!(golden.len(), 3);
