--- a/crates/node/tests/withdrawn_keys.rs
+++ b/crates/node/tests/withdrawn_keys.rs
@@ -187,3 +187,36 @@
         }
     }
 }
+
+/// Time after which no read of the store from before it is a proof.
+const LONGER_THAN_BOUND: Duration = Duration::from_secs(3);
+
+/// Guards against a follower that needs the store although the granter vouches, and against one that
+/// uses keys when neither is left.
+#[test]
+fn a_follower_uses_keys_while_the_granter_vouches_for_them() {
+    let (server, _received) = start_recording_server();
+    let (store, _) = FakeStore::start();
+    store.write("config/main", Some(account_config("r1", &[FIRST_KEY])));
+    store.write("servers/i-1", Some(server_entry("pool", server, 4)));
+    let [(granter, granter_front), (follower, follower_front)] = ["h1", "h2"].map(|host| {
+        let (front, address) = StoreFront::start(&store);
+        let router = start_router(host, address, BOUNDS);
+        while request_status(router.ready, "GET", "/api/ready") != 200 {}
+        (router, front)
+    });
+    let serves = |address: SocketAddr, expected: u16| {
+        (0..MAX_TRIES).any(|_| {
+            thread::sleep(TRY_INTERVAL);
+            status(&exchange(address, "/read/x", FIRST_KEY)) == expected
+        })
+    };
+    assert!(serves(granter.listen, 200) && serves(follower.listen, 200));
+    follower_front.hold();
+    thread::sleep(LONGER_THAN_BOUND);
+    assert!(serves(follower.listen, 200), "only the granter can have vouched");
+    granter_front.hold();
+    assert!(serves(granter.listen, 503) && serves(follower.listen, 503));
+    granter_front.release();
+    assert!(serves(follower.listen, 200));
+}
