--- a/crates/account/tests/freshness_search.rs
+++ b/crates/account/tests/freshness_search.rs
@@ -119,7 +119,7 @@
         if self.step < LAST_STEP {
             next.push(State { step: self.step + 1, ..self.clone() });
         }
-        if self.removed_at.is_none() && self.step <= LAST_REMOVAL {
+        if self.removed_at.is_none() && (0..=LAST_REMOVAL).contains(&self.step) {
             next.push(State { removed_at: Some(self.step), ..self.clone() });
         }
         for from in (0..=LAST_ROUTER).filter(|from| self.requests[*from] < scope.requests[*from]) {
