--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -56,7 +56,7 @@
 pub use owner_map::{OwnerChanges, OwnerMap};
 pub use peer_message::{
     ConfigPart, EndedHolds, FeedState, Heartbeat, KeyCount, PeerMessage, RelayOrder,
-    RelayedMessage, Report, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
+    RelayedMessage, Report, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport, Vouch,
 };
 pub use publish_plan::PublishPlan;
 pub use rate_limit::{RateLimitNotice, RateLimitState};
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -48,6 +48,11 @@
     Permit(u64, Permit),
     /// Tells every router which keys have no holder when a granter resigns.
     EndedHolds(EndedHolds),
+    /// Asks the router that passed on the last heartbeat for the age of its configuration. The stamp
+    /// is a reading of the sender's clock, in nanoseconds.
+    RequestVouch(u64),
+    /// Answers the request with this stamp.
+    Vouch(Vouch),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
@@ -59,6 +64,18 @@
     pub services: Vec<(ServiceName, Vec<KeyRange>)>,
 }
 
+/// Statement of a router that its configuration was the newest.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Vouch {
+    /// Stamp of the request.
+    pub stamp: u64,
+    /// Version of the configuration in force.
+    pub config_version: u64,
+    /// Milliseconds, rounded up, since that version was certainly the newest, when this answer was
+    /// sent.
+    pub age_ms: u32,
+}
+
 /// A message that a relay passes on.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct RelayOrder {
