--- /dev/null
+++ b/crates/quota/src/fallback.rs
@@ -0,0 +1,37 @@
+use crate::{AccountShare, QuotaLimit};
+
+/// Bounds of a router without recent shares. Their sum over all routers is within the limit.
+///
+/// One part of the limit is divided equally, the other by the use of each router.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Fallback {
+    /// Requests within the window that every router may admit.
+    pub(crate) equal: f64,
+    /// Requests within the window for each request that the router had in the window.
+    pub(crate) per_used: f64,
+}
+
+impl Fallback {
+    /// Part of the limit from which an account counts as near it and has a share.
+    pub(crate) const NEAR: f64 = 0.65;
+    /// Part of the overshoot and slack that the sum of the bounds leaves free. Each router rounds its
+    /// bound, and its use is taken at another time than that of the others.
+    const RESERVE: f64 = 0.4;
+    /// Part that is divided equally. Callers keep their connections, so that the use of a router
+    /// predicts more.
+    const EQUAL: f64 = 0.25;
+
+    /// Computes the bounds for an account with its last share.
+    pub(crate) fn new(limit: &QuotaLimit, share: Option<&AccountShare>, routers: u32) -> Fallback {
+        let total = limit.requests + (limit.bound - limit.requests) * (1.0 - Fallback::RESERVE);
+        let each = total / f64::from(routers.max(1));
+        let used = share.map_or(Fallback::NEAR, |share| f64::from(share.used_percent) / 100.0);
+        let growth = 1.0 / used.max(Fallback::NEAR);
+        Fallback { equal: each * Fallback::EQUAL, per_used: (1.0 - Fallback::EQUAL) * growth }
+    }
+
+    /// Returns the bound of a router with this use in the window.
+    pub(crate) fn bound(&self, used: f64) -> f64 {
+        self.equal + self.per_used * used
+    }
+}
--- /dev/null
+++ b/crates/quota/src/ledger.rs
@@ -0,0 +1,306 @@
+use std::collections::{BTreeSet, HashMap};
+use std::time::Duration;
+
+use bay_time::Time;
+
+use crate::fallback::Fallback;
+use crate::window_count::WindowCount;
+use crate::{AccountId, AccountShare, AccountUsage, QuotaLimit, QuotaShares, UsageEntry};
+
+/// Adds up the use of accounts by all routers, and computes the shares of those near their limit.
+#[derive(Debug)]
+pub struct QuotaLedger {
+    term: u64,
+    started_at: Time,
+    window: Duration,
+    accounts: HashMap<AccountId, LedgerAccount>,
+    /// Routers by the hash of their name.
+    routers: HashMap<u32, LedgerRouter>,
+    sequence: u32,
+    /// Whether an account has come near its limit since the last shares.
+    is_due: bool,
+}
+
+#[derive(Debug)]
+struct LedgerAccount {
+    limit: QuotaLimit,
+    admitted: WindowCount,
+    /// Requests per second that the routers admitted and refused by the last report of each.
+    rates: Rates,
+    is_near: bool,
+}
+
+/// What a router has reported.
+#[derive(Debug)]
+struct LedgerRouter {
+    incarnation: u32,
+    sent_ms: u32,
+    reported_at: Option<Time>,
+    accounts: HashMap<AccountId, ReportedUse>,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct ReportedUse {
+    at: Time,
+    admitted: u32,
+    refused: u32,
+    in_window: u32,
+    rates: Rates,
+}
+
+/// Requests per second.
+#[derive(Debug, Default, Clone, Copy)]
+struct Rates {
+    admitted: f64,
+    refused: f64,
+}
+
+impl QuotaLedger {
+    /// Time for which shares are valid. At 250 ms between two messages, one may be lost or late.
+    const VALIDITY: Duration = Duration::from_millis(600);
+    /// Time without a report after which a router is taken to go by its own bounds.
+    const SILENCE: Duration = Duration::from_millis(900);
+    /// Time after which a new granter stops waiting for routers that have not reported.
+    const MAX_START_TIME: Duration = Duration::from_millis(1_000);
+    /// Mean age of what the reports tell.
+    const REPORT_AGE: Duration = Duration::from_millis(300);
+    /// Time within which the use is brought to the target. Shares take effect this late.
+    const HORIZON: Duration = Duration::from_millis(500);
+    /// Mean time from a router's report or the granter's message until it arrives.
+    const TRANSIT: Duration = Duration::from_millis(150);
+    /// Shortest time between two reports, in seconds, by which rates are computed.
+    const MIN_REPORT_GAP: f64 = 0.05;
+    /// Part of the overshoot and slack up to which accounts may go.
+    const TARGET: f64 = 0.4;
+    /// Part of [`Fallback::NEAR`] below which an account is no longer near its limit.
+    const LEAVE: f64 = 0.9;
+
+    /// Creates the ledger of a granter at the start of its term.
+    pub fn new(now: Time, term: u64, window: Duration) -> QuotaLedger {
+        QuotaLedger {
+            term,
+            started_at: now,
+            window,
+            accounts: HashMap::new(),
+            routers: HashMap::new(),
+            sequence: 0,
+            is_due: false,
+        }
+    }
+
+    /// Returns the term of the granter.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Replaces the limits; accounts that are left out have none. The use of the others is kept.
+    pub fn set_limits<I>(&mut self, limits: I)
+    where
+        I: IntoIterator<Item = (AccountId, QuotaLimit)>,
+    {
+        let mut old = std::mem::take(&mut self.accounts);
+        for (id, limit) in limits {
+            let account = match old.remove(&id) {
+                Some(account) => LedgerAccount { limit, ..account },
+                None => LedgerAccount {
+                    limit,
+                    admitted: WindowCount::default(),
+                    rates: Rates::default(),
+                    is_near: false,
+                },
+            };
+            self.accounts.insert(id, account);
+        }
+    }
+
+    /// Replaces the registered routers.
+    pub fn set_routers(&mut self, routers: &BTreeSet<u32>) {
+        self.routers.retain(|router, _| routers.contains(router));
+        for router in routers {
+            self.routers.entry(*router).or_insert_with(LedgerRouter::unknown);
+        }
+    }
+
+    /// Records a router's report. One that is older than another one has no effect.
+    pub fn record_usage(&mut self, now: Time, usage: &AccountUsage) {
+        let router = self.routers.entry(usage.router).or_insert_with(LedgerRouter::unknown);
+        let is_same_process =
+            router.reported_at.is_some() && router.incarnation == usage.incarnation;
+        if is_same_process && usage.sent_ms <= router.sent_ms {
+            return;
+        }
+        let earliest = now - self.window;
+        let since = match router.reported_at {
+            Some(_) if is_same_process => {
+                let gap = Duration::from_millis(u64::from(usage.sent_ms - router.sent_ms));
+                now - gap.min(self.window)
+            }
+            Some(at) => at.max(earliest),
+            None => earliest,
+        };
+        let seconds = now.since(since).as_secs_f64().max(QuotaLedger::MIN_REPORT_GAP);
+        // Accounts that the report does not name have no requests since the last one.
+        for (id, reported) in &mut router.accounts {
+            if let Some(account) = self.accounts.get_mut(id) {
+                account.rates.remove(std::mem::take(&mut reported.rates));
+            }
+        }
+        if !is_same_process {
+            router.accounts.clear();
+        }
+        router.incarnation = usage.incarnation;
+        router.sent_ms = usage.sent_ms;
+        router.reported_at = Some(now);
+        for entry in &usage.entries {
+            let earlier = router.accounts.get(&entry.account);
+            // A negative difference is a refund.
+            let (admitted, refused) = match earlier {
+                Some(earlier) => (
+                    entry.admitted.wrapping_sub(earlier.admitted) as i32,
+                    entry.refused.wrapping_sub(earlier.refused) as i32,
+                ),
+                None => (entry.in_window as i32, 0),
+            };
+            let rates = Rates {
+                admitted: f64::from(admitted.max(0)) / seconds,
+                refused: f64::from(refused.max(0)) / seconds,
+            };
+            let UsageEntry { admitted: total, refused: refused_total, in_window, .. } = *entry;
+            let reported = ReportedUse {
+                at: now,
+                admitted: total,
+                refused: refused_total,
+                in_window,
+                rates,
+            };
+            router.accounts.insert(entry.account, reported);
+            let Some(account) = self.accounts.get_mut(&entry.account) else {
+                continue;
+            };
+            account.admitted.spread(since, now, f64::from(admitted));
+            account.rates.add(rates);
+            let was_near = account.is_near;
+            account.update_near(now, self.window);
+            self.is_due |= account.is_near && !was_near;
+        }
+    }
+
+    /// Returns whether shares should be sent before the next heartbeat.
+    pub fn is_due(&self) -> bool {
+        self.is_due
+    }
+
+    /// Returns the shares to send, `None` while too few routers have reported to a new granter.
+    pub fn shares(&mut self, now: Time) -> Option<QuotaShares> {
+        let known = self.routers.values().filter(|router| !router.is_silent(now)).count();
+        let has_most = known * 10 >= self.routers.len() * 9;
+        if !has_most && now.since(self.started_at) < QuotaLedger::MAX_START_TIME {
+            return None;
+        }
+        self.is_due = false;
+        self.sequence += 1;
+        let routers = self.routers.len().max(1) as u32;
+        let silent: Vec<&LedgerRouter> =
+            self.routers.values().filter(|router| router.is_silent(now)).collect();
+        let mut entries = Vec::new();
+        for (id, account) in &mut self.accounts {
+            account.update_near(now, self.window);
+            if !account.is_near {
+                continue;
+            }
+            let fallback = Fallback::new(&account.limit, None, routers);
+            let reserved = silent.iter().map(|router| router.reserve(now, *id, &fallback, self.window));
+            let reserved: f64 = reserved.sum();
+            entries.push(account.share(now, *id, self.window, reserved));
+        }
+        entries.sort_unstable_by_key(|entry| entry.account);
+        Some(QuotaShares {
+            term: self.term,
+            sequence: self.sequence,
+            routers,
+            valid_ms: QuotaLedger::VALIDITY.as_millis() as u16,
+            entries,
+        })
+    }
+}
+
+impl LedgerAccount {
+    /// Updates whether the account is near its limit.
+    fn update_near(&mut self, now: Time, window: Duration) {
+        let leave = if self.is_near { QuotaLedger::LEAVE } else { 1.0 };
+        let used = self.expected_use(now, window);
+        self.is_near = used >= self.limit.requests * Fallback::NEAR * leave;
+    }
+
+    /// Returns the requests of the window, with those that have not been reported yet.
+    fn expected_use(&mut self, now: Time, window: Duration) -> f64 {
+        let unreported = self.rates.admitted * QuotaLedger::REPORT_AGE.as_secs_f64();
+        self.admitted.count(now, window) + unreported
+    }
+
+    /// Computes the share with which the use reaches the target at the horizon. `reserved` is the use
+    /// of routers that cannot be told of it.
+    fn share(
+        &mut self,
+        now: Time,
+        account: AccountId,
+        window: Duration,
+        reserved: f64,
+    ) -> AccountShare {
+        let QuotaLimit { requests, bound } = self.limit;
+        let target = requests + (bound - requests) * QuotaLedger::TARGET - reserved;
+        let used = self.expected_use(now, window);
+        let until_arrival = self.rates.admitted * QuotaLedger::TRANSIT.as_secs_f64();
+        let oldest = now - window;
+        let span = QuotaLedger::TRANSIT + QuotaLedger::HORIZON;
+        let leaving = self.admitted.between(oldest, oldest + span);
+        let room = (target - used - until_arrival + leaving).max(0.0);
+        let per_second = room / QuotaLedger::HORIZON.as_secs_f64();
+        let offered = self.rates.admitted + self.rates.refused;
+        let part = if offered > per_second { per_second / offered } else { 1.0 };
+        AccountShare {
+            account,
+            share: (part * f64::from(AccountShare::ALL)).round() as u16,
+            used_percent: (used / requests * 100.0).round() as u16,
+            per_second: per_second as u32,
+        }
+    }
+}
+
+impl LedgerRouter {
+    /// Creates a router that has not reported.
+    fn unknown() -> LedgerRouter {
+        LedgerRouter { incarnation: 0, sent_ms: 0, reported_at: None, accounts: HashMap::new() }
+    }
+
+    /// Returns whether the router may not know the shares.
+    fn is_silent(&self, now: Time) -> bool {
+        self.reported_at.is_none_or(|at| now.since(at) > QuotaLedger::SILENCE)
+    }
+
+    /// Returns the use of a silent router that has not been reported, at most its bound.
+    fn reserve(
+        &self,
+        now: Time,
+        account: AccountId,
+        fallback: &Fallback,
+        window: Duration,
+    ) -> f64 {
+        let reported = self.accounts.get(&account).filter(|use_| now.since(use_.at) < window * 2);
+        let bound = fallback.bound(reported.map_or(0.0, |use_| f64::from(use_.in_window)));
+        let silent = self.reported_at.map_or(window, |at| now.since(at));
+        bound * (silent.as_secs_f64() / window.as_secs_f64()).min(1.0)
+    }
+}
+
+impl Rates {
+    fn add(&mut self, other: Rates) {
+        self.admitted += other.admitted;
+        self.refused += other.refused;
+    }
+
+    fn remove(&mut self, other: Rates) {
+        self.admitted = (self.admitted - other.admitted).max(0.0);
+        self.refused = (self.refused - other.refused).max(0.0);
+    }
+}
--- /dev/null
+++ b/crates/quota/src/message.rs
@@ -0,0 +1,65 @@
+use serde::{Deserialize, Serialize};
+
+use crate::AccountId;
+
+/// A router's use by account, for the granter.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountUsage {
+    /// Hash of the router's host name.
+    pub router: u32,
+    /// Identifies the start of the router's process; the totals of an earlier one do not continue.
+    pub incarnation: u32,
+    /// Milliseconds from the start of the process to the report. They tell the order of reports and
+    /// the time between two of them, which their arrival does not.
+    pub sent_ms: u32,
+    /// Accounts whose totals have changed.
+    pub entries: Vec<UsageEntry>,
+}
+
+/// A router's use of one account.
+///
+/// Totals instead of differences keep the sum right after a report was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct UsageEntry {
+    /// The account.
+    pub account: AccountId,
+    /// Requests admitted since the start of the process, less those refunded; wraps around.
+    pub admitted: u32,
+    /// Requests refused since the start of the process; wraps around.
+    pub refused: u32,
+    /// Requests admitted within the window, for a granter that does not know an earlier total.
+    pub in_window: u32,
+}
+
+/// Shares of the accounts that are near their limit, from the granter to every router.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct QuotaShares {
+    /// Term of the granter.
+    pub term: u64,
+    /// Number of the message within the term.
+    pub sequence: u32,
+    /// Number of routers among which a router without recent shares divides the limits.
+    pub routers: u32,
+    /// Milliseconds for which the message is valid; afterwards each router falls back.
+    pub valid_ms: u16,
+    /// Accounts near their limit; those that are missing may be used freely.
+    pub entries: Vec<AccountShare>,
+}
+
+/// Share of an account's requests that every router admits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct AccountShare {
+    /// The account.
+    pub account: AccountId,
+    /// Admitted share in 1/65,535.
+    pub share: u16,
+    /// Requests that all routers have admitted within the window, in percent of the limit.
+    pub used_percent: u16,
+    /// Requests per second admitted by all routers together.
+    pub per_second: u32,
+}
+
+impl AccountShare {
+    /// Value of [`AccountShare::share`] with which all requests are admitted.
+    pub const ALL: u16 = u16::MAX;
+}
