--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -65,13 +65,13 @@
     /// Mean age of what the reports tell.
     const REPORT_AGE: Duration = Duration::from_millis(300);
     /// Time within which the use is brought to the target. Shares take effect this late.
-    const HORIZON: Duration = Duration::from_millis(500);
+    const HORIZON: Duration = Duration::from_millis(900);
     /// Mean time from a router's report or the granter's message until it arrives.
     const TRANSIT: Duration = Duration::from_millis(150);
     /// Shortest time between two reports, in seconds, by which rates are computed.
     const MIN_REPORT_GAP: f64 = 0.05;
     /// Part of the overshoot and slack up to which accounts may go.
-    const TARGET: f64 = 0.4;
+    const TARGET: f64 = 0.3;
     /// Part of [`Fallback::NEAR`] below which an account is no longer near its limit.
     const LEAVE: f64 = 0.9;
 
@@ -153,17 +153,19 @@
         router.reported_at = Some(now);
         for entry in &usage.entries {
             let earlier = router.accounts.get(&entry.account);
-            // A negative difference is a refund.
+            // A negative difference is a refund. Without an earlier total, the whole window counts.
+            let difference = |total: u32, earlier: u32| f64::from(total.wrapping_sub(earlier) as i32);
             let (admitted, refused) = match earlier {
                 Some(earlier) => (
-                    entry.admitted.wrapping_sub(earlier.admitted) as i32,
-                    entry.refused.wrapping_sub(earlier.refused) as i32,
+                    difference(entry.admitted, earlier.admitted),
+                    difference(entry.refused, earlier.refused),
                 ),
-                None => (entry.in_window as i32, 0),
+                None => (f64::from(entry.in_window), 0.0),
             };
+            let has_history = earlier.is_none() && !entry.history.is_empty();
             let rates = Rates {
-                admitted: f64::from(admitted.max(0)) / seconds,
-                refused: f64::from(refused.max(0)) / seconds,
+                admitted: admitted.max(0.0) / seconds,
+                refused: refused.max(0.0) / seconds,
             };
             let UsageEntry { admitted: total, refused: refused_total, in_window, .. } = *entry;
             let reported = ReportedUse {
@@ -177,7 +179,10 @@
             let Some(account) = self.accounts.get_mut(&entry.account) else {
                 continue;
             };
-            account.admitted.spread(since, now, f64::from(admitted));
+            match has_history {
+                true => account.add_history(now, self.window, &entry.history),
+                false => account.admitted.spread(since, now, admitted),
+            }
             account.rates.add(rates);
             let was_near = account.is_near;
             account.update_near(now, self.window);
@@ -232,6 +237,19 @@
         self.is_near = used >= self.limit.requests * Fallback::NEAR * leave;
     }
 
+    /// Adds the requests of a router's window.
+    fn add_history(&mut self, now: Time, window: Duration, history: &[u32]) {
+        let part = window / history.len() as u32;
+        let mut start = now - window;
+        for count in history {
+            let end = start + part;
+            if *count > 0 {
+                self.admitted.spread(start, end - WindowCount::INTERVAL, f64::from(*count));
+            }
+            start = end;
+        }
+    }
+
     /// Returns the requests of the window, with those that have not been reported yet.
     fn expected_use(&mut self, now: Time, window: Duration) -> f64 {
         let unreported = self.rates.admitted * QuotaLedger::REPORT_AGE.as_secs_f64();
--- a/crates/quota/src/local_account.rs
+++ b/crates/quota/src/local_account.rs
@@ -16,7 +16,10 @@
     pub(crate) reported: (u32, u32),
     /// Share in force; `None` while the account is not near its limit.
     pub(crate) share: Option<AccountShare>,
-    /// Requests admitted within the window when the last shares arrived.
+    /// Requests admitted within the window at the last report.
+    pub(crate) used_at_report: f64,
+    /// Value of `used_at_report` when the last shares arrived. The granter has computed the total
+    /// from the reports, and not from what was admitted since.
     pub(crate) used_at_shares: f64,
     pub(crate) fallback: Fallback,
     /// Sum of the shares of requests that were offered, less those admitted.
@@ -36,8 +39,7 @@
 }
 
 impl LocalAccount {
-    /// Requests by which a router with recent shares may exceed its bound while the account is not
-    /// near its limit.
+    /// Requests by which a router with recent shares may exceed its bound.
     const OVERDRAFT: f64 = 2.0;
 
     pub(crate) fn new(limit: QuotaLimit, rounding: f64, routers: u32) -> LocalAccount {
@@ -48,6 +50,7 @@
             refused_total: 0,
             reported: (0, 0),
             share: None,
+            used_at_report: 0.0,
             used_at_shares: 0.0,
             fallback: Fallback::new(&limit, None, routers),
             credit: rounding,
@@ -56,12 +59,12 @@
     }
 
     /// Applies the share of a message, `None` if it does not name the account.
-    pub(crate) fn apply_share(&mut self, used: f64, share: Option<AccountShare>, routers: u32) {
+    pub(crate) fn apply_share(&mut self, share: Option<AccountShare>, routers: u32) {
         if share.is_none() {
             self.credit = self.rounding;
         }
         self.share = share;
-        self.used_at_shares = used;
+        self.used_at_shares = self.used_at_report;
         self.fallback = Fallback::new(&self.limit, share.as_ref(), routers);
     }
 
@@ -70,17 +73,25 @@
         used + 1.0 <= (self.fallback.bound(self.used_at_shares) + self.rounding).floor()
     }
 
+    /// Returns whether a request is within what a router with recent shares may use until the next
+    /// ones: its use may grow as long as that of all routers is known.
+    fn is_within_growth(&self, used: f64) -> bool {
+        let steady = self.fallback.equal + self.used_at_shares;
+        let bound = self.fallback.bound(self.used_at_shares).max(steady);
+        used + 1.0 <= bound + LocalAccount::OVERDRAFT
+    }
+
     /// Returns why a request is refused, `None` if it is admitted. `is_recent` tells whether the
     /// shares are.
     pub(crate) fn check(&mut self, used: f64, is_recent: bool, expiry: Time) -> Option<Refusal> {
-        if !is_recent && !self.is_within_bound(used) {
+        let is_within = match is_recent {
+            true => self.is_within_growth(used),
+            false => self.is_within_bound(used),
+        };
+        if !is_within {
             return Some(Refusal::Bound(expiry));
         }
-        let Some(share) = self.share else {
-            let within = self.is_within_bound(used - LocalAccount::OVERDRAFT);
-            return (!within).then_some(Refusal::Bound(expiry));
-        };
-        let part = f64::from(share.share) / f64::from(AccountShare::ALL);
+        let part = self.share.map_or(1.0, |share| share.part());
         self.credit += part;
         if self.credit < 1.0 {
             return Some(Refusal::Share(part));
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -72,7 +72,7 @@
         for (id, limit) in limits {
             let account = old.remove(&id).map(|mut account| {
                 account.limit = limit;
-                account.apply_share(account.used_at_shares, account.share, self.routers);
+                account.apply_share(account.share, self.routers);
                 account
             });
             let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), u64::from(self.router));
@@ -137,15 +137,20 @@
         let is_full = self.reported_term.1 <= LocalQuota::FULL_REPORTS;
         let mut entries = Vec::new();
         for (id, account) in &mut self.accounts {
+            account.used_at_report = account.admitted.count(now, self.window).max(0.0);
             let totals = (account.admitted_total, account.refused_total);
             let is_changed = totals != account.reported;
             if !is_changed && !is_full {
                 continue;
             }
-            let in_window = account.admitted.count(now, self.window).max(0.0) as u32;
+            let in_window = account.used_at_report as u32;
             if is_changed || in_window > 0 {
                 let (admitted, refused) = totals;
-                entries.push(UsageEntry { account: *id, admitted, refused, in_window });
+                let history = match is_full {
+                    true => account.admitted.history(now, self.window, UsageEntry::PARTS),
+                    false => Vec::new(),
+                };
+                entries.push(UsageEntry { account: *id, admitted, refused, in_window, history });
             }
         }
         self.select_entries(&mut entries);
@@ -186,8 +191,7 @@
         let by_account: HashMap<_, _> =
             shares.entries.iter().map(|share| (share.account, *share)).collect();
         for (id, account) in &mut self.accounts {
-            let used = account.admitted.count(now, self.window);
-            account.apply_share(used, by_account.get(id).copied(), self.routers);
+            account.apply_share(by_account.get(id).copied(), self.routers);
         }
         true
     }
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -19,7 +19,7 @@
 /// A router's use of one account.
 ///
 /// Totals instead of differences keep the sum right after a report was lost.
-#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct UsageEntry {
     /// The account.
     pub account: AccountId,
@@ -27,8 +27,16 @@
     pub admitted: u32,
     /// Requests refused since the start of the process; wraps around.
     pub refused: u32,
-    /// Requests admitted within the window, for a granter that does not know an earlier total.
+    /// Requests admitted within the window.
     pub in_window: u32,
+    /// Requests admitted within each part of the window, the earliest first, for a granter that does
+    /// not know an earlier total; empty in later reports.
+    pub history: Vec<u32>,
+}
+
+impl UsageEntry {
+    /// Number of parts of the window in [`UsageEntry::history`].
+    pub const PARTS: u32 = 10;
 }
 
 /// Shares of the accounts that are near their limit, from the granter to every router.
@@ -62,4 +70,9 @@
 impl AccountShare {
     /// Value of [`AccountShare::share`] with which all requests are admitted.
     pub const ALL: u16 = u16::MAX;
+
+    /// Returns the admitted share as a part of 1.
+    pub fn part(&self) -> f64 {
+        f64::from(self.share) / f64::from(AccountShare::ALL)
+    }
 }
--- a/crates/quota/src/window_count.rs
+++ b/crates/quota/src/window_count.rs
@@ -47,6 +47,14 @@
         self.sum
     }
 
+    /// Returns the number of requests in each of the parts of the window, the earliest first.
+    pub(crate) fn history(&self, now: Time, window: Duration, parts: u32) -> Vec<u32> {
+        let part = window / parts;
+        let end = now + WindowCount::INTERVAL;
+        let starts = (0..parts).rev().map(|index| end - part * (index + 1));
+        starts.map(|start| self.between(start, start + part).max(0.0) as u32).collect()
+    }
+
     /// Returns the start of the first interval with requests.
     pub(crate) fn first(&self) -> Option<Time> {
         self.intervals.front().map(|(index, _)| start(*index))
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -61,7 +61,10 @@
     Arrival(usize),
     Report(usize),
     Heartbeat,
-    Usage(AccountUsage),
+    /// Use reported to the granter of a term.
+    Usage(u64, AccountUsage),
+    /// Heartbeat of the granter of a term at a router.
+    Term(usize, u64),
     Shares(usize, QuotaShares),
     Limits(usize),
 }
@@ -89,6 +92,7 @@
     routers: Vec<LocalQuota>,
     own_admitted: Vec<Vec<VecDeque<u64>>>,
     last_urgent: Vec<u64>,
+    known_term: Vec<u64>,
     ledger: QuotaLedger,
     last_shares: u64,
     /// When the granter's term began.
@@ -178,6 +182,7 @@
             accounts,
             routers,
             last_urgent: vec![0; ROUTERS],
+            known_term: vec![0; ROUTERS],
             ledger: QuotaLedger::new(at(0), 1, WINDOW),
             last_shares: 0,
             granter_start: 0,
@@ -235,7 +240,8 @@
         let Account { rate, hot, factor, .. } = &self.accounts[account];
         let rate = if hot.contains(&now) { rate * factor } else { *rate };
         let pause = -(1.0 - self.rng.random::<f64>()).ln() / rate * 1000.0;
-        let mut time = now as f64 + pause + self.rng.random::<f64>() - 0.5;
+        // Rounding down to whole milliseconds then leaves the mean as it is.
+        let mut time = now as f64 + pause + self.rng.random::<f64>();
         // The change of the rate takes effect at once.
         if !hot.contains(&now) && now < hot.start && time > hot.start as f64 {
             time = hot.start as f64;
@@ -269,8 +275,14 @@
                 self.push(now + HEARTBEAT_MS, Event::Heartbeat);
                 self.send_shares(now);
             }
-            Event::Usage(usage) => {
-                if now < self.granter_start {
+            Event::Term(router, term) => {
+                if term > self.known_term[router] {
+                    self.known_term[router] = term;
+                    self.report(now, router);
+                }
+            }
+            Event::Usage(term, usage) => {
+                if term != self.ledger.term() {
                     return;
                 }
                 self.ledger.record_usage(at(now), &usage);
@@ -291,18 +303,32 @@
     }
 
     fn report(&mut self, now: u64, router: usize) {
-        let usage = self.routers[router].drain_usage(at(now), self.ledger.term());
+        let usage = self.routers[router].drain_usage(at(now), self.known_term[router]);
         self.outcome.usage_bytes += postcard::to_stdvec(&usage).unwrap().len() as u64 + 1;
         if !self.is_cut_off(now, router) {
-            self.send(now, Event::Usage(usage));
+            self.send(now, Event::Usage(self.known_term[router], usage));
         }
     }
 
     fn send_shares(&mut self, now: u64) {
         self.last_shares = now;
+        for router in 0..ROUTERS {
+            if !self.is_cut_off(now, router) {
+                self.send(now, Event::Term(router, self.ledger.term()));
+            }
+        }
         let Some(shares) = self.ledger.shares(at(now)) else {
             return;
         };
+        if let Ok(t) = std::env::var("QT") {
+            let index: usize = t.parse().unwrap();
+            let a = &self.accounts[index];
+            let first = a.admitted.partition_point(|time| time + 5000 <= now);
+            let true_used = (a.admitted.len() - first) as f64 / a.limit.requests;
+            let r = a.admitted.len() - a.admitted.partition_point(|time| time + 250 <= now);
+            let e = shares.entries.iter().find(|e| e.account == a.id);
+            if now % 100_000 > std::env::var("QFROM").unwrap().parse().unwrap() && now < std::env::var("QTO").unwrap().parse().unwrap() { eprintln!("{now} true {true_used:.3} rate {:.2} {:?}", r as f64 * 4.0 / a.rate, e.map(|e| (e.share as f64 / 65535.0, e.used_percent, e.per_second as f64 / a.rate))); }
+        }
         self.outcome.share_bytes += postcard::to_stdvec(&shares).unwrap().len() as u64 + 1;
         for router in 0..ROUTERS {
             if !self.is_cut_off(now, router) {
--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -16,6 +16,7 @@
 
 fn run_seeds(scheme: Scheme, faults: Faults) -> Vec<(u64, Outcome)> {
     let seeds = std::env::var("QUOTA_SEEDS").map_or(SEEDS, |text| text.parse().unwrap());
+    if let Ok(s) = std::env::var("QSEED") { let s = s.parse().unwrap(); return vec![(s, Fleet::run(s, scheme, faults))]; }
     std::thread::scope(|scope| {
         let run = |first| (first..seeds).step_by(THREADS as usize).map(|seed| {
             (seed, Fleet::run(seed, scheme, faults))
