--- a/crates/quota/src/fallback.rs
+++ b/crates/quota/src/fallback.rs
@@ -1,4 +1,4 @@
-use crate::{AccountShare, QuotaLimit};
+use crate::QuotaLimit;
 
 /// Bounds of a router without recent shares. Their sum over all routers is within the limit.
 ///
@@ -19,14 +19,14 @@
     const RESERVE: f64 = 0.4;
     /// Part that is divided equally. Callers keep their connections, so that the use of a router
     /// predicts more.
-    const EQUAL: f64 = 0.25;
+    pub(crate) const EQUAL: f64 = 0.25;
 
-    /// Computes the bounds for an account with its last share.
-    pub(crate) fn new(limit: &QuotaLimit, share: Option<&AccountShare>, routers: u32) -> Fallback {
+    /// Computes the bounds for an account of which all routers together have `used` requests in the
+    /// window.
+    pub(crate) fn new(limit: &QuotaLimit, used: f64, routers: u32) -> Fallback {
         let total = limit.requests + (limit.bound - limit.requests) * (1.0 - Fallback::RESERVE);
         let each = total / f64::from(routers.max(1));
-        let used = share.map_or(Fallback::NEAR, |share| f64::from(share.used_percent) / 100.0);
-        let growth = 1.0 / used.max(Fallback::NEAR);
+        let growth = limit.requests / used.max(limit.requests * Fallback::NEAR);
         Fallback { equal: each * Fallback::EQUAL, per_used: (1.0 - Fallback::EQUAL) * growth }
     }
 
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -64,8 +64,9 @@
     const MAX_START_TIME: Duration = Duration::from_millis(1_000);
     /// Mean age of what the reports tell.
     const REPORT_AGE: Duration = Duration::from_millis(300);
-    /// Time within which the use is brought to the target. Shares take effect this late.
-    const HORIZON: Duration = Duration::from_millis(900);
+    /// Times after the arrival of shares at which the use may not exceed the target.
+    const HORIZONS: [Duration; 3] =
+        [Duration::from_millis(300), Duration::from_millis(600), Duration::from_millis(900)];
     /// Mean time from a router's report or the granter's message until it arrives.
     const TRANSIT: Duration = Duration::from_millis(150);
     /// Shortest time between two reports, in seconds, by which rates are computed.
@@ -213,7 +214,7 @@
             if !account.is_near {
                 continue;
             }
-            let fallback = Fallback::new(&account.limit, None, routers);
+            let fallback = Fallback::new(&account.limit, 0.0, routers);
             let reserved = silent.iter().map(|router| router.reserve(now, *id, &fallback, self.window));
             let reserved: f64 = reserved.sum();
             entries.push(account.share(now, *id, self.window, reserved));
@@ -270,17 +271,19 @@
         let used = self.expected_use(now, window);
         let until_arrival = self.rates.admitted * QuotaLedger::TRANSIT.as_secs_f64();
         let oldest = now - window;
-        let span = QuotaLedger::TRANSIT + QuotaLedger::HORIZON;
-        let leaving = self.admitted.between(oldest, oldest + span);
-        let room = (target - used - until_arrival + leaving).max(0.0);
-        let per_second = room / QuotaLedger::HORIZON.as_secs_f64();
+        let used = used + until_arrival;
+        // Requests that leave the window late make no room for earlier ones.
+        let per_second = QuotaLedger::HORIZONS.map(|horizon| {
+            let leaving = self.admitted.between(oldest, oldest + QuotaLedger::TRANSIT + horizon);
+            (target - used + leaving).max(0.0) / horizon.as_secs_f64()
+        });
+        let per_second = per_second.into_iter().fold(f64::MAX, f64::min);
         let offered = self.rates.admitted + self.rates.refused;
         let part = if offered > per_second { per_second / offered } else { 1.0 };
         AccountShare {
             account,
             share: (part * f64::from(AccountShare::ALL)).round() as u16,
-            used_percent: (used / requests * 100.0).round() as u16,
-            per_second: per_second as u32,
+            used: used.round() as u32,
         }
     }
 }
@@ -305,7 +308,10 @@
         window: Duration,
     ) -> f64 {
         let reported = self.accounts.get(&account).filter(|use_| now.since(use_.at) < window * 2);
-        let bound = fallback.bound(reported.map_or(0.0, |use_| f64::from(use_.in_window)));
+        let bound = match self.reported_at {
+            Some(_) => fallback.bound(reported.map_or(0.0, |use_| f64::from(use_.in_window))),
+            None => fallback.equal / Fallback::EQUAL,
+        };
         let silent = self.reported_at.map_or(window, |at| now.since(at));
         bound * (silent.as_secs_f64() / window.as_secs_f64()).min(1.0)
     }
--- a/crates/quota/src/local_account.rs
+++ b/crates/quota/src/local_account.rs
@@ -21,7 +21,9 @@
     /// Value of `used_at_report` when the last shares arrived. The granter has computed the total
     /// from the reports, and not from what was admitted since.
     pub(crate) used_at_shares: f64,
-    pub(crate) fallback: Fallback,
+    /// Highest use of all routers that the last shares allow for.
+    known_use: f64,
+    fallback: Fallback,
     /// Sum of the shares of requests that were offered, less those admitted.
     pub(crate) credit: f64,
     /// Part of a request by which the bound is rounded up. It differs by router, so that the sum of
@@ -52,7 +54,8 @@
             share: None,
             used_at_report: 0.0,
             used_at_shares: 0.0,
-            fallback: Fallback::new(&limit, None, routers),
+            known_use: limit.requests * Fallback::NEAR,
+            fallback: Fallback::new(&limit, 0.0, routers),
             credit: rounding,
             rounding,
         }
@@ -65,7 +68,15 @@
         }
         self.share = share;
         self.used_at_shares = self.used_at_report;
-        self.fallback = Fallback::new(&self.limit, share.as_ref(), routers);
+        let unlisted = self.limit.requests * Fallback::NEAR;
+        self.known_use = share.map_or(unlisted, |share| f64::from(share.used));
+        self.fallback = Fallback::new(&self.limit, self.known_use, routers);
+    }
+
+    /// Replaces the limit; the use and the share stay.
+    pub(crate) fn set_limit(&mut self, limit: QuotaLimit, routers: u32) {
+        self.limit = limit;
+        self.fallback = Fallback::new(&limit, self.known_use, routers);
     }
 
     /// Returns whether a request beyond the `used` ones is within the router's bound.
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -71,8 +71,7 @@
         let mut old = std::mem::take(&mut self.accounts);
         for (id, limit) in limits {
             let account = old.remove(&id).map(|mut account| {
-                account.limit = limit;
-                account.apply_share(account.share, self.routers);
+                account.set_limit(limit, self.routers);
                 account
             });
             let hash = xxh3_64_with_seed(&id.0.to_le_bytes(), u64::from(self.router));
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -61,10 +61,9 @@
     pub account: AccountId,
     /// Admitted share in 1/65,535.
     pub share: u16,
-    /// Requests that all routers have admitted within the window, in percent of the limit.
-    pub used_percent: u16,
-    /// Requests per second admitted by all routers together.
-    pub per_second: u32,
+    /// Requests that all routers have admitted within the window, as estimated for the arrival of the
+    /// message.
+    pub used: u32,
 }
 
 impl AccountShare {
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -327,7 +327,7 @@
             let true_used = (a.admitted.len() - first) as f64 / a.limit.requests;
             let r = a.admitted.len() - a.admitted.partition_point(|time| time + 250 <= now);
             let e = shares.entries.iter().find(|e| e.account == a.id);
-            if now % 100_000 > std::env::var("QFROM").unwrap().parse().unwrap() && now < std::env::var("QTO").unwrap().parse().unwrap() { eprintln!("{now} true {true_used:.3} rate {:.2} {:?}", r as f64 * 4.0 / a.rate, e.map(|e| (e.share as f64 / 65535.0, e.used_percent, e.per_second as f64 / a.rate))); }
+            if now % 100_000 > std::env::var("QFROM").unwrap().parse().unwrap() && now < std::env::var("QTO").unwrap().parse().unwrap() { eprintln!("{now} true {true_used:.3} rate {:.2} {:?}", r as f64 * 4.0 / a.rate, e.map(|e| (e.share as f64 / 65535.0, e.used as f64 / a.limit.requests))); }
         }
         self.outcome.share_bytes += postcard::to_stdvec(&shares).unwrap().len() as u64 + 1;
         for router in 0..ROUTERS {
