Enforce account quotas in the routers

Cause: quotas of the configuration had no effect. Change: routers report their use of accounts to the granter with the regular report, the granter sends shares with its heartbeat, and requests over a quota get 429 before their first attempt. Off without PlatformBounds::quota or accounts with quotas.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -27,6 +27,7 @@
 mod peers;
 mod permits;
 mod probes;
+mod quotas;
 mod reply;
 mod request;
 mod request_head;
@@ -112,6 +113,7 @@
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
             permits: permits::Permits::default(),
+            quotas: RefCell::default(),
             latencies: RefCell::default(),
             tunnel_counts: tunnel::TunnelCounts::default(),
             active_connections: Cell::new(0),
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::orders;
+use super::quotas;
 use super::server_updates;
 use super::shell_state::{Phase, ShellState};
 
@@ -194,6 +195,7 @@
         run_granter_step(shell, now);
     }
     send_report(shell, now);
+    quotas::send_urgent_usage(shell, now);
     fan_out::request_direct_messages(shell, now);
     let crashes = shell.router.borrow_mut().drain_crashes();
     if !crashes.is_empty() {
@@ -299,6 +301,17 @@
     shell.granter_role.borrow().term()
 }
 
+/// Returns the address of the granter, `None` if it is this router, with its term. There is none
+/// while this router knows no granter.
+pub(crate) fn leader(shell: &ShellState) -> Option<(Option<SocketAddr>, Term)> {
+    let role = shell.granter_role.borrow();
+    if let Some(term) = role.term() {
+        return Some((None, term));
+    }
+    let (address, term) = role.leader?;
+    (term == role.leadership.known_term()).then_some((Some(address), term))
+}
+
 /// Returns the datagram addresses of the other routers.
 pub(crate) fn other_routers(shell: &ShellState) -> Vec<SocketAddr> {
     let own = shell.settings.host;
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -11,7 +11,7 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
-use crate::router_shell::{config_updates, hosts, permits};
+use crate::router_shell::{config_updates, hosts, permits, quotas};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -42,6 +42,7 @@
     fan_out::fan_out(shell, &message);
     config_updates::publish(shell);
     send_key_limits(shell, now);
+    quotas::send_shares(shell, now);
 }
 
 /// Applies the limits of overloaded keys and sends them to the other routers; empty ones once.
@@ -110,6 +111,7 @@
     {
         shell.peer_socket.send(&[address], &PeerMessage::Report(report));
     }
+    quotas::send_usage(shell, now);
 }
 
 /// Applies a router's report of the granter's current term; others are ignored.
@@ -180,6 +182,8 @@
             permits::handle_request(shell, from, number, &request);
         }
         PeerMessage::Permit(number, permit) => permits::handle_answer(shell, number, permit),
+        PeerMessage::AccountUsage(usage) => quotas::handle_usage(shell, now, &usage),
+        PeerMessage::QuotaShares(shares) => quotas::handle_shares(shell, now, &shares),
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -6,6 +6,7 @@
 use async_io::{Async, Timer};
 use bay_time::{BootClock, Clock};
 
+use super::quotas;
 use super::shell_state::ShellState;
 use crate::http1::connection::Connection;
 use crate::http1::raw_head::read_raw_head;
@@ -104,6 +105,10 @@
     write_metric("routers.known", shell.router_hosts.borrow().len() as u64);
     let rate_limited = shell.router.borrow().directory().rate_limited_count(BootClock.now());
     write_metric("servers.rate_limited", rate_limited as u64);
+    if let Some((near_limit, has_recent_shares)) = quotas::metrics(shell) {
+        write_metric("quota.accounts_near_limit", near_limit);
+        write_metric("quota.recent_shares", has_recent_shares);
+    }
     let (sent, received) = shell.peer_socket.byte_counts();
     write_metric("peer.sent_bytes", sent);
     write_metric("peer.received_bytes", received);
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -13,6 +13,7 @@
 
 use super::attempt::{OutgoingRequest, ServerAnswer, exchange};
 use super::permits;
+use super::quotas;
 use super::reply::Reply;
 use super::request_head::RequestHead;
 use super::server_connection::{self, ServerEndpoint};
@@ -69,6 +70,9 @@
     let has_accounts = shell.router.borrow().has_accounts();
     let outgoing = OutgoingRequest::new(head, body, !has_accounts);
     let outcome = run_attempts(&shell, &mut request, &outgoing).await;
+    if let Some(error) = outcome.error {
+        shell.router.borrow_mut().refund_quota(BootClock.now(), &mut request, error);
+    }
     let elapsed = BootClock.now().since(request.arrived_at);
     let result = if outcome.error.is_some() { "refused" } else { "answered" };
     let name = format!("request.{}.{result}", request.service);
@@ -123,6 +127,7 @@
             };
         }
         let decision = shell.router.borrow_mut().pick_server(now, request);
+        quotas::send_urgent_usage(shell, now);
         let selected = match decision {
             RoutingDecision::Send(selected) => selected,
             RoutingDecision::Acquire(permit_request) => {
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -14,6 +14,7 @@
 use super::granter::GranterRole;
 use super::peers::PeerSocket;
 use super::permits::Permits;
+use super::quotas::Quotas;
 use super::store_client::StoreClient;
 use super::tunnel::TunnelCounts;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -42,6 +43,7 @@
     pub(crate) resources: Arc<ConnectionResources>,
     pub(crate) counters: Counters,
     pub(crate) permits: Permits,
+    pub(crate) quotas: RefCell<Quotas>,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -34,7 +34,7 @@
 #[derive(Debug)]
 struct LedgerRouter {
     incarnation: u32,
-    sent_ms: u32,
+    sent_ms: u64,
     reported_at: Option<Time>,
     accounts: HashMap<AccountId, ReportedUse>,
 }
@@ -56,6 +56,8 @@
 }
 
 impl QuotaLedger {
+    /// Maximum number of accounts in a message. With 13 bytes each it fits into a datagram.
+    pub const MAX_SHARES: usize = 2_000;
     /// Time for which shares are valid. At 250 ms between two messages, one may be lost or late.
     const VALIDITY: Duration = Duration::from_millis(600);
     /// Time without a report after which a router is taken to go by its own bounds.
@@ -122,8 +124,12 @@
         }
     }
 
-    /// Records a router's report. One that is older than another one has no effect.
+    /// Records a router's report. One that is older than another one, or for another term, has no
+    /// effect.
     pub fn record_usage(&mut self, now: Time, usage: &AccountUsage) {
+        if usage.term != self.term {
+            return;
+        }
         let router = self.routers.entry(usage.router).or_insert_with(LedgerRouter::unknown);
         let is_same_process =
             router.reported_at.is_some() && router.incarnation == usage.incarnation;
@@ -133,7 +139,7 @@
         let earliest = now - self.window;
         let since = match router.reported_at {
             Some(_) if is_same_process => {
-                let gap = Duration::from_millis(u64::from(usage.sent_ms - router.sent_ms));
+                let gap = Duration::from_millis(usage.sent_ms - router.sent_ms);
                 now - gap.min(self.window)
             }
             Some(at) => at.max(earliest),
@@ -219,6 +225,11 @@
             let reserved: f64 = reserved.sum();
             entries.push(account.share(now, *id, self.window, reserved));
         }
+        // Accounts that all routers admit freely are left out first.
+        if entries.len() > QuotaLedger::MAX_SHARES {
+            entries.sort_unstable_by_key(|entry: &AccountShare| entry.share);
+            entries.truncate(QuotaLedger::MAX_SHARES);
+        }
         entries.sort_unstable_by_key(|entry| entry.account);
         Some(QuotaShares {
             term: self.term,
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -19,7 +19,6 @@
     version: (u64, u32),
     /// Until when the last shares are valid.
     valid_until: Time,
-    started_at: Time,
     /// Term of the granter to which the last report went, and how many reports went there.
     reported_term: (u64, u32),
     is_report_due: bool,
@@ -40,13 +39,7 @@
     const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
 
     /// Creates the state of a router that has just started. `router` is the hash of its name.
-    pub fn new(
-        now: Time,
-        router: u32,
-        incarnation: u32,
-        window: Duration,
-        routers: u32,
-    ) -> LocalQuota {
+    pub fn new(router: u32, incarnation: u32, window: Duration, routers: u32) -> LocalQuota {
         LocalQuota {
             router,
             incarnation,
@@ -55,7 +48,6 @@
             routers,
             version: (0, 0),
             valid_until: Time::ZERO,
-            started_at: now,
             reported_term: (0, 0),
             is_report_due: false,
             next_account: None,
@@ -63,6 +55,11 @@
         }
     }
 
+    /// Returns the length of the window.
+    pub fn window(&self) -> Duration {
+        self.window
+    }
+
     /// Replaces the limits; accounts that are left out have none. Counts are kept.
     pub fn set_limits<I>(&mut self, limits: I)
     where
@@ -159,8 +156,8 @@
             }
         }
         let LocalQuota { router, incarnation, .. } = *self;
-        let sent_ms = now.since(self.started_at).as_millis() as u32;
-        AccountUsage { router, incarnation, sent_ms, entries }
+        let sent_ms = now.since(Time::ZERO).as_millis() as u64;
+        AccountUsage { router, incarnation, term, sent_ms, entries }
     }
 
     /// Keeps as many entries as a report may have, in turn.
--- a/crates/quota/src/message.rs
+++ b/crates/quota/src/message.rs
@@ -9,9 +9,11 @@
     pub router: u32,
     /// Identifies the start of the router's process; the totals of an earlier one do not continue.
     pub incarnation: u32,
-    /// Milliseconds from the start of the process to the report. They tell the order of reports and
-    /// the time between two of them, which their arrival does not.
-    pub sent_ms: u32,
+    /// Term of the granter that the report is for.
+    pub term: u64,
+    /// Time of the report on the router's own clock, in milliseconds. It tells the order of reports
+    /// and the time between two of them, which their arrival does not.
+    pub sent_ms: u64,
     /// Accounts whose totals have changed.
     pub entries: Vec<UsageEntry>,
 }
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -61,8 +61,7 @@
     Arrival(usize),
     Report(usize),
     Heartbeat,
-    /// Use reported to the granter of a term.
-    Usage(u64, AccountUsage),
+    Usage(AccountUsage),
     /// Heartbeat of the granter of a term at a router.
     Term(usize, u64),
     Shares(usize, QuotaShares),
@@ -174,7 +173,7 @@
         let restart = span(faults.restart, 1..2).start;
         let lowered_at = if faults.lowered { span(true, 1..2).start } else { u64::MAX };
         let restart = (restart, rng.random_range(0..ROUTERS));
-        let routers = (0..ROUTERS).map(|router| local(0, router, 1, &accounts, false)).collect();
+        let routers = (0..ROUTERS).map(|router| local(router, 1, &accounts, false)).collect();
         let mut fleet = Fleet {
             rng,
             scheme,
@@ -261,7 +260,7 @@
                 self.push(now + REPORT_MS, Event::Report(router));
                 if self.restart.1 == router && (now..now + REPORT_MS).contains(&self.restart.0) {
                     let is_lowered = now >= self.lowered_at;
-                    self.routers[router] = local(now, router, 2, &self.accounts, is_lowered);
+                    self.routers[router] = local(router, 2, &self.accounts, is_lowered);
                 }
                 self.report(now, router);
             }
@@ -281,8 +280,8 @@
                     self.report(now, router);
                 }
             }
-            Event::Usage(term, usage) => {
-                if term != self.ledger.term() {
+            Event::Usage(usage) => {
+                if usage.term != self.ledger.term() {
                     return;
                 }
                 self.ledger.record_usage(at(now), &usage);
@@ -306,7 +305,7 @@
         let usage = self.routers[router].drain_usage(at(now), self.known_term[router]);
         self.outcome.usage_bytes += postcard::to_stdvec(&usage).unwrap().len() as u64 + 1;
         if !self.is_cut_off(now, router) {
-            self.send(now, Event::Usage(self.known_term[router], usage));
+            self.send(now, Event::Usage(usage));
         }
     }
 
@@ -429,8 +428,8 @@
     accounts.iter().map(|account| (account.id, limit(account))).collect()
 }
 
-fn local(now: u64, router: usize, incarnation: u32, accounts: &[Account], is_lowered: bool) -> LocalQuota {
-    let mut local = LocalQuota::new(at(now), router as u32, incarnation, WINDOW, ROUTERS as u32);
+fn local(router: usize, incarnation: u32, accounts: &[Account], is_lowered: bool) -> LocalQuota {
+    let mut local = LocalQuota::new(router as u32, incarnation, WINDOW, ROUTERS as u32);
     local.set_limits(limits(accounts, is_lowered));
     local
 }
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bay_quota::{AccountId, AccountShare, AccountUsage, QuotaShares, UsageEntry};
 use bay_range::{
     EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
 };
@@ -24,6 +25,23 @@
     ServerName::new(name).expect("the name is valid")
 }
 
+fn account_usage(history: &[u32]) -> AccountUsage {
+    let entry = UsageEntry {
+        account: AccountId(0x89ab_cdef),
+        admitted: 300,
+        refused: 2,
+        in_window: 4,
+        history: history.to_vec(),
+    };
+    let (router, incarnation) = (0x1234_5678, 0x9abc_def0);
+    AccountUsage { router, incarnation, term: 7, sent_ms: 86_400_000, entries: vec![entry] }
+}
+
+fn quota_shares() -> QuotaShares {
+    let share = AccountShare { account: AccountId(0x89ab_cdef), share: 0x4000, used: 1_500 };
+    QuotaShares { term: 7, sequence: 5, routers: 74, valid_ms: 600, entries: vec![share] }
+}
+
 fn service() -> ServiceName {
     ServiceName::new("lookup").expect("the name is valid")
 }
@@ -143,6 +161,9 @@
         ("rate-limits", PeerMessage::RateLimits(vec![notice(Some(12.5)), notice(None)])),
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
+        ("account-usage", PeerMessage::AccountUsage(account_usage(&[]))),
+        ("account-usage-first", PeerMessage::AccountUsage(account_usage(&[0, 3, 1]))),
+        ("quota-shares", PeerMessage::QuotaShares(quota_shares())),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
     ]
 }
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use bay_quota::{AccountUsage, QuotaShares};
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,10 @@
     RequestPermit(u64, PermitRequest),
     /// Answers the request for a permit with this number.
     Permit(u64, Permit),
+    /// Reports the use of accounts with a quota from every router to the granter.
+    AccountUsage(AccountUsage),
+    /// Sends the shares of accounts that are near their quota from the granter to every router.
+    QuotaShares(QuotaShares),
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use bay_quota::LocalQuota;
 use bay_range::{Candidate, KeyLimit, OwnerId};
 use bay_time::Time;
 use bay_types::{ErrorKind, HostName, Revision, ServerName, ServiceName, ZoneName};
@@ -16,6 +17,7 @@
 
 mod attempt_results;
 mod paths;
+mod quotas;
 mod rate_limits;
 mod server_selection;
 
@@ -43,6 +45,10 @@
     answered_at: Time,
     /// Number of live routers, at least 1.
     router_count: u32,
+    /// Use of accounts with a quota; `None` if quotas are not enforced.
+    quota: Option<LocalQuota>,
+    /// Identifies the start of the process in reports of that use.
+    incarnation: u32,
     rng: SmallRng,
     counts: BTreeMap<Counter, u64>,
 }
@@ -67,6 +73,8 @@
             paths: ServerPaths::default(),
             answered_at: Time::ZERO,
             router_count: Router::INITIAL_ROUTER_COUNT,
+            quota: None,
+            incarnation: seed as u32,
             rng: SmallRng::seed_from_u64(seed),
             counts: BTreeMap::new(),
         }
@@ -106,6 +114,7 @@
         for pool in self.pools.values_mut() {
             pool.retry_budget.set_bounds(&bounds);
         }
+        self.update_quota_limits();
         true
     }
 
@@ -139,6 +148,7 @@
         }
         self.routes = RouteMap::new(&config);
         self.config = Some(Arc::new(config));
+        self.update_quota_limits();
         true
     }
 
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -39,7 +39,7 @@
     /// Mean `Retry-After` of other refusals.
     const LOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
     /// Upper bound of `Retry-After`, as a share of the request's time left (platform bound).
-    const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
+    pub(super) const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
     /// Share of a server's connection limit that all routers together use.
     const CONNECTION_SHARE: f64 = 0.8;
     /// Longest expected time of a request, as a share of the latency objective.
@@ -65,6 +65,9 @@
         if self.exceeds_key_limit(now, request) {
             return self.refuse_for_key_limit(now, request);
         }
+        if let Some(refusal) = self.refuse_for_quota(now, request) {
+            return refusal;
+        }
         match request.key {
             Some(key) => self.pick_owner(now, request, key),
             None => self.pick_from_pool(now, request),
