--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -68,13 +68,16 @@
     const REPORT_AGE: Duration = Duration::from_millis(300);
     /// Times after the arrival of shares at which the use may not exceed the target.
     const HORIZONS: [Duration; 3] =
-        [Duration::from_millis(300), Duration::from_millis(600), Duration::from_millis(900)];
+        [Duration::from_millis(250), Duration::from_millis(500), Duration::from_millis(900)];
     /// Mean time from a router's report or the granter's message until it arrives.
     const TRANSIT: Duration = Duration::from_millis(150);
     /// Shortest time between two reports, in seconds, by which rates are computed.
     const MIN_REPORT_GAP: f64 = 0.05;
     /// Part of the overshoot and slack up to which accounts may go.
-    const TARGET: f64 = 0.3;
+    const TARGET: f64 = 0.5;
+    /// Use of routers that have not reported in this term, relative to an equal part. They may have
+    /// more of the callers' connections than the others.
+    const UNKNOWN_USE: f64 = 1.5;
     /// Part of [`Fallback::NEAR`] below which an account is no longer near its limit.
     const LEAVE: f64 = 0.9;
 
@@ -161,7 +164,8 @@
         for entry in &usage.entries {
             let earlier = router.accounts.get(&entry.account);
             // A negative difference is a refund. Without an earlier total, the whole window counts.
-            let difference = |total: u32, earlier: u32| f64::from(total.wrapping_sub(earlier) as i32);
+            let difference =
+                |total: u32, earlier: u32| f64::from(total.wrapping_sub(earlier) as i32);
             let (admitted, refused) = match earlier {
                 Some(earlier) => (
                     difference(entry.admitted, earlier.admitted),
@@ -175,13 +179,8 @@
                 refused: refused.max(0.0) / seconds,
             };
             let UsageEntry { admitted: total, refused: refused_total, in_window, .. } = *entry;
-            let reported = ReportedUse {
-                at: now,
-                admitted: total,
-                refused: refused_total,
-                in_window,
-                rates,
-            };
+            let reported =
+                ReportedUse { at: now, admitted: total, refused: refused_total, in_window, rates };
             router.accounts.insert(entry.account, reported);
             let Some(account) = self.accounts.get_mut(&entry.account) else {
                 continue;
@@ -221,7 +220,8 @@
                 continue;
             }
             let fallback = Fallback::new(&account.limit, 0.0, routers);
-            let reserved = silent.iter().map(|router| router.reserve(now, *id, &fallback, self.window));
+            let reserved =
+                silent.iter().map(|router| router.reserve(now, *id, &fallback, self.window));
             let reserved: f64 = reserved.sum();
             entries.push(account.share(now, *id, self.window, reserved));
         }
@@ -249,16 +249,14 @@
         self.is_near = used >= self.limit.requests * Fallback::NEAR * leave;
     }
 
-    /// Adds the requests of a router's window.
+    /// Adds the requests of a router's window. Those of a part count at its end: counted earlier, they
+    /// would leave the window before they have in fact.
     fn add_history(&mut self, now: Time, window: Duration, history: &[u32]) {
         let part = window / history.len() as u32;
-        let mut start = now - window;
-        for count in history {
-            let end = start + part;
+        for (parts_left, count) in (0..history.len() as u32).rev().zip(history) {
             if *count > 0 {
-                self.admitted.spread(start, end - WindowCount::INTERVAL, f64::from(*count));
+                self.admitted.add(now - part * parts_left, f64::from(*count));
             }
-            start = end;
         }
     }
 
@@ -285,7 +283,7 @@
         let used = used + until_arrival;
         // Requests that leave the window late make no room for earlier ones.
         let per_second = QuotaLedger::HORIZONS.map(|horizon| {
-            let leaving = self.admitted.between(oldest, oldest + QuotaLedger::TRANSIT + horizon);
+            let leaving = self.admitted.between(oldest, oldest + horizon);
             (target - used + leaving).max(0.0) / horizon.as_secs_f64()
         });
         let per_second = per_second.into_iter().fold(f64::MAX, f64::min);
@@ -311,17 +309,11 @@
     }
 
     /// Returns the use of a silent router that has not been reported, at most its bound.
-    fn reserve(
-        &self,
-        now: Time,
-        account: AccountId,
-        fallback: &Fallback,
-        window: Duration,
-    ) -> f64 {
+    fn reserve(&self, now: Time, account: AccountId, fallback: &Fallback, window: Duration) -> f64 {
         let reported = self.accounts.get(&account).filter(|use_| now.since(use_.at) < window * 2);
         let bound = match self.reported_at {
             Some(_) => fallback.bound(reported.map_or(0.0, |use_| f64::from(use_.in_window))),
-            None => fallback.equal / Fallback::EQUAL,
+            None => fallback.equal / Fallback::EQUAL * QuotaLedger::UNKNOWN_USE,
         };
         let silent = self.reported_at.map_or(window, |at| now.since(at));
         bound * (silent.as_secs_f64() / window.as_secs_f64()).min(1.0)
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -45,8 +45,6 @@
 pub struct Outcome {
     /// Highest use of a window as a part of its bound.
     pub worst_window: f64,
-    /// Account, end and use of that window.
-    pub worst: (usize, u64, usize),
     pub requests: u64,
     /// Requests refused while the use of all routers in the window was below the limit.
     pub refused_below: u64,
@@ -116,6 +114,9 @@
 }
 
 impl Fleet {
+    /// Length of a run.
+    pub const SECONDS: u64 = END_MS / 1_000;
+
     pub fn run(seed: u64, scheme: Scheme, faults: Faults) -> Outcome {
         let mut fleet = Fleet::new(seed, scheme, faults);
         while let Some(Reverse((now, sequence))) = fleet.events.pop() {
@@ -319,15 +320,6 @@
         let Some(shares) = self.ledger.shares(at(now)) else {
             return;
         };
-        if let Ok(t) = std::env::var("QT") {
-            let index: usize = t.parse().unwrap();
-            let a = &self.accounts[index];
-            let first = a.admitted.partition_point(|time| time + 5000 <= now);
-            let true_used = (a.admitted.len() - first) as f64 / a.limit.requests;
-            let r = a.admitted.len() - a.admitted.partition_point(|time| time + 250 <= now);
-            let e = shares.entries.iter().find(|e| e.account == a.id);
-            if now % 100_000 > std::env::var("QFROM").unwrap().parse().unwrap() && now < std::env::var("QTO").unwrap().parse().unwrap() { eprintln!("{now} true {true_used:.3} rate {:.2} {:?}", r as f64 * 4.0 / a.rate, e.map(|e| (e.share as f64 / 65535.0, e.used as f64 / a.limit.requests))); }
-        }
         self.outcome.share_bytes += postcard::to_stdvec(&shares).unwrap().len() as u64 + 1;
         for router in 0..ROUTERS {
             if !self.is_cut_off(now, router) {
@@ -394,7 +386,7 @@
     fn judge(self) -> Outcome {
         let window = WINDOW.as_millis() as u64;
         let mut outcome = self.outcome;
-        for (index, account) in self.accounts.iter().enumerate() {
+        for account in &self.accounts {
             outcome.shortfall += account.counts.0.saturating_sub(account.counts.1);
             let mut first = 0;
             for (last, time) in account.admitted.iter().enumerate() {
@@ -402,14 +394,11 @@
                     first += 1;
                 }
                 // Routers may learn of a lower limit half a second late.
-                let is_lowered =
-                    account.lowered && account.admitted[first] >= self.lowered_at.saturating_add(500);
+                let is_lowered = account.lowered
+                    && account.admitted[first] >= self.lowered_at.saturating_add(500);
                 let limit = if is_lowered { lowered(account.rate) } else { account.limit };
                 let use_ = (last + 1 - first) as f64 / limit.bound;
-                if use_ > outcome.worst_window {
-                    outcome.worst_window = use_;
-                    outcome.worst = (index, *time, last + 1 - first);
-                }
+                outcome.worst_window = outcome.worst_window.max(use_);
             }
         }
         outcome
--- a/crates/quota/tests/simulation.rs
+++ b/crates/quota/tests/simulation.rs
@@ -11,59 +11,68 @@
 const ALL: Faults = Faults { restart: true, cut_off: true, lowered: true, ..HOT_LOST };
 
 /// Number of seeds; `QUOTA_SEEDS` replaces it.
-const SEEDS: u64 = 12;
+const SEEDS: u64 = 24;
 const THREADS: u64 = 3;
 
 fn run_seeds(scheme: Scheme, faults: Faults) -> Vec<(u64, Outcome)> {
     let seeds = std::env::var("QUOTA_SEEDS").map_or(SEEDS, |text| text.parse().unwrap());
-    if let Ok(s) = std::env::var("QSEED") { let s = s.parse().unwrap(); return vec![(s, Fleet::run(s, scheme, faults))]; }
     std::thread::scope(|scope| {
-        let run = |first| (first..seeds).step_by(THREADS as usize).map(|seed| {
-            (seed, Fleet::run(seed, scheme, faults))
-        });
-        let threads: Vec<_> = (0..THREADS)
-            .map(|first| scope.spawn(move || run(first).collect::<Vec<_>>()))
-            .collect();
+        let run = |first| {
+            (first..seeds)
+                .step_by(THREADS as usize)
+                .map(|seed| (seed, Fleet::run(seed, scheme, faults)))
+        };
+        let threads: Vec<_> =
+            (0..THREADS).map(|first| scope.spawn(move || run(first).collect::<Vec<_>>())).collect();
         threads.into_iter().flat_map(|thread| thread.join().unwrap()).collect()
     })
 }
 
-fn print_outcomes(name: &str, outcomes: &[(u64, Outcome)]) -> (usize, f64, f64) {
-    let broken = outcomes.iter().filter(|(_, outcome)| outcome.worst_window > 1.0).count();
-    let worst = outcomes.iter().max_by(|a, b| a.1.worst_window.total_cmp(&b.1.worst_window));
+/// Requests that one limiter for all routers admits and the fleet refused, as a part of those that it
+/// admits.
+fn lost_part(outcome: &Outcome) -> f64 {
+    let ideal = outcome.requests - outcome.refused + outcome.shortfall;
+    outcome.shortfall as f64 / ideal as f64
+}
+
+/// Prints the results of a case and returns the broken windows and the highest lost part.
+fn summarize(name: &str, outcomes: &[(u64, Outcome)]) -> (Vec<(u64, f64)>, f64) {
+    let broken = outcomes.iter().filter(|(_, outcome)| outcome.worst_window > 1.0);
+    let broken: Vec<(u64, f64)> = broken.map(|(seed, o)| (*seed, o.worst_window)).collect();
     let sum = |field: fn(&Outcome) -> u64| outcomes.iter().map(|(_, o)| field(o)).sum::<u64>();
     let requests = sum(|o| o.requests) as f64;
-    let below = sum(|o| o.refused_below) as f64 / requests;
-    let shortfall = sum(|o| o.shortfall) as f64 / requests;
-    let part = |o: &Outcome| o.refused_below as f64 / o.requests as f64;
-    let worst_below = outcomes.iter().map(|(_, o)| part(o)).fold(0.0, f64::max);
-    let router_seconds = (outcomes.len() * ROUTERS * 32) as f64;
+    let max =
+        |field: fn(&Outcome) -> f64| outcomes.iter().map(|(_, o)| field(o)).fold(0.0, f64::max);
+    let lost = max(lost_part);
+    let seconds = (outcomes.len() as u64 * Fleet::SECONDS) as f64;
     println!(
-        "{name}: seeds {}, broken {broken}, worst {:?}, refused {:.4}, below {below:.5} (max {worst_below:.4}), \
-         shortfall {shortfall:.5}, report bytes/s {:.0}, share bytes/s {:.0}",
+        "{name}: seeds {}, broken {broken:?}, worst window {:.4}, refused {:.4}, below the limit \
+         {:.4}, lost {:.4} (worst seed {lost:.4}), report bytes/s at a router {:.0}, share bytes/s {:.0}",
         outcomes.len(),
-        worst.map(|(seed, o)| (*seed, o.worst_window, o.worst)),
+        max(|o| o.worst_window),
         sum(|o| o.refused) as f64 / requests,
-        sum(|o| o.usage_bytes) as f64 / router_seconds,
-        sum(|o| o.share_bytes) as f64 / (outcomes.len() * 32) as f64,
+        sum(|o| o.refused_below) as f64 / requests,
+        outcomes.iter().map(|(_, o)| lost_part(o)).sum::<f64>() / outcomes.len() as f64,
+        sum(|o| o.usage_bytes) as f64 / seconds / ROUTERS as f64,
+        sum(|o| o.share_bytes) as f64 / seconds,
     );
-    (broken, below, worst_below)
+    (broken, lost)
 }
 
-/// Guards against windows over the bound and against requests refused below the limit.
+/// Guards against windows over the bound and against requests lost below the limit.
 #[test_case("normal", NONE, 0.01; "normal")]
-#[test_case("hot", HOT, 0.05; "hot")]
-#[test_case("hot-lost", HOT_LOST, 0.05; "hot and granter lost")]
-#[test_case("all", ALL, 0.05; "all faults")]
-fn the_fleet_keeps_the_bound(name: &str, faults: Faults, max_refused_below: f64) {
-    let (broken, _, worst) = print_outcomes(name, &run_seeds(Scheme::Shared, faults));
-    assert_eq!(broken, 0);
-    assert!(worst < max_refused_below, "{worst}");
+#[test_case("hot accounts", HOT, 0.05; "hot accounts")]
+#[test_case("hot accounts and granter lost", HOT_LOST, 0.05; "hot accounts and granter lost")]
+#[test_case("all faults", ALL, 0.08; "all faults")]
+fn the_fleet_keeps_the_bound(name: &str, faults: Faults, max_lost: f64) {
+    let (broken, lost) = summarize(name, &run_seeds(Scheme::Shared, faults));
+    assert_eq!(broken, []);
+    assert!(lost < max_lost, "{lost}");
 }
 
 /// Shows that the simulation tells a bad scheme from a good one.
 #[test]
-fn equal_division_refuses_below_the_limit() {
-    let (_, below, _) = print_outcomes("equal", &run_seeds(Scheme::EqualDivision, NONE));
-    assert!(below > 0.05, "{below}");
+fn equal_division_loses_requests_below_the_limit() {
+    let (_, lost) = summarize("equal division", &run_seeds(Scheme::EqualDivision, NONE));
+    assert!(lost > 0.05, "{lost}");
 }
--- a/crates/router/src/router/quotas.rs
+++ b/crates/router/src/router/quotas.rs
@@ -29,8 +29,7 @@
             return;
         };
         let router = Router::quota_id(self.settings.host.as_str());
-        let fresh =
-            || LocalQuota::new(router, self.incarnation, bounds.window, self.router_count);
+        let fresh = || LocalQuota::new(router, self.incarnation, bounds.window, self.router_count);
         let mut quota = self.quota.take().filter(|quota| quota.window() == bounds.window);
         quota.get_or_insert_with(fresh).set_limits(limits);
         self.quota = quota;
