--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -173,11 +173,14 @@
     SMALL_MACHINE_DELAY.mul_f64(1.0 - settings.relative_size()) + spread
 }
 
-/// Runs the steps of the granter or follower until a planned stop begins; then it only sleeps.
+/// Runs the steps of the granter or follower until a planned stop begins; then it only reports the
+/// use of accounts.
 pub(crate) async fn run(shell: Rc<ShellState>) {
     loop {
         if shell.phase.get() == Phase::Serving {
             run_step(&shell);
+        } else {
+            quotas::send_usage_while_stopping(&shell, BootClock.now());
         }
         let is_granter = shell.granter_role.borrow().term().is_some();
         Timer::after(if is_granter { GRANTER_STEP_INTERVAL } else { FOLLOWER_STEP_INTERVAL }).await;
--- a/crates/node/src/router_shell/quotas.rs
+++ b/crates/node/src/router_shell/quotas.rs
@@ -12,6 +12,9 @@
 /// Shortest time between two messages that are sent before they are due.
 const MIN_URGENT_INTERVAL: Duration = Duration::from_millis(100);
 
+/// Interval between reports during a planned stop, in addition to [`MIN_URGENT_INTERVAL`].
+const STOP_INTERVAL: Duration = Duration::from_millis(200);
+
 /// Interval between logs of the accounts near their quota.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
@@ -71,6 +74,15 @@
     }
 }
 
+/// Reports the use of accounts during a planned stop, in which the router sends no other reports but
+/// still serves requests.
+pub(crate) fn send_usage_while_stopping(shell: &Rc<ShellState>, now: Time) {
+    let is_due = now >= shell.quotas.borrow().next_usage_at + STOP_INTERVAL;
+    if is_due && shell.router.borrow().has_quotas() {
+        send_usage(shell, now);
+    }
+}
+
 /// Records the use that a router reports, if this router is the granter.
 pub(crate) fn handle_usage(shell: &Rc<ShellState>, now: Time, usage: &AccountUsage) {
     update_ledger(shell, now);
@@ -99,7 +111,7 @@
         let own = std::iter::once(shell.settings.host);
         let hosts = hosts.keys().copied().chain(own);
         let routers: BTreeSet<u32> = hosts.map(|host| Router::quota_id(host.as_str())).collect();
-        ledger.set_routers(&routers);
+        ledger.set_routers(now, &routers);
         quotas.next_shares_at = now + MIN_URGENT_INTERVAL;
         let Some(shares) = ledger.shares(now) else {
             return;
--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -119,9 +119,14 @@
         }
     }
 
-    /// Replaces the registered routers.
-    pub fn set_routers(&mut self, routers: &BTreeSet<u32>) {
-        self.routers.retain(|router, _| routers.contains(router));
+    /// Replaces the registered routers. One that is no longer registered, or not yet, is kept while
+    /// its requests are in the window.
+    pub fn set_routers(&mut self, now: Time, routers: &BTreeSet<u32>) {
+        let window = self.window;
+        self.routers.retain(|router, state| {
+            let is_recent = state.reported_at.is_some_and(|at| now.since(at) <= window);
+            routers.contains(router) || is_recent
+        });
         for router in routers {
             self.routers.entry(*router).or_insert_with(LedgerRouter::unknown);
         }
--- a/crates/quota/tests/decisions.rs
+++ b/crates/quota/tests/decisions.rs
@@ -84,7 +84,7 @@
 fn a_new_granter_waits_for_the_reports_of_the_window() {
     let mut ledger = QuotaLedger::new(at(0), 3, WINDOW);
     ledger.set_limits([(ACCOUNT, limit(20.0))]);
-    ledger.set_routers(&BTreeSet::from([1, 2]));
+    ledger.set_routers(at(0), &BTreeSet::from([1, 2]));
     let mut first = router(20.0, 2);
     let mut used = 0;
     while first.admit(at(0), ACCOUNT).is_ok() {
@@ -139,3 +139,18 @@
         .map(|(millis, term)| entry(millis, term).unwrap().history.iter().sum::<u32>());
     assert_eq!(lengths, [1, 2, 0, 4]);
 }
+
+/// Guards against the use of a router counted again with each report because the router is not
+/// registered yet.
+#[test]
+fn the_use_of_a_router_that_is_not_registered_counts_once() {
+    let mut ledger = QuotaLedger::new(at(0), 1, WINDOW);
+    ledger.set_limits([(ACCOUNT, limit(20.0))]);
+    let mut quota = router(20.0, 1);
+    for report in 0..12 {
+        assert!(quota.admit(at(report * 300), ACCOUNT).is_ok());
+        ledger.record_usage(at(report * 300), &quota.drain_usage(at(report * 300), 1));
+        ledger.set_routers(at(report * 300), &BTreeSet::new());
+    }
+    assert_eq!(ledger.shares(at(3_600)).unwrap().entries, []);
+}
--- a/crates/quota/tests/fleet/mod.rs
+++ b/crates/quota/tests/fleet/mod.rs
@@ -216,7 +216,7 @@
         self.ledger = QuotaLedger::new(at(now), term, WINDOW);
         let is_lowered = now >= self.lowered_at;
         self.ledger.set_limits(limits(&self.accounts, is_lowered));
-        self.ledger.set_routers(&(0..ROUTERS as u32).collect::<BTreeSet<u32>>());
+        self.ledger.set_routers(at(now), &(0..ROUTERS as u32).collect::<BTreeSet<u32>>());
     }
 
     fn push(&mut self, time: u64, event: Event) {
