Lower the bound of routers that are cut off for long

Change: after 1.5 s of fallback 0.85 of a router's bound holds, a new granter keeps 1.8 equal parts free for each router it has not heard, and accounts are admitted up to 0.35 of overshoot and slack instead of 0.45.

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -74,10 +74,10 @@
     /// Shortest time between two reports, in seconds, by which rates are computed.
     const MIN_REPORT_GAP: f64 = 0.05;
     /// Part of the overshoot and slack up to which accounts may go.
-    const TARGET: f64 = 0.45;
+    const TARGET: f64 = 0.35;
     /// Use of routers that have not reported in this term, relative to an equal part. They may have
     /// more of the callers' connections than the others.
-    const UNKNOWN_USE: f64 = 1.5;
+    const UNKNOWN_USE: f64 = 1.8;
     /// Part of [`Fallback::NEAR`] below which an account is no longer near its limit.
     const LEAVE: f64 = 0.9;
 
--- a/crates/quota/src/local_account.rs
+++ b/crates/quota/src/local_account.rs
@@ -1,3 +1,5 @@
+use std::time::Duration;
+
 use bay_time::Time;
 
 use crate::fallback::Fallback;
@@ -41,6 +43,12 @@
 }
 
 impl LocalAccount {
+    /// Time without recent shares after which a router goes below its bound. By then it is rather cut
+    /// off than the granter lost, and the others do not know of its use.
+    const LONG_SILENCE: Duration = Duration::from_millis(1_500);
+    /// Part of the bound that holds then. With the whole one, 7 of 1,000 simulated fleets exceeded
+    /// the limit, most of them with a third of the routers cut off and the granter lost.
+    const LONG_SILENCE_PART: f64 = 0.85;
     /// Requests by which a router with recent shares may exceed its bound.
     const OVERDRAFT: f64 = 2.0;
 
@@ -79,9 +87,10 @@
         self.fallback = Fallback::new(&limit, self.known_use, routers);
     }
 
-    /// Returns whether a request beyond the `used` ones is within the router's bound.
-    pub(crate) fn is_within_bound(&self, used: f64) -> bool {
-        used + 1.0 <= (self.fallback.bound(self.used_at_shares) + self.rounding).floor()
+    /// Returns whether a request beyond the `used` ones is within the router's bound. Of this, a
+    /// `part` holds.
+    pub(crate) fn is_within_bound(&self, used: f64, part: f64) -> bool {
+        used + 1.0 <= (self.fallback.bound(self.used_at_shares) * part + self.rounding).floor()
     }
 
     /// Returns whether a request is within what a router with recent shares may use until the next
@@ -92,12 +101,18 @@
         used + 1.0 <= bound + LocalAccount::OVERDRAFT
     }
 
-    /// Returns why a request is refused, `None` if it is admitted. `is_recent` tells whether the
-    /// shares are.
-    pub(crate) fn check(&mut self, used: f64, is_recent: bool, expiry: Time) -> Option<Refusal> {
-        let is_within = match is_recent {
-            true => self.is_within_growth(used),
-            false => self.is_within_bound(used),
+    /// Returns why a request is refused, `None` if it is admitted. `silence` is the time since the
+    /// shares were recent, if they are not.
+    pub(crate) fn check(
+        &mut self,
+        used: f64,
+        silence: Option<Duration>,
+        expiry: Time,
+    ) -> Option<Refusal> {
+        let is_within = match silence {
+            None => self.is_within_growth(used),
+            Some(time) if time < LocalAccount::LONG_SILENCE => self.is_within_bound(used, 1.0),
+            Some(_) => self.is_within_bound(used, LocalAccount::LONG_SILENCE_PART),
         };
         if !is_within {
             return Some(Refusal::Bound(expiry));
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -88,8 +88,10 @@
         };
         let used = account.admitted.count(now, self.window);
         let expiry = account.admitted.first().map_or(now, |first| first + self.window);
-        let is_within_bound = account.is_within_bound(used);
-        let refusal = account.check(used, now < self.valid_until, expiry);
+        let is_within_bound = account.is_within_bound(used, 1.0);
+        let is_recent = now < self.valid_until;
+        let silence = (!is_recent).then(|| now.since(self.valid_until));
+        let refusal = account.check(used, silence, expiry);
         self.is_report_due |= account.share.is_none() && !is_within_bound;
         let Some(refusal) = refusal else {
             account.admitted_total = account.admitted_total.wrapping_add(1);
