--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -31,6 +31,7 @@
 mod peers;
 mod permits;
 mod probes;
+mod quotas;
 mod reply;
 mod request;
 mod request_head;
@@ -108,6 +109,7 @@
             cutoff: Cutoff::new(),
             permits: permits::Permits::default(),
             vouch_requests: freshness::VouchRequests::default(),
+            quotas: RefCell::default(),
             latencies: RefCell::default(),
             tunnel_counts: tunnel::TunnelCounts::default(),
             active_connections: Cell::new(0),
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -14,6 +14,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::orders;
+use super::quotas;
 use super::server_updates;
 use super::shell_state::{Phase, ShellState};
 
@@ -186,11 +187,14 @@
     hash as f64 / u64::MAX as f64
 }
 
-/// Runs the steps of the granter or follower until a planned stop begins; then it only sleeps.
+/// Runs the steps of the granter or follower until a planned stop begins; then it only reports the
+/// use of accounts.
 pub(crate) async fn run(shell: Rc<ShellState>) {
     loop {
         if shell.phase.get() == Phase::Serving {
             run_step(&shell);
+        } else {
+            quotas::send_usage_while_stopping(&shell, BootClock.now());
         }
         let is_granter = shell.granter_role.borrow().term().is_some();
         Timer::after(if is_granter { GRANTER_STEP_INTERVAL } else { FOLLOWER_STEP_INTERVAL }).await;
@@ -209,6 +213,7 @@
         run_granter_step(shell, now);
     }
     send_report(shell, now);
+    quotas::send_urgent_usage(shell, now);
     fan_out::request_direct_messages(shell, now);
     let crashes = shell.router.borrow_mut().drain_crashes();
     if !crashes.is_empty() {
@@ -324,6 +329,17 @@
     shell.granter_role.borrow().last_heartbeat.map(|heartbeat| heartbeat.from)
 }
 
+/// Returns the address of the granter, `None` if it is this router, with its term. There is none
+/// while this router knows no granter.
+pub(crate) fn leader(shell: &ShellState) -> Option<(Option<SocketAddr>, Term)> {
+    let role = shell.granter_role.borrow();
+    if let Some(term) = role.term() {
+        return Some((None, term));
+    }
+    let (address, term) = role.leader?;
+    (term == role.leadership.known_term()).then_some((Some(address), term))
+}
+
 /// Returns the datagram addresses of the other routers.
 pub(crate) fn other_routers(shell: &ShellState) -> Vec<SocketAddr> {
     let own = shell.settings.host;
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -17,6 +17,7 @@
 use super::granter::GranterRole;
 use super::peers::PeerSocket;
 use super::permits::Permits;
+use super::quotas::Quotas;
 use super::store_client::StoreClient;
 use super::tunnel::TunnelCounts;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -46,6 +47,7 @@
     pub(crate) counters: Counters,
     pub(crate) permits: Permits,
     pub(crate) vouch_requests: VouchRequests,
+    pub(crate) quotas: RefCell<Quotas>,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use bay_quota::{AccountUsage, QuotaShares};
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -53,6 +54,10 @@
     RequestVouch(u64),
     /// Answers the request with this stamp.
     Vouch(Vouch),
+    /// Reports the use of accounts with a quota from every router to the granter.
+    AccountUsage(AccountUsage),
+    /// Sends the shares of accounts that are near their quota from the granter to every router.
+    QuotaShares(QuotaShares),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
--- a/crates/router/tests/wire_compatibility.rs
+++ b/crates/router/tests/wire_compatibility.rs
@@ -60,13 +60,14 @@
     assert_eq!(serde_json::from_str::<T>(json).unwrap(), *sample);
 }
 
-/// A router of 2bea093 counts a message that it does not know as malformed. The tag of the last message
-/// that it knows is 14.
-#[test]
-fn messages_that_are_new_since_2bea093_have_tags_that_it_does_not_know() {
-    let known = encodings(V_2BEA093, "message");
+/// A router of an older version counts a message that it does not know as malformed. `last_tag` is
+/// that of the last message that it knows.
+#[test_case(V_2BEA093, 14; "2bea093")]
+#[test_case(V_1EBEA53, 17; "1ebea53")]
+fn new_messages_have_tags_that_an_older_version_does_not_know(golden: &str, last_tag: u8) {
+    let known = encodings(golden, "message");
     let new = samples::messages().into_iter().filter(|(name, _)| !known.contains_key(name));
     for (name, message) in new {
-        assert!(postcard::to_stdvec(&message).unwrap()[0] > 14, "{name}");
+        assert!(postcard::to_stdvec(&message).unwrap()[0] > last_tag, "{name}");
     }
 }
