--- /dev/null
+++ b/crates/admission/src/level_ledger.rs
@@ -0,0 +1,39 @@
+use std::collections::BTreeMap;
+
+use bay_time::Time;
+use bay_types::{ServiceName, Term};
+
+use crate::{OverloadLevels, OverloadReport, ServiceLevel, ShareController};
+
+/// Adds up the routers' reports at the granter and decides the levels for all of them.
+#[derive(Debug, Default)]
+pub struct LevelLedger {
+    services: BTreeMap<ServiceName, ShareController>,
+    sequence: u64,
+}
+
+impl LevelLedger {
+    /// Adds a router's report.
+    pub fn record(&mut self, report: &OverloadReport) {
+        for counts in &report.services {
+            let controller = self.services.entry(counts.service);
+            let new = || ShareController::new(ShareController::FLEET_WINDOW);
+            controller.or_insert_with(new).add(counts);
+        }
+    }
+
+    /// Returns the levels to be sent, at a steady interval; `None` if no ranks meet at any service.
+    pub fn levels(&mut self, now: Time, term: Term) -> Option<OverloadLevels> {
+        self.services.values_mut().for_each(|controller| controller.update(now));
+        let meeting = self.services.iter().filter(|(_, each)| each.has_several_ranks());
+        let services: Vec<ServiceLevel> = meeting
+            .map(|(service, each)| ServiceLevel { service: *service, shares: each.shares() })
+            .collect();
+        if services.is_empty() {
+            return None;
+        }
+        self.sequence += 1;
+        let valid_ms = OverloadLevels::VALIDITY.as_millis() as u32;
+        Some(OverloadLevels { term, sequence: self.sequence, valid_ms, services })
+    }
+}
