--- a/crates/admission/src/level_ledger.rs
+++ b/crates/admission/src/level_ledger.rs
@@ -17,8 +17,7 @@
     pub fn record(&mut self, report: &OverloadReport) {
         for counts in &report.services {
             let controller = self.services.entry(counts.service);
-            let new = || ShareController::new(ShareController::FLEET_WINDOW);
-            controller.or_insert_with(new).add(counts);
+            controller.or_insert_with(ShareController::for_fleet).add(counts);
         }
     }
 
--- a/crates/admission/src/lib.rs
+++ b/crates/admission/src/lib.rs
@@ -13,7 +13,7 @@
 mod share_accumulator;
 mod share_controller;
 
-pub use allocation::allocate_shares;
+pub use allocation::{RankDemand, allocate_shares};
 pub use level_ledger::LevelLedger;
 pub use local_admission::LocalAdmission;
 pub use overload_levels::{OverloadLevels, RankShare, ServiceLevel};
--- a/crates/admission/src/local_admission.rs
+++ b/crates/admission/src/local_admission.rs
@@ -42,12 +42,7 @@
     }
 
     /// Returns the shortest objective of the more urgent requests at a service, if there are any.
-    pub fn urgent_objective(
-        &self,
-        now: Time,
-        service: ServiceName,
-        rank: u32,
-    ) -> Option<Duration> {
+    pub fn urgent_objective(&self, now: Time, service: ServiceName, rank: u32) -> Option<Duration> {
         self.services.get(&service)?.urgent_objective(now, narrow(rank))
     }
 
--- a/crates/admission/src/overload_report.rs
+++ b/crates/admission/src/overload_report.rs
@@ -30,8 +30,10 @@
     pub offered: u32,
     /// Requests that were admitted by rank.
     pub admitted: u32,
-    /// Admitted requests that were refused for lack of capacity, or answered late.
-    pub troubled: u32,
+    /// Admitted requests that were refused for lack of capacity.
+    pub refused: u32,
+    /// Requests that were answered after their latency objective.
+    pub late: u32,
     /// Requests that were answered, in time or late.
     pub answered: u32,
     /// Sum of their estimated times of work, in milliseconds.
--- a/crates/admission/src/service_admission.rs
+++ b/crates/admission/src/service_admission.rs
@@ -41,7 +41,7 @@
             waiting: 0,
             slots: 0,
             level: None,
-            fallback: ShareController::new(ShareController::LOCAL_WINDOW),
+            fallback: ShareController::for_router(),
         }
     }
 
@@ -88,9 +88,9 @@
             RequestOutcome::Answered { work, late } => {
                 counts.answered += 1;
                 counts.work_ms = counts.work_ms.saturating_add(work.as_millis() as u32);
-                counts.troubled += u32::from(late);
+                counts.late += u32::from(late);
             }
-            RequestOutcome::Refused => counts.troubled += 1,
+            RequestOutcome::Refused => counts.refused += 1,
         }
     }
 
