--- a/crates/admission/src/local_admission.rs
+++ b/crates/admission/src/local_admission.rs
@@ -5,7 +5,7 @@
 use bay_types::{ServiceName, Term};
 
 use crate::service_admission::ServiceAdmission;
-use crate::{OverloadLevels, OverloadReport, RankShare, RequestOutcome};
+use crate::{OverloadLevels, OverloadReport, RankShare, RefusalReason, RequestOutcome};
 
 /// Admission by rank at a router.
 ///
@@ -16,6 +16,8 @@
     services: BTreeMap<ServiceName, ServiceAdmission>,
     /// Term and sequence of the last levels.
     version: (Term, u64),
+    /// Refusals since the start of the process.
+    refusals: BTreeMap<(RefusalReason, u8), u64>,
 }
 
 impl LocalAdmission {
@@ -31,7 +33,11 @@
         phase: f64,
     ) -> bool {
         let admission = self.services.entry(service).or_insert_with(ServiceAdmission::new);
-        admission.admits(now, narrow(rank), objective, phase)
+        let admitted = admission.admits(now, narrow(rank), objective, phase);
+        if !admitted {
+            *self.refusals.entry((RefusalReason::Share, narrow(rank))).or_default() += 1;
+        }
+        admitted
     }
 
     /// Returns whether a request that was sent already may be repeated: only if no first attempts of its
@@ -48,6 +54,9 @@
 
     /// Records how an admitted request ended.
     pub fn record_outcome(&mut self, service: ServiceName, rank: u32, outcome: RequestOutcome) {
+        if let RequestOutcome::Refused(reason) = outcome {
+            *self.refusals.entry((reason, narrow(rank))).or_default() += 1;
+        }
         if let Some(admission) = self.services.get_mut(&service) {
             admission.record_outcome(narrow(rank), outcome);
         }
@@ -85,6 +94,11 @@
         OverloadReport { services: self.services.iter_mut().filter_map(drain).collect() }
     }
 
+    /// Returns the refusals since the start of the process, by reason and rank.
+    pub fn refusals(&self) -> &BTreeMap<(RefusalReason, u8), u64> {
+        &self.refusals
+    }
+
     /// Returns the shares in force by service and rank, for metrics.
     pub fn shares(&self, now: Time) -> Vec<(ServiceName, Vec<RankShare>)> {
         self.services.iter().map(|(name, each)| (*name, each.shares(now))).collect()
@@ -92,7 +106,7 @@
 }
 
 /// Returns a rank as sent in messages. Higher ranks count as one, so that their number is bounded.
-fn narrow(rank: u32) -> u8 {
+pub(crate) fn narrow(rank: u32) -> u8 {
     /// Ranks that are told apart.
     const MAX_RANK: u32 = 7;
     rank.min(MAX_RANK) as u8
--- a/crates/admission/src/request_outcome.rs
+++ b/crates/admission/src/request_outcome.rs
@@ -1,5 +1,7 @@
 use std::time::Duration;
 
+use crate::RefusalReason;
+
 /// How a request ended that was admitted by rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
@@ -11,5 +13,5 @@
         late: bool,
     },
     /// It was given up for lack of capacity.
-    Refused,
+    Refused(RefusalReason),
 }
--- a/crates/admission/src/service_admission.rs
+++ b/crates/admission/src/service_admission.rs
@@ -90,7 +90,7 @@
                 counts.work_ms = counts.work_ms.saturating_add(work.as_millis() as u32);
                 counts.late += u32::from(late);
             }
-            RequestOutcome::Refused => counts.refused += 1,
+            RequestOutcome::Refused(_) => counts.refused += 1,
         }
     }
 
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -4,7 +4,9 @@
 use std::collections::{BinaryHeap, VecDeque};
 use std::time::Duration;
 
-use bay_admission::{LevelLedger, LocalAdmission, OverloadLevels, OverloadReport, RequestOutcome};
+use bay_admission::{
+    LevelLedger, LocalAdmission, OverloadLevels, OverloadReport, RefusalReason, RequestOutcome,
+};
 use bay_time::Time;
 use bay_types::{ServiceName, Term};
 use rand::rngs::SmallRng;
@@ -294,7 +296,7 @@
     }
 
     fn give_up(&mut self, now: u64, job: Job) {
-        let outcome = RequestOutcome::Refused;
+        let outcome = RequestOutcome::Refused(RefusalReason::Capacity);
         self.routers[job.router].record_outcome(service(), job.class as u32, outcome);
         self.refuse(now, job);
     }
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -24,6 +24,7 @@
 mod hosts;
 mod http_client;
 mod orders;
+mod overload;
 mod peers;
 mod permits;
 mod probes;
@@ -111,6 +112,7 @@
             config_parts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
+            overload: RefCell::default(),
             permits: permits::Permits::default(),
             latencies: RefCell::default(),
             tunnel_counts: tunnel::TunnelCounts::default(),
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -13,6 +13,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::orders;
+use super::overload;
 use super::server_updates;
 use super::shell_state::{Phase, ShellState};
 
@@ -194,6 +195,8 @@
         run_granter_step(shell, now);
     }
     send_report(shell, now);
+    let leader = shell.granter_role.borrow().leader.map(|(address, _)| address);
+    overload::run_step(shell, now, leader);
     fan_out::request_direct_messages(shell, now);
     let crashes = shell.router.borrow_mut().drain_crashes();
     if !crashes.is_empty() {
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -11,7 +11,7 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
-use crate::router_shell::{config_updates, hosts, permits};
+use crate::router_shell::{config_updates, hosts, overload, permits};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -180,6 +180,8 @@
             permits::handle_request(shell, from, number, &request);
         }
         PeerMessage::Permit(number, permit) => permits::handle_answer(shell, number, permit),
+        PeerMessage::OverloadReport(report) => overload::record_report(shell, &report),
+        PeerMessage::OverloadLevels(levels) => overload::handle_levels(shell, now, &levels),
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -6,6 +6,7 @@
 use async_io::{Async, Timer};
 use bay_time::{BootClock, Clock};
 
+use super::overload;
 use super::shell_state::ShellState;
 use crate::http1::connection::Connection;
 use crate::http1::raw_head::read_raw_head;
@@ -109,5 +110,6 @@
     write_metric("peer.received_bytes", received);
     write_metric("buffers.held_bytes", shell.resources.buffer_gauge.held_bytes());
     write_metric("buffers.peak_bytes", shell.resources.buffer_gauge.peak_bytes());
+    overload::write_metrics(shell, BootClock.now(), write_metric);
     text
 }
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -12,6 +12,7 @@
 
 use super::cutoff::Cutoff;
 use super::granter::GranterRole;
+use super::overload::OverloadState;
 use super::peers::PeerSocket;
 use super::permits::Permits;
 use super::store_client::StoreClient;
@@ -42,6 +43,7 @@
     pub(crate) resources: Arc<ConnectionResources>,
     pub(crate) counters: Counters,
     pub(crate) permits: Permits,
+    pub(crate) overload: RefCell<OverloadState>,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
--- a/crates/router/src/counter.rs
+++ b/crates/router/src/counter.rs
@@ -19,6 +19,8 @@
     KeyLimited,
     /// Requests refused at once because of the rate limit that a server names.
     RateLimited,
+    /// Requests refused at once because of their rank, while their service is short of capacity.
+    RankLimited,
 }
 
 impl Counter {
@@ -34,6 +36,7 @@
             Counter::RetryDenied => "retry.budget-spent",
             Counter::KeyLimited => "request.key-limited",
             Counter::RateLimited => "request.rate-limited",
+            Counter::RankLimited => "request.rank-limited",
         }
     }
 }
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use bay_admission::{OverloadLevels, OverloadReport};
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
@@ -46,6 +47,10 @@
     RequestPermit(u64, PermitRequest),
     /// Answers the request for a permit with this number.
     Permit(u64, Permit),
+    /// Reports a router's counts by service and rank to the granter.
+    OverloadReport(OverloadReport),
+    /// Sends the shares of requests to admit by rank from the granter to every router.
+    OverloadLevels(OverloadLevels),
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -36,6 +36,8 @@
     pub last_selected: Option<SelectedServer>,
     /// Whether the limit of the request's key was applied.
     pub passed_key_limit: bool,
+    /// Whether it was decided whether the request is admitted by rank.
+    pub passed_rank: bool,
     /// Server with a rate limit to which the next attempt may be sent.
     pub permit: Option<ServerName>,
     /// Whether a server may have run the request; it is then never reported as not run.
@@ -71,6 +73,7 @@
             excluded: Vec::new(),
             last_selected: None,
             passed_key_limit: false,
+            passed_rank: false,
             permit: None,
             may_have_run: false,
         }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
 
+use bay_admission::LocalAdmission;
 use bay_range::{Candidate, KeyLimit, OwnerId};
 use bay_time::Time;
 use bay_types::{ErrorKind, HostName, Revision, ServerName, ServiceName, ZoneName};
@@ -16,6 +17,7 @@
 
 mod attempt_results;
 mod paths;
+mod rank_admission;
 mod rate_limits;
 mod server_selection;
 
@@ -39,6 +41,8 @@
     /// Routers that have not answered a request for a permit, and until when none is sent to them.
     silent_hosts: BTreeMap<HostName, Time>,
     paths: ServerPaths,
+    /// Admission by rank; unused unless overload control is on.
+    admission: LocalAdmission,
     /// When the last answer of any server arrived.
     answered_at: Time,
     /// Number of live routers, at least 1.
@@ -65,6 +69,7 @@
             hosts: Vec::new(),
             silent_hosts: BTreeMap::new(),
             paths: ServerPaths::default(),
+            admission: LocalAdmission::default(),
             answered_at: Time::ZERO,
             router_count: Router::INITIAL_ROUTER_COUNT,
             rng: SmallRng::seed_from_u64(seed),
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -36,6 +36,8 @@
     pub fn record_load(&mut self, now: Time, selected: &SelectedServer, load: LoadReport) {
         if let Some(server) = self.directory.get_mut(selected.server) {
             server.record_load(now, load);
+            let service = server.entry.service;
+            self.record_service_load(service, load);
         }
     }
 
@@ -114,6 +116,7 @@
             }
             _ => {}
         }
+        self.record_outcome(now, request, selected, result, elapsed);
         if matches!(result, AttemptResult::Answered { .. }) {
             self.answered_at = now;
         }
@@ -177,6 +180,11 @@
         if request.time_left(now).as_secs_f64() * 1000.0 < needed_ms {
             return false;
         }
+        if self.settings.overload_control
+            && !self.admission.admits_repeat(now, request.service, request.rank())
+        {
+            return false;
+        }
         let granted = pool.retry_budget.try_spend(now);
         let counter = if granted { reason } else { Counter::RetryDenied };
         *self.counts.entry(counter).or_default() += 1;
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -63,7 +63,10 @@
             return RoutingDecision::Refuse(kind, None);
         }
         if self.exceeds_key_limit(now, request) {
-            return self.refuse_for_key_limit(now, request);
+            return self.refuse_until_later(now, request, Counter::KeyLimited);
+        }
+        if !self.admits_by_rank(now, request) {
+            return self.refuse_until_later(now, request, Counter::RankLimited);
         }
         match request.key {
             Some(key) => self.pick_owner(now, request, key),
@@ -82,15 +85,23 @@
         }
         let pool = self.pools.get(&request.service);
         let share = pool.and_then(|pool| pool.admitted_share(now, key));
+        if self.settings.overload_control {
+            return share.is_some_and(|share| !self.admits_exact_share(now, request, key, share));
+        }
         share.is_some_and(|share| !self.rng.random_bool(f64::from(share.clamp(0.0, 1.0))))
     }
 
-    /// Refuses a request for an overloaded key at once.
+    /// Refuses a request for an overloaded key or service at once, and counts the reason.
     ///
     /// The load lasts for seconds, so that the caller is told to return as late as it may be, at a
     /// random time: callers who return together would be refused again.
-    fn refuse_for_key_limit(&mut self, now: Time, request: &RequestState) -> RoutingDecision {
-        *self.counts.entry(Counter::KeyLimited).or_default() += 1;
+    pub(super) fn refuse_until_later(
+        &mut self,
+        now: Time,
+        request: &RequestState,
+        reason: Counter,
+    ) -> RoutingDecision {
+        *self.counts.entry(reason).or_default() += 1;
         let max = request.time_left(now).mul_f64(Router::MAX_RETRY_AFTER_SHARE);
         let after = max.mul_f64(self.rng.random_range(0.5..1.0));
         RoutingDecision::Refuse(ErrorKind::ServiceOverloaded, Some(after))
@@ -122,6 +133,9 @@
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
+        if self.would_delay_urgent(now, request, &selected) {
+            return self.refuse_for_urgent(now, request);
+        }
         if let Some(decision) = self.require_permit(now, request, &selected) {
             return decision;
         }
@@ -207,6 +221,9 @@
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
+        if self.would_delay_urgent(now, request, &selected) {
+            return self.refuse_for_urgent(now, request);
+        }
         let decision = self.require_permit(now, request, &selected);
         decision.unwrap_or(RoutingDecision::Send(selected))
     }
@@ -369,6 +386,7 @@
         request: &RequestState,
         kind: ErrorKind,
     ) -> (ErrorKind, Option<Duration>) {
+        self.record_refusal(request, kind);
         if request.may_have_run {
             return (ErrorKind::ConnectionLost, None);
         }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -245,6 +245,19 @@
         self.load_sample = Some(LoadSample { load, others, at: now });
     }
 
+    /// Returns the time that a request would have taken without queueing at the server.
+    pub(crate) fn time_without_queueing(&self, elapsed: Duration, sent_occupancy: f64) -> Duration {
+        let queued = self.queued_before(sent_occupancy).max(0.0);
+        elapsed.div_f64(1.0 + queued / f64::from(self.entry.slots.max(1)))
+    }
+
+    /// Estimates the requests that waited before one that was sent at an occupancy; below zero if slots
+    /// were free.
+    fn queued_before(&self, sent_occupancy: f64) -> f64 {
+        let waiting = self.load_sample.map_or(0.0, |sample| f64::from(sample.load.waiting));
+        (sent_occupancy + 1.0 - f64::from(self.entry.slots.max(1))).max(waiting)
+    }
+
     /// Records that the server ran and answered a request.
     ///
     /// `sent_occupancy` is the server's occupancy when the request was sent. The first sample sets
@@ -259,8 +272,7 @@
             return;
         }
         let slots = f64::from(self.entry.slots.max(1));
-        let waiting = self.load_sample.map_or(0.0, |sample| f64::from(sample.load.waiting));
-        let queued = (sent_occupancy + 1.0 - slots).max(waiting);
+        let queued = self.queued_before(sent_occupancy);
         let sample = elapsed.as_secs_f64() * 1000.0;
         // The granter averages over many samples and needs those of busy servers too.
         self.record_sample(sample / (1.0 + queued.max(0.0) / slots));
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -1,6 +1,7 @@
 use std::collections::{BTreeSet, HashMap};
 use std::time::Duration;
 
+use bay_admission::KeyShares;
 use bay_range::KeyLimit;
 use bay_time::Time;
 use bay_types::{ServerName, Term};
@@ -22,6 +23,8 @@
     pub(crate) owner_parts: ReassemblyBuffer<(Term, u64), OwnerMap>,
     /// Shares of the requests for overloaded keys to admit, and until when they hold.
     key_limits: (Vec<KeyLimit>, Time),
+    /// Enforces the shares exactly, if overload control is on.
+    pub(crate) key_shares: KeyShares,
     /// Requests by key since the last report to the granter.
     pub key_counts: HashMap<u16, u32>,
     /// Moving average of the servers' service times, in milliseconds.
@@ -49,6 +52,7 @@
             owners: OwnerMap::default(),
             owner_parts: ReassemblyBuffer::default(),
             key_limits: (Vec::new(), Time::ZERO),
+            key_shares: KeyShares::default(),
             key_counts: HashMap::new(),
             average_ms: ServicePool::INITIAL_MS,
         }
@@ -61,6 +65,8 @@
 
     /// Replaces the limits of overloaded keys, which are in the order of the keys.
     pub fn set_key_limits(&mut self, now: Time, limits: Vec<KeyLimit>) {
+        let is_limited = |key| limits.binary_search_by_key(&key, |limit| limit.key).is_ok();
+        self.key_shares.retain(is_limited);
         self.key_limits = (limits, now + ServicePool::KEY_LIMIT_TIME);
     }
 
