--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bay_admission::{
+    OverloadLevels, OverloadReport, RankCounts, RankShare, ServiceCounts, ServiceLevel,
+};
 use bay_range::{
     EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
 };
@@ -144,9 +147,31 @@
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
+        ("overload-report", PeerMessage::OverloadReport(overload_report())),
+        ("overload-levels", PeerMessage::OverloadLevels(overload_levels())),
     ]
 }
 
+fn overload_report() -> OverloadReport {
+    let ranks = vec![RankCounts {
+        rank: 2,
+        offered: 17,
+        admitted: 9,
+        refused: 1,
+        late: 2,
+        answered: 8,
+        work_ms: 660,
+    }];
+    let counts = ServiceCounts { service: service(), waiting: 31, slots: 16, ranks };
+    OverloadReport { services: vec![counts] }
+}
+
+fn overload_levels() -> OverloadLevels {
+    let shares = vec![RankShare { rank: 2, share: 0.25 }];
+    let services = vec![ServiceLevel { service: service(), shares }];
+    OverloadLevels { term: Term(7), sequence: 44, valid_ms: 1_000, services }
+}
+
 /// Returns a sample of the record that elects the granter.
 pub fn leadership_record() -> LeadershipRecord {
     LeadershipRecord {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -103,8 +103,19 @@
 
 /// A router in zone `a` with servers of `pool` in zones `a` and `b`, and of `keyed` in `a`.
 pub fn router(pool_a: u8, pool_b: u8, keyed: u8) -> Router {
-    let mut router = Router::new(settings("h1"), 7);
-    router.apply_config(config(1));
+    router_with(settings("h1"), config(1), pool_a, pool_b, keyed)
+}
+
+/// Like [`router`], with settings and a configuration.
+pub fn router_with(
+    settings: RouterSettings,
+    config: Config,
+    pool_a: u8,
+    pool_b: u8,
+    keyed: u8,
+) -> Router {
+    let mut router = Router::new(settings, 7);
+    router.apply_config(config);
     let mut entries = Vec::new();
     for index in 0..pool_a {
         entries.push((format!("a{index}"), entry("pool", "a", index)));
