Count attempts for the admission by rank, and assert what the simulation has to show

Cause: the top rank of a service was refused as often as the others, as requests with long objectives filled the queues.

--- a/crates/admission/src/local_admission.rs
+++ b/crates/admission/src/local_admission.rs
@@ -52,7 +52,7 @@
         self.services.get(&service)?.urgent_objective(now, narrow(rank))
     }
 
-    /// Records how an admitted request ended.
+    /// Records how an attempt of an admitted request ended.
     pub fn record_outcome(&mut self, service: ServiceName, rank: u32, outcome: RequestOutcome) {
         if let RequestOutcome::Refused(reason) = outcome {
             *self.refusals.entry((reason, narrow(rank))).or_default() += 1;
@@ -62,7 +62,7 @@
         }
     }
 
-    /// Records the load report of a server.
+    /// Records the load report in a server's answer to a request that it ran.
     pub fn record_load(&mut self, service: ServiceName, waiting: u32, slots: u32) {
         if let Some(admission) = self.services.get_mut(&service) {
             admission.record_load(waiting, slots);
--- a/crates/admission/src/overload_report.rs
+++ b/crates/admission/src/overload_report.rs
@@ -30,11 +30,9 @@
     pub offered: u32,
     /// Requests that were admitted by rank.
     pub admitted: u32,
-    /// Admitted requests that were refused for lack of capacity.
+    /// Their attempts that servers rejected, or that were not sent for lack of capacity.
     pub refused: u32,
-    /// Requests that were answered after their latency objective.
-    pub late: u32,
-    /// Requests that were answered, in time or late.
+    /// Their attempts that were answered.
     pub answered: u32,
     /// Sum of their estimated times of work, in milliseconds.
     pub work_ms: u32,
--- a/crates/admission/src/request_outcome.rs
+++ b/crates/admission/src/request_outcome.rs
@@ -2,16 +2,14 @@
 
 use crate::RefusalReason;
 
-/// How a request ended that was admitted by rank.
+/// How an attempt of a request ended that was admitted by rank.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum RequestOutcome {
-    /// It was answered; the time is that of its work at the server, without queueing.
+    /// It was answered.
     Answered {
-        /// Estimated time of work.
+        /// Estimated time of work at the server, without queueing.
         work: Duration,
-        /// Whether it missed its latency objective.
-        late: bool,
     },
-    /// It was given up for lack of capacity.
+    /// A server rejected it, or it was not sent for lack of capacity.
     Refused(RefusalReason),
 }
--- a/crates/admission/src/service_admission.rs
+++ b/crates/admission/src/service_admission.rs
@@ -85,10 +85,9 @@
             return;
         };
         match outcome {
-            RequestOutcome::Answered { work, late } => {
+            RequestOutcome::Answered { work } => {
                 counts.answered += 1;
                 counts.work_ms = counts.work_ms.saturating_add(work.as_millis() as u32);
-                counts.late += u32::from(late);
             }
             RequestOutcome::Refused(_) => counts.refused += 1,
         }
--- a/crates/admission/src/share_controller.rs
+++ b/crates/admission/src/share_controller.rs
@@ -59,7 +59,7 @@
     /// slots idle.
     const TARGET_REFUSAL: f64 = 0.22;
     /// Share of attempts rejected from which the service counts as short.
-    const SHORT_REFUSAL: f64 = 0.35;
+    const SHORT_REFUSAL: f64 = 0.4;
     /// Waiting requests per slot from which the service counts as short. With fewer there is room at most
     /// servers, even if those of some keys reject requests.
     const SHORT_QUEUE: f64 = 0.8;
@@ -67,6 +67,9 @@
     const FULL_SHARE: f64 = 0.97;
     /// Time constant with which the capacity follows what the servers complete, in seconds.
     const FOLLOW_TIME: f64 = 0.5;
+    /// Correction of the capacity for each share of attempts rejected above or below the target. With 1,
+    /// reports that are half a second old make it swing.
+    const GAIN: f64 = 0.5;
     /// Growth of the capacity per second while few attempts are rejected.
     const GROWTH: f64 = 1.0;
     /// Requests that the averages need to cover before the service can count as short.
@@ -174,12 +177,14 @@
                 && self.waiting > self.slots * ShareController::SHORT_QUEUE;
             // A new granter continues from what the routers admit.
             if is_short || admitted < offered * ShareController::FULL_SHARE {
-                self.capacity = Some(answered);
+                // Answers lag behind at the start of a burst; accepted requests do not.
+                self.capacity = Some(answered.max(admitted - refused));
             }
             return;
         };
         let target = ShareController::TARGET_REFUSAL;
-        let sustained = answered * (1.0 + target - refusal) / (1.0 - target);
+        let correction = 1.0 + ShareController::GAIN * (target - refusal);
+        let sustained = answered * correction / (1.0 - target);
         let weight = (elapsed / ShareController::FOLLOW_TIME).min(1.0);
         let followed = capacity + weight * (sustained - capacity);
         let capacity = match refusal < target / 2.0 {
@@ -190,7 +195,8 @@
         self.capacity = Some(capacity);
         if capacity < offered {
             self.sufficient_since = None;
-        } else if now.since(*self.sufficient_since.get_or_insert(now)) >= ShareController::END_DELAY {
+        } else if now.since(*self.sufficient_since.get_or_insert(now)) >= ShareController::END_DELAY
+        {
             self.sufficient_since = None;
             self.capacity = None;
         }
--- a/crates/admission/tests/overload.rs
+++ b/crates/admission/tests/overload.rs
@@ -48,8 +48,8 @@
     let offered: f64 = by_rank.iter().map(|tally| tally.offered).sum();
     let mean = by_rank.iter().map(|tally| tally.served).sum::<f64>() / offered;
     let (value, before) = (value(&by_rank), value(&first_come));
-    let context = format!("{name}: served {shares:.3?}, mean {mean:.3}, value {value:.3} {before:.3}");
-    println!("{context} first come {:.3?}", served(&first_come));
+    let context =
+        format!("{name}: served {shares:.3?}, mean {mean:.3}, value {value:.3} {before:.3}");
     assert!(shares[0] >= least, "{context}");
     assert!(shares.iter().all(|share| *share > mean / 4.0), "starved: {context}");
     assert!(shares.windows(2).all(|pair| pair[0] >= pair[1] - 0.05), "order: {context}");
@@ -64,7 +64,8 @@
     assert_fair("fleet", &scenario(load), 0.98);
 }
 
-/// Guards against a top rank that takes all of a capacity that is just as large as its demand.
+/// Guards against a top rank that takes the whole capacity. Its demand and the least shares of the others
+/// exceed the capacity at this load.
 #[test]
 fn at_three_times_the_capacity_no_rank_starves() {
     assert_fair("fleet", &scenario(3.0), 0.8);
@@ -76,22 +77,21 @@
 #[test_case(2.5; "2.5")]
 fn stale_news_a_lost_granter_and_a_burst_in_a_zone_change_little(load: f64) {
     let stale = Scenario { routers: 2, delay: 300, ..scenario(load) };
-    assert_fair("stale", &stale, 0.9);
-    assert_fair("lost", &Scenario { granter_lost: Some((12, 16)), ..scenario(load) }, 0.9);
-    assert_fair("lost2", &Scenario { granter_lost: Some((12, 16)), routers: 2, ..scenario(load) }, 0.9);
-    assert_fair("zone", &Scenario { zone_share: 0.6, ..scenario(load) }, 0.9);
+    assert_fair("stale", &stale, 0.95);
+    let lost = Scenario { granter_lost: Some((12, 16)), ..scenario(load) };
+    assert_fair("granter lost", &lost, 0.98);
+    assert_fair("granter lost, 2 routers", &Scenario { routers: 2, ..lost }, 0.98);
+    assert_fair("zone", &Scenario { zone_share: 0.6, ..scenario(load) }, 0.98);
 }
 
 /// Guards against refusals while there is room. The results may only differ by chance.
 #[test_case(0.5, 0.0)]
 #[test_case(0.8, 0.0)]
 #[test_case(0.9, 0.005)]
-#[test_case(1.0, 1.0)]
 fn nothing_is_refused_by_rank_while_there_is_room(load: f64, most: f64) {
     let first_come = play_seeds(&Scenario { by_rank: false, ..scenario(load) });
     let by_rank = play_seeds(&scenario(load));
     let refused = by_rank.map(|tally| tally.refused_by_rank / tally.offered);
-    println!("{load} {refused:?} {} {}", value(&by_rank), value(&first_come));
     assert!(refused.iter().all(|share| *share <= most), "{refused:?}");
     assert!(value(&by_rank) >= value(&first_come) - 0.005);
 }
@@ -113,19 +113,16 @@
     };
     let work = |second: usize| sum(second).iter().map(|tally| tally.work).sum::<f64>();
     let steady = (10..16).map(work).sum::<f64>() / 6.0;
-    for second in 4..21 {
-        let s = sum(second);
-        println!("{second} {:.3?} work {:.3} byrank {:.3?}", served(&s), work(second) / steady, s.map(|t| t.refused_by_rank / t.offered));
+    for second in SETTLED..16 {
+        let (done, shares) = (work(second) / steady, served(&sum(second)));
+        assert!(
+            (done - 1.0).abs() < 0.1 && shares[0] >= 0.98,
+            "second {second}: {done} {shares:?}"
+        );
+    }
+    // The load falls at 16 s.
+    for second in 18..21 {
+        let shares = served(&sum(second));
+        assert!(shares.iter().all(|share| *share >= 0.95), "second {second}: {shares:?}");
     }
-}
-#[test]
-fn explore_lost() {
-    for routers in [2] {
-    let mut seconds = Vec::new();
-    for seed in 0..SEEDS { seconds.push(play(&Scenario { granter_lost: Some((12, 16)), seed, routers, ..scenario(2.5) })); }
-    for second in 9..22 {
-        let each: Vec<[Tally; RANKS]> = seconds.iter().map(|tallies| tallies[second]).collect();
-        let s = total(&each, 0, 1);
-        println!("EXP {second} {:.3?} work {:.3} byrank {:.3?}", served(&s), s.iter().map(|t| t.work).sum::<f64>() / 6.0, s.map(|t| t.refused_by_rank / t.offered));
-    } }
 }
--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -277,14 +277,13 @@
         let (_, _, objective, deadline, value, late_value) = CLASSES[job.class];
         let tally = &mut self.tallies[(job.first / 1_000_000) as usize][job.class];
         tally.work += work;
-        let late = now - job.arrived > objective * 1_000;
         if now - job.first <= deadline * 1_000 {
             let in_time = now - job.first <= objective * 1_000;
             tally.served += 1.0;
             tally.value += if in_time { value } else { late_value };
         }
         let work = Duration::from_secs_f64(work / self.servers[server].speed);
-        let outcome = RequestOutcome::Answered { work, late };
+        let outcome = RequestOutcome::Answered { work };
         let waiting = self.servers[server].queue.len() as u32;
         self.routers[job.router].record_load(service(), waiting, SLOTS as u32);
         self.routers[job.router].record_outcome(service(), job.class as u32, outcome);
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -158,7 +158,6 @@
         offered: 17,
         admitted: 9,
         refused: 1,
-        late: 2,
         answered: 8,
         work_ms: 660,
     }];
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -36,8 +36,6 @@
     pub fn record_load(&mut self, now: Time, selected: &SelectedServer, load: LoadReport) {
         if let Some(server) = self.directory.get_mut(selected.server) {
             server.record_load(now, load);
-            let service = server.entry.service;
-            self.record_service_load(service, load);
         }
     }
 
--- a/crates/router/src/router/rank_admission.rs
+++ b/crates/router/src/router/rank_admission.rs
@@ -7,7 +7,7 @@
 use rand::RngExt;
 
 use super::Router;
-use crate::{AttemptResult, Counter, LoadReport, RequestState, RoutingDecision, SelectedServer};
+use crate::{AttemptResult, Counter, RequestState, RoutingDecision, SelectedServer};
 
 /// Admission by rank. Without overload control, nothing is recorded and all requests are admitted.
 impl Router {
@@ -65,7 +65,7 @@
         self.refuse_until_later(now, request, Counter::RankLimited)
     }
 
-    /// Records a request that is given up, if that is for lack of capacity.
+    /// Records a request that is not sent, if that is for lack of capacity.
     pub(super) fn record_refusal(&mut self, request: &RequestState, kind: ErrorKind) {
         if self.settings.overload_control && kind == ErrorKind::ServiceOverloaded {
             let outcome = RequestOutcome::Refused(RefusalReason::Capacity);
@@ -87,24 +87,20 @@
         }
         let outcome = match (result, self.directory.get(selected.server)) {
             (AttemptResult::Answered { status: ..500, not_run: false }, Some(server)) => {
-                RequestOutcome::Answered {
-                    work: server.time_without_queueing(elapsed, selected.occupancy),
-                    late: now.since(request.arrived_at) > request.route.objective,
+                if let Some(load) = server.recent_load(now) {
+                    self.admission.record_load(request.service, load.waiting, load.slots);
                 }
+                let work = server.time_without_queueing(elapsed, selected.occupancy);
+                RequestOutcome::Answered { work }
+            }
+            (AttemptResult::Answered { not_run: true, .. } | AttemptResult::TimedOut, _) => {
+                RequestOutcome::Refused(RefusalReason::Capacity)
             }
-            (AttemptResult::TimedOut, _) => RequestOutcome::Refused(RefusalReason::Capacity),
             _ => return,
         };
         self.admission.record_outcome(request.service, request.rank(), outcome);
     }
 
-    /// Records the load report of a service's server.
-    pub(super) fn record_service_load(&mut self, service: ServiceName, load: LoadReport) {
-        if self.settings.overload_control {
-            self.admission.record_load(service, load.waiting, load.slots);
-        }
-    }
-
     /// Drains the counts by service and rank since the last report; `None` if there are none.
     pub fn drain_overload_report(&mut self, now: Time) -> Option<OverloadReport> {
         if !self.settings.overload_control {
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -372,6 +372,7 @@
         request: &RequestState,
         kind: ErrorKind,
     ) -> RoutingDecision {
+        self.record_refusal(request, kind);
         let (kind, after) = self.refusal(now, request, kind);
         RoutingDecision::Refuse(kind, after)
     }
@@ -386,7 +387,6 @@
         request: &RequestState,
         kind: ErrorKind,
     ) -> (ErrorKind, Option<Duration>) {
-        self.record_refusal(request, kind);
         if request.may_have_run {
             return (ErrorKind::ConnectionLost, None);
         }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -245,6 +245,13 @@
         self.load_sample = Some(LoadSample { load, others, at: now });
     }
 
+    /// Returns the load that the server has reported recently.
+    pub(crate) fn recent_load(&self, now: Time) -> Option<LoadReport> {
+        let sample = self.load_sample.as_ref();
+        let recent = sample.filter(|sample| now.since(sample.at) < Server::SLOWDOWN_MAX_AGE);
+        recent.map(|sample| sample.load)
+    }
+
     /// Returns the time that a request would have taken without queueing at the server.
     pub(crate) fn time_without_queueing(&self, elapsed: Duration, sent_occupancy: f64) -> Duration {
         let queued = self.queued_before(sent_occupancy).max(0.0);
