--- a/crates/admission/tests/support/mod.rs
+++ b/crates/admission/tests/support/mod.rs
@@ -331,13 +331,12 @@
 
     fn heartbeat(&mut self, now: u64) {
         self.events.push(now + 250_000, Event::Heartbeat);
-        if let Some((lost, back)) = self.scenario.granter_lost {
-            if (lost..back).contains(&(now / 1_000_000)) {
-                self.reports.clear();
-                self.ledger = LevelLedger::default();
-                self.term = 2;
-                return;
-            }
+        let lost = self.scenario.granter_lost;
+        if lost.is_some_and(|(lost, back)| (lost..back).contains(&(now / 1_000_000))) {
+            self.reports.clear();
+            self.ledger = LevelLedger::default();
+            self.term = 2;
+            return;
         }
         let ledger = &mut self.ledger;
         self.reports.retain(|(at, report)| {
--- a/crates/node/src/router_shell/overload.rs
+++ b/crates/node/src/router_shell/overload.rs
@@ -20,9 +20,14 @@
 /// Interval between logs of the shares, per service.
 const LOG_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Routers that report in each interval. In larger fleets they take turns, so that the granter's load
-/// is bounded; only ratios of the counts matter.
-const MAX_REPORTERS: u32 = 96;
+/// Size of a fleet in which all routers report in each interval.
+///
+/// In larger ones they take turns, so that the granter's load is bounded. Only ratios of the counts
+/// matter, and each router sees more requests there.
+const FULL_REPORTING: u32 = 96;
+
+/// Least number of routers that report in each interval.
+const MIN_REPORTERS: u32 = 32;
 
 /// State of the admission by rank outside of the router's decisions.
 #[derive(Debug, Default)]
@@ -71,7 +76,9 @@
 
 /// Returns whether this router is among those that report in this interval.
 fn has_turn(shell: &ShellState) -> bool {
-    let groups = shell.router.borrow().router_count().div_ceil(MAX_REPORTERS).max(1);
+    let routers = shell.router.borrow().router_count().max(1);
+    let reporters = (FULL_REPORTING * FULL_REPORTING / routers).max(MIN_REPORTERS);
+    let groups = routers.div_ceil(reporters);
     let own = shell.router_hosts.borrow().keys().position(|host| *host == shell.settings.host);
     let own = own.unwrap_or_default() as u32;
     shell.overload.borrow().turn.wrapping_add(own).is_multiple_of(groups)
