--- a/crates/admission/src/key_shares.rs
+++ b/crates/admission/src/key_shares.rs
@@ -24,7 +24,8 @@
 
     /// Counts a request for a key of whose requests `share` is admitted; returns whether it is.
     ///
-    /// `phase` is a random number from 0 to 1, with which the sequence of a key and rank starts.
+    /// `phase` is a number from 0 to 1 that differs between routers, with which the sequence of a key and
+    /// rank starts.
     pub fn admits(&mut self, now: Time, key: u16, rank: u32, share: f64, phase: f64) -> bool {
         let rank = narrow(rank);
         let elapsed = now.since(std::mem::replace(&mut self.decayed_at, now)).as_secs_f64();
--- a/crates/admission/src/local_admission.rs
+++ b/crates/admission/src/local_admission.rs
@@ -23,7 +23,8 @@
 impl LocalAdmission {
     /// Counts a new request; returns whether it is admitted.
     ///
-    /// `phase` is a random number from 0 to 1, with which the sequence of a rank starts.
+    /// `phase` is a number from 0 to 1 that differs between routers, with which the sequence of a rank
+    /// starts.
     pub fn admits(
         &mut self,
         now: Time,
--- a/crates/admission/src/share_accumulator.rs
+++ b/crates/admission/src/share_accumulator.rs
@@ -10,7 +10,7 @@
 impl ShareAccumulator {
     /// Creates an accumulator at a phase from 0 to 1.
     ///
-    /// Accumulators of different routers start at random phases: otherwise all of them would admit, or
+    /// Accumulators of different routers start at different phases: otherwise all of them would admit, or
     /// refuse, the first requests of a short load.
     pub fn new(phase: f64) -> ShareAccumulator {
         ShareAccumulator { credit: phase.clamp(0.0, 1.0) }
--- a/crates/node/src/router_shell/overload.rs
+++ b/crates/node/src/router_shell/overload.rs
@@ -145,8 +145,10 @@
 
 /// Applies the granter's shares.
 pub(crate) fn handle_levels(shell: &ShellState, now: Time, levels: &OverloadLevels) {
-    if granter::granter_term(shell).is_none() {
-        shell.router.borrow_mut().apply_overload_levels(now, levels);
+    if granter::granter_term(shell).is_none()
+        && shell.router.borrow_mut().apply_overload_levels(now, levels)
+    {
+        shell.counters.add("overload.levels-applied", 1);
     }
 }
 
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -15,7 +15,9 @@
 
 use serde_json::{Value, json};
 
-pub use running_router::{RunningRouter, start_router, start_router_with_memory};
+pub use running_router::{
+    RunningRouter, start_router, start_router_with_contracts, start_router_with_memory,
+};
 pub use store_front::StoreFront;
 
 /// A request to a stand-in. The names of its headers are in lower case.
--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -60,6 +60,25 @@
     store: SocketAddr,
     bounds: &'static [&'static str],
     memory_mb: u64,
+) -> RunningRouter {
+    start(host, store, bounds, &[], memory_mb)
+}
+
+/// Like [`start_router`], with parts of the platform's rules in force.
+pub fn start_router_with_contracts(
+    host: &str,
+    store: SocketAddr,
+    contracts: &'static [&'static str],
+) -> RunningRouter {
+    start(host, store, &[], contracts, 256)
+}
+
+fn start(
+    host: &str,
+    store: SocketAddr,
+    bounds: &'static [&'static str],
+    contracts: &'static [&'static str],
+    memory_mb: u64,
 ) -> RunningRouter {
     let host = host.to_owned();
     let (tx, rx) = mpsc::channel();
@@ -69,7 +88,7 @@
         let text = json!({
             "node-name": host, "ip": "127.0.0.1", "zone": "a",
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
-            "internal-ports": [0, 0], "heartbeat": "1s", "bounds": bounds,
+            "internal-ports": [0, 0], "heartbeat": "1s", "bounds": bounds, "contracts": contracts,
             "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": memory_mb,
                        "max-fds": 1024},
             "platform": {"address": store},
--- a/crates/router/src/router/rank_admission.rs
+++ b/crates/router/src/router/rank_admission.rs
@@ -4,7 +4,7 @@
 use bay_admission::{OverloadLevels, OverloadReport, RankShare, RefusalReason, RequestOutcome};
 use bay_time::Time;
 use bay_types::{ErrorKind, ServiceName};
-use rand::RngExt;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Router;
 use crate::{AttemptResult, Counter, RequestState, RoutingDecision, SelectedServer};
@@ -16,7 +16,7 @@
         if !self.settings.overload_control || std::mem::replace(&mut request.passed_rank, true) {
             return true;
         }
-        let phase = self.rng.random();
+        let phase = self.phase(u64::from(request.rank()));
         let objective = request.route.objective;
         self.admission.admits(now, request.service, request.rank(), objective, phase)
     }
@@ -29,13 +29,20 @@
         key: u16,
         share: f32,
     ) -> bool {
-        let phase = self.rng.random();
+        let phase = self.phase(u64::from(key));
         let pool = self.pools.get_mut(&request.service);
         pool.is_none_or(|pool| {
             pool.key_shares.admits(now, key, request.rank(), f64::from(share), phase)
         })
     }
 
+    /// Returns the phase from 0 to 1 with which this router starts a sequence of requests. It is not
+    /// drawn from the random choices of servers, which are the same with and without overload control.
+    fn phase(&self, sequence: u64) -> f64 {
+        let hash = xxh3_64_with_seed(self.settings.host.as_str().as_bytes(), sequence);
+        hash as f64 / u64::MAX as f64
+    }
+
     /// Returns whether a request would wait at a server so long that a more urgent one could no longer
     /// be answered there within its objective.
     pub(super) fn would_delay_urgent(
--- a/crates/router/tests/rank_admission.rs
+++ b/crates/router/tests/rank_admission.rs
@@ -31,7 +31,11 @@
 
 fn ranked_router(overload_control: bool) -> Router {
     let settings = RouterSettings { overload_control, ..settings("h1") };
-    let mut router = router_with(settings, ranked_config(), 4, 4, 1);
+    own_keys(router_with(settings, ranked_config(), 4, 4, 1))
+}
+
+/// Gives all keys to the only keyed server.
+fn own_keys(mut router: Router) -> Router {
     let owner = OwnerId { server: server("k0"), started: 1 };
     let ranges = vec![(KeyRange::ALL, owner)];
     router.replace_owners(service("keyed"), OwnerMap { term: Term(1), sequence: 1, ranges });
@@ -39,15 +43,14 @@
 }
 
 /// Plays requests of all routes on overloaded servers; returns a digest of all decisions.
-fn play_decisions(router: &mut Router) -> u64 {
+fn play_decisions(router: &mut Router, limit: Option<KeyLimit>) -> u64 {
     let mut digest = 0;
     let mut add = |text: String| digest = xxh3_64_with_seed(text.as_bytes(), digest);
     let mut pending: Vec<(u64, RequestState, SelectedServer)> = Vec::new();
     for step in 0..4_000_u64 {
         let now = step * 2;
         if step % 100 == 0 {
-            let limits = vec![KeyLimit { key: HOT_KEY, share: 0.3 }];
-            router.set_key_limits(at(now), service("keyed"), limits);
+            router.set_key_limits(at(now), service("keyed"), limit.into_iter().collect());
         }
         let (done, rest) = pending.into_iter().partition(|(end, ..)| *end <= now);
         pending = rest;
@@ -80,7 +83,22 @@
 /// the last commit without admission by rank, 0066b47.
 #[test]
 fn without_overload_control_all_decisions_are_those_of_before() {
-    assert_eq!(play_decisions(&mut ranked_router(false)), 14_511_116_746_151_303_211);
+    let limit = Some(KeyLimit { key: HOT_KEY, share: 0.3 });
+    let digest = play_decisions(&mut ranked_router(false), limit);
+    assert_eq!(digest, 14_511_116_746_151_303_211);
+}
+
+/// Guards against a change of decisions at services with one rank, also when their servers reject
+/// requests.
+#[test]
+fn where_no_ranks_meet_overload_control_changes_no_decision() {
+    let [off, on] = [false, true].map(|overload_control| {
+        let settings = RouterSettings { overload_control, ..settings("h1") };
+        let mut config = ranked_config();
+        config.routes.iter_mut().for_each(|route| route.priority = 1);
+        play_decisions(&mut own_keys(router_with(settings, config, 4, 4, 1)), None)
+    });
+    assert_eq!(off, on);
 }
 
 /// Returns how many of 1,000 requests for the hot key are admitted, by the position of their path. One
