--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -28,6 +28,7 @@
 mod hosts;
 mod http_client;
 mod orders;
+mod overload;
 mod peers;
 mod permits;
 mod probes;
@@ -107,6 +108,7 @@
             config_parts: RefCell::default(),
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
+            overload: RefCell::default(),
             permits: permits::Permits::default(),
             vouch_requests: freshness::VouchRequests::default(),
             quotas: RefCell::default(),
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -14,7 +14,7 @@
     Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, publishing,
     server_updates,
 };
-use crate::router_shell::{config_updates, freshness, hosts, permits, quotas};
+use crate::router_shell::{config_updates, freshness, hosts, overload, permits, quotas};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -193,6 +193,8 @@
         PeerMessage::Vouch(vouch) => freshness::handle_vouch(shell, &vouch),
         PeerMessage::AccountUsage(usage) => quotas::handle_usage(shell, now, &usage),
         PeerMessage::QuotaShares(shares) => quotas::handle_shares(shell, now, &shares),
+        PeerMessage::OverloadReport(report) => overload::record_report(shell, &report),
+        PeerMessage::OverloadLevels(levels) => overload::handle_levels(shell, now, &levels),
         PeerMessage::RequestServers => server_updates::send_all_servers(shell, from),
         PeerMessage::RequestDirect => fan_out::record_direct_request(shell, now, from),
         PeerMessage::RequestHosts => hosts::send_hosts(shell, from),
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -15,6 +15,7 @@
 use super::cutoff::Cutoff;
 use super::freshness::VouchRequests;
 use super::granter::GranterRole;
+use super::overload::OverloadState;
 use super::peers::PeerSocket;
 use super::permits::Permits;
 use super::quotas::Quotas;
@@ -48,6 +49,7 @@
     pub(crate) permits: Permits,
     pub(crate) vouch_requests: VouchRequests,
     pub(crate) quotas: RefCell<Quotas>,
+    pub(crate) overload: RefCell<OverloadState>,
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -3,6 +3,9 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bay_admission::{
+    OverloadLevels, OverloadReport, RankCounts, RankShare, ServiceCounts, ServiceLevel,
+};
 use bay_quota::{AccountId, AccountShare, AccountUsage, QuotaShares, UsageEntry};
 use bay_range::{
     EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
@@ -174,9 +177,30 @@
                 age_ms: 1_240,
             }),
         ),
+        ("overload-report", PeerMessage::OverloadReport(overload_report())),
+        ("overload-levels", PeerMessage::OverloadLevels(overload_levels())),
     ]
 }
 
+fn overload_report() -> OverloadReport {
+    let ranks = vec![RankCounts {
+        rank: 2,
+        offered: 17,
+        admitted: 9,
+        refused: 1,
+        answered: 8,
+        work_ms: 660,
+    }];
+    let counts = ServiceCounts { service: service(), waiting: 31, slots: 16, ranks };
+    OverloadReport { services: vec![counts] }
+}
+
+fn overload_levels() -> OverloadLevels {
+    let shares = vec![RankShare { rank: 2, share: 0.25 }];
+    let services = vec![ServiceLevel { service: service(), shares }];
+    OverloadLevels { term: Term(7), sequence: 44, valid_ms: 1_000, services }
+}
+
 /// Returns a sample of the record that elects the granter.
 pub fn leadership_record() -> LeadershipRecord {
     LeadershipRecord {
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 
+use bay_admission::{OverloadLevels, OverloadReport};
 use bay_quota::{AccountUsage, QuotaShares};
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
@@ -58,6 +59,10 @@
     AccountUsage(AccountUsage),
     /// Sends the shares of accounts that are near their quota from the granter to every router.
     QuotaShares(QuotaShares),
+    /// Reports a router's counts by service and rank to the granter.
+    OverloadReport(OverloadReport),
+    /// Sends the shares of requests to admit by rank from the granter to every router.
+    OverloadLevels(OverloadLevels),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -2,6 +2,7 @@
 use std::sync::Arc;
 
 use bay_account::Freshness;
+use bay_admission::LocalAdmission;
 use bay_quota::LocalQuota;
 use bay_range::{Candidate, KeyLimit, OwnerId};
 use bay_time::Time;
@@ -20,6 +21,7 @@
 mod key_proof;
 mod paths;
 mod quotas;
+mod rank_admission;
 mod rate_limits;
 mod server_selection;
 
@@ -45,6 +47,8 @@
     /// Routers that have not answered a request for a permit, and until when none is sent to them.
     silent_hosts: BTreeMap<HostName, Time>,
     paths: ServerPaths,
+    /// Admission by rank; unused unless overload control is on.
+    admission: LocalAdmission,
     /// When the last answer of any server arrived.
     answered_at: Time,
     /// Number of live routers, at least 1.
@@ -76,6 +80,7 @@
             hosts: Vec::new(),
             silent_hosts: BTreeMap::new(),
             paths: ServerPaths::default(),
+            admission: LocalAdmission::default(),
             answered_at: Time::ZERO,
             router_count: Router::INITIAL_ROUTER_COUNT,
             quota: None,
