Stream downloads when memory is short or an answer is large

Cause: an answer was read whole before its first byte was sent. One over 16 MiB, or over 256 KiB while all buffers took a quarter of the memory, was given up after it had run; bytes that waited for a slow reader were not counted at all.

Change, for routes of kind Download only: answers count against a budget of an eighth of the memory until they are sent. They are held whole while they fit; confirmed ones that are over 1 MiB or do not fit are streamed, with the server's connection read no faster than the caller reads once the budget binds. An answer that breaks off closes the caller's connection short of its length or last chunk. A reader is disconnected after 10 s without progress. The decisions are in the new crate bay-stream, without I/O.

--- a/crates/node/src/gate_shell.rs
+++ b/crates/node/src/gate_shell.rs
@@ -36,6 +36,7 @@
 
 pub use http_limits::HttpLimits;
 pub(crate) use pool::{ConnectError, ConnectionPool, PooledConnection};
+pub(crate) use upload::{LAST_CHUNK, append_body};
 
 use admin::serve_admin;
 use admission::AdmissionControl;
--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -118,6 +118,15 @@
         }
     }
 
+    /// Limits the bytes that the system holds unsent for the peer (`TCP_NOTSENT_LOWAT`); those beyond
+    /// stay with the process, which counts them.
+    pub(crate) fn limit_unsent_bytes(&self, bytes: u32) {
+        let socket = SockRef::from(self.stream.get_ref());
+        if let Err(error) = socket.set_tcp_notsent_lowat(bytes) {
+            log::warn!(error:% = error; "failed to limit the unsent bytes of a connection");
+        }
+    }
+
     /// Records that a response on this connection without the identifier of its request cannot be the
     /// right one: the peer has named an earlier request, or was sent one without an identifier.
     pub(crate) fn set_requires_request_id(&mut self) {
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -10,6 +10,7 @@
 use async_io::{Async, Timer};
 use bay_obs::Counters;
 use bay_router::{Router, RouterSettings, RouterWire, StopSchedule, StopStep};
+use bay_stream::{ByteBudget, DeliveryPolicy};
 use bay_time::{BootClock, Clock};
 use futures_lite::future;
 
@@ -22,8 +23,10 @@
 mod caller;
 mod config_updates;
 mod cutoff;
+mod download_answer;
 mod feeds;
 mod granter;
+mod held_body;
 mod hosts;
 mod http_client;
 mod orders;
@@ -31,12 +34,16 @@
 mod permits;
 mod probes;
 mod reply;
+mod reply_body;
 mod request;
 mod request_head;
 mod server_connection;
 mod server_updates;
 mod shell_state;
 mod store_client;
+mod stream_record;
+mod stream_source;
+mod transfer;
 mod tunnel;
 
 use caller::serve_caller;
@@ -93,6 +100,7 @@
         // the limit is reached; otherwise each request would need a new one.
         let limits = HttpLimits { extra_idle_connections: 1, ..HttpLimits::default() };
         let seed = BootClock.now().as_nanos() ^ wall_nanos();
+        let download_budget = Rc::new(ByteBudget::of_machine(settings.memory_bytes));
         let shell = Rc::new(ShellState {
             router: RefCell::new(Router::new(settings.clone(), seed)),
             pool: Arc::new(ConnectionPool::new(limits.clone(), Arc::clone(&resources))),
@@ -110,6 +118,8 @@
             tunnel_counts: tunnel::TunnelCounts::default(),
             active_connections: Cell::new(0),
             incarnation: wall_nanos(),
+            download_policy: DeliveryPolicy::new(&download_budget),
+            download_budget,
             executor,
             counters,
             limits,
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -4,10 +4,14 @@
 use std::time::Duration;
 
 use bay_router::{AnswerFields, AttemptFields, RouterWire};
+use bay_stream::ReaderState;
 use bay_types::ErrorKind;
 
+use super::download_answer::read_download;
+use super::reply_body::{DownloadBody, ReplyBody};
 use super::request_head::{RequestHead, append_header, connection_header_names};
 use super::shell_state::ShellState;
+use super::stream_source::{StreamSource, UnreadBody};
 use crate::gate_shell::PooledConnection;
 use crate::http1::connection::Connection;
 use crate::http1::framing::{BodyError, BodyReader, Framing};
@@ -44,17 +48,27 @@
     passes_account_headers: bool,
 }
 
-/// Complete answer of a server.
+/// Answer of a server, complete unless the download is streamed.
 #[derive(Debug)]
 pub(crate) struct ServerAnswer {
     pub(crate) status: u16,
     /// Status line and forwarded headers, without the empty line.
     pub(crate) head: Vec<u8>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: ReplyBody,
     /// Values of the headers that the router evaluates.
     pub(crate) fields: AnswerFields,
 }
 
+impl ServerAnswer {
+    /// Adds the server's connection with the rest of the body to the start of a download.
+    pub(crate) fn into_streamed(mut self, source: StreamSource) -> ServerAnswer {
+        if let ReplyBody::Download(body) = &mut self.body {
+            body.source = Some(Box::new(source));
+        }
+        self
+    }
+}
+
 impl OutgoingRequest {
     pub(crate) fn new(
         head: RequestHead,
@@ -82,7 +96,17 @@
     }
 }
 
-/// Sends a request and reads its answer; also returns whether the connection can be reused.
+/// Answer of a server and the state of its connection.
+#[derive(Debug)]
+pub(crate) struct ExchangeOutput {
+    pub(crate) answer: ServerAnswer,
+    /// Rest of the body of a download that is streamed.
+    pub(crate) rest: Option<UnreadBody>,
+    /// Whether the connection can be reused after the body.
+    pub(crate) is_reusable: bool,
+}
+
+/// Sends a request and reads its answer. `download` is set on a route for downloads.
 ///
 /// # Errors
 /// Returns an error if there is no complete answer, if it has a content encoding, or if a
@@ -92,7 +116,8 @@
     pooled: &mut PooledConnection,
     outgoing: &OutgoingRequest,
     fields: &AttemptFields,
-) -> Result<(ServerAnswer, bool), ErrorKind> {
+    download: Option<ReaderState>,
+) -> Result<ExchangeOutput, ErrorKind> {
     let bytes = outgoing.encode(&*shell.wire, fields);
     let mut sent_bytes = 0;
     let connection = &mut pooled.connection;
@@ -100,8 +125,8 @@
     let is_sent = sent_bytes == bytes.len();
     drop(bytes);
     for _ in 0..MAX_SKIPPED {
-        let (answer, info) =
-            read_answer(shell, &mut pooled.connection, outgoing.head.is_head_request).await?;
+        let (answer, info, rest) =
+            read_answer(shell, &mut pooled.connection, &outgoing.head, download).await?;
         if info.is_interim() {
             continue;
         }
@@ -123,8 +148,9 @@
         }
         pooled.set_keep_alive(info.keep_alive_seconds.map(Duration::from_secs));
         let stays_open = !info.should_close && info.framing != Framing::UntilClose;
-        let has_no_leftover = pooled.connection.buffered().is_empty();
-        return Ok((answer, is_sent && stays_open && has_no_leftover));
+        let has_no_leftover = rest.is_some() || pooled.connection.buffered().is_empty();
+        let is_reusable = is_sent && stays_open && has_no_leftover;
+        return Ok(ExchangeOutput { answer, rest, is_reusable });
     }
     Err(ErrorKind::BadAnswer)
 }
@@ -147,7 +173,7 @@
     Poll::Ready(())
 }
 
-/// Reads the next whole answer, which may be an interim one.
+/// Reads the next answer, which may be an interim one; of a download that is streamed only the start.
 ///
 /// # Errors
 /// Returns an error if the answer is malformed, breaks off or is too long. Its server may never stop
@@ -155,25 +181,72 @@
 async fn read_answer(
     shell: &ShellState,
     connection: &mut Connection,
-    to_head_request: bool,
-) -> Result<(ServerAnswer, ResponseInfo), ErrorKind> {
+    request: &RequestHead,
+    download: Option<ReaderState>,
+) -> Result<(ServerAnswer, ResponseInfo, Option<UnreadBody>), ErrorKind> {
     let head = read_raw_head(connection, MAX_HEAD).await.map_err(|error| match error {
         RawHeadError::TooLarge => ErrorKind::BadAnswer,
         _ => ErrorKind::ConnectionLost,
     })?;
-    let info = check_response(&head, to_head_request).map_err(|_| ErrorKind::BadAnswer)?;
-    let mut reader = BodyReader::new(info.framing);
-    let mut body = Vec::with_capacity(info.framing.len().unwrap_or(0).min(1 << 16) as usize);
+    let info = check_response(&head, request.is_head_request).map_err(|_| ErrorKind::BadAnswer)?;
+    let mut answer = parse_answer(&*shell.wire, &head, &info).ok_or(ErrorKind::BadAnswer)?;
+    let mut rest = None;
+    let mut length = match info.framing {
+        Framing::Empty => info.declared_length,
+        _ => None,
+    };
+    match download {
+        Some(caller) => {
+            let may_stream = is_confirmed(&answer, &info, request);
+            let id = request.fields.id.clone().unwrap_or_default();
+            let (held, unread) =
+                read_download(shell, connection, info.framing, id, may_stream, caller).await?;
+            length = match &unread {
+                Some(_) => info.declared_length,
+                None => length.or(Some(held.queue.unsent_bytes())),
+            };
+            answer.body = ReplyBody::Download(DownloadBody { held, source: None });
+            rest = unread;
+        }
+        None => {
+            let body = read_body(shell, connection, info.framing).await?;
+            length = length.or(Some(body.len() as u64));
+            answer.body = ReplyBody::Whole(body);
+        }
+    }
+    append_framing(&mut answer, length);
+    Ok((answer, info, rest))
+}
+
+/// Returns whether an answer is a signed success that names its request and has no content encoding,
+/// so that its head may be passed on before its body is complete.
+fn is_confirmed(answer: &ServerAnswer, info: &ResponseInfo, request: &RequestHead) -> bool {
+    let names_request = answer.fields.id.is_some() && answer.fields.id == request.fields.id;
+    (200..300).contains(&answer.status)
+        && answer.fields.signed
+        && !answer.fields.not_run
+        && names_request
+        && !info.has_content_encoding
+}
+
+/// Reads a whole body.
+///
+/// # Errors
+/// Returns an error if the body is malformed, breaks off or is too long.
+async fn read_body(
+    shell: &ShellState,
+    connection: &mut Connection,
+    framing: Framing,
+) -> Result<Vec<u8>, ErrorKind> {
+    let mut reader = BodyReader::new(framing);
+    let mut body = Vec::with_capacity(framing.len().unwrap_or(0).min(1 << 16) as usize);
     let gauge = &shell.resources.buffer_gauge;
     let mut held = gauge.track();
     loop {
         let count = poll_fn(|cx| reader.poll_available(connection, cx)).await;
-        let count = count.map_err(|error| match error {
-            BodyError::Malformed => ErrorKind::BadAnswer,
-            BodyError::Truncated | BodyError::TimedOut => ErrorKind::AnswerCut,
-        })?;
+        let count = count.map_err(body_error)?;
         if count == 0 {
-            break;
+            return Ok(body);
         }
         body.extend_from_slice(&connection.buffered()[..count]);
         reader.consume(connection, count);
@@ -185,18 +258,19 @@
             return Err(ErrorKind::BadAnswer);
         }
     }
-    let answer = parse_answer(&*shell.wire, &head, &info, body).ok_or(ErrorKind::BadAnswer)?;
-    Ok((answer, info))
 }
 
-/// Parses a head and encodes it for the caller: hop-by-hop headers are dropped and the framing is
-/// replaced by a `Content-Length`. Returns `None` for a malformed head.
-fn parse_answer(
-    wire: &dyn RouterWire,
-    head: &[u8],
-    info: &ResponseInfo,
-    body: Vec<u8>,
-) -> Option<ServerAnswer> {
+/// Returns the kind of error for a body that cannot be read.
+pub(crate) fn body_error(error: BodyError) -> ErrorKind {
+    match error {
+        BodyError::Malformed => ErrorKind::BadAnswer,
+        BodyError::Truncated | BodyError::TimedOut => ErrorKind::AnswerCut,
+    }
+}
+
+/// Parses a head and encodes it for the caller without its framing: hop-by-hop headers are dropped.
+/// Returns `None` for a malformed head.
+fn parse_answer(wire: &dyn RouterWire, head: &[u8], info: &ResponseInfo) -> Option<ServerAnswer> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
     response.parse(head).ok()?;
@@ -213,14 +287,18 @@
             append_header(&mut out, header.name, header.value);
         }
     }
-    let length = match info.framing {
-        Framing::Empty => info.declared_length,
-        _ => Some(body.len() as u64),
-    };
-    let bodiless = matches!(info.status, 100..200 | 204 | 304);
-    if !bodiless {
-        let length = length.unwrap_or(0);
-        let _: std::io::Result<()> = write!(out, "Content-Length: {length}\r\n");
-    }
+    let body = ReplyBody::Whole(Vec::new());
     Some(ServerAnswer { status: info.status, head: out, body, fields })
 }
+
+/// Appends the framing of the body to a head: its length, or chunks if the length is not known.
+fn append_framing(answer: &mut ServerAnswer, length: Option<u64>) {
+    if matches!(answer.status, 100..200 | 204 | 304) {
+        return;
+    }
+    // Writing to a vector cannot fail.
+    let _: std::io::Result<()> = match length {
+        Some(length) => write!(answer.head, "Content-Length: {length}\r\n"),
+        None => write!(answer.head, "Transfer-Encoding: chunked\r\n"),
+    };
+}
--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -9,13 +9,16 @@
 
 use async_executor::Task;
 use async_io::Async;
+use bay_stream::{ReaderPace, ReaderState};
 use bay_types::ErrorKind;
 use futures_lite::FutureExt;
 
 use super::reply::Reply;
+use super::reply_body::DownloadBody;
 use super::request::{IncomingRequest, serve_request};
 use super::request_head::RequestHead;
 use super::shell_state::{Phase, ShellState};
+use super::transfer::Transfer;
 use crate::http1::connection::Connection;
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::raw_head::{RawHeadError, poll_raw_head, read_raw_head};
@@ -44,6 +47,8 @@
     deferred: Option<RequestHead>,
     /// Received bytes that were already searched for the end of the next head.
     scanned: usize,
+    /// Pace at which downloads were read on this connection.
+    pace: ReaderPace,
 }
 
 /// Request whose reply has not been sent.
@@ -84,6 +89,7 @@
         in_flight: VecDeque::new(),
         deferred: None,
         scanned: 0,
+        pace: ReaderPace::default(),
     };
     caller.run().await;
 }
@@ -184,7 +190,10 @@
         let may_overlap = head.may_overlap();
         let should_close = head.info.should_close;
         let body = self.read_body(&head).await?;
-        let work = serve_request(Rc::clone(&self.shell), IncomingRequest { head, body });
+        let is_behind_others = !self.in_flight.is_empty();
+        let caller = ReaderState { pace: self.pace, is_behind_others };
+        let incoming = IncomingRequest { head, body, caller };
+        let work = serve_request(Rc::clone(&self.shell), incoming);
         let shell = Rc::clone(&self.shell);
         let task = self.shell.executor.spawn(async move {
             AssertUnwindSafe(work).catch_unwind().await.unwrap_or_else(|_| {
@@ -286,11 +295,16 @@
         let is_stopping = self.shell.phase.get() != Phase::Serving;
         let is_last = self.in_flight.is_empty() && self.deferred.is_none();
         let close = close || reply.should_close || (is_stopping && is_last);
-        let bytes = reply.into_bytes(close);
-        self.connection.set_timeout(self.shell.limits.body_timeout());
-        let written = self.connection.write_all(&bytes).await;
-        self.connection.set_timeout(IoTimeout::Unlimited);
-        if written.is_err() {
+        let is_sent = match reply.into_parts(close) {
+            (bytes, None) => {
+                self.connection.set_timeout(self.shell.limits.body_timeout());
+                let written = self.connection.write_all(&bytes).await;
+                self.connection.set_timeout(IoTimeout::Unlimited);
+                written.is_ok()
+            }
+            (head, Some(body)) => self.send_download(head, body).await,
+        };
+        if !is_sent {
             return false;
         }
         if close {
@@ -299,6 +313,19 @@
         !close
     }
 
+    /// Sends a download; returns whether the caller got all of it.
+    async fn send_download(&mut self, head: Vec<u8>, body: DownloadBody) -> bool {
+        let shell = &self.shell;
+        let mut transfer = Transfer::new(shell.download_policy, head, body);
+        let result = transfer.run(shell, &mut self.connection, &mut self.pace).await;
+        if let Err(error) = result {
+            shell.counters.add(error.as_str(), 1);
+            log::info!(request = transfer.request_id(), reason = error.as_str(),
+                sent_bytes = transfer.sent_bytes(); "download not completed");
+        }
+        result.is_ok()
+    }
+
     /// Counts a refusal, sends it and closes the connection.
     async fn refuse_and_close(mut self, kind: ErrorKind) {
         self.shell.counters.add(kind.counter(), 1);
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -109,5 +109,9 @@
     write_metric("peer.received_bytes", received);
     write_metric("buffers.held_bytes", shell.resources.buffer_gauge.held_bytes());
     write_metric("buffers.peak_bytes", shell.resources.buffer_gauge.peak_bytes());
+    let downloads = &shell.download_budget;
+    write_metric("downloads.held_bytes", downloads.held());
+    write_metric("downloads.peak_bytes", downloads.peak());
+    write_metric("downloads.limit_bytes", downloads.limit());
     text
 }
--- a/crates/node/src/router_shell/reply.rs
+++ b/crates/node/src/router_shell/reply.rs
@@ -6,13 +6,14 @@
 use http_types::StatusCode;
 
 use super::attempt::ServerAnswer;
+use super::reply_body::{DownloadBody, ReplyBody};
 
 /// Router's reply to a caller: a server's answer or a refusal.
 #[derive(Debug)]
 pub(crate) struct Reply {
     /// Head without the `Connection` header and the empty line.
     pub(crate) head: Vec<u8>,
-    pub(crate) body: Vec<u8>,
+    pub(crate) body: ReplyBody,
     /// Whether the connection is closed after the reply.
     pub(crate) should_close: bool,
 }
@@ -46,16 +47,21 @@
             let value = wire.format_retry_after(span);
             let _: std::io::Result<()> = write!(head, "Retry-After: {value}\r\n");
         }
-        Reply { head, body, should_close: false }
+        Reply { head, body: ReplyBody::Whole(body), should_close: false }
     }
 
-    /// Completes the head and returns the bytes to send.
-    pub(crate) fn into_bytes(mut self, close: bool) -> Vec<u8> {
+    /// Completes the head and returns the bytes to send at once, and the body of a download.
+    pub(crate) fn into_parts(mut self, close: bool) -> (Vec<u8>, Option<DownloadBody>) {
         if close {
             self.head.extend_from_slice(b"Connection: close\r\n");
         }
         self.head.extend_from_slice(b"\r\n");
-        self.head.append(&mut self.body);
-        self.head
+        match self.body {
+            ReplyBody::Whole(mut body) => {
+                self.head.append(&mut body);
+                (self.head, None)
+            }
+            ReplyBody::Download(body) => (self.head, Some(body)),
+        }
     }
 }
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -1,22 +1,26 @@
+use std::fmt;
 use std::rc::Rc;
 use std::time::Duration;
 
 use async_io::Timer;
 use bay_router::{
-    AttemptFields, AttemptResult, OwnerMap, Permit, RequestState, RetryDecision, RoutingDecision,
-    SelectedServer,
+    AttemptFields, AttemptResult, OwnerMap, Permit, RequestState, RetryDecision, RouteKind,
+    RoutingDecision, SelectedServer,
 };
+use bay_stream::ReaderState;
 use bay_time::{BootClock, Clock, Time};
 use bay_types::ErrorKind;
 use futures_lite::future;
 use xxhash_rust::xxh3::{xxh3_64, xxh3_64_with_seed};
 
-use super::attempt::{OutgoingRequest, ServerAnswer, exchange};
+use super::attempt::{ExchangeOutput, OutgoingRequest, ServerAnswer, exchange};
 use super::permits;
 use super::reply::Reply;
 use super::request_head::RequestHead;
 use super::server_connection::{self, ServerEndpoint};
 use super::shell_state::ShellState;
+use super::stream_record::StreamRecord;
+use super::stream_source::StreamSource;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
 /// Idle time after which a connection is not reused for a request that is not idempotent. If the
@@ -38,12 +42,20 @@
 pub(crate) struct IncomingRequest {
     pub(crate) head: RequestHead,
     pub(crate) body: Vec<u8>,
+    /// What is known of the caller as a reader.
+    pub(crate) caller: ReaderState,
 }
 
 /// Records on drop that an attempt has ended, so that a cancelled one counts too.
-struct AttemptGuard {
-    shell: Rc<ShellState>,
-    selected: SelectedServer,
+pub(crate) struct AttemptGuard {
+    pub(crate) shell: Rc<ShellState>,
+    pub(crate) selected: SelectedServer,
+}
+
+impl fmt::Debug for AttemptGuard {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("AttemptGuard").field("selected", &self.selected).finish_non_exhaustive()
+    }
 }
 
 impl Drop for AttemptGuard {
@@ -54,7 +66,7 @@
 
 /// Serves a request: attempts it at servers until one answers or the router gives up.
 pub(crate) async fn serve_request(shell: Rc<ShellState>, incoming: IncomingRequest) -> Reply {
-    let IncomingRequest { head, body } = incoming;
+    let IncomingRequest { head, body, caller } = incoming;
     let now = BootClock.now();
     let admitted = shell.router.borrow_mut().admit(now, &head.host, &head.path, &head.fields);
     let mut request = match admitted {
@@ -68,7 +80,7 @@
     request.digest = request_digest(&head, &body);
     let has_accounts = shell.router.borrow().has_accounts();
     let outgoing = OutgoingRequest::new(head, body, !has_accounts);
-    let outcome = run_attempts(&shell, &mut request, &outgoing).await;
+    let outcome = run_attempts(&shell, &mut request, &outgoing, caller).await;
     let elapsed = BootClock.now().since(request.arrived_at);
     let result = if outcome.error.is_some() { "refused" } else { "answered" };
     let name = format!("request.{}.{result}", request.service);
@@ -100,6 +112,7 @@
     shell: &Rc<ShellState>,
     request: &mut RequestState,
     outgoing: &OutgoingRequest,
+    caller: ReaderState,
 ) -> RequestOutcome {
     let mut answer: Option<ServerAnswer> = None;
     let deliver = |answer: ServerAnswer| {
@@ -147,7 +160,7 @@
                 };
             }
         };
-        let (result, received) = run_attempt(shell, request, outgoing, &selected).await;
+        let (result, received) = run_attempt(shell, request, outgoing, &selected, caller).await;
         if let Some(received) = received {
             let mut router = shell.router.borrow_mut();
             if let Some(load) = received.fields.load {
@@ -155,6 +168,10 @@
             }
             router.record_rate_limit(BootClock.now(), &selected, received.fields.rate_limit);
             drop(router);
+            if received.body.is_streamed() {
+                // The result is recorded at the end of the body.
+                return deliver(received);
+            }
             answer = Some(received);
         }
         let Some(result) = result else {
@@ -190,6 +207,7 @@
     request: &mut RequestState,
     outgoing: &OutgoingRequest,
     selected: &SelectedServer,
+    caller: ReaderState,
 ) -> (Option<AttemptResult>, Option<ServerAnswer>) {
     let mut pooled = match connect(shell, request, selected).await {
         Ok(pooled) => pooled,
@@ -205,16 +223,24 @@
     let guard = AttemptGuard { shell: Rc::clone(shell), selected: *selected };
     let account = request.account.as_ref().map(|(account, _)| account.name);
     let fields = AttemptFields { server: selected.server, time_left, account };
-    let work = exchange(shell, &mut pooled, outgoing, &fields);
+    let download = (request.route.kind == RouteKind::Download).then_some(caller);
+    let sent_at = BootClock.now();
+    let work = exchange(shell, &mut pooled, outgoing, &fields, download);
     let timer = async {
         future::or(sleep(time_left), shell.cutoff.wait()).await;
         None
     };
     let exchange_result = future::or(async { Some(work.await) }, timer).await;
+    if let Some(Ok(ExchangeOutput { answer, rest: Some(rest), is_reusable })) = exchange_result {
+        let elapsed = BootClock.now().since(sent_at);
+        let record = StreamRecord::new(guard, request.clone(), answer.status, elapsed);
+        let source = StreamSource { pooled, rest, record, is_reusable };
+        return (None, Some(answer.into_streamed(source)));
+    }
     drop(guard);
     match exchange_result {
-        Some(Ok((answer, reusable))) => {
-            if reusable {
+        Some(Ok(ExchangeOutput { answer, is_reusable, .. })) => {
+            if is_reusable {
                 pooled.return_to_pool();
             }
             let result =
@@ -247,8 +273,14 @@
         sleep(time_left).await;
         Err(ConnectError::Refused)
     };
-    let connected =
-        server_connection::connect(shell, &endpoint, selected.max_connections, max_idle);
+    let mut cap = selected.max_connections;
+    if request.route.kind == RouteKind::Download
+        && shell.download_policy.is_short(&shell.download_budget)
+    {
+        // Other requests keep a connection beside those that wait for slow readers.
+        cap = cap.min(shell.limits.max_connections_per_target).saturating_sub(1).max(1);
+    }
+    let connected = server_connection::connect(shell, &endpoint, cap, max_idle);
     future::or(connected, timer).await
 }
 
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -9,6 +9,7 @@
 use bay_router::{
     FeedPublisher, GranterFeed, HostRecord, ReassemblyBuffer, Router, RouterSettings, RouterWire,
 };
+use bay_stream::{ByteBudget, DeliveryPolicy};
 use bay_types::HostName;
 use futures_lite::FutureExt;
 
@@ -42,6 +43,9 @@
     pub(crate) peer_socket: PeerSocket,
     pub(crate) limits: HttpLimits,
     pub(crate) resources: Arc<ConnectionResources>,
+    /// Bytes held for the readers of downloads.
+    pub(crate) download_budget: Rc<ByteBudget>,
+    pub(crate) download_policy: DeliveryPolicy,
     pub(crate) counters: Counters,
     pub(crate) permits: Permits,
     pub(crate) latencies: RefCell<LatencyHistograms>,
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -94,6 +94,21 @@
         }
     }
 
+    /// Records the result of an attempt whose answer was streamed to the caller, so that it cannot be
+    /// retried.
+    ///
+    /// `elapsed` is the time up to the head: the rest also depends on the reader.
+    pub fn record_streamed(
+        &mut self,
+        now: Time,
+        request: &RequestState,
+        selected: &SelectedServer,
+        result: AttemptResult,
+        elapsed: Duration,
+    ) {
+        self.record_result(now, request, selected, result, elapsed);
+    }
+
     /// Updates the statistics of the server and the record of crashes.
     fn record_result(
         &mut self,
