Keep the later end of hold when ranges are joined

Cause: a joined range took the ends of holds of its first part only. The parts are renewed at different times, so that the owner holds the others longer, up to one renewal interval, if the grant of the joined range does not reach it. The granter then gave these keys to a second server too early; EndedHolds would have named them too early as well.

Change: StagedChange::apply takes the latest ends of holds of all ranges that it joins.

--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -112,7 +112,24 @@
         Slot { holding, ..self.clone() }
     }
 
-    /// Returns the slot for `next`, which has a part of these keys.
+    /// Returns the slot with the ends of another one's holds as well, for the join of their ranges.
+    ///
+    /// Renewals of the two are sent at different times, so that their holds end at different times.
+    pub(crate) fn with_holds_of(self, other: &Slot) -> Slot {
+        Slot {
+            owner_hold_until: self.owner_hold_until.max(other.owner_hold_until),
+            unanswered_until: self.unanswered_until.max(other.unanswered_until),
+            former_hold_until: self.former_hold_until.max(other.former_hold_until),
+            former_unanswered_until: self
+                .former_unanswered_until
+                .max(other.former_unanswered_until),
+            blocked_until: self.blocked_until.max(other.blocked_until),
+            acknowledged: self.acknowledged && other.acknowledged,
+            ..self
+        }
+    }
+
+    /// Returns the slot for `next`, which has these keys or a part of them.
     ///
     /// A new owner waits for the release by the current one. The same owner gets a new grant with
     /// the higher token; a release that it waits for goes on.
--- a/crates/range/src/staged_change.rs
+++ b/crates/range/src/staged_change.rs
@@ -56,8 +56,8 @@
     pub(crate) fn apply(&self, slots: &mut Vec<Slot>, now: Time) {
         for assignment in &self.assignments {
             let holding = self.new_holding(assignment, None);
-            let old = slots.iter().find(|slot| slot.holding.range.overlaps(assignment.range));
-            let slot = match old {
+            let old = slots.iter().filter(|slot| slot.holding.range.overlaps(assignment.range));
+            let slot = match old.cloned().reduce(|joined, other| joined.with_holds_of(&other)) {
                 Some(old) => old.reassign(holding, now),
                 None => Slot::new(holding, now),
             };
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -386,3 +386,91 @@
     assert_eq!(served(Term(1)), 0);
     assert_eq!(served(Term(0)), stored.holdings.len());
 }
+
+/// Guards against two holders after ranges were joined: their renewals were sent at different times, and
+/// the owner holds each until its own time if the grant of the joined range does not reach it.
+#[test]
+fn joined_ranges_wait_for_the_last_of_their_holds() {
+    let address = |port: u16| SocketAddr::from(([10, 0, 0, 1], port));
+    let candidate = |name: &str, port: u16| Candidate {
+        owner: OwnerId { server: ServerName::new(name).unwrap(), started: 1 },
+        address: address(port),
+        zone: ZoneName::new("a").unwrap(),
+        slots: 4,
+        eligible: true,
+        cold: false,
+        service_ms: None,
+        rate_limit: None,
+    };
+    let (owner, next) = (candidate("owner", 1), candidate("next", 2));
+    let former = FormerOwner { owner: next.owner, address: address(3), token: Token(1) };
+    let width = 65_536 / 4;
+    let holding = |index: u32| Holding {
+        range: KeyRange::new((index * width) as u16, ((index + 1) * width - 1) as u16),
+        owner: owner.owner,
+        address: owner.address,
+        token: Token(2),
+        former: Some(former),
+        has_earlier_former: false,
+    };
+    let holdings = (0..4).map(holding).collect();
+    let stored = RangeTable { term: Term(1), change: 5, holdings };
+    let late_key = (width + 5) as u16;
+    let times = HoldTimes::bounded_by(Duration::from_secs(10));
+    let start = Time::from_millis(60_000);
+    let (early, late_at) = (Duration::from_millis(200), Duration::from_millis(800));
+    let gone_at = Duration::from_millis(1_600);
+    let mut granter = Granter::take_over(start, Term(2), times, stored);
+    granter.record_predecessor_settled(start);
+    let (mut now, mut last_granted, mut was_joined) = (start, start, false);
+    loop {
+        now += Duration::from_millis(20);
+        assert!(now.since(start) < Duration::from_secs(20), "the keys are never granted");
+        let candidates = if now.since(start) < gone_at { [owner] } else { [next] };
+        let mut actions = Vec::new();
+        granter.tick(now, &candidates, &KeyLoads::default(), false, &mut actions);
+        let says_ended = granter.ended_holds(now).iter().any(|range| range.contains(late_key));
+        assert!(!says_ended || now >= last_granted + times.max_after_arrival());
+        for action in actions {
+            let (id, to, order) = match action {
+                GranterAction::Save(table) => {
+                    granter.record_save(now, table.change, &mut Vec::new());
+                    continue;
+                }
+                GranterAction::Order { id, to, order, .. } => (id, to, order),
+                GranterAction::Publish => continue,
+            };
+            let result = match order {
+                GrantOrder::Release { .. } if now.since(start) < gone_at => {
+                    OrderResult::OtherServer
+                }
+                GrantOrder::Grant { range, .. } if to == next.owner => {
+                    if range.contains(late_key) {
+                        assert!(was_joined, "the ranges are not joined");
+                        let waited = now.since(last_granted);
+                        assert!(waited >= times.max_after_arrival(), "{waited:?}");
+                        return;
+                    }
+                    OrderResult::Granted
+                }
+                GrantOrder::Grant { range, .. } if range.contains(late_key) => {
+                    was_joined |= range.contains(5);
+                    match !was_joined && now.since(start) >= late_at {
+                        true => {
+                            last_granted = now;
+                            OrderResult::Granted
+                        }
+                        false => OrderResult::NotSent,
+                    }
+                }
+                GrantOrder::Grant { range, .. }
+                    if range.contains(5) && now.since(start) < early =>
+                {
+                    OrderResult::Granted
+                }
+                _ => OrderResult::NotSent,
+            };
+            granter.handle_order_result(now, id, &result, &mut Vec::new());
+        }
+    }
+}
