Count unanswered orders of one service when another one's table is missing

Cause: a granter with several keyed services that had loaded one table but not another took *settled* from its predecessor when it resigned or handed over, although it had sent orders itself, and did not wait for their answers. Its successor could then grant released keys while such an order gave them back. A granter without a configuration said *settled* whatever its predecessor had left.

Change: Granter::are_all_settled finds unanswered orders of any service; without a configuration the result is unknown. A granter that may have sent orders in its term counts as working and does not hand over: hand_over waits for no orders, and they may arrive 0.9 s after they were decided, later than the margin of the successor's wait.

--- a/crates/node/src/router_shell/granter/election.rs
+++ b/crates/node/src/router_shell/granter/election.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_range::{KeyRange, LeadershipAction, LeadershipRecord};
+use bay_range::{Granter, KeyRange, LeadershipAction, LeadershipRecord};
 use bay_router::{EndedHolds, PeerMessage, object_key};
 use bay_store::{Object, Precondition, StoreReply, StoreRequest};
 use bay_time::{BootClock, Clock, Time};
@@ -141,7 +141,13 @@
     let (term, action) = {
         let role = &mut *shell.granter_role.borrow_mut();
         let has_answer = |service| role.services.get(service).is_some_and(|keyed| keyed.has_answer);
-        if services.iter().all(has_answer) && !may_have_services {
+        // A granter with orders under way works, also if the table of another service is missing. Its
+        // successor could not know when these orders have taken effect.
+        let may_have_sent_orders = role
+            .services
+            .values()
+            .any(|keyed| keyed.granter.as_ref().is_some_and(Granter::may_have_sent_orders));
+        if may_have_sent_orders || (services.iter().all(has_answer) && !may_have_services) {
             role.leadership.record_working();
             role.publish_plan.record_tables_loaded();
         }
@@ -160,15 +166,12 @@
     true
 }
 
-/// Returns whether no order can still take effect, `None` if a range table is not loaded.
+/// Returns whether no order can still take effect, `None` if a range table is not loaded and the loaded
+/// ones are settled, or if the services are not known.
 fn are_orders_settled(shell: &ShellState) -> Option<bool> {
-    let now = BootClock.now();
-    let keyed_services = shell.router.borrow().keyed_services();
+    let router = shell.router.borrow();
+    router.config()?;
     let role = shell.granter_role.borrow();
-    let mut settled = true;
-    for service in keyed_services {
-        let granter = role.services.get(&service)?.granter.as_ref()?;
-        settled &= granter.is_settled(now);
-    }
-    Some(settled)
+    let granter = |service| role.services.get(&service)?.granter.as_ref();
+    Granter::are_all_settled(BootClock.now(), router.keyed_services().into_iter().map(granter))
 }
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -161,6 +161,29 @@
         self.orders.is_empty() && now >= self.earlier_holds_until && self.slots.iter().all(settled)
     }
 
+    /// Returns whether no order of these granters, one for each service, can still give keys to a
+    /// server; `None` if a table is not loaded and the loaded ones are settled. Orders for the keys of
+    /// the table that is not loaded are then as the predecessor left them.
+    pub fn are_all_settled<'a, I>(now: Time, granters: I) -> Option<bool>
+    where
+        I: IntoIterator<Item = Option<&'a Granter>>,
+    {
+        let mut is_loaded = true;
+        for granter in granters {
+            match granter {
+                Some(granter) if !granter.is_settled(now) => return Some(false),
+                Some(_) => {}
+                None => is_loaded = false,
+            }
+        }
+        is_loaded.then_some(true)
+    }
+
+    /// Returns whether the store has a table of this granter, so that it may have sent orders.
+    pub fn may_have_sent_orders(&self) -> bool {
+        self.table_saved || !self.orders.is_empty()
+    }
+
     /// Returns the ranges whose owners hold them, with the owners, for routing.
     pub fn served_ranges(&self) -> Vec<(KeyRange, OwnerId)> {
         let held = self.slots.iter().filter(|slot| slot.is_served());
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -474,3 +474,23 @@
         }
     }
 }
+
+/// Guards against a record that says *settled* while an order of one service is unanswered, because the
+/// table of another service is not loaded.
+#[test]
+fn an_unanswered_order_counts_although_another_table_is_not_loaded() {
+    let mut world = World::new(3, 1);
+    world.elect();
+    let now = world.now;
+    let fresh = world.granters[0].as_ref().unwrap();
+    assert!(!fresh.may_have_sent_orders());
+    let until = now + world.times.max_after_arrival();
+    assert_eq!(Granter::are_all_settled(until, [Some(fresh), None]), None);
+    assert_eq!(Granter::are_all_settled(until, [Some(fresh)]), Some(true));
+    world.lose_results = true;
+    world.run(Duration::from_secs(1));
+    let now = world.now;
+    let busy = world.granters[0].as_ref().unwrap();
+    assert!(busy.may_have_sent_orders());
+    assert_eq!(Granter::are_all_settled(now, [None, Some(busy)]), Some(false));
+}
