Keep the last renewals of earlier granters in view when a table is loaded later

Cause: when more than three quarters of the routers follow a granter, earlier granters may renew holds for 1 s more (reports that they have received count that long). Only range tables that were loaded by then took this into account; a table loaded in the second after it did not, so that a second server could get keys up to 1 s too early. EndedHolds inherits that bound.

Change: Leadership keeps the end of these renewals and gives it to tables that are loaded later. A delayed EndedHolds of an earlier term no longer replaces a later one, which only cost time.

Result: a_table_loaded_after_the_earlier_granters_were_removed_waits_for_their_last_renewals; before, the election did not keep that time, so the test cannot be built on.

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -150,11 +150,11 @@
         if !all_earlier_follow && !most_follow {
             return;
         }
-        self.leadership.clear_earlier_granters();
         log::info!(host:% = host, all = all_earlier_follow; "no earlier granter renews holds");
         // Reports that an earlier granter received until now still count there for
         // `MAX_REPORT_AGE`.
         let ended_at = if all_earlier_follow { now } else { now + MAX_REPORT_AGE };
+        self.leadership.clear_earlier_granters(ended_at);
         for granter in self.services.values_mut().filter_map(|keyed| keyed.granter.as_mut()) {
             granter.record_earlier_granters_ended(ended_at);
         }
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -198,7 +198,13 @@
         PeerMessage::KeyLimits(service, limits) => {
             shell.router.borrow_mut().set_key_limits(now, service, limits);
         }
-        PeerMessage::EndedHolds(ended) => shell.granter_role.borrow_mut().ended_holds = Some(ended),
+        PeerMessage::EndedHolds(ended) => {
+            // A delayed one of an earlier granter does not replace that of the last.
+            let known = &mut shell.granter_role.borrow_mut().ended_holds;
+            if known.as_ref().is_none_or(|known| known.term <= ended.term) {
+                *known = Some(ended);
+            }
+        }
         PeerMessage::Config(part) => config_updates::handle_part(shell, part),
         // A message inside a relayed one is decoded and checked there.
         PeerMessage::Relay(_) | PeerMessage::Relayed(_) => {}
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -58,12 +58,12 @@
     );
     keyed.revision = revision;
     let mut granter = Granter::take_over(now, term, times, table);
-    match role.leadership.has_earlier_granters() {
-        false if role.leadership.has_settled_predecessor() => {
+    match role.leadership.earlier_granters_ended_at(now) {
+        Some(_) if role.leadership.has_settled_predecessor() => {
             granter.record_predecessor_settled(now)
         }
-        false => granter.record_earlier_granters_ended(now),
-        true => {}
+        Some(ended_at) => granter.record_earlier_granters_ended(ended_at),
+        None => {}
     }
     let ended = role.ended_holds.as_ref().filter(|ended| {
         !role.leadership.has_earlier_granters()
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -22,6 +22,8 @@
     last_heard_renewal: Option<(Term, u64)>,
     /// Earlier granters that may still renew holds.
     earlier_granters: Vec<EarlierGranter>,
+    /// Until when earlier granters that were removed may have renewed holds.
+    earlier_renewals_until: Time,
     /// Whether the previous granter resigned with all orders answered.
     settled_predecessor: bool,
     /// Term of the record that this process last tried to replace.
@@ -167,6 +169,7 @@
             known_term: Term(0),
             last_heard_renewal: None,
             earlier_granters: Vec::new(),
+            earlier_renewals_until: now,
             settled_predecessor: false,
             predecessor_term: None,
             in_flight: false,
@@ -257,9 +260,16 @@
         self.predecessor_term
     }
 
-    /// Removes all earlier granters, as none of them renews holds any more.
-    pub fn clear_earlier_granters(&mut self) {
+    /// Removes all earlier granters, as none of them renews holds after `until`.
+    pub fn clear_earlier_granters(&mut self, until: Time) {
         self.earlier_granters.clear();
+        self.earlier_renewals_until = self.earlier_renewals_until.max(until);
+    }
+
+    /// Returns the time from which on no earlier granter renews holds, `now` at the earliest; `None` if
+    /// one may go on. A range table that is loaded after they were removed starts from it.
+    pub fn earlier_granters_ended_at(&self, now: Time) -> Option<Time> {
+        (!self.has_earlier_granters()).then(|| now.max(self.earlier_renewals_until))
     }
 
     /// Removes the earlier granter on a host that follows this granter or runs a new process.
--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -418,3 +418,19 @@
     assert!(record.earlier_granters.is_empty());
     assert!(!follower.has_settled_predecessor());
 }
+
+/// Guards against two holders: the last reports that an earlier granter has received count there for a
+/// while, also for a successor that loads its range table after it has heard from most routers.
+#[test]
+fn a_table_loaded_after_the_earlier_granters_were_removed_waits_for_their_last_renewals() {
+    let mut world = elected(2);
+    let now = world.now;
+    let later = now + Duration::from_millis(300);
+    let until = now + Duration::from_secs(1);
+    let process = &mut world.processes[0];
+    assert_eq!(process.earlier_granters_ended_at(now), Some(now));
+    process.clear_earlier_granters(until);
+    assert_eq!(process.earlier_granters_ended_at(later), Some(until));
+    let later = until + Duration::from_secs(1);
+    assert_eq!(process.earlier_granters_ended_at(later), Some(later));
+}
