Replay the takeover with the shell's condition for ended holds

Cause: the replay applied EndedHolds in each term, while the shell does so only if the granter that sent it is the direct predecessor; after a hand-over in between, the keys wait for a hold to expire.

Change: the replay has the same condition.

--- a/crates/router/tests/failover/keys.rs
+++ b/crates/router/tests/failover/keys.rs
@@ -63,6 +63,11 @@
         NewGranter { term, granter, orders: Vec::new(), saving: None }
     }
 
+    /// Returns the term of the granter that is stopped.
+    pub fn stored_term(&self) -> Term {
+        self.table.term
+    }
+
     /// Advances the granter; returns whether a save is due.
     pub fn tick(&self, now: Time, new: &mut NewGranter) -> bool {
         let mut out = Vec::new();
--- a/crates/router/tests/failover/mod.rs
+++ b/crates/router/tests/failover/mod.rs
@@ -312,7 +312,9 @@
             (Call::Load, true) => machine.is_loading = false,
             (Call::Load, false) => {
                 machine.record_loaded();
-                let (term, is_told) = (machine.term, machine.is_told);
+                let is_predecessor =
+                    machine.leadership.predecessor_term() == Some(self.keys.stored_term());
+                let (term, is_told) = (machine.term, machine.is_told && is_predecessor);
                 if now > Time::from_millis(STORE_BACK) {
                     self.new_granter = Some(self.keys.take_over(now, term, is_told));
                     self.advance(index);
