Give granters longer to load their tables after terms that were too short

Cause: the start timeout of 0.6 s was fixed. With a store that takes longer than that for the calls of a start, each router handed over before its tables were loaded, so that no granter ever worked, while routers that kept the role would have worked after a second; the term changed about once a second, with a read of the record by the followers and two writes each.

Change: routers count the terms in a row that ended by a resignation within the start timeout (by the heartbeats, which all hear) and double the timeout for each, three times at most. A term that lasts, or a granter that works, ends the row.

--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -45,6 +45,11 @@
     handovers: u32,
     /// Until when the process does not try to become the granter after such a term.
     paused_until: Time,
+    /// The last term of another granter that was heard, and when its first heartbeat arrived.
+    heard_term_since: (Term, Time),
+    /// Terms in a row, of all granters, that ended by a resignation before their tables can have been
+    /// loaded.
+    short_terms: u32,
 }
 
 /// The role of a process in granting keys.
@@ -144,6 +149,9 @@
     /// Time after winning within which a granter has to load its tables. At 200 Mbit/s a table of 545
     /// ranges takes 0.2 s.
     pub const START_TIMEOUT: Duration = Duration::from_millis(600);
+    /// Number of doublings of the start timeout, once for each short term in a row. All routers take that
+    /// long to load the tables if the store is slow.
+    const MAX_START_DOUBLINGS: u32 = 3;
     /// Shortest pause of a process that has handed over a term before it had loaded its tables. It
     /// doubles with each such term in a row.
     const HANDOVER_PAUSE: Duration = Duration::from_secs(2);
@@ -180,6 +188,8 @@
             is_working: false,
             handovers: 0,
             paused_until: now,
+            heard_term_since: (Term(0), now),
+            short_terms: 0,
         }
     }
 
@@ -204,22 +214,24 @@
         if self.role() != Role::Follower {
             self.is_working = true;
             self.handovers = 0;
+            self.short_terms = 0;
         }
     }
 
-    /// Resigns if this granter has not loaded its tables within [`Leadership::START_TIMEOUT`] and
-    /// others may take over; returns the write of the final record.
+    /// Resigns if this granter has not loaded its tables within [`Leadership::START_TIMEOUT`] (longer
+    /// after terms that were short) and others may take over; returns the write of the final record.
     ///
     /// The caller tells the others with a heartbeat at once, as the store may not be reachable. This
     /// process then pauses, so that it does not win again at once. Without others it stays the granter.
     pub fn hand_over(&mut self, now: Time, has_others: bool) -> Option<LeadershipAction> {
-        let is_late = self.won_at.is_some_and(|at| now.since(at) >= Leadership::START_TIMEOUT);
+        let is_late = self.won_at.is_some_and(|at| now.since(at) >= self.start_timeout());
         if self.is_working || !is_late || !has_others {
             return None;
         }
         let action = self.resign(now, None)?;
         let doublings = self.handovers.min(Leadership::MAX_HANDOVER_DOUBLINGS);
         self.handovers += 1;
+        self.short_terms += 1;
         self.paused_until = now + Leadership::HANDOVER_PAUSE * 2_u32.pow(doublings);
         Some(action)
     }
@@ -298,6 +310,7 @@
         }
         self.known_term = term;
         self.last_heard_renewal = Some((term, renewal));
+        self.count_short_term(now, term, unconfirmed >= Leadership::RESIGNED);
         if unconfirmed >= Leadership::RESIGNED {
             self.resigned_term = Some(term);
         }
@@ -499,6 +512,28 @@
         Some(action)
     }
 
+    /// Returns the time after winning within which a granter has to load its tables at present.
+    fn start_timeout(&self) -> Duration {
+        let doublings = self.short_terms.min(Leadership::MAX_START_DOUBLINGS);
+        Leadership::START_TIMEOUT * 2_u32.pow(doublings)
+    }
+
+    /// Counts another granter's term as short if it resigns within the start timeout, give or take a
+    /// heartbeat timeout. A term that goes on ends the row. To be called before the resignation is noted.
+    fn count_short_term(&mut self, now: Time, term: Term, resigns: bool) {
+        let (heard, since) = self.heard_term_since;
+        if heard != term {
+            self.heard_term_since = (term, now);
+            return;
+        }
+        let is_short = now.since(since) < self.start_timeout() + Leadership::HEARTBEAT_TIMEOUT;
+        match (resigns, is_short) {
+            (true, true) if !self.has_resigned(term) => self.short_terms += 1,
+            (_, false) if !self.has_resigned(term) => self.short_terms = 0,
+            _ => {}
+        }
+    }
+
     /// Returns whether the granter of a term is known to have resigned.
     fn has_resigned(&self, term: Term) -> bool {
         self.resigned_term >= Some(term)
--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -434,3 +434,26 @@
     let later = until + Duration::from_secs(1);
     assert_eq!(process.earlier_granters_ended_at(later), Some(later));
 }
+
+/// Guards against a fleet without a working granter while the store is slow: with a fixed time to start,
+/// each router would hand over before its tables are loaded.
+#[test]
+fn a_slow_store_does_not_make_all_routers_hand_over_without_end() {
+    const LOAD_TIME: Duration = Duration::from_millis(1_000);
+    let mut world = World::new(20);
+    let mut won: Option<(Role, Time)> = None;
+    let until = world.now + Duration::from_secs(10);
+    while world.now < until {
+        world.run(STEP);
+        for index in world.leaders() {
+            let role = world.processes[index].role();
+            let at = won.filter(|(known, _)| *known == role).map_or(world.now, |(_, at)| at);
+            won = Some((role, at));
+            if world.now.since(at) >= LOAD_TIME {
+                return;
+            }
+            hand_over(&mut world, index);
+        }
+    }
+    panic!("no router has loaded its tables: {:?}", world.record);
+}
