--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bay_capacity::{CapacitySample, ServerCapacity, ServerId, TimeCode};
 use bay_range::{
     EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
 };
@@ -46,6 +47,16 @@
     OwnerMap { term: Term(7), sequence: 300, ranges }
 }
 
+fn capacity_sample() -> CapacitySample {
+    let server = ServerId::new(server("i-1"));
+    CapacitySample { server, latency: TimeCode(112), concurrency: 3, answers: 2 }
+}
+
+fn server_capacity() -> ServerCapacity {
+    let server = ServerId::new(server("i-1"));
+    ServerCapacity { server, base: TimeCode(112), concurrency: 20 }
+}
+
 fn server_entry() -> ServerEntry {
     ServerEntry {
         service: service(),
@@ -143,6 +154,8 @@
         ("rate-limits", PeerMessage::RateLimits(vec![notice(Some(12.5)), notice(None)])),
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
+        ("capacity-report", PeerMessage::CapacityReport(vec![capacity_sample()])),
+        ("server-capacities", PeerMessage::ServerCapacities(vec![server_capacity()])),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
     ]
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -32,6 +32,7 @@
 mod routing_decision;
 mod server;
 mod server_entry;
+mod server_learning;
 mod server_paths;
 mod service_pool;
 mod settings;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -3,6 +3,7 @@
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use bay_capacity::{CapacitySample, ServerCapacity};
 use bay_range::KeyLimit;
 
 use crate::{Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry};
@@ -46,6 +47,10 @@
     RequestPermit(u64, PermitRequest),
     /// Answers the request for a permit with this number.
     Permit(u64, Permit),
+    /// Reports answers of servers from every router to the granter, with overload control.
+    CapacityReport(Vec<CapacitySample>),
+    /// Sends learned capacities of servers, mostly changed ones, from the granter to every router.
+    ServerCapacities(Vec<ServerCapacity>),
 }
 
 /// A message that a relay passes on.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -15,6 +15,7 @@
 };
 
 mod attempt_results;
+mod learned_capacity;
 mod paths;
 mod rate_limits;
 mod server_selection;
@@ -45,6 +46,8 @@
     router_count: u32,
     rng: SmallRng,
     counts: BTreeMap<Counter, u64>,
+    /// The last server whose samples went to the granter.
+    last_reported_server: Option<ServerName>,
 }
 
 impl Router {
@@ -69,6 +72,7 @@
             router_count: Router::INITIAL_ROUTER_COUNT,
             rng: SmallRng::seed_from_u64(seed),
             counts: BTreeMap::new(),
+            last_reported_server: None,
         }
     }
 
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -20,7 +20,7 @@
         request.permit = None;
         *self.counts.entry(Counter::Attempt).or_default() += 1;
         if let Some(server) = self.directory.get_mut(selected.server) {
-            server.record_sent(selected.picked_at);
+            server.record_sent(now, selected.picked_at);
             server.record_connection_taken(now);
         }
     }
@@ -117,6 +117,7 @@
         if matches!(result, AttemptResult::Answered { .. }) {
             self.answered_at = now;
         }
+        self.record_capacity_sample(now, selected, result, elapsed);
         let Some(server) = self.directory.get_mut(selected.server) else {
             return;
         };
--- /dev/null
+++ b/crates/router/src/router/learned_capacity.rs
@@ -0,0 +1,151 @@
+use std::collections::HashMap;
+use std::time::Duration;
+
+use bay_capacity::{CapacitySample, LearnedCapacity, ServerCapacity, ServerId};
+use bay_time::Time;
+use bay_types::ServerName;
+use rand::RngExt;
+use rand::rngs::SmallRng;
+
+use super::Router;
+use crate::{AttemptResult, SelectedServer, ServicePool};
+
+impl Router {
+    /// Samples that all routers together report to the granter per interval. With eight bytes each
+    /// and an interval of 300 ms that is 17 KB/s at the granter.
+    const MAX_REPORTED_SAMPLES: u32 = 640;
+    /// Least weight of a server in the sample, relative to the mean. A server that has recovered is
+    /// still found.
+    const MIN_SAMPLE_WEIGHT: f64 = 0.25;
+
+    /// Adds the result of an attempt to the samples for the granter.
+    pub(super) fn record_capacity_sample(
+        &mut self,
+        now: Time,
+        selected: &SelectedServer,
+        result: AttemptResult,
+        elapsed: Duration,
+    ) {
+        if !self.settings.overload_control {
+            return;
+        }
+        let Some(server) = self.directory.get_mut(selected.server) else {
+            return;
+        };
+        match result {
+            AttemptResult::Answered { not_run: true, .. } => {
+                server.record_capacity_refusal(now, selected.occupancy);
+            }
+            // A failed request often ends early, so its time would make the server look fast.
+            AttemptResult::Answered { status: 500.., .. } => {}
+            AttemptResult::Answered { .. } | AttemptResult::TimedOut => {
+                server.record_capacity_answer(now, elapsed, selected.occupancy);
+            }
+            AttemptResult::Lost(_) | AttemptResult::NotConnected => {}
+        }
+    }
+
+    /// Drains samples of servers for the granter; empty if overload control is off.
+    ///
+    /// Their number is limited, and servers take turns. Samples that don't fit stay and are averaged
+    /// with later ones.
+    pub fn drain_capacity_samples(&mut self) -> Vec<CapacitySample> {
+        if !self.settings.overload_control {
+            return Vec::new();
+        }
+        let max = (Router::MAX_REPORTED_SAMPLES / self.router_count).max(1) as usize;
+        let mut names: Vec<ServerName> = self
+            .directory
+            .iter()
+            .filter(|(_, server)| server.has_capacity_samples())
+            .map(|(name, _)| name)
+            .collect();
+        if let Some(last) = self.last_reported_server {
+            let next = names.partition_point(|name| *name <= last);
+            names.rotate_left(next);
+        }
+        names.truncate(max);
+        self.last_reported_server = names.last().copied().or(self.last_reported_server);
+        let drain = |name: &ServerName| {
+            self.directory.get_mut(*name)?.drain_capacity_samples(ServerId::new(*name))
+        };
+        names.iter().filter_map(drain).collect()
+    }
+
+    /// Applies estimates of the granter; ignored if overload control is off.
+    pub fn apply_capacities(&mut self, now: Time, capacities: &[ServerCapacity]) {
+        if !self.settings.overload_control {
+            return;
+        }
+        let learned: HashMap<ServerId, LearnedCapacity> =
+            capacities.iter().map(|each| (each.server, each.learned())).collect();
+        let names: Vec<ServerName> = self.directory.iter().map(|(name, _)| name).collect();
+        for name in names {
+            if let Some(learned) = learned.get(&ServerId::new(name))
+                && let Some(server) = self.directory.get_mut(name)
+            {
+                server.set_learned_capacity(now, *learned);
+            }
+        }
+    }
+
+    /// Returns the identifiers of the registered servers with the slots of each.
+    pub fn server_slots(&self) -> Vec<(ServerId, u32)> {
+        let slots = self.directory.iter().map(|(name, server)| (ServerId::new(name), server));
+        slots.map(|(id, server)| (id, server.entry.slots)).collect()
+    }
+
+    /// Returns the number of servers with a shared estimate.
+    pub fn learned_server_count(&self, now: Time) -> usize {
+        let learned = |server: &crate::Server| server.learned_capacity(now).is_some();
+        self.directory.iter().filter(|(_, server)| learned(server)).count()
+    }
+
+    /// Returns the weight of each server in the sample: the requests per second that it can run.
+    pub(super) fn sample_weights(
+        &self,
+        now: Time,
+        names: &[ServerName],
+        pool: &ServicePool,
+    ) -> Vec<f64> {
+        let capacity = |name: &ServerName| {
+            let server = self.directory.get(*name)?;
+            let unknown = || LearnedCapacity {
+                base_ms: pool.average_ms,
+                concurrency: f64::from(server.entry.slots.max(1)),
+            };
+            Some(server.learned_capacity(now).unwrap_or_else(unknown).rate())
+        };
+        let mut weights: Vec<f64> =
+            names.iter().map(|name| capacity(name).unwrap_or_default()).collect();
+        let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
+        for weight in &mut weights {
+            *weight = weight.max(mean * Router::MIN_SAMPLE_WEIGHT);
+        }
+        weights
+    }
+}
+
+/// Returns up to `count` different random servers, each with a probability by its weight.
+pub(super) fn sample_by_weight(
+    rng: &mut SmallRng,
+    names: &[ServerName],
+    mut weights: Vec<f64>,
+    count: usize,
+) -> Vec<ServerName> {
+    let mut sampled = Vec::with_capacity(count);
+    while sampled.len() < count.min(names.len()) {
+        let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
+        let at = weights.iter().position(|weight| {
+            left -= weight;
+            *weight > 0.0 && left <= 0.0
+        });
+        // Rounding may leave a remainder after the last weight.
+        let Some(at) = at.or_else(|| weights.iter().rposition(|weight| *weight > 0.0)) else {
+            break;
+        };
+        weights[at] = 0.0;
+        sampled.push(names[at]);
+    }
+    sampled
+}
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Router;
+use super::learned_capacity::sample_by_weight;
 use crate::{
     Counter, RequestState, RoutingDecision, SelectedServer, Server, ServicePool, WarmUpLimiter,
 };
@@ -179,15 +180,29 @@
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
         let mut best: Option<(f64, SelectedServer)> = None;
-        let sampled = sample(&mut self.rng, &same_zone)
-            .into_iter()
-            .chain(sample(&mut self.rng, &other_zones));
+        let (same_zone, other_zones) = match self.settings.overload_control {
+            false => (sample(&mut self.rng, &same_zone), sample(&mut self.rng, &other_zones)),
+            true => {
+                let same_weights = self.sample_weights(now, &same_zone, pool);
+                let other_weights = self.sample_weights(now, &other_zones, pool);
+                (
+                    sample_by_weight(&mut self.rng, &same_zone, same_weights, SAMPLE_SIZE),
+                    sample_by_weight(&mut self.rng, &other_zones, other_weights, SAMPLE_SIZE),
+                )
+            }
+        };
+        let sampled = same_zone.into_iter().chain(other_zones);
         for name in connected.into_iter().chain(sampled) {
             let Some(server) = self.directory.get(name) else {
                 continue;
             };
             let selected = self.describe_server(now, name, server, pool);
-            let cost = self.cost(now, server, request, &selected);
+            let mut cost = self.cost(now, server, request, &selected);
+            if server.is_probe_due(now, pool.average_ms, self.router_count)
+                && !self.would_be_late(now, request, selected.expected_ms)
+            {
+                cost = 0.0;
+            }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, selected));
             }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -1,7 +1,9 @@
 use std::time::Duration;
 
+use bay_capacity::{CapacitySample, LearnedCapacity, ServerId};
 use bay_time::Time;
 
+use crate::server_learning::ServerLearning;
 use crate::{LoadReport, RateLimitState, ServerEntry, ServerState, WarmUpLimiter};
 
 /// A server with its load and latency as this router observes them.
@@ -36,6 +38,7 @@
     idle_connections: u32,
     /// When the last of them became idle.
     idle_since: Time,
+    learning: ServerLearning,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -63,6 +66,8 @@
     /// Upper bound of the doublings of the backoff.
     const MAX_BACKOFF_DOUBLINGS: u32 = 4;
 
+    /// Age up to which a load report is taken for that of the answer that is recorded.
+    const SAME_ANSWER_TIME: Duration = Duration::from_millis(20);
     /// Idle time within which a connection is expected to be reused for any request.
     const REUSE_TIME: Duration = Duration::from_millis(1_400);
 
@@ -85,6 +90,7 @@
             connect_failures: 0,
             idle_connections: 0,
             idle_since: Time::ZERO,
+            learning: ServerLearning::default(),
         }
     }
 
@@ -170,14 +176,14 @@
 
     /// Estimates whether one more request would run at once.
     pub fn has_free_slot(&self, now: Time) -> bool {
-        self.occupancy(now) + 1.0 <= f64::from(self.entry.slots.max(1))
+        self.occupancy(now) + 1.0 <= self.sustained_concurrency(now)
     }
 
     /// Estimates the time of one more request, in milliseconds.
     ///
     /// `average_ms` stands in for the service time if none was measured.
     pub fn expected_ms(&self, now: Time, average_ms: f64) -> f64 {
-        let slots = f64::from(self.entry.slots.max(1));
+        let slots = self.sustained_concurrency(now);
         let queued = (self.occupancy(now) + 1.0 - slots).max(0.0);
         let slowdown = match self.load_sample {
             Some(sample) if now.since(sample.at) < Server::SLOWDOWN_MAX_AGE => {
@@ -185,19 +191,85 @@
             }
             _ => 1.0,
         };
-        let service_ms = self.service_ms.unwrap_or(average_ms) * slowdown;
+        let base_ms = match self.learned_capacity(now) {
+            Some(learned) => learned.base_ms,
+            None => self.service_ms.unwrap_or(average_ms),
+        };
+        let service_ms = base_ms * slowdown;
         // A server that turns slow or silent shows it first by the answers that are missing.
         let oldest = self.oldest_in_flight().map_or(0.0, |sent| now.since(sent).as_secs_f64());
         service_ms.max(oldest * 1000.0) * (1.0 + queued / slots)
     }
 
+    /// Returns the estimate from the answers to all routers, if there is a recent one.
+    pub fn learned_capacity(&self, now: Time) -> Option<LearnedCapacity> {
+        self.learning.shared(now)
+    }
+
+    /// Replaces the estimate from the answers to all routers.
+    pub(crate) fn set_learned_capacity(&mut self, now: Time, learned: LearnedCapacity) {
+        self.learning.set_shared(now, learned);
+    }
+
+    /// Returns the number of requests that the server runs without slowing down: its slots, unless
+    /// fewer were learned.
+    fn sustained_concurrency(&self, now: Time) -> f64 {
+        let slots = f64::from(self.entry.slots.max(1));
+        self.learned_capacity(now).map_or(slots, |learned| learned.concurrency.min(slots))
+    }
+
+    /// Returns whether this router should check whether a slow server has recovered.
+    pub(crate) fn is_probe_due(&self, now: Time, average_ms: f64, routers: u32) -> bool {
+        self.learning.is_probe_due(now, average_ms, routers)
+    }
+
+    /// Adds an answer to the samples for the granter.
+    pub(crate) fn record_capacity_answer(
+        &mut self,
+        now: Time,
+        elapsed: Duration,
+        sent_occupancy: f64,
+    ) {
+        let (concurrency, slowdown) = self.observed_load(now, sent_occupancy);
+        let elapsed_ms = elapsed.as_secs_f64() * 1000.0;
+        self.learning.pending.record_answer(elapsed_ms, concurrency, slowdown);
+    }
+
+    /// Adds a request that the server refused to run to the samples for the granter.
+    pub(crate) fn record_capacity_refusal(&mut self, now: Time, sent_occupancy: f64) {
+        let (concurrency, _) = self.observed_load(now, sent_occupancy);
+        self.learning.pending.record_refusal(concurrency);
+    }
+
+    /// Returns the concurrency and the slowdown that go with an answer that has just arrived.
+    fn observed_load(&self, now: Time, sent_occupancy: f64) -> (f64, f64) {
+        let reported = self
+            .load_sample
+            .filter(|sample| now.since(sample.at) < Server::SAME_ANSWER_TIME)
+            .map(|sample| sample.load);
+        let total = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
+        let slowdown = reported.map_or(1.0, |load| load.slowdown);
+        (total.max(sent_occupancy + 1.0), slowdown)
+    }
+
+    /// Returns whether there are samples for the granter.
+    pub(crate) fn has_capacity_samples(&self) -> bool {
+        !self.learning.pending.is_empty()
+    }
+
+    /// Drains the samples for the granter.
+    pub(crate) fn drain_capacity_samples(&mut self, id: ServerId) -> Option<CapacitySample> {
+        self.learning.pending.drain(id)
+    }
+
     /// Returns when the oldest attempt that hasn't ended was decided.
     pub fn oldest_in_flight(&self) -> Option<Time> {
         self.in_flight.iter().min().copied()
     }
 
     /// Records that an attempt that was decided at `picked_at` is about to be sent.
-    pub(crate) fn record_sent(&mut self, picked_at: Time) {
+    pub(crate) fn record_sent(&mut self, now: Time, picked_at: Time) {
+        self.learning.record_sent(now);
         self.in_flight.push(picked_at);
     }
 
