--- a/crates/range/src/lib.rs
+++ b/crates/range/src/lib.rs
@@ -34,5 +34,6 @@
 pub use key_rates::KeyRates;
 pub use leadership::{Leadership, LeadershipAction, Role};
 pub use leadership_record::{EarlierGranter, LeadershipRecord};
+pub use optimal_rates::OptimalRates;
 pub use planner::{Move, OwnedRange, Planner};
 pub use range_table::RangeTable;
--- a/crates/range/src/optimal_rates.rs
+++ b/crates/range/src/optimal_rates.rs
@@ -8,7 +8,7 @@
 /// on an idle server. Fast servers get more than their share of the capacity at light load, as they
 /// answer sooner even when they are busier.
 #[derive(Debug, Clone, PartialEq)]
-pub(crate) struct OptimalRates(BTreeMap<OwnerId, f64>);
+pub struct OptimalRates(BTreeMap<OwnerId, f64>);
 
 impl OptimalRates {
     /// Least utilisation of a server, relative to the mean. Each server gets some requests, so that
@@ -20,7 +20,7 @@
     const MAX_UTILISATION: f64 = 0.95;
 
     /// Distributes `total` requests per second among the servers.
-    pub(crate) fn new(total: f64, servers: &[&Candidate], mean_service_ms: f64) -> OptimalRates {
+    pub fn new(total: f64, servers: &[&Candidate], mean_service_ms: f64) -> OptimalRates {
         let capacity: f64 = servers.iter().map(|each| each.capacity(mean_service_ms)).sum();
         let mean = (total / capacity).min(OptimalRates::MAX_UTILISATION);
         let service_ms = |each: &Candidate| each.service_ms.unwrap_or(mean_service_ms).max(1.0);
@@ -49,7 +49,7 @@
     }
 
     /// Returns the rate of a server, in requests per second; zero for an unknown one.
-    pub(crate) fn rate(&self, owner: OwnerId) -> f64 {
+    pub fn rate(&self, owner: OwnerId) -> f64 {
         self.0.get(&owner).copied().unwrap_or_default()
     }
 }
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -30,6 +30,7 @@
 mod router;
 mod router_objects;
 mod routing_decision;
+mod sample_shares;
 mod server;
 mod server_entry;
 mod server_learning;
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -292,6 +292,9 @@
         };
         let servers = pool.servers.iter().filter_map(|name| {
             let server = self.directory.get(*name)?;
+            let learned = server.learned_capacity(now);
+            let learned_rate = learned.map(|learned| learned.rate());
+            let limits = [server.rate_limit(now), learned_rate];
             Some(Candidate {
                 owner: OwnerId { server: *name, started: server.entry.started },
                 address: server.entry.address,
@@ -299,8 +302,8 @@
                 slots: server.entry.slots,
                 eligible: self.directory.is_eligible(now, server),
                 cold: self.directory.may_be_cold(now, server),
-                service_ms: server.service_ms(),
-                rate_limit: server.rate_limit(now),
+                service_ms: learned.map(|learned| learned.base_ms).or(server.service_ms()),
+                rate_limit: limits.into_iter().flatten().reduce(f64::min),
             })
         });
         servers.collect()
--- a/crates/router/src/router/learned_capacity.rs
+++ b/crates/router/src/router/learned_capacity.rs
@@ -3,21 +3,17 @@
 
 use bay_capacity::{CapacitySample, LearnedCapacity, ServerCapacity, ServerId};
 use bay_time::Time;
-use bay_types::ServerName;
+use bay_types::{ServerName, ServiceName};
 use rand::RngExt;
 use rand::rngs::SmallRng;
 
 use super::Router;
-use crate::{AttemptResult, SelectedServer, ServicePool};
+use crate::{AttemptResult, SelectedServer};
 
 impl Router {
     /// Samples that all routers together report to the granter per interval. With eight bytes each
     /// and an interval of 300 ms that is 17 KB/s at the granter.
     const MAX_REPORTED_SAMPLES: u32 = 640;
-    /// Least weight of a server in the sample, relative to the mean. A server that has recovered is
-    /// still found.
-    const MIN_SAMPLE_WEIGHT: f64 = 0.25;
-
     /// Adds the result of an attempt to the samples for the granter.
     pub(super) fn record_capacity_sample(
         &mut self,
@@ -39,7 +35,11 @@
             // A failed request often ends early, so its time would make the server look fast.
             AttemptResult::Answered { status: 500.., .. } => {}
             AttemptResult::Answered { .. } | AttemptResult::TimedOut => {
-                server.record_capacity_answer(now, elapsed, selected.occupancy);
+                let utilisation = server.record_capacity_answer(now, elapsed, selected.occupancy);
+                let service = server.entry.service;
+                if let Some(pool) = self.pools.get_mut(&service) {
+                    pool.sample_shares.record_utilisation(utilisation);
+                }
             }
             AttemptResult::Lost(_) | AttemptResult::NotConnected => {}
         }
@@ -101,28 +101,19 @@
         self.directory.iter().filter(|(_, server)| learned(server)).count()
     }
 
-    /// Returns the weight of each server in the sample: the requests per second that it can run.
-    pub(super) fn sample_weights(
-        &self,
-        now: Time,
-        names: &[ServerName],
-        pool: &ServicePool,
-    ) -> Vec<f64> {
-        let capacity = |name: &ServerName| {
-            let server = self.directory.get(*name)?;
-            let unknown = || LearnedCapacity {
-                base_ms: pool.average_ms,
-                concurrency: f64::from(server.entry.slots.max(1)),
-            };
-            Some(server.learned_capacity(now).unwrap_or_else(unknown).rate())
-        };
-        let mut weights: Vec<f64> =
-            names.iter().map(|name| capacity(name).unwrap_or_default()).collect();
-        let mean = weights.iter().sum::<f64>() / weights.len().max(1) as f64;
-        for weight in &mut weights {
-            *weight = weight.max(mean * Router::MIN_SAMPLE_WEIGHT);
+    /// Calculates the servers' shares in the sample of a service, if that is due.
+    pub(super) fn update_sample_shares(&mut self, now: Time, service: ServiceName) {
+        if !self.settings.overload_control {
+            return;
+        }
+        let is_due = self.pools.get(&service).is_some_and(|pool| pool.sample_shares.is_due(now));
+        if !is_due {
+            return;
+        }
+        let candidates = self.candidates(now, service);
+        if let Some(pool) = self.pools.get_mut(&service) {
+            pool.sample_shares.update(now, &candidates);
         }
-        weights
     }
 }
 
@@ -130,9 +121,10 @@
 pub(super) fn sample_by_weight(
     rng: &mut SmallRng,
     names: &[ServerName],
-    mut weights: Vec<f64>,
     count: usize,
+    weight: impl Fn(ServerName) -> f64,
 ) -> Vec<ServerName> {
+    let mut weights: Vec<f64> = names.iter().map(|name| weight(*name)).collect();
     let mut sampled = Vec::with_capacity(count);
     while sampled.len() < count.min(names.len()) {
         let mut left = rng.random::<f64>() * weights.iter().sum::<f64>();
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -138,6 +138,7 @@
     /// The cost of a server is the expected time there, raised by its failures, plus surcharges for
     /// another zone and for a new connection. Cold servers are compared without sampling.
     fn pick_from_pool(&mut self, now: Time, request: &mut RequestState) -> RoutingDecision {
+        self.update_sample_shares(now, request.service);
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
@@ -180,27 +181,24 @@
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
         let mut best: Option<(f64, SelectedServer)> = None;
-        let (same_zone, other_zones) = match self.settings.overload_control {
-            false => (sample(&mut self.rng, &same_zone), sample(&mut self.rng, &other_zones)),
-            true => {
-                let same_weights = self.sample_weights(now, &same_zone, pool);
-                let other_weights = self.sample_weights(now, &other_zones, pool);
-                (
-                    sample_by_weight(&mut self.rng, &same_zone, same_weights, SAMPLE_SIZE),
-                    sample_by_weight(&mut self.rng, &other_zones, other_weights, SAMPLE_SIZE),
-                )
-            }
+        let mut pick = |names: &[ServerName]| match self.settings.overload_control {
+            false => sample(&mut self.rng, names),
+            true => sample_by_weight(&mut self.rng, names, SAMPLE_SIZE, |name| {
+                pool.sample_shares.share(name)
+            }),
         };
+        let (same_zone, other_zones) = (pick(&same_zone), pick(&other_zones));
+        if self.settings.overload_control {
+            connected = pick(&connected);
+        }
         let sampled = same_zone.into_iter().chain(other_zones);
         for name in connected.into_iter().chain(sampled) {
             let Some(server) = self.directory.get(name) else {
                 continue;
             };
             let selected = self.describe_server(now, name, server, pool);
-            let mut cost = self.cost(now, server, request, &selected);
-            if server.is_probe_due(now, pool.average_ms, self.router_count)
-                && !self.would_be_late(now, request, selected.expected_ms)
-            {
+            let mut cost = self.cost(now, server, request, &selected, pool.average_ms);
+            if server.is_probe_due(now, pool.average_ms, self.router_count) {
                 cost = 0.0;
             }
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
@@ -239,7 +237,7 @@
             let pool = self.pools.get(&request.service)?;
             let server = self.directory.get(*name)?;
             let selected = self.describe_server(now, *name, server, pool);
-            let cost = self.cost(now, server, request, &selected);
+            let cost = self.cost(now, server, request, &selected, pool.average_ms);
             let needs_permit = Router::needs_permit(now, server, request, *name);
             if best.is_none_or(|best| cost <= best)
                 && (needs_permit || self.acquire_warm_up_token(now, *name, &request.service))
@@ -331,8 +329,14 @@
         server: &Server,
         request: &RequestState,
         selected: &SelectedServer,
+        average_ms: f64,
     ) -> f64 {
-        selected.expected_ms * server.failure_penalty()
+        let expected_ms = match (self.settings.overload_control, server.learned_capacity(now)) {
+            // The sample's weights take the base time into account.
+            (true, Some(learned)) => selected.expected_ms * (average_ms / learned.base_ms.max(1.0)),
+            _ => selected.expected_ms,
+        };
+        expected_ms * server.failure_penalty()
             + self.cross_zone_cost(server, request)
             + Router::new_connection_cost(now, server, request)
             + server.permit_wait(now).as_secs_f64() * 1000.0
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -223,16 +223,18 @@
         self.learning.is_probe_due(now, average_ms, routers)
     }
 
-    /// Adds an answer to the samples for the granter.
+    /// Adds an answer to the samples for the granter. Returns the share of the sustained concurrency
+    /// that other requests used.
     pub(crate) fn record_capacity_answer(
         &mut self,
         now: Time,
         elapsed: Duration,
         sent_occupancy: f64,
-    ) {
+    ) -> f64 {
         let (concurrency, slowdown) = self.observed_load(now, sent_occupancy);
         let elapsed_ms = elapsed.as_secs_f64() * 1000.0;
         self.learning.pending.record_answer(elapsed_ms, concurrency, slowdown);
+        (concurrency - 1.0) / self.sustained_concurrency(now)
     }
 
     /// Adds a request that the server refused to run to the samples for the granter.
--- a/crates/router/src/server_learning.rs
+++ b/crates/router/src/server_learning.rs
@@ -19,10 +19,10 @@
     /// 32 s.
     const MAX_AGE: Duration = Duration::from_secs(70);
     /// Ratio of the base time to the service's average from which a server is probed.
-    const SLOW_RATIO: f64 = 1.8;
+    const SLOW_RATIO: f64 = 3.0;
     /// Probes of a slow server per second, by all routers together. Five answers show that it has
     /// recovered.
-    const PROBES_PER_SECOND: f64 = 3.0;
+    const PROBES_PER_SECOND: f64 = 2.5;
 
     /// Replaces the estimate.
     pub(crate) fn set_shared(&mut self, now: Time, learned: LearnedCapacity) {
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -5,6 +5,7 @@
 use bay_time::Time;
 use bay_types::{ServerName, Term};
 
+use crate::sample_shares::SampleShares;
 use crate::{OwnerMap, ReassemblyBuffer, RetryBudget, ServiceSpec};
 
 /// A service with its servers, retry budget and key owners.
@@ -28,6 +29,8 @@
     ///
     /// It stands in for servers without measurements.
     pub average_ms: f64,
+    /// Shares of the servers in the sample, with overload control.
+    pub(crate) sample_shares: SampleShares,
 }
 
 impl ServicePool {
@@ -51,6 +54,7 @@
             key_limits: (Vec::new(), Time::ZERO),
             key_counts: HashMap::new(),
             average_ms: ServicePool::INITIAL_MS,
+            sample_shares: SampleShares::default(),
         }
     }
 
