--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -1,49 +1,55 @@
 use std::collections::VecDeque;
+use std::time::Duration;
 
 use bay_time::Time;
 
 use crate::{CapacitySample, LearnedCapacity};
 
 /// Estimate of a server's base service time and of the concurrency up to which it keeps it.
+///
+/// Single answers vary widely, and a few are several times too long or too short, as a server's load
+/// changes between the start and the end of a request. The averages are therefore of logarithms, and
+/// no answer moves them by more than [`ServerEstimate::MAX_DEVIATION`].
 #[derive(Debug, Clone)]
 pub struct ServerEstimate {
     slots: f64,
-    /// Moving average of the time without queueing, in milliseconds.
-    base_ms: f64,
+    /// Logarithm of the time without queueing in milliseconds, averaged.
+    base_log: f64,
     /// Number of answers that the average covers, up to the span.
     answers: f64,
-    /// The last base times, to find a sudden change.
-    recent: VecDeque<f64>,
-    /// Moving average of the inverse of the sustained concurrency.
-    inverse_concurrency: f64,
-    /// When the last answer arrived that the server sent without being busy.
-    last_idle_answer: Time,
+    /// Logarithms of the last base times, with their time of arrival, to find a sudden change.
+    recent: VecDeque<(Time, f64)>,
+    /// Logarithm of the ratio of the time at a busy server to the base time, averaged.
+    busy_log: f64,
+    /// When the last answer of the server arrived that it sent without being busy.
+    last_idle_answer: Option<Time>,
 }
 
 impl ServerEstimate {
     /// Number of answers that the average covers.
     const SPAN: f64 = 40.0;
+    /// Largest difference of an answer's logarithm from the average that counts.
+    const MAX_DEVIATION: f64 = 0.7;
     /// Number of last answers by which a sudden change is found.
-    const RECENT: usize = 5;
+    const RECENT: usize = 6;
     /// Number of them that have to lie beyond [`ServerEstimate::JUMP_RATIO`]. One may be an outlier.
-    const RECENT_BEYOND: usize = 4;
-    /// Ratio to the average, or its inverse, of answers that show a sudden change. Single answers
-    /// vary by less than this in most cases, and a neighbour's reported effect is taken out before.
-    const JUMP_RATIO: f64 = 2.0;
-    /// Weight of an answer in the average of the inverse concurrency.
-    const CONCURRENCY_WEIGHT: f64 = 0.04;
-    /// Share of the slots from which an answer tells about the sustained concurrency.
+    const RECENT_BEYOND: usize = 5;
+    /// Ratio to the average, or its inverse, of answers that show a sudden change.
+    const JUMP_RATIO: f64 = 1.9;
+    /// Least time that the last answers span. A neighbour's load changes every 400 ms and affects all
+    /// answers in between.
+    const MIN_JUMP_TIME: Duration = Duration::from_millis(500);
+    /// Weight of a busy server's answer in the average.
+    const BUSY_WEIGHT: f64 = 0.04;
+    /// Share of the slots from which a server is busy.
     const BUSY_SHARE: f64 = 0.75;
-    /// Share of the slots up to which an answer tells about the base time.
+    /// Share of the slots up to which an answer tells the base time.
     const IDLE_SHARE: f64 = 0.5;
-    /// Share of the slots from which the sustained concurrency counts as all slots. Without it,
-    /// noise would limit servers that keep their time.
-    const FULL_SHARE: f64 = 0.72;
-    /// Largest ratio of an answer's time to the base time that counts for the concurrency. A server
-    /// that turns slow as a whole does not lose its concurrency.
-    const MAX_STRETCH: f64 = 3.0;
+    /// Ratio of a busy server's time to the base time from which the server counts as slowing down.
+    /// Without it, noise would limit servers that keep their time.
+    const MIN_STRETCH: f64 = 1.35;
     /// Time without an answer of the idle server after which those of the busy server set the base.
-    const IDLE_ANSWER_AGE_MS: u64 = 1_000;
+    const IDLE_ANSWER_AGE: Duration = Duration::from_millis(1_000);
 
     /// Creates an estimate from the first sample of a server with `slots`.
     pub fn new(slots: u32, first: &CapacitySample) -> ServerEstimate {
@@ -51,83 +57,88 @@
         let own = first.latency.as_ms() / (f64::from(first.concurrency) / slots).max(1.0);
         ServerEstimate {
             slots,
-            base_ms: own,
+            base_log: own.ln(),
             answers: 0.0,
             recent: VecDeque::new(),
-            inverse_concurrency: 1.0 / slots,
-            last_idle_answer: Time::ZERO,
+            busy_log: 0.0,
+            last_idle_answer: None,
         }
     }
 
     /// Adds a sample that arrived at `now`.
     pub fn record(&mut self, now: Time, sample: &CapacitySample) {
         let concurrency = f64::from(sample.concurrency.max(1));
+        let is_busy = concurrency >= self.slots * ServerEstimate::BUSY_SHARE;
         if sample.answers == 0 {
-            // A server that refuses requests with free slots sustains no more than it has.
+            // A server that refuses requests while slots are free sustains fewer than it names.
             if concurrency < self.slots {
-                self.record_inverse(1.0 / concurrency, 1.0);
+                self.record_busy(ServerEstimate::MAX_DEVIATION, 1.0);
             }
             return;
         }
         let weight = f64::from(sample.answers);
-        let latency_ms = sample.latency.as_ms();
+        let latency_log = sample.latency.as_ms().ln();
         let is_idle = concurrency <= (self.slots * ServerEstimate::IDLE_SHARE).max(1.0);
         if is_idle {
-            self.last_idle_answer = now;
+            self.last_idle_answer = Some(now);
         }
-        let idle_age = now.since(self.last_idle_answer).as_millis();
-        if is_idle || idle_age > u128::from(ServerEstimate::IDLE_ANSWER_AGE_MS) {
-            let base = latency_ms / (concurrency / self.concurrency()).max(1.0);
-            self.record_base(base, weight);
+        let lacks_idle =
+            self.last_idle_answer.is_none_or(|at| now.since(at) > ServerEstimate::IDLE_ANSWER_AGE);
+        if is_idle || lacks_idle {
+            let stretch = (concurrency / self.concurrency()).max(1.0);
+            self.record_base(now, latency_log - stretch.ln(), weight);
         }
-        if concurrency >= self.slots * ServerEstimate::BUSY_SHARE {
-            let stretch = latency_ms / self.base_ms;
-            // A queue stretches the time of a server that sustains all its slots as well.
-            let stretch = stretch.clamp(1.0, ServerEstimate::MAX_STRETCH);
-            self.record_inverse(stretch / concurrency.min(self.slots * stretch), weight);
+        if is_busy {
+            let queue = (concurrency / self.slots).max(1.0);
+            self.record_busy(latency_log - queue.ln() - self.base_log, weight);
         }
     }
 
-    fn record_inverse(&mut self, sample: f64, weight: f64) {
-        let weight = (ServerEstimate::CONCURRENCY_WEIGHT * weight).min(0.5);
-        self.inverse_concurrency +=
-            weight * (sample.clamp(1.0 / self.slots, 1.0) - self.inverse_concurrency);
+    fn record_busy(&mut self, stretch_log: f64, weight: f64) {
+        let max = ServerEstimate::MAX_DEVIATION;
+        let deviation = (stretch_log - self.busy_log).clamp(-max, max);
+        self.busy_log += (ServerEstimate::BUSY_WEIGHT * weight).min(0.5) * deviation;
+        self.busy_log = self.busy_log.clamp(0.0, self.slots.ln());
     }
 
-    fn record_base(&mut self, base_ms: f64, weight: f64) {
+    fn record_base(&mut self, now: Time, sample_log: f64, weight: f64) {
+        let max = ServerEstimate::MAX_DEVIATION;
         self.answers += weight;
-        self.base_ms += (base_ms - self.base_ms) * (weight / self.answers);
+        let deviation = (sample_log - self.base_log).clamp(-max, max);
+        self.base_log += deviation * (weight / self.answers);
         self.answers = self.answers.min(ServerEstimate::SPAN);
         for _ in 0..(weight as usize).min(ServerEstimate::RECENT) {
-            self.recent.push_back(base_ms);
+            self.recent.push_back((now, sample_log));
         }
         while self.recent.len() > ServerEstimate::RECENT {
             self.recent.pop_front();
         }
-        let beyond = |is_beyond: &dyn Fn(f64) -> bool| {
-            self.recent.iter().filter(|each| is_beyond(**each)).count()
-                >= ServerEstimate::RECENT_BEYOND
-        };
-        let slower = beyond(&|each| each > self.base_ms * ServerEstimate::JUMP_RATIO);
-        let faster = beyond(&|each| each * ServerEstimate::JUMP_RATIO < self.base_ms);
-        if slower || faster {
-            let count = self.recent.len() as f64;
-            self.base_ms = self.recent.iter().sum::<f64>() / count;
-            self.answers = count;
+        let spans_enough = self
+            .recent
+            .front()
+            .is_some_and(|(at, _)| now.since(*at) >= ServerEstimate::MIN_JUMP_TIME);
+        let jump = ServerEstimate::JUMP_RATIO.ln();
+        let above = self.recent.iter().filter(|(_, each)| *each > self.base_log + jump).count();
+        let below = self.recent.iter().filter(|(_, each)| *each < self.base_log - jump).count();
+        if spans_enough && above.max(below) >= ServerEstimate::RECENT_BEYOND {
+            let mut sorted: Vec<f64> = self.recent.iter().map(|(_, each)| *each).collect();
+            sorted.sort_by(f64::total_cmp);
+            self.base_log = sorted[sorted.len() / 2];
+            self.answers = sorted.len() as f64;
             self.recent.clear();
         }
     }
 
     fn concurrency(&self) -> f64 {
-        let concurrency = 1.0 / self.inverse_concurrency;
-        match concurrency >= self.slots * ServerEstimate::FULL_SHARE {
+        let stretch = self.busy_log.exp();
+        match stretch < ServerEstimate::MIN_STRETCH {
             true => self.slots,
-            false => concurrency.max(1.0),
+            false => (self.slots / stretch).max(1.0),
         }
     }
 
     /// Returns the estimate.
     pub fn learned(&self) -> LearnedCapacity {
-        LearnedCapacity { base_ms: self.base_ms, concurrency: self.concurrency() }
+        LearnedCapacity { base_ms: self.base_log.exp(), concurrency: self.concurrency() }
     }
 }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -233,7 +233,7 @@
     ) -> f64 {
         let (concurrency, slowdown) = self.observed_load(now, sent_occupancy);
         let elapsed_ms = elapsed.as_secs_f64() * 1000.0;
-        self.learning.pending.record_answer(elapsed_ms, concurrency, slowdown);
+        self.learning.record_answer(now, elapsed_ms, concurrency, slowdown);
         (concurrency - 1.0) / self.sustained_concurrency(now)
     }
 
--- a/crates/router/src/server_learning.rs
+++ b/crates/router/src/server_learning.rs
@@ -12,6 +12,8 @@
     shared: Option<(LearnedCapacity, Time)>,
     /// When this router last sent the server a request.
     last_sent_at: Time,
+    /// When the server last answered without reporting a slowdown.
+    usual_answer_at: Option<Time>,
 }
 
 impl ServerLearning {
@@ -24,6 +26,33 @@
     /// recovered.
     const PROBES_PER_SECOND: f64 = 2.5;
 
+    /// Reported slowdown from which an answer is left out if there are others.
+    const MIN_SLOWDOWN: f64 = 1.3;
+    /// Time without other answers after which those with a reported slowdown count.
+    const USUAL_ANSWER_AGE: Duration = Duration::from_secs(15);
+
+    /// Adds an answer to those for the granter.
+    ///
+    /// The slowdown is that at the end of the request and may have begun a moment ago. Answers with
+    /// one count only if there are no others, as from a server that always reports one.
+    pub(crate) fn record_answer(
+        &mut self,
+        now: Time,
+        elapsed_ms: f64,
+        concurrency: f64,
+        slowdown: f64,
+    ) {
+        if slowdown < ServerLearning::MIN_SLOWDOWN {
+            self.usual_answer_at = Some(now);
+        } else if self
+            .usual_answer_at
+            .is_some_and(|at| now.since(at) < ServerLearning::USUAL_ANSWER_AGE)
+        {
+            return;
+        }
+        self.pending.record_answer(elapsed_ms, concurrency, slowdown);
+    }
+
     /// Replaces the estimate.
     pub(crate) fn set_shared(&mut self, now: Time, learned: LearnedCapacity) {
         self.shared = Some((learned, now));
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -198,8 +198,12 @@
                 Event::Heartbeat => self.beat(micros),
             }
         }
-        for (i, sim) in self.servers.iter().enumerate() { if let Some(l) = self.table.published(ServerId::new(server(&format!("a{i}")))) { print!("{:.2}/{:.1} ", l.base_ms * sim.speed / WORK_MS, l.concurrency); } }
- println!();
+        for (i, sim) in self.servers.iter().enumerate() {
+            if let Some(l) = self.table.published(ServerId::new(server(&format!("a{i}")))) {
+                print!("{:.2}/{:.1} ", l.base_ms * sim.speed / WORK_MS, l.concurrency);
+            }
+        }
+        println!();
         self.outcome
     }
 
