--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -30,15 +30,17 @@
     const SPAN: f64 = 40.0;
     /// Largest difference of an answer's logarithm from the average that counts.
     const MAX_DEVIATION: f64 = 0.7;
-    /// Number of last answers by which a sudden change is found.
-    const RECENT: usize = 6;
-    /// Number of them that have to lie beyond [`ServerEstimate::JUMP_RATIO`]. One may be an outlier.
-    const RECENT_BEYOND: usize = 5;
+    /// Least number of last answers by which a sudden change is found.
+    const MIN_RECENT: usize = 5;
+    /// Maximum number of last answers that are kept.
+    const MAX_RECENT: usize = 64;
+    /// Share of them that has to lie beyond [`ServerEstimate::JUMP_RATIO`]. A few may be outliers.
+    const MIN_SHARE_BEYOND: f64 = 0.8;
     /// Ratio to the average, or its inverse, of answers that show a sudden change.
     const JUMP_RATIO: f64 = 1.9;
     /// Least time that the last answers span. A neighbour's load changes every 400 ms and affects all
     /// answers in between.
-    const MIN_JUMP_TIME: Duration = Duration::from_millis(500);
+    const MIN_JUMP_TIME: Duration = Duration::from_millis(700);
     /// Weight of a busy server's answer in the average.
     const BUSY_WEIGHT: f64 = 0.04;
     /// Share of the slots from which a server is busy.
@@ -84,10 +86,12 @@
         }
         let lacks_idle =
             self.last_idle_answer.is_none_or(|at| now.since(at) > ServerEstimate::IDLE_ANSWER_AGE);
+        let stretch = (concurrency / self.concurrency()).max(1.0);
+        let base_log = latency_log - stretch.ln();
         if is_idle || lacks_idle {
-            let stretch = (concurrency / self.concurrency()).max(1.0);
-            self.record_base(now, latency_log - stretch.ln(), weight);
+            self.record_base(base_log, weight);
         }
+        self.detect_jump(now, base_log, sample.answers);
         if is_busy {
             let queue = (concurrency / self.slots).max(1.0);
             self.record_busy(latency_log - queue.ln() - self.base_log, weight);
@@ -101,26 +105,34 @@
         self.busy_log = self.busy_log.clamp(0.0, self.slots.ln());
     }
 
-    fn record_base(&mut self, now: Time, sample_log: f64, weight: f64) {
+    fn record_base(&mut self, sample_log: f64, weight: f64) {
         let max = ServerEstimate::MAX_DEVIATION;
         self.answers += weight;
         let deviation = (sample_log - self.base_log).clamp(-max, max);
         self.base_log += deviation * (weight / self.answers);
         self.answers = self.answers.min(ServerEstimate::SPAN);
-        for _ in 0..(weight as usize).min(ServerEstimate::RECENT) {
-            self.recent.push_back((now, sample_log));
+    }
+
+    /// Replaces the average by the last answers if nearly all of them differ from it.
+    fn detect_jump(&mut self, now: Time, sample_log: f64, answers: u8) {
+        for _ in 0..answers {
+            if self.recent.len() < ServerEstimate::MAX_RECENT {
+                self.recent.push_back((now, sample_log));
+            }
         }
-        while self.recent.len() > ServerEstimate::RECENT {
+        let is_old = |at: Time| now.since(at) >= ServerEstimate::MIN_JUMP_TIME;
+        while self.recent.len() > ServerEstimate::MIN_RECENT
+            && self.recent.get(1).is_some_and(|(at, _)| is_old(*at))
+        {
             self.recent.pop_front();
         }
-        let spans_enough = self
-            .recent
-            .front()
-            .is_some_and(|(at, _)| now.since(*at) >= ServerEstimate::MIN_JUMP_TIME);
+        let is_long = self.recent.front().is_some_and(|(at, _)| is_old(*at))
+            && self.recent.len() >= ServerEstimate::MIN_RECENT;
         let jump = ServerEstimate::JUMP_RATIO.ln();
         let above = self.recent.iter().filter(|(_, each)| *each > self.base_log + jump).count();
         let below = self.recent.iter().filter(|(_, each)| *each < self.base_log - jump).count();
-        if spans_enough && above.max(below) >= ServerEstimate::RECENT_BEYOND {
+        let share = above.max(below) as f64 / self.recent.len().max(1) as f64;
+        if is_long && share >= ServerEstimate::MIN_SHARE_BEYOND {
             let mut sorted: Vec<f64> = self.recent.iter().map(|(_, each)| *each).collect();
             sorted.sort_by(f64::total_cmp);
             self.base_log = sorted[sorted.len() / 2];
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use bay_capacity::{CapacityTable, ServerId};
 use bay_range::{Candidate, Granter, KeyLoads, Leadership, Role};
 use bay_router::{
     Branch, LiveRouters, MeanServiceTimes, PeerMessage, RateLimitNotice, RouterSettings,
@@ -16,6 +17,7 @@
 use super::server_updates;
 use super::shell_state::{Phase, ShellState};
 
+mod capacities;
 mod election;
 mod fan_out;
 mod messages;
@@ -75,6 +77,8 @@
     direct_until: BTreeMap<SocketAddr, Time>,
     last_heartbeat: Option<ReceivedHeartbeat>,
     next_direct_request_at: Time,
+    /// Empty unless this process is the granter and overload control is on.
+    capacities: CapacityTable,
 }
 
 /// Granter's state for one service with keys.
@@ -114,6 +118,7 @@
             direct_until: BTreeMap::new(),
             last_heartbeat: None,
             next_direct_request_at: now,
+            capacities: CapacityTable::default(),
         }
     }
 
@@ -238,7 +243,7 @@
                 shell.spawn(load_table(Rc::clone(shell), service, term));
             }
             keyed.key_loads.decay(now);
-            let candidates = keyed.add_service_times(candidates);
+            let candidates = keyed.add_service_times(candidates, &role.capacities);
             if let Some(granter) = keyed.granter.as_mut().filter(|_| may_renew) {
                 if now >= keyed.next_log_at {
                     keyed.next_log_at = now + UNSERVED_LOG_INTERVAL;
@@ -285,10 +290,18 @@
         }
     }
 
-    /// Fills in the mean service times that routers have reported.
-    fn add_service_times(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
+    /// Fills in the service times that routers have reported: with overload control the published
+    /// estimates, which do not follow noise, otherwise the means.
+    fn add_service_times(
+        &self,
+        mut candidates: Vec<Candidate>,
+        capacities: &CapacityTable,
+    ) -> Vec<Candidate> {
         for candidate in &mut candidates {
-            candidate.service_ms = self.service_times.get(candidate.owner.server);
+            let server = candidate.owner.server;
+            let learned = capacities.published(ServerId::new(server));
+            let learned_ms = learned.map(|learned| learned.base_ms);
+            candidate.service_ms = learned_ms.or(self.service_times.get(server));
         }
         candidates
     }
--- a/crates/node/src/router_shell/granter/election.rs
+++ b/crates/node/src/router_shell/granter/election.rs
@@ -2,6 +2,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use bay_capacity::CapacityTable;
 use bay_range::{LeadershipAction, LeadershipRecord};
 use bay_router::object_key;
 use bay_store::{Object, Precondition, StoreReply, StoreRequest};
@@ -63,6 +64,7 @@
         return;
     }
     role.services.clear();
+    role.capacities = CapacityTable::default();
     role.live_routers.clear();
     role.branches.clear();
     role.direct_until.clear();
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -8,6 +8,7 @@
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Term, ZoneName};
 
+use super::capacities;
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, server_updates};
@@ -42,6 +43,7 @@
     fan_out::fan_out(shell, &message);
     config_updates::publish(shell);
     send_key_limits(shell, now);
+    capacities::send_updates(shell, now);
 }
 
 /// Applies the limits of overloaded keys and sends them to the other routers; empty ones once.
@@ -54,7 +56,7 @@
             let Some(keyed) = role.services.get_mut(&service) else {
                 continue;
             };
-            let candidates = keyed.add_service_times(candidates);
+            let candidates = keyed.add_service_times(candidates, &role.capacities);
             let Some(granter) = &keyed.granter else {
                 continue;
             };
@@ -110,6 +112,9 @@
     {
         shell.peer_socket.send(&[address], &PeerMessage::Report(report));
     }
+    let address =
+        leader.filter(|(_, leader_term)| *leader_term == term).map(|(address, _)| address);
+    capacities::send_samples(shell, now, address);
 }
 
 /// Applies a router's report of the granter's current term; others are ignored.
@@ -191,6 +196,10 @@
         PeerMessage::KeyLimits(service, limits) => {
             shell.router.borrow_mut().set_key_limits(now, service, limits);
         }
+        PeerMessage::CapacityReport(samples) => capacities::apply_samples(shell, now, &samples),
+        PeerMessage::ServerCapacities(updates) => {
+            shell.router.borrow_mut().apply_capacities(now, &updates);
+        }
         PeerMessage::Config(part) => config_updates::handle_part(shell, part),
         // A message inside a relayed one is decoded and checked there.
         PeerMessage::Relay(_) | PeerMessage::Relayed(_) => {}
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -104,6 +104,10 @@
     write_metric("routers.known", shell.router_hosts.borrow().len() as u64);
     let rate_limited = shell.router.borrow().directory().rate_limited_count(BootClock.now());
     write_metric("servers.rate_limited", rate_limited as u64);
+    let learned = shell.router.borrow().learned_server_counts(BootClock.now());
+    write_metric("servers.learned", learned.known as u64);
+    write_metric("servers.learned_slow", learned.slow as u64);
+    write_metric("servers.learned_limited", learned.limited as u64);
     let (sent, received) = shell.peer_socket.byte_counts();
     write_metric("peer.sent_bytes", sent);
     write_metric("peer.received_bytes", received);
--- a/crates/router/src/router/learned_capacity.rs
+++ b/crates/router/src/router/learned_capacity.rs
@@ -8,7 +8,7 @@
 use rand::rngs::SmallRng;
 
 use super::Router;
-use crate::{AttemptResult, SelectedServer};
+use crate::{AttemptResult, LearnedServerCounts, SelectedServer};
 
 impl Router {
     /// Samples that all routers together report to the granter per interval. With eight bytes each
@@ -95,10 +95,20 @@
         slots.map(|(id, server)| (id, server.entry.slots)).collect()
     }
 
-    /// Returns the number of servers with a shared estimate.
-    pub fn learned_server_count(&self, now: Time) -> usize {
-        let learned = |server: &crate::Server| server.learned_capacity(now).is_some();
-        self.directory.iter().filter(|(_, server)| learned(server)).count()
+    /// Counts the servers with an estimate, those of them that are slow, and those that sustain
+    /// fewer concurrent requests than they have slots.
+    pub fn learned_server_counts(&self, now: Time) -> LearnedServerCounts {
+        let mut counts = LearnedServerCounts::default();
+        for (_, server) in self.directory.iter() {
+            let Some(learned) = server.learned_capacity(now) else {
+                continue;
+            };
+            let average_ms = self.pools.get(&server.entry.service).map(|pool| pool.average_ms);
+            counts.known += 1;
+            counts.slow += usize::from(average_ms.is_some_and(|ms| server.is_slow(now, ms)));
+            counts.limited += usize::from(learned.concurrency < f64::from(server.entry.slots));
+        }
+        counts
     }
 
     /// Calculates the servers' shares in the sample of a service, if that is due.
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -144,7 +144,7 @@
         };
         let (mut same_zone, mut other_zones, mut cold) = (Vec::new(), Vec::new(), Vec::new());
         let mut connected = Vec::new();
-        let (mut permitted, mut rate_limited) = (None, false);
+        let (mut permitted, mut rate_limited, mut probe) = (None, false, None);
         for name in &pool.servers {
             let Some(server) = self.directory.get(*name) else {
                 continue;
@@ -161,6 +161,10 @@
                 rate_limited = true;
                 continue;
             }
+            let rank = || Router::rank(self.settings.host, *name);
+            if server.is_probe_due(now, pool.average_ms, self.router_count, rank) {
+                probe = Some(*name);
+            }
             if self.directory.may_be_cold(now, server) {
                 cold.push(*name);
             } else if server.has_idle_connection(now) {
@@ -180,6 +184,15 @@
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
+        if let Some(name) = probe
+            && let Some(server) = self.directory.get(name)
+            && !self.directory.may_be_cold(now, server)
+        {
+            let selected = self.describe_server(now, name, server, pool);
+            request.last_selected = Some(selected);
+            let decision = self.require_permit(now, request, &selected);
+            return decision.unwrap_or(RoutingDecision::Send(selected));
+        }
         let mut best: Option<(f64, SelectedServer)> = None;
         let mut pick = |names: &[ServerName]| match self.settings.overload_control {
             false => sample(&mut self.rng, names),
@@ -197,10 +210,7 @@
                 continue;
             };
             let selected = self.describe_server(now, name, server, pool);
-            let mut cost = self.cost(now, server, request, &selected, pool.average_ms);
-            if server.is_probe_due(now, pool.average_ms, self.router_count) {
-                cost = 0.0;
-            }
+            let cost = self.cost(now, server, request, &selected, pool.average_ms);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, selected));
             }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -218,9 +218,20 @@
         self.learned_capacity(now).map_or(slots, |learned| learned.concurrency.min(slots))
     }
 
+    /// Returns whether the server is so much slower than the average that it is probed.
+    pub(crate) fn is_slow(&self, now: Time, average_ms: f64) -> bool {
+        self.learning.is_slow(now, average_ms)
+    }
+
     /// Returns whether this router should check whether a slow server has recovered.
-    pub(crate) fn is_probe_due(&self, now: Time, average_ms: f64, routers: u32) -> bool {
-        self.learning.is_probe_due(now, average_ms, routers)
+    pub(crate) fn is_probe_due(
+        &self,
+        now: Time,
+        average_ms: f64,
+        routers: u32,
+        rank: impl Fn() -> u64,
+    ) -> bool {
+        self.learning.is_probe_due(now, average_ms, routers, rank)
     }
 
     /// Adds an answer to the samples for the granter. Returns the share of the sustained concurrency
--- a/crates/router/src/server_learning.rs
+++ b/crates/router/src/server_learning.rs
@@ -2,6 +2,7 @@
 
 use bay_capacity::{LearnedCapacity, PendingSamples};
 use bay_time::Time;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 /// What a router has learned of a server's capacity, and what it has yet to report.
 #[derive(Debug, Default, Clone)]
@@ -22,9 +23,11 @@
     const MAX_AGE: Duration = Duration::from_secs(70);
     /// Ratio of the base time to the service's average from which a server is probed.
     const SLOW_RATIO: f64 = 3.0;
-    /// Probes of a slow server per second, by all routers together. Five answers show that it has
+    /// Time in which a router sends a slow server at most one probe.
+    const PROBE_TURN: Duration = Duration::from_secs(1);
+    /// Probes of a slow server in this time, by all routers together. Five answers show that it has
     /// recovered.
-    const PROBES_PER_SECOND: f64 = 2.5;
+    const PROBES_PER_TURN: f64 = 6.0;
 
     /// Reported slowdown from which an answer is left out if there are others.
     const MIN_SLOWDOWN: f64 = 1.3;
@@ -69,13 +72,33 @@
         self.last_sent_at = now;
     }
 
-    /// Returns whether the server looks so slow that it gets few requests, and this router's turn
-    /// has come to check that.
-    pub(crate) fn is_probe_due(&self, now: Time, average_ms: f64, routers: u32) -> bool {
-        let is_slow = self
-            .shared(now)
-            .is_some_and(|learned| learned.base_ms > average_ms * ServerLearning::SLOW_RATIO);
-        let interval = f64::from(routers) / ServerLearning::PROBES_PER_SECOND;
-        is_slow && now.since(self.last_sent_at).as_secs_f64() >= interval
+    /// Returns whether the server is so much slower than the average that it gets few requests.
+    pub(crate) fn is_slow(&self, now: Time, average_ms: f64) -> bool {
+        self.shared(now)
+            .is_some_and(|learned| learned.base_ms > average_ms * ServerLearning::SLOW_RATIO)
+    }
+
+    /// Returns whether the server is slow and this router's turn has come to check whether it still
+    /// is. `rank` is this router's pseudo-random number for the server.
+    ///
+    /// Each router takes a turn in random seconds, once in each, so that the probes of all routers
+    /// together have a steady rate from the start.
+    pub(crate) fn is_probe_due(
+        &self,
+        now: Time,
+        average_ms: f64,
+        routers: u32,
+        rank: impl Fn() -> u64,
+    ) -> bool {
+        if !self.is_slow(now, average_ms) {
+            return false;
+        }
+        let turn = |at: Time| at.as_nanos() / ServerLearning::PROBE_TURN.as_nanos() as u64;
+        if turn(self.last_sent_at) == turn(now) {
+            return false;
+        }
+        let random = xxh3_64_with_seed(&turn(now).to_le_bytes(), rank());
+        let share = ServerLearning::PROBES_PER_TURN / f64::from(routers);
+        (random as f64 / u64::MAX as f64) < share
     }
 }
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -1,7 +1,7 @@
 //! A service without keys, its routers and the granter, in virtual time.
 
 use std::cmp::Reverse;
-use std::collections::{BinaryHeap, VecDeque};
+use std::collections::{BinaryHeap, HashMap, VecDeque};
 use std::time::Duration;
 
 use bay_capacity::{CapacityTable, LearnedCapacity, ServerCapacity, ServerId};
@@ -79,7 +79,7 @@
     pub latencies: Vec<f64>,
     /// Requests by server and by second.
     pub sent: Vec<Vec<u32>>,
-    /// Learned base time of each server by tenth of a second.
+    /// Published base time of each server at each heartbeat, 250 ms apart.
     pub learned: Vec<Vec<Option<f64>>>,
     pub report_bytes: usize,
     pub update_bytes: usize,
@@ -105,7 +105,7 @@
     random: SmallRng,
     events: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    attempts: std::collections::HashMap<u64, Attempt>,
+    attempts: HashMap<u64, Attempt>,
     outcome: Outcome,
 }
 
@@ -147,7 +147,7 @@
             random: SmallRng::seed_from_u64(seed),
             events: BinaryHeap::new(),
             sequence: 0,
-            attempts: std::collections::HashMap::new(),
+            attempts: HashMap::new(),
             outcome: Outcome { sent: vec![Vec::new(); count], ..Outcome::default() },
         }
     }
@@ -198,12 +198,6 @@
                 Event::Heartbeat => self.beat(micros),
             }
         }
-        for (i, sim) in self.servers.iter().enumerate() {
-            if let Some(l) = self.table.published(ServerId::new(server(&format!("a{i}")))) {
-                print!("{:.2}/{:.1} ", l.base_ms * sim.speed / WORK_MS, l.concurrency);
-            }
-        }
-        println!();
         self.outcome
     }
 
