--- a/crates/capacity/src/learned_capacity.rs
+++ b/crates/capacity/src/learned_capacity.rs
@@ -31,5 +31,5 @@
 
     /// Least ratio of two values that counts as a change. The mean of 40 answers whose times vary by a
     /// factor of four has a standard deviation of 0.055.
-    const MIN_CHANGE: f64 = 1.15;
+    const MIN_CHANGE: f64 = 1.25;
 }
--- a/crates/capacity/src/server_estimate.rs
+++ b/crates/capacity/src/server_estimate.rs
@@ -36,11 +36,12 @@
     const MAX_RECENT: usize = 64;
     /// Share of them that has to lie beyond [`ServerEstimate::JUMP_RATIO`]. A few may be outliers.
     const MIN_SHARE_BEYOND: f64 = 0.8;
-    /// Ratio to the average, or its inverse, of answers that show a sudden change.
-    const JUMP_RATIO: f64 = 1.9;
+    /// Ratio to the average, or its inverse, of answers that show a sudden change. With 1.7 for a
+    /// recovery, answers that vary by a factor of four halved the average of a steady server.
+    const JUMP_RATIO: f64 = 2.0;
     /// Least time that the last answers span. A neighbour's load changes every 400 ms and affects all
     /// answers in between.
-    const MIN_JUMP_TIME: Duration = Duration::from_millis(700);
+    const MIN_JUMP_TIME: Duration = Duration::from_millis(450);
     /// Weight of a busy server's answer in the average.
     const BUSY_WEIGHT: f64 = 0.04;
     /// Share of the slots from which a server is busy.
@@ -128,9 +129,16 @@
         }
         let is_long = self.recent.front().is_some_and(|(at, _)| is_old(*at))
             && self.recent.len() >= ServerEstimate::MIN_RECENT;
-        let jump = ServerEstimate::JUMP_RATIO.ln();
-        let above = self.recent.iter().filter(|(_, each)| *each > self.base_log + jump).count();
-        let below = self.recent.iter().filter(|(_, each)| *each < self.base_log - jump).count();
+        let above = self
+            .recent
+            .iter()
+            .filter(|(_, each)| *each > self.base_log + ServerEstimate::JUMP_RATIO.ln())
+            .count();
+        let below = self
+            .recent
+            .iter()
+            .filter(|(_, each)| *each < self.base_log - ServerEstimate::JUMP_RATIO.ln())
+            .count();
         let share = above.max(below) as f64 / self.recent.len().max(1) as f64;
         if is_long && share >= ServerEstimate::MIN_SHARE_BEYOND {
             let mut sorted: Vec<f64> = self.recent.iter().map(|(_, each)| *each).collect();
--- a/crates/router/src/server_learning.rs
+++ b/crates/router/src/server_learning.rs
@@ -27,7 +27,7 @@
     const PROBE_TURN: Duration = Duration::from_secs(1);
     /// Probes of a slow server in this time, by all routers together. Five answers show that it has
     /// recovered.
-    const PROBES_PER_TURN: f64 = 6.0;
+    const PROBES_PER_TURN: f64 = 4.0;
 
     /// Reported slowdown from which an answer is left out if there are others.
     const MIN_SLOWDOWN: f64 = 1.3;
--- /dev/null
+++ b/crates/router/tests/unchanged_choices.rs
@@ -0,0 +1,49 @@
+//! Without overload control the choices are those of versions that do not have it.
+
+mod support;
+
+use std::fmt::Write;
+use std::time::Duration;
+
+use bay_router::{AttemptResult, LoadReport, RoutingDecision};
+use support::{admit, at, router};
+use xxhash_rust::xxh3::xxh3_64;
+
+/// Hash of the choices as made by commit 0066b47, which has no overload control.
+const CHOICES_OF_0066B47: u64 = 11_504_592_560_246_484_341;
+
+/// An operator who has not turned overload control on would get other choices with an upgrade.
+#[test]
+fn choices_without_overload_control_are_those_of_0066b47() {
+    let mut router = router(9, 9, 0);
+    let mut choices = String::new();
+    for step in 0..3_000_u64 {
+        let now = at(step * 7);
+        let mut request = admit(&mut router, now, "/pool/x", None);
+        let decision = router.pick_server(now, &mut request);
+        let RoutingDecision::Send(choice) = decision else {
+            writeln!(choices, "{decision:?}").unwrap();
+            continue;
+        };
+        writeln!(choices, "{} {:.6}", choice.server, choice.expected_ms).unwrap();
+        router.record_sent(now, &choice, &mut request);
+        let number = u64::from(choice.address.port()) + step * 31;
+        let took = Duration::from_millis(5 + number % 90);
+        let load = LoadReport {
+            running: (number % 5) as u32,
+            waiting: (number % 11 / 8) as u32,
+            slots: 4,
+            slowdown: 1.0 + (number % 4) as f64,
+        };
+        router.record_load(now + took, &choice, load);
+        let not_run = step % 41 == 0;
+        let status = if step % 53 == 0 { 500 } else { 200 };
+        let result = AttemptResult::Answered { status, not_run };
+        let retry = router.handle_result(now + took, &mut request, &choice, result, took);
+        writeln!(choices, "{retry:?}").unwrap();
+        if step % 3 > 0 {
+            router.record_finished(&choice);
+        }
+    }
+    assert_eq!(xxh3_64(choices.as_bytes()), CHOICES_OF_0066B47);
+}
