Learn capacities for services without keys only

Change: no samples are taken of servers of keyed services, and only requests that may be repeated probe a slow server.

--- a/crates/router/src/router/learned_capacity.rs
+++ b/crates/router/src/router/learned_capacity.rs
@@ -28,6 +28,10 @@
         let Some(server) = self.directory.get_mut(selected.server) else {
             return;
         };
+        // The owner of a key is no choice, and the planner has times of its own for keyed services.
+        if self.pools.get(&server.entry.service).is_none_or(|pool| pool.spec.keyed) {
+            return;
+        }
         match result {
             AttemptResult::Answered { not_run: true, .. } => {
                 server.record_capacity_refusal(now, selected.occupancy);
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -162,7 +162,8 @@
                 continue;
             }
             let rank = || Router::rank(self.settings.host, *name);
-            if server.is_probe_due(now, pool.average_ms, self.router_count, rank) {
+            let may_probe = request.route.is_idempotent();
+            if may_probe && server.is_probe_due(now, pool.average_ms, self.router_count, rank) {
                 probe = Some(*name);
             }
             if self.directory.may_be_cold(now, server) {
