--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use async_io::Timer;
+use bay_capacity::CapacityTable;
 use bay_range::{Candidate, Fitness, Granter, KeyLoads, Leadership, Role};
 use bay_router::{
     Branch, EndedHolds, LiveRouters, MeanServiceTimes, PeerMessage, PublishPlan, RateLimitNotice,
@@ -19,6 +20,7 @@
 use super::server_updates;
 use super::shell_state::{Phase, ShellState};
 
+mod capacities;
 mod election;
 mod fan_out;
 mod fitness;
@@ -88,6 +90,8 @@
     spread: f64,
     /// Last recovery of the store of which the election was told.
     store_recovered_at: Option<Time>,
+    /// Empty unless this process is the granter and overload control is on.
+    capacities: CapacityTable,
 }
 
 /// Granter's state for one service with keys.
@@ -134,6 +138,7 @@
             publish_plan: PublishPlan::new(now, settings.link_mbps),
             spread,
             store_recovered_at: None,
+            capacities: CapacityTable::default(),
         }
     }
 
--- a/crates/node/src/router_shell/probes.rs
+++ b/crates/node/src/router_shell/probes.rs
@@ -117,6 +117,10 @@
         write_metric("quota.accounts_near_limit", near_limit);
         write_metric("quota.recent_shares", has_recent_shares);
     }
+    let learned = shell.router.borrow().learned_server_counts(BootClock.now());
+    write_metric("servers.learned", learned.known as u64);
+    write_metric("servers.learned_slow", learned.slow as u64);
+    write_metric("servers.learned_limited", learned.limited as u64);
     let (sent, received) = shell.peer_socket.byte_counts();
     write_metric("peer.sent_bytes", sent);
     write_metric("peer.received_bytes", received);
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -6,6 +6,7 @@
 use bay_admission::{
     OverloadLevels, OverloadReport, RankCounts, RankShare, ServiceCounts, ServiceLevel,
 };
+use bay_capacity::{CapacitySample, ServerCapacity, ServerId, TimeCode};
 use bay_quota::{AccountId, AccountShare, AccountUsage, QuotaShares, UsageEntry};
 use bay_range::{
     EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
@@ -67,6 +68,16 @@
     OwnerMap { term: Term(7), sequence: 300, ranges }
 }
 
+fn capacity_sample() -> CapacitySample {
+    let server = ServerId::new(server("i-1"));
+    CapacitySample { server, latency: TimeCode(112), concurrency: 3, answers: 2 }
+}
+
+fn server_capacity() -> ServerCapacity {
+    let server = ServerId::new(server("i-1"));
+    ServerCapacity { server, base: TimeCode(112), concurrency: 20 }
+}
+
 fn server_entry() -> ServerEntry {
     ServerEntry {
         service: service(),
@@ -167,6 +178,8 @@
         ("account-usage", PeerMessage::AccountUsage(account_usage(&[]))),
         ("account-usage-first", PeerMessage::AccountUsage(account_usage(&[0, 3, 1]))),
         ("quota-shares", PeerMessage::QuotaShares(quota_shares())),
+        ("capacity-report", PeerMessage::CapacityReport(vec![capacity_sample()])),
+        ("server-capacities", PeerMessage::ServerCapacities(vec![server_capacity()])),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
         ("request-vouch", PeerMessage::RequestVouch(8_412_066_120_457)),
         (
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -5,6 +5,7 @@
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, ZoneName};
 use serde::{Deserialize, Serialize};
 
+use bay_capacity::{CapacitySample, ServerCapacity};
 use bay_range::{KeyLimit, KeyRange};
 
 use crate::{Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry};
@@ -63,6 +64,10 @@
     OverloadReport(OverloadReport),
     /// Sends the shares of requests to admit by rank from the granter to every router.
     OverloadLevels(OverloadLevels),
+    /// Reports answers of servers from every router to the granter, with overload control.
+    CapacityReport(Vec<CapacitySample>),
+    /// Sends learned capacities of servers, mostly changed ones, from the granter to every router.
+    ServerCapacities(Vec<ServerCapacity>),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -19,6 +19,7 @@
 
 mod attempt_results;
 mod key_proof;
+mod learned_capacity;
 mod paths;
 mod quotas;
 mod rank_admission;
@@ -59,6 +60,8 @@
     incarnation: u32,
     rng: SmallRng,
     counts: BTreeMap<Counter, u64>,
+    /// The last server whose samples went to the granter.
+    last_reported_server: Option<ServerName>,
 }
 
 impl Router {
@@ -87,6 +90,7 @@
             incarnation: seed as u32,
             rng: SmallRng::seed_from_u64(seed),
             counts: BTreeMap::new(),
+            last_reported_server: None,
         }
     }
 
@@ -308,6 +312,9 @@
         };
         let servers = pool.servers.iter().filter_map(|name| {
             let server = self.directory.get(*name)?;
+            let learned = server.learned_capacity(now);
+            let learned_rate = learned.map(|learned| learned.rate());
+            let limits = [server.rate_limit(now), learned_rate];
             Some(Candidate {
                 owner: OwnerId { server: *name, started: server.entry.started },
                 address: server.entry.address,
@@ -315,8 +322,8 @@
                 slots: server.entry.slots,
                 eligible: self.directory.is_eligible(now, server),
                 cold: self.directory.may_be_cold(now, server),
-                service_ms: server.service_ms(),
-                rate_limit: server.rate_limit(now),
+                service_ms: learned.map(|learned| learned.base_ms).or(server.service_ms()),
+                rate_limit: limits.into_iter().flatten().reduce(f64::min),
             })
         });
         servers.collect()
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -7,6 +7,7 @@
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use super::Router;
+use super::learned_capacity::sample_by_weight;
 use crate::{
     Counter, RequestState, RoutingDecision, SelectedServer, Server, ServicePool, WarmUpLimiter,
 };
@@ -157,12 +158,13 @@
     /// The cost of a server is the expected time there, raised by its failures, plus surcharges for
     /// another zone and for a new connection. Cold servers are compared without sampling.
     fn pick_from_pool(&mut self, now: Time, request: &mut RequestState) -> RoutingDecision {
+        self.update_sample_shares(now, request.service);
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
         let (mut same_zone, mut other_zones, mut cold) = (Vec::new(), Vec::new(), Vec::new());
         let mut connected = Vec::new();
-        let (mut permitted, mut rate_limited) = (None, false);
+        let (mut permitted, mut rate_limited, mut probe) = (None, false, None);
         for name in &pool.servers {
             let Some(server) = self.directory.get(*name) else {
                 continue;
@@ -179,6 +181,11 @@
                 rate_limited = true;
                 continue;
             }
+            let rank = || Router::rank(self.settings.host, *name);
+            let may_probe = request.route.is_idempotent();
+            if may_probe && server.is_probe_due(now, pool.average_ms, self.router_count, rank) {
+                probe = Some(*name);
+            }
             if self.directory.may_be_cold(now, server) {
                 cold.push(*name);
             } else if server.has_idle_connection(now) {
@@ -198,16 +205,33 @@
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
+        if let Some(name) = probe
+            && let Some(server) = self.directory.get(name)
+            && !self.directory.may_be_cold(now, server)
+        {
+            let selected = self.describe_server(now, name, server, pool);
+            request.last_selected = Some(selected);
+            let decision = self.require_permit(now, request, &selected);
+            return decision.unwrap_or(RoutingDecision::Send(selected));
+        }
         let mut best: Option<(f64, SelectedServer)> = None;
-        let sampled = sample(&mut self.rng, &same_zone)
-            .into_iter()
-            .chain(sample(&mut self.rng, &other_zones));
+        let mut pick = |names: &[ServerName]| match self.settings.overload_control {
+            false => sample(&mut self.rng, names),
+            true => sample_by_weight(&mut self.rng, names, SAMPLE_SIZE, |name| {
+                pool.sample_shares.share(name)
+            }),
+        };
+        let (same_zone, other_zones) = (pick(&same_zone), pick(&other_zones));
+        if self.settings.overload_control {
+            connected = pick(&connected);
+        }
+        let sampled = same_zone.into_iter().chain(other_zones);
         for name in connected.into_iter().chain(sampled) {
             let Some(server) = self.directory.get(name) else {
                 continue;
             };
             let selected = self.describe_server(now, name, server, pool);
-            let cost = self.cost(now, server, request, &selected);
+            let cost = self.cost(now, server, request, &selected, pool.average_ms);
             if best.as_ref().is_none_or(|(least, _)| cost < *least) {
                 best = Some((cost, selected));
             }
@@ -247,7 +271,7 @@
             let pool = self.pools.get(&request.service)?;
             let server = self.directory.get(*name)?;
             let selected = self.describe_server(now, *name, server, pool);
-            let cost = self.cost(now, server, request, &selected);
+            let cost = self.cost(now, server, request, &selected, pool.average_ms);
             let needs_permit = Router::needs_permit(now, server, request, *name);
             if best.is_none_or(|best| cost <= best)
                 && (needs_permit || self.acquire_warm_up_token(now, *name, &request.service))
@@ -339,8 +363,14 @@
         server: &Server,
         request: &RequestState,
         selected: &SelectedServer,
+        average_ms: f64,
     ) -> f64 {
-        selected.expected_ms * server.failure_penalty()
+        let expected_ms = match (self.settings.overload_control, server.learned_capacity(now)) {
+            // The sample's weights take the base time into account.
+            (true, Some(learned)) => selected.expected_ms * (average_ms / learned.base_ms.max(1.0)),
+            _ => selected.expected_ms,
+        };
+        expected_ms * server.failure_penalty()
             + self.cross_zone_cost(server, request)
             + Router::new_connection_cost(now, server, request)
             + server.permit_wait(now).as_secs_f64() * 1000.0
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -6,6 +6,7 @@
 use bay_time::Time;
 use bay_types::{ServerName, Term};
 
+use crate::sample_shares::SampleShares;
 use crate::{OwnerMap, ReassemblyBuffer, RetryBudget, ServiceSpec};
 
 /// A service with its servers, retry budget and key owners.
@@ -31,6 +32,8 @@
     ///
     /// It stands in for servers without measurements.
     pub average_ms: f64,
+    /// Shares of the servers in the sample, with overload control.
+    pub(crate) sample_shares: SampleShares,
 }
 
 impl ServicePool {
@@ -55,6 +58,7 @@
             key_shares: KeyShares::default(),
             key_counts: HashMap::new(),
             average_ms: ServicePool::INITIAL_MS,
+            sample_shares: SampleShares::default(),
         }
     }
 
