Switch admission by rank and learned capacities separately

Cause: one switch turned both on, so that a deployment without ranks that meet was no longer served as without overload control (where_no_ranks_meet_overload_control_changes_no_decision).

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -90,7 +90,7 @@
     spread: f64,
     /// Last recovery of the store of which the election was told.
     store_recovered_at: Option<Time>,
-    /// Empty unless this process is the granter and overload control is on.
+    /// Empty unless this process is the granter and capacities are learned.
     capacities: CapacityTable,
 }
 
--- a/crates/node/src/router_shell/granter/capacities.rs
+++ b/crates/node/src/router_shell/granter/capacities.rs
@@ -31,14 +31,14 @@
 /// control is off.
 pub(super) fn apply_samples(shell: &ShellState, now: Time, samples: &[CapacitySample]) {
     let role = &mut *shell.granter_role.borrow_mut();
-    if shell.settings.overload_control && role.term().is_some() {
+    if shell.settings.learn_capacities && role.term().is_some() {
         samples.iter().for_each(|sample| role.capacities.record(now, sample));
     }
 }
 
 /// Applies the granter's changed estimates and sends them to the other routers.
 pub(super) fn send_updates(shell: &ShellState, now: Time) {
-    if !shell.settings.overload_control {
+    if !shell.settings.learn_capacities {
         return;
     }
     let slots = shell.router.borrow().server_slots();
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -64,7 +64,7 @@
     OverloadReport(OverloadReport),
     /// Sends the shares of requests to admit by rank from the granter to every router.
     OverloadLevels(OverloadLevels),
-    /// Reports answers of servers from every router to the granter, with overload control.
+    /// Reports answers of servers from every router to the granter, where capacities are learned.
     CapacityReport(Vec<CapacitySample>),
     /// Sends learned capacities of servers, mostly changed ones, from the granter to every router.
     ServerCapacities(Vec<ServerCapacity>),
--- a/crates/router/src/router/learned_capacity.rs
+++ b/crates/router/src/router/learned_capacity.rs
@@ -22,7 +22,7 @@
         result: AttemptResult,
         elapsed: Duration,
     ) {
-        if !self.settings.overload_control {
+        if !self.settings.learn_capacities {
             return;
         }
         let Some(server) = self.directory.get_mut(selected.server) else {
@@ -49,12 +49,12 @@
         }
     }
 
-    /// Drains samples of servers for the granter; empty if overload control is off.
+    /// Drains samples of servers for the granter; empty if capacities are not learned.
     ///
     /// Their number is limited, and servers take turns. Samples that don't fit stay and are averaged
     /// with later ones.
     pub fn drain_capacity_samples(&mut self) -> Vec<CapacitySample> {
-        if !self.settings.overload_control {
+        if !self.settings.learn_capacities {
             return Vec::new();
         }
         let max = (Router::MAX_REPORTED_SAMPLES / self.router_count).max(1) as usize;
@@ -76,9 +76,9 @@
         names.iter().filter_map(drain).collect()
     }
 
-    /// Applies estimates of the granter; ignored if overload control is off.
+    /// Applies estimates of the granter; ignored if capacities are not learned.
     pub fn apply_capacities(&mut self, now: Time, capacities: &[ServerCapacity]) {
-        if !self.settings.overload_control {
+        if !self.settings.learn_capacities {
             return;
         }
         let learned: HashMap<ServerId, LearnedCapacity> =
@@ -117,7 +117,7 @@
 
     /// Calculates the servers' shares in the sample of a service, if that is due.
     pub(super) fn update_sample_shares(&mut self, now: Time, service: ServiceName) {
-        if !self.settings.overload_control {
+        if !self.settings.learn_capacities {
             return;
         }
         let is_due = self.pools.get(&service).is_some_and(|pool| pool.sample_shares.is_due(now));
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -215,14 +215,14 @@
             return decision.unwrap_or(RoutingDecision::Send(selected));
         }
         let mut best: Option<(f64, SelectedServer)> = None;
-        let mut pick = |names: &[ServerName]| match self.settings.overload_control {
+        let mut pick = |names: &[ServerName]| match self.settings.learn_capacities {
             false => sample(&mut self.rng, names),
             true => sample_by_weight(&mut self.rng, names, SAMPLE_SIZE, |name| {
                 pool.sample_shares.share(name)
             }),
         };
         let (same_zone, other_zones) = (pick(&same_zone), pick(&other_zones));
-        if self.settings.overload_control {
+        if self.settings.learn_capacities {
             connected = pick(&connected);
         }
         let sampled = same_zone.into_iter().chain(other_zones);
@@ -365,7 +365,7 @@
         selected: &SelectedServer,
         average_ms: f64,
     ) -> f64 {
-        let expected_ms = match (self.settings.overload_control, server.learned_capacity(now)) {
+        let expected_ms = match (self.settings.learn_capacities, server.learned_capacity(now)) {
             // The sample's weights take the base time into account.
             (true, Some(learned)) => selected.expected_ms * (average_ms / learned.base_ms.max(1.0)),
             _ => selected.expected_ms,
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -32,8 +32,10 @@
     pub server_heartbeat: Duration,
     /// Bounds that the platform sets.
     pub bounds: PlatformBounds,
-    /// Whether requests are admitted by rank and by the learned capacity of servers.
+    /// Whether requests are admitted by rank while a service is short of capacity.
     pub overload_control: bool,
+    /// Whether servers of services without keys are chosen by what they were seen to take well.
+    pub learn_capacities: bool,
 }
 
 impl RouterSettings {
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -44,6 +44,7 @@
         server_heartbeat: Duration::from_secs(1),
         bounds: PlatformBounds { retry_ratio: 0.2, retry_extra: 50.0, ..PlatformBounds::default() },
         overload_control: false,
+        learn_capacities: false,
     }
 }
 
--- a/crates/router/tests/support/site.rs
+++ b/crates/router/tests/support/site.rs
@@ -117,8 +117,8 @@
     pub fn new(servers: Vec<SimServer>, knowledge: Knowledge, seed: u64) -> Site {
         let routers = (0..ROUTERS).map(|index| {
             let host = HostName::new(&format!("h{index}")).unwrap();
-            let overload_control = knowledge != Knowledge::Off;
-            let settings = RouterSettings { host, overload_control, ..settings("h") };
+            let learn_capacities = knowledge != Knowledge::Off;
+            let settings = RouterSettings { host, learn_capacities, ..settings("h") };
             let mut router = Router::new(settings, seed * 1_000 + index as u64);
             let mut config = config(1);
             for route in &mut config.routes {
