Keep the use of accounts over configurations, and divide limits among all known routers

Cause: a router without shares divided the limits among the 3 routers assumed at its start, 12 parts of a hot account's limit in a fleet of 74 for each 3 of them. An account that a configuration left out and a later one had again began at no use at routers and granter, and its totals, starting at 0 again, were taken for thousands of refunds. A refund could be taken from counts that did not hold the request.

--- a/crates/quota/src/ledger.rs
+++ b/crates/quota/src/ledger.rs
@@ -24,6 +24,9 @@
 #[derive(Debug)]
 struct LedgerAccount {
     limit: QuotaLimit,
+    /// Whether the configuration limits the account. The use of one that was limited is kept while it
+    /// is in the window, as a later configuration may limit the account again.
+    is_limited: bool,
     admitted: WindowCount,
     /// Requests per second that the routers admitted and refused by the last report of each.
     rates: Rates,
@@ -99,23 +102,26 @@
         self.term
     }
 
-    /// Replaces the limits; accounts that are left out have none. The use of the others is kept.
+    /// Replaces the length of the window.
+    pub fn set_window(&mut self, window: Duration) {
+        self.window = window;
+    }
+
+    /// Replaces the limits; accounts that are left out have none. The use in the window is kept.
     pub fn set_limits<I>(&mut self, limits: I)
     where
         I: IntoIterator<Item = (AccountId, QuotaLimit)>,
     {
-        let mut old = std::mem::take(&mut self.accounts);
+        self.accounts.values_mut().for_each(|account| account.is_limited = false);
         for (id, limit) in limits {
-            let account = match old.remove(&id) {
-                Some(account) => LedgerAccount { limit, ..account },
-                None => LedgerAccount {
-                    limit,
-                    admitted: WindowCount::default(),
-                    rates: Rates::default(),
-                    is_near: false,
-                },
-            };
-            self.accounts.insert(id, account);
+            let account = self.accounts.entry(id).or_insert_with(|| LedgerAccount {
+                limit,
+                is_limited: true,
+                admitted: WindowCount::default(),
+                rates: Rates::default(),
+                is_near: false,
+            });
+            (account.limit, account.is_limited) = (limit, true);
         }
     }
 
@@ -167,7 +173,12 @@
         router.sent_ms = usage.sent_ms;
         router.reported_at = Some(now);
         for entry in &usage.entries {
-            let earlier = router.accounts.get(&entry.account);
+            // Totals go back only by refunds of what was in the window, unless the router has begun
+            // to count again.
+            let earlier = router.accounts.get(&entry.account).filter(|earlier| {
+                let refunded = earlier.admitted.wrapping_sub(entry.admitted) as i32;
+                i64::from(refunded) <= i64::from(earlier.in_window)
+            });
             // A negative difference is a refund. Without an earlier total, the whole window counts.
             let difference =
                 |total: u32, earlier: u32| f64::from(total.wrapping_sub(earlier) as i32);
@@ -197,7 +208,7 @@
             account.rates.add(rates);
             let was_near = account.is_near;
             account.update_near(now, self.window);
-            self.is_due |= account.is_near && !was_near;
+            self.is_due |= account.is_limited && account.is_near && !was_near;
         }
     }
 
@@ -219,9 +230,13 @@
         let silent: Vec<&LedgerRouter> =
             self.routers.values().filter(|router| router.is_silent(now)).collect();
         let mut entries = Vec::new();
+        let window = self.window;
+        self.accounts.retain(|_, account| {
+            account.is_limited || account.admitted.count(now, window) >= 1.0
+        });
         for (id, account) in &mut self.accounts {
             account.update_near(now, self.window);
-            if !account.is_near {
+            if !account.is_limited || !account.is_near {
                 continue;
             }
             let fallback = Fallback::new(&account.limit, 0.0, routers);
--- a/crates/quota/src/local_account.rs
+++ b/crates/quota/src/local_account.rs
@@ -87,6 +87,11 @@
         self.fallback = Fallback::new(&limit, self.known_use, routers);
     }
 
+    /// Replaces the number of routers among which the limit is divided.
+    pub(crate) fn set_routers(&mut self, routers: u32) {
+        self.fallback = Fallback::new(&self.limit, self.known_use, routers);
+    }
+
     /// Returns whether a request beyond the `used` ones is within the router's bound. Of this, a
     /// `part` holds.
     pub(crate) fn is_within_bound(&self, used: f64, part: f64) -> bool {
--- a/crates/quota/src/local_quota.rs
+++ b/crates/quota/src/local_quota.rs
@@ -14,6 +14,9 @@
     incarnation: u32,
     window: Duration,
     accounts: HashMap<AccountId, LocalAccount>,
+    /// Accounts without a limit whose requests may still be in the window. A later configuration may
+    /// limit them again.
+    removed: HashMap<AccountId, LocalAccount>,
     routers: u32,
     /// Term and number of the last shares.
     version: (u64, u32),
@@ -45,6 +48,7 @@
             incarnation,
             window,
             accounts: HashMap::new(),
+            removed: HashMap::new(),
             routers,
             version: (0, 0),
             valid_until: Time::ZERO,
@@ -60,12 +64,27 @@
         self.window
     }
 
+    /// Returns whether any account has a limit.
+    pub fn has_limits(&self) -> bool {
+        !self.accounts.is_empty()
+    }
+
+    /// Raises the number of routers among which the limits are divided. A router that has no shares
+    /// yet, or none that counts all routers, would otherwise admit more than its part.
+    pub fn raise_routers(&mut self, routers: u32) {
+        if routers > self.routers {
+            self.routers = routers;
+            self.accounts.values_mut().for_each(|account| account.set_routers(routers));
+        }
+    }
+
     /// Replaces the limits; accounts that are left out have none. Counts are kept.
     pub fn set_limits<I>(&mut self, limits: I)
     where
         I: IntoIterator<Item = (AccountId, QuotaLimit)>,
     {
-        let mut old = std::mem::take(&mut self.accounts);
+        let mut old = std::mem::take(&mut self.removed);
+        old.extend(self.accounts.drain());
         for (id, limit) in limits {
             let account = old.remove(&id).map(|mut account| {
                 account.set_limit(limit, self.routers);
@@ -76,6 +95,7 @@
             let fresh = || LocalAccount::new(limit, rounding, self.routers);
             self.accounts.insert(id, account.unwrap_or_else(fresh));
         }
+        self.removed = old;
     }
 
     /// Admits a request and counts it.
@@ -115,8 +135,10 @@
         if let Some(account) = self.accounts.get_mut(&id)
             && now.since(admitted_at) < self.window
         {
-            account.admitted.add(admitted_at, -1.0);
-            account.admitted_total = account.admitted_total.wrapping_sub(1);
+            // The request was not counted if the account had no limit then.
+            if account.admitted.remove(admitted_at) {
+                account.admitted_total = account.admitted_total.wrapping_sub(1);
+            }
         }
     }
 
@@ -132,6 +154,8 @@
             self.reported_term = (term, 0);
         }
         self.reported_term.1 += 1;
+        let window = self.window;
+        self.removed.retain(|_, account| account.admitted.count(now, window) >= 1.0);
         let is_full = self.reported_term.1 <= LocalQuota::FULL_REPORTS;
         let mut entries = Vec::new();
         for (id, account) in &mut self.accounts {
--- a/crates/quota/src/window_count.rs
+++ b/crates/quota/src/window_count.rs
@@ -26,6 +26,16 @@
         self.sum += count;
     }
 
+    /// Removes a request that was added at a time; returns whether there was one.
+    pub(crate) fn remove(&mut self, at: Time) -> bool {
+        let index = interval(at);
+        let counted = self.intervals.iter().any(|(other, sum)| *other == index && *sum >= 1.0);
+        if counted {
+            self.add(at, -1.0);
+        }
+        counted
+    }
+
     /// Adds requests evenly over the time from `from` to `to`.
     pub(crate) fn spread(&mut self, from: Time, to: Time, count: f64) {
         let (first, last) = (interval(from), interval(to).max(interval(from)));
--- a/crates/quota/tests/decisions.rs
+++ b/crates/quota/tests/decisions.rs
@@ -161,3 +161,58 @@
     }
     assert_eq!(ledger.shares(at(3_600)).unwrap().entries, []);
 }
+
+/// Guards against the use of an account forgotten by routers and granter when a configuration leaves the
+/// account out and the next one has it again.
+#[test]
+fn an_account_that_returns_keeps_its_use() {
+    let mut quota = router(20.0, 1);
+    let mut ledger = QuotaLedger::new(at(0), 1, WINDOW);
+    ledger.set_limits([(ACCOUNT, limit(20.0))]);
+    ledger.set_routers(at(0), &BTreeSet::from([1]));
+    let first = (0..1_000).filter(|_| quota.admit(at(0), ACCOUNT).is_ok()).count();
+    assert!(first > 0);
+    ledger.record_usage(at(100), &quota.drain_usage(at(100), 1));
+    let used = ledger.shares(at(200)).unwrap().entries.first().map(|entry| entry.used);
+    quota.set_limits([]);
+    ledger.set_limits([]);
+    quota.set_limits([(ACCOUNT, limit(20.0))]);
+    ledger.set_limits([(ACCOUNT, limit(20.0))]);
+    assert!(quota.admit(at(300), ACCOUNT).is_err());
+    ledger.record_usage(at(300), &quota.drain_usage(at(300), 1));
+    let later = ledger.shares(at(300)).unwrap().entries.first().map(|entry| entry.used);
+    assert_eq!(later, used);
+}
+
+/// Guards against totals that start again in the same process and are taken for refunds, which would
+/// leave the granter with less than no use.
+#[test]
+fn totals_that_start_again_are_no_refunds() {
+    let mut ledger = QuotaLedger::new(at(0), 1, WINDOW);
+    ledger.set_limits([(ACCOUNT, limit(20.0))]);
+    ledger.set_routers(at(0), &BTreeSet::from([1]));
+    let mut report = |millis, admitted, in_window| {
+        let entry =
+            UsageEntry { account: ACCOUNT, admitted, refused: 0, in_window, history: vec![] };
+        let entries = vec![entry];
+        let sent_ms = millis;
+        let usage = AccountUsage { router: 1, incarnation: 1, term: 1, sent_ms, entries };
+        ledger.record_usage(at(millis), &usage);
+    };
+    report(100, 5_000, 10);
+    report(20_000, 100, 100);
+    let shares = ledger.shares(at(20_000)).unwrap();
+    assert!(shares.entries.first().is_some_and(|entry| entry.used >= 100), "{shares:?}");
+}
+
+/// Guards against a refund of a request that these counts do not hold, which would make room for one
+/// above the limit.
+#[test]
+fn a_refund_of_a_request_that_was_not_counted_makes_no_room() {
+    let (mut quota, mut other) = (router(20.0, 1), router(20.0, 1));
+    (0..50).for_each(|_| other.refund(at(10), ACCOUNT, at(0)));
+    let room = (0..1_000).filter(|_| quota.admit(at(20), ACCOUNT).is_ok()).count();
+    let after = (0..1_000).filter(|_| other.admit(at(20), ACCOUNT).is_ok()).count();
+    assert_eq!(after, room);
+    assert_eq!(other.drain_usage(at(30), 1).entries[0].admitted as usize, room);
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -244,6 +244,7 @@
         for pool in self.pools.values_mut() {
             pool.retry_budget.set_router_count(now, self.router_count);
         }
+        self.update_quota_routers();
     }
 
     /// Returns the number of live routers, at least 1. They share the limits on all of them.
