Keep the granter's ledger of quotas over a configuration without quotas

Cause: the ledger was dropped when a configuration had no quotas. A second ledger of the same term numbers its shares from 1, and routers, which keep their state since, ignore numbers that they have seen. Changed bounds did not reach the ledger until the next configuration.

Change: the ledger lives as long as the term and takes over limits by version and bounds; without quotas no shares are sent.

Result: shares_go_on_after_a_configuration_without_quotas failed with the shell of (no shares within 1.5 s) and passes.

--- a/crates/node/src/router_shell/quotas.rs
+++ b/crates/node/src/router_shell/quotas.rs
@@ -3,7 +3,7 @@
 use std::time::Duration;
 
 use bay_quota::{AccountUsage, QuotaLedger, QuotaShares};
-use bay_router::{PeerMessage, Router};
+use bay_router::{PeerMessage, QuotaBounds, Router};
 use bay_time::{BootClock, Clock, Time};
 
 use super::granter;
@@ -24,10 +24,11 @@
 /// Messages about the quotas of accounts: those of this router and those of the granter.
 #[derive(Debug, Default)]
 pub(crate) struct Quotas {
-    /// Use of all routers; `None` unless this router is the granter and quotas are enforced.
+    /// Use of all routers; `None` unless this router is the granter and has enforced quotas in its
+    /// term.
     ledger: Option<QuotaLedger>,
-    /// Version of the configuration whose limits the ledger has.
-    ledger_config: u64,
+    /// Version of the configuration and bounds whose limits the ledger has.
+    ledger_limits: Option<(u64, Option<QuotaBounds>)>,
     next_shares_at: Time,
     next_usage_at: Time,
     /// Term of the granter to which this router has last reported.
@@ -102,6 +103,9 @@
 /// Sends the shares of accounts near their quota to all routers, with the granter's heartbeat.
 pub(crate) fn send_shares(shell: &Rc<ShellState>, now: Time) {
     update_ledger(shell, now);
+    if !shell.router.borrow().has_quotas() {
+        return;
+    }
     let shares = {
         let quotas = &mut *shell.quotas.borrow_mut();
         let Some(ledger) = &mut quotas.ledger else {
@@ -132,30 +136,41 @@
     shell.router.borrow_mut().apply_quota_shares(now, shares);
 }
 
-/// Creates the granter's ledger at the start of its term, drops it at the end, and takes over the
-/// limits of a new configuration.
+/// Creates the granter's ledger in its term, drops it at the end, and takes over the limits of a new
+/// configuration or new bounds.
+///
+/// A configuration without quotas leaves the ledger as it is: a second one of the same term would
+/// number its shares from the start, and routers ignore numbers that they have seen.
 fn update_ledger(shell: &ShellState, now: Time) {
     let term = granter::granter_term(shell);
     let quotas = &mut *shell.quotas.borrow_mut();
     let version = shell.config_version();
-    let Some(term) = term.filter(|_| shell.router.borrow().has_quotas()) else {
+    let is_current = quotas.ledger.as_ref().map(QuotaLedger::term) == term.map(|term| term.0);
+    if !is_current {
         quotas.ledger = None;
+    }
+    let Some(term) = term else {
         return;
     };
-    let is_current = quotas.ledger.as_ref().is_some_and(|ledger| ledger.term() == term.0);
-    if is_current && quotas.ledger_config == version {
+    let router = shell.router.borrow();
+    let in_force = Some((version, router.quota_bounds()));
+    if quotas.ledger.is_some() && quotas.ledger_limits == in_force {
         return;
     }
-    let Some((bounds, limits)) = shell.router.borrow().quota_limits() else {
-        quotas.ledger = None;
-        return;
-    };
-    if !is_current {
-        quotas.ledger = None;
+    match router.quota_limits() {
+        Some((bounds, limits)) => {
+            let fresh = || QuotaLedger::new(now, term.0, bounds.window);
+            let ledger = quotas.ledger.get_or_insert_with(fresh);
+            ledger.set_window(bounds.window);
+            ledger.set_limits(limits);
+        }
+        None => {
+            if let Some(ledger) = &mut quotas.ledger {
+                ledger.set_limits([]);
+            }
+        }
     }
-    let fresh = || QuotaLedger::new(now, term.0, bounds.window);
-    quotas.ledger.get_or_insert_with(fresh).set_limits(limits);
-    quotas.ledger_config = version;
+    quotas.ledger_limits = in_force;
 }
 
 /// Logs the accounts of which the least is admitted.
