Bound and spread the Retry-After of requests refused without a proof of the keys

Cause: a request refused at admission with keys-outdated was told a fixed 300 ms, more than 0.3 of the time left of requests with a deadline under a second, and the same for all callers of a router that are refused from the same moment on.

Change: at most 400 ms and 0.3 of the time left, spread over 0.5 to 1 of that. Other refusals at admission keep their value.

Tests of bay-router, bay-quota and bay-account pass.

--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -61,7 +61,14 @@
     let mut request = match admitted {
         Ok(request) => request,
         Err(kind) => {
-            let retry_after = kind.has_retry_after().then_some(NOT_ADMITTED_RETRY_AFTER);
+            let retry_after = match kind {
+                ErrorKind::KeysOutdated => {
+                    let mut router = shell.router.borrow_mut();
+                    let deadline = head.fields.deadline;
+                    Some(router.keys_outdated_retry_after(&head.host, &head.path, deadline))
+                }
+                _ => kind.has_retry_after().then_some(NOT_ADMITTED_RETRY_AFTER),
+            };
             return refuse_request(&shell, &head, None, kind, retry_after);
         }
     };
--- a/crates/router/src/route_map.rs
+++ b/crates/router/src/route_map.rs
@@ -1,5 +1,6 @@
 use std::collections::HashMap;
 use std::sync::Arc;
+use std::time::Duration;
 
 use crate::{Config, RouteSpec, WeightedSplit};
 
@@ -31,6 +32,14 @@
         RouteMap { hosts }
     }
 
+    /// Returns the timeout of the route that matches a request. It assigns no service.
+    pub fn timeout(&self, host: &str, path: &str) -> Option<Duration> {
+        let entries =
+            self.hosts.get(host).or_else(|| self.hosts.get(&host.to_ascii_lowercase()))?;
+        let entry = entries.iter().find(|entry| path.starts_with(&entry.route.prefix))?;
+        Some(entry.route.timeout)
+    }
+
     /// Finds the route of a request, and the service that the route's split assigns.
     ///
     /// Host names are compared without regard to case. Each call advances the split.
--- a/crates/router/src/router/key_proof.rs
+++ b/crates/router/src/router/key_proof.rs
@@ -1,8 +1,10 @@
+use std::ops::Range;
 use std::time::Duration;
 
 use bay_account::Freshness;
 use bay_time::Time;
 use bay_types::ErrorKind;
+use rand::RngExt;
 
 use super::Router;
 use crate::{RequestState, RoutingDecision, Vouch};
@@ -14,6 +16,11 @@
     /// the age stays near half of the limit.
     const CONFIG_WATCH_DIVISOR: u32 = 4;
 
+    /// Longest `Retry-After` of a request that was not admitted without a proof.
+    const KEYS_OUTDATED_RETRY_AFTER: Duration = Duration::from_millis(400);
+    /// Parts of the longest `Retry-After` among which the callers are spread.
+    const KEYS_OUTDATED_SPREAD: Range<f64> = 0.5..1.0;
+
     /// Records a read of the store after which the newest configuration is in force; `sent_at` is when
     /// the read was sent.
     pub fn record_config_read(&mut self, sent_at: Time) {
@@ -108,6 +115,24 @@
         holder.map(|_| ()).ok_or(ErrorKind::UnknownApiKey)
     }
 
+    /// Returns the `Retry-After` of a request that was not admitted without a proof. It is spread, as
+    /// all callers of a router are refused from the same moment on.
+    pub fn keys_outdated_retry_after(
+        &mut self,
+        host: &str,
+        path: &str,
+        deadline: Option<Duration>,
+    ) -> Duration {
+        let timeout = self.routes.timeout(host, path);
+        let time_left = deadline.into_iter().chain(timeout).min();
+        let max = time_left.map(|time| time.mul_f64(Router::MAX_RETRY_AFTER_SHARE));
+        let spread = self.rng.random_range(Router::KEYS_OUTDATED_SPREAD);
+        max.map_or(Router::KEYS_OUTDATED_RETRY_AFTER, |max| {
+            max.min(Router::KEYS_OUTDATED_RETRY_AFTER)
+        })
+        .mul_f64(spread)
+    }
+
     /// Refuses a request whose key may not be used any more.
     pub(super) fn refuse_for_key(
         &mut self,
--- a/crates/router/tests/withdrawal.rs
+++ b/crates/router/tests/withdrawal.rs
@@ -1,5 +1,6 @@
 //! A withdrawn API key is used for a bounded time, whatever a router can reach.
 
+use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -185,3 +186,19 @@
     assert!(!router.needs_config_read(at(99_000)) && !router.awaits_first_key_proof());
     assert_eq!((router.vouch(at(99_000), 1), router.max_config_watch()), (None, None));
 }
+
+/// Guards against callers that are told to return after their time has run out, or all together.
+#[test]
+fn callers_refused_without_a_proof_return_in_time_and_spread() {
+    let mut router = keyed_router(false);
+    let mut waits = |deadline: Option<u64>| -> Vec<Duration> {
+        let deadline = deadline.map(Duration::from_millis);
+        (0..50).map(|_| router.keys_outdated_retry_after("shop", "/pool/", deadline)).collect()
+    };
+    // The route's timeout is 2 s.
+    for (deadline, max) in [(None, 600), (Some(500), 150), (Some(60_000), 600)] {
+        let waits = waits(deadline);
+        assert!(waits.iter().all(|wait| *wait <= Duration::from_millis(max)), "{waits:?}");
+        assert!(waits.iter().collect::<BTreeSet<_>>().len() > 40, "{waits:?}");
+    }
+}
