Hide the account headers of a caller in debug output

Cause: RequestHead, IncomingRequest and OutgoingRequest derive Debug and hold the header lines with the API key as bytes. No log prints them today.

Change: the lines are a type of their own, whose Debug output is constant.

Result: no test, as the type is private to the crate; tests quotas, router and withdrawn_keys of bay-node pass.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -18,6 +18,7 @@
 use crate::http1::connection::ConnectionResources;
 use crate::wall_clock::wall_nanos;
 
+mod account_headers;
 mod attempt;
 mod caller;
 mod config_updates;
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -69,7 +69,7 @@
         let mut out = Vec::with_capacity(self.head.bytes.len() + self.body.len() + 128);
         out.extend_from_slice(&self.head.bytes);
         if self.passes_account_headers {
-            out.extend_from_slice(&self.head.account_headers);
+            out.extend_from_slice(self.head.account_headers.as_bytes());
         }
         wire.write_attempt_headers(fields, &mut out);
         if self.head.info.framing != Framing::Empty {
--- a/crates/node/src/router_shell/request_head.rs
+++ b/crates/node/src/router_shell/request_head.rs
@@ -1,6 +1,7 @@
 use bay_router::{HeaderAction, RequestFields, RouterWire};
 use bay_types::ErrorKind;
 
+use super::account_headers::AccountHeaders;
 use crate::http1::framing::Framing;
 use crate::http1::hop_headers::{connection_options, is_forwarded};
 use crate::http1::request_check::{RequestInfo, check_request};
@@ -14,7 +15,7 @@
     /// Request line and forwarded headers, without the empty line.
     pub(crate) bytes: Vec<u8>,
     /// Headers that are forwarded only if the configuration has no client accounts.
-    pub(crate) account_headers: Vec<u8>,
+    pub(crate) account_headers: AccountHeaders,
     /// Host name without a port; empty without a `Host` header.
     pub(crate) host: String,
     /// Method, path and query, separated by a space after the method.
@@ -52,7 +53,7 @@
         let connection_names = connection_header_names(request.headers);
         let mut fields = RequestFields::default();
         let mut host = String::new();
-        let mut account_headers = Vec::new();
+        let mut account_headers = AccountHeaders::default();
         for header in request.headers.iter() {
             let name = header.name.to_ascii_lowercase();
             if name == "host" {
@@ -64,7 +65,7 @@
                     append_header(&mut bytes, header.name, header.value);
                 }
                 HeaderAction::ReplaceForAccounts if is_forwarded(&name, &connection_names) => {
-                    append_header(&mut account_headers, header.name, header.value);
+                    account_headers.append(header.name, header.value);
                 }
                 HeaderAction::Pass | HeaderAction::Replace | HeaderAction::ReplaceForAccounts => {}
                 HeaderAction::Malformed => return Err(ErrorKind::BadRequest),
