Start the grace period only after an outage that others met

Change: there is no grace period if a granter has read the store since this router's last failed call (GranterFeed::may_have_lapsed).

--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -303,7 +303,8 @@
 
 /// Tells the router that the store has answered, if it was lost before the call.
 fn record_store_recovery(shell: &ShellState, was_lost: bool) {
-    if was_lost {
+    let last_failure = shell.store.last_failure();
+    if was_lost && shell.granter_feed.borrow().may_have_lapsed(last_failure) {
         shell.router.borrow_mut().handle_store_recovery(BootClock.now());
     }
 }
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -104,6 +104,11 @@
         self.health.borrow().is_lost()
     }
 
+    /// Returns when a call last failed.
+    pub(crate) fn last_failure(&self) -> Option<Time> {
+        self.health.borrow().last_failure()
+    }
+
     /// Returns when the store last answered again after it was lost.
     pub(crate) fn recovered_at(&self) -> Option<Time> {
         self.recovered_at.get()
--- a/crates/router/src/granter_feed.rs
+++ b/crates/router/src/granter_feed.rs
@@ -112,6 +112,17 @@
         self.last_heartbeat.as_ref().map(|received| (&received.state, received.age(now)))
     }
 
+    /// Returns whether entries of servers may have lapsed in an outage of the store that has ended now;
+    /// `last_failure` is when a call of this router last failed.
+    ///
+    /// They have not if a granter has read the store since: it was back earlier, or had refused only this
+    /// router, which has not called it again.
+    pub fn may_have_lapsed(&self, last_failure: Option<Time>) -> bool {
+        let received = self.last_heartbeat.as_ref();
+        let read_at = received.map(|received| received.at - received.age(received.at));
+        read_at.is_none_or(|read_at| last_failure.is_some_and(|failed_at| failed_at >= read_at))
+    }
+
     /// Returns whether a heartbeat with a state has arrived.
     pub fn has_heartbeat(&self) -> bool {
         self.last_heartbeat.is_some()
--- a/crates/router/src/store_health.rs
+++ b/crates/router/src/store_health.rs
@@ -12,6 +12,7 @@
     failing_since: Option<Time>,
     lost: bool,
     next_probe: Time,
+    last_failure: Option<Time>,
 }
 
 impl StoreHealth {
@@ -30,6 +31,11 @@
         self.lost
     }
 
+    /// Returns when a call last failed.
+    pub fn last_failure(&self) -> Option<Time> {
+        self.last_failure
+    }
+
     /// Returns whether a call may be made now; while the store is lost, reserves the probe.
     pub fn allow_call(&mut self, now: Time, granter: bool) -> bool {
         if !self.lost {
@@ -54,6 +60,7 @@
 
     /// Records a failed call; returns whether the store counts as lost from now on.
     pub fn record_failure(&mut self, now: Time) -> bool {
+        self.last_failure = Some(now);
         let since = *self.failing_since.get_or_insert(now);
         let newly_lost = !self.lost && now.since(since) >= StoreHealth::LOST_AFTER;
         self.lost |= newly_lost;
--- a/crates/router/tests/document_sources.rs
+++ b/crates/router/tests/document_sources.rs
@@ -115,3 +115,25 @@
         assert!(!is_waiting, "the new granter was elected at {elected} ms");
     }
 }
+
+/// Guards against a router that delays the removals of servers, as if the store had just come back, after
+/// the store had refused only this router, and others had read it since.
+#[test_case(Some(11_000), false; "refused alone, long before")]
+#[test_case(Some(15_900), true; "failed after the granter's last read")]
+#[test_case(Some(17_000), true; "lost for all")]
+#[test_case(None, false; "never failed")]
+fn entries_may_have_lapsed_if_no_granter_has_read_the_store_since(
+    last_failure: Option<u64>,
+    expected: bool,
+) {
+    let mut feed = GranterFeed::default();
+    feed.handle_heartbeat(at(16_000), Term(1), state(100, 1));
+    assert_eq!(feed.may_have_lapsed(last_failure.map(at)), expected);
+}
+
+/// Guards against servers that are dropped after an outage although their entries return.
+#[test]
+fn without_a_granter_entries_may_have_lapsed() {
+    assert!(GranterFeed::default().may_have_lapsed(Some(at(1_000))));
+    assert!(GranterFeed::default().may_have_lapsed(None));
+}
