Renew ranges whose order was in flight when their token was refused

Cause: after a takeover all ranges share a token. A joined range gets a higher one; an older renewal that arrives later is refused, which raised the token of all ranges. Results of their orders in flight then matched no range, so that they counted as in flight for good: held by the table, renewed no more, refused by their owner (421) for 7 to 11 s. The same mismatch lost unanswered grants with an earlier token, so that a key could get a second owner. Change: a refused token makes the grants of its ranges due; only a refusal of the current token raises it; unanswered grants count by server, not by token; a release waits for any grant in flight to that server. Ruled out: the owners' map of the routers, dropped log lines.

--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -52,6 +52,7 @@
 /// An order in flight.
 #[derive(Debug, Clone)]
 struct PendingOrder {
+    to: OwnerId,
     token: Token,
     range: KeyRange,
     is_release: bool,
@@ -230,15 +231,16 @@
         let Some(order) = self.orders.remove(&id) else {
             return;
         };
-        let longest = self.hold_times.max_after_arrival();
         let mut publish = false;
+        let mut is_token_refused = false;
         for slot in &mut self.slots {
             if !slot.holding.range.overlaps(order.range) {
                 continue;
             }
             let served = slot.is_served();
-            let former = slot.holding.former.filter(|former| former.token == order.token);
+            let is_former = slot.holding.former.is_some_and(|each| each.token == order.token);
             if slot.has_token(order.token) && !order.is_release {
+                is_token_refused |= *result == OrderResult::Outdated;
                 slot.handle_grant_result(
                     now,
                     order.sent_at,
@@ -249,17 +251,15 @@
                 if slot.is_held() && !served {
                     self.cleanup_save_at.get_or_insert(now + Granter::CLEANUP_DELAY);
                 }
-            } else if former.is_some() {
-                if order.is_release {
-                    slot.handle_release_result(now, result);
-                } else if result.may_take_effect() {
-                    slot.former_unanswered_until = slot.former_unanswered_until.max(now + longest);
-                }
+            } else if is_former && order.is_release {
+                slot.handle_release_result(now, result);
+            } else if !order.is_release && result.may_take_effect() {
+                slot.extend_holds_of(order.to, now + self.hold_times.max_after_arrival());
             }
             publish |= served != slot.is_served();
         }
-        if *result == OrderResult::Outdated && !order.is_release {
-            self.raise_token(order.token);
+        if is_token_refused {
+            self.raise_token(now, order.token);
         }
         if publish {
             out.push(GranterAction::Publish);
@@ -293,13 +293,14 @@
 
     /// Gives a higher token to the holdings whose token a server refused as outdated.
     ///
-    /// The table with it is saved before any order is sent.
-    fn raise_token(&mut self, refused: Token) {
+    /// The table with it is saved before any order is sent. Orders in flight have the refused token,
+    /// so that their results no longer concern the holdings, which get orders of their own.
+    fn raise_token(&mut self, now: Time, refused: Token) {
         self.change += 1;
         let token = self.current_token();
         for slot in &mut self.slots {
             if slot.has_token(refused) {
-                slot.holding.token = token;
+                slot.raise_token(now, token);
             }
         }
         self.table_saved = false;
@@ -373,7 +374,7 @@
             let range = slot.holding.range;
             self.orders.insert(
                 id,
-                PendingOrder { token, range, is_release, sent_at: now, previous_hold_until },
+                PendingOrder { to, token, range, is_release, sent_at: now, previous_hold_until },
             );
             out.push(GranterAction::Order { id, to, address, order });
         }
@@ -392,9 +393,9 @@
         Phase::Releasing { next, in_flight: false } if now >= next => {
             let former = slot.holding.former?;
             let renewing = |order: &PendingOrder| {
-                !order.is_release && order.token == former.token && order.range.overlaps(range)
+                !order.is_release && order.to == former.owner && order.range.overlaps(range)
             };
-            // A renewal in flight could take effect after the release.
+            // A grant in flight, also one with an earlier token, could take effect after the release.
             if orders.values().any(renewing) {
                 return None;
             }
--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -3,7 +3,7 @@
 use bay_time::Time;
 use bay_types::Token;
 
-use crate::{FormerOwner, HoldTimes, Holding, KeyRange, OrderResult};
+use crate::{FormerOwner, HoldTimes, Holding, KeyRange, OrderResult, OwnerId};
 
 /// A holding and the progress of its grant.
 #[derive(Debug, Clone)]
@@ -224,6 +224,28 @@
         self.phase = Phase::Held { renew_at, in_flight: false };
     }
 
+    /// Replaces the token, and makes the grant with it due.
+    pub(crate) fn raise_token(&mut self, now: Time, token: Token) {
+        self.holding.token = token;
+        self.phase = match self.phase {
+            Phase::Granting { .. } => Phase::Granting { next: now, in_flight: false },
+            Phase::Held { .. } => Phase::Held { renew_at: now, in_flight: false },
+            phase @ (Phase::Releasing { .. } | Phase::AwaitingExpiry { .. }) => phase,
+        };
+    }
+
+    /// Records that a server may get the keys by an unanswered grant with an earlier token, and may
+    /// hold them until the given time.
+    pub(crate) fn extend_holds_of(&mut self, server: OwnerId, until: Time) {
+        if self.holding.owner == server {
+            self.owner_hold_until = self.owner_hold_until.max(until);
+            self.unanswered_until = self.unanswered_until.max(until);
+        }
+        if self.holding.former.is_some_and(|former| former.owner == server) {
+            self.former_unanswered_until = self.former_unanswered_until.max(until);
+        }
+    }
+
     /// Makes the order of the phase due again after [`Slot::RETRY_DELAY`].
     pub(crate) fn schedule_retry(&mut self, now: Time) {
         let next = now + Slot::RETRY_DELAY;
