--- a/crates/range/src/key_loads.rs
+++ b/crates/range/src/key_loads.rs
@@ -4,41 +4,50 @@
 use bay_time::Time;
 
 use crate::planner::OwnedRange;
-use crate::{KeyRates, OwnerId};
+use crate::{KeyRates, OwnerId, RateEstimate};
 
-/// Request rates by key, as two exponential moving averages.
+/// Request rates by key, as exponential moving averages over several times.
 ///
-/// The steady one has little noise; the recent one shows a surge at once.
+/// A long average has little noise; a short one shows a change at once. [`KeyLoads::estimate`]
+/// chooses between them for each server.
 #[derive(Debug, Default, Clone)]
 pub struct KeyLoads {
-    steady: KeyRates,
-    recent: KeyRates,
+    averages: [KeyRates; KeyLoads::TIME_CONSTANTS.len()],
+    /// When the first request was added.
+    started_at: Option<Time>,
     decayed_at: Time,
 }
 
 impl KeyLoads {
-    /// Time constant of the steady average.
-    pub(crate) const STEADY_TIME_CONSTANT: Duration = Duration::from_millis(4_000);
-    /// Time constant of the recent average; spans two reports of a router.
-    const RECENT_TIME_CONSTANT: Duration = Duration::from_millis(600);
+    /// Time constants of the averages, ascending. The shortest spans two reports of a router.
+    const TIME_CONSTANTS: [Duration; 4] = [
+        Duration::from_millis(600),
+        Duration::from_millis(1_600),
+        Duration::from_millis(4_000),
+        Duration::from_millis(12_000),
+    ];
+    /// Index of the average that serves where no servers are compared.
+    const STEADY: usize = 2;
     /// Least time between two decays.
     const DECAY_INTERVAL: Duration = Duration::from_millis(250);
-    /// Rate at or below which a key is removed, in requests per second.
-    const MIN_RATE: f64 = 0.01;
-    /// Standard deviations by which a server's recent request count has to exceed the count
-    /// expected from its steady rate for a surge.
-    const SURGE_DEVIATIONS: f64 = 4.0;
-    /// Excess of recent requests above which there can be a surge.
-    const MIN_SURGE_REQUESTS: f64 = 8.0;
+    /// Share of a single request's weight at or below which a key is removed.
+    const MIN_WEIGHT: f64 = 0.02;
+    /// Standard deviations by which a server's rate over a short time has to differ from that over a
+    /// longer one for a change of its load.
+    const CHANGE_DEVIATIONS: f64 = 3.0;
+    /// Difference between the request counts of a short and a longer time up to which there is no
+    /// change.
+    const MIN_CHANGE_REQUESTS: f64 = 4.0;
 
-    /// Adds requests for a key to both averages.
+    /// Adds requests for a key to all averages.
     pub fn add(&mut self, key: u16, requests: u32) {
         let requests = f64::from(requests);
-        self.steady.add(key, requests / KeyLoads::STEADY_TIME_CONSTANT.as_secs_f64());
-        self.recent.add(key, requests / KeyLoads::RECENT_TIME_CONSTANT.as_secs_f64());
+        for (average, time_constant) in self.averages.iter_mut().zip(KeyLoads::TIME_CONSTANTS) {
+            average.add(key, requests / time_constant.as_secs_f64());
+        }
     }
 
-    /// Decays both averages by the time since the last decay, if `KeyLoads::DECAY_INTERVAL` has
+    /// Decays the averages by the time since the last decay, if `KeyLoads::DECAY_INTERVAL` has
     /// passed.
     pub fn decay(&mut self, now: Time) {
         let elapsed = now.since(self.decayed_at);
@@ -46,43 +55,90 @@
             return;
         }
         self.decayed_at = now;
-        let factor =
-            |time_constant: Duration| (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp();
-        self.steady.scale(factor(KeyLoads::STEADY_TIME_CONSTANT), KeyLoads::MIN_RATE);
-        self.recent.scale(factor(KeyLoads::RECENT_TIME_CONSTANT), KeyLoads::MIN_RATE);
+        if self.started_at.is_none() && !self.steady().is_empty() {
+            self.started_at = Some(now);
+        }
+        for (average, time_constant) in self.averages.iter_mut().zip(KeyLoads::TIME_CONSTANTS) {
+            let factor = (-elapsed.as_secs_f64() / time_constant.as_secs_f64()).exp();
+            average.scale(factor, KeyLoads::MIN_WEIGHT / time_constant.as_secs_f64());
+        }
     }
 
-    /// Returns the steady average.
+    /// Returns the average over some seconds.
     pub fn steady(&self) -> &KeyRates {
-        &self.steady
+        &self.averages[KeyLoads::STEADY]
     }
 
-    /// Returns the recent average.
+    /// Returns the average over the shortest time.
     pub(crate) fn recent(&self) -> &KeyRates {
-        &self.recent
+        &self.averages[0]
     }
 
     /// Returns the rates to plan with.
     ///
-    /// Keys of servers with a surge get recent rates, as steady ones lag behind. All others get
-    /// steady rates, as recent ones are mostly noise.
-    pub(crate) fn estimate(&self, owned_ranges: &[OwnedRange]) -> KeyRates {
-        let mut by_owner: BTreeMap<OwnerId, (f64, f64)> = BTreeMap::new();
+    /// Each server's keys get the rates of the longest average that agrees with all shorter ones up to
+    /// noise (Lepski's method).
+    pub(crate) fn estimate(&self, owned_ranges: &[OwnedRange]) -> RateEstimate {
+        let spans = self.spans();
+        let mut by_owner: BTreeMap<OwnerId, [f64; KeyLoads::TIME_CONSTANTS.len()]> =
+            BTreeMap::new();
         for owned in owned_ranges {
-            let (steady, recent) = by_owner.entry(owned.owner).or_default();
-            *steady += self.steady.rate(owned.range);
-            *recent += self.recent.rate(owned.range);
+            let rates = by_owner.entry(owned.owner).or_default();
+            for (rate, average) in rates.iter_mut().zip(&self.averages) {
+                *rate += average.rate(owned.range);
+            }
         }
-        let has_surge = |(steady, recent): (f64, f64)| {
-            let expected_count = |rate: f64| rate * KeyLoads::RECENT_TIME_CONSTANT.as_secs_f64();
-            let noise = expected_count(steady).sqrt() * KeyLoads::SURGE_DEVIATIONS;
-            expected_count(recent - steady) > noise.max(KeyLoads::MIN_SURGE_REQUESTS)
-        };
+        let chosen: BTreeMap<OwnerId, usize> =
+            by_owner.iter().map(|(owner, rates)| (*owner, choose_average(rates, &spans))).collect();
         let mut rates = KeyRates::default();
         for owned in owned_ranges {
-            let has_surge = by_owner.get(&owned.owner).copied().is_some_and(has_surge);
-            rates.extend_from(if has_surge { &self.recent } else { &self.steady }, owned.range);
+            let at = chosen.get(&owned.owner).copied().unwrap_or_default();
+            rates.extend_scaled(&self.averages[at], spans[at].correction, owned.range);
         }
-        rates
+        let windows = chosen.into_iter().map(|(owner, at)| (owner, spans[at].window)).collect();
+        RateEstimate { rates, windows }
     }
+
+    /// Returns what each average covers after the time since the first request.
+    fn spans(&self) -> [Span; KeyLoads::TIME_CONSTANTS.len()] {
+        let elapsed = self
+            .started_at
+            .map_or(Duration::MAX, |at| self.decayed_at.since(at).max(KeyLoads::DECAY_INTERVAL));
+        KeyLoads::TIME_CONSTANTS.map(|time_constant| Span::new(time_constant, elapsed))
+    }
+}
+
+/// What a moving average covers some time after its start.
+#[derive(Debug, Clone, Copy)]
+struct Span {
+    /// Factor by which the average is too low, as it started at zero.
+    correction: f64,
+    /// Seconds over which a mean would be as precise.
+    window: f64,
+}
+
+impl Span {
+    fn new(time_constant: Duration, elapsed: Duration) -> Span {
+        let time_constant = time_constant.as_secs_f64();
+        let missing = (-elapsed.as_secs_f64() / time_constant).exp();
+        Span {
+            correction: 1.0 / (1.0 - missing),
+            window: 2.0 * time_constant * (1.0 - missing) / (1.0 + missing),
+        }
+    }
+}
+
+/// Returns the index of the longest average that agrees with all shorter ones.
+fn choose_average(rates: &[f64], spans: &[Span]) -> usize {
+    let corrected = |at: usize| rates[at] * spans[at].correction;
+    let agrees = |longer: usize, shorter: usize| {
+        let window = spans[shorter].window;
+        let difference = (corrected(longer) - corrected(shorter)).abs() * window;
+        let noise = (corrected(longer) * window).sqrt() * KeyLoads::CHANGE_DEVIATIONS;
+        difference <= noise.max(KeyLoads::MIN_CHANGE_REQUESTS)
+    };
+    (1..rates.len())
+        .rev()
+        .find(|longer| (0..*longer).all(|shorter| agrees(*longer, shorter)))
+        .unwrap_or_default()
 }
--- a/crates/range/src/key_rates.rs
+++ b/crates/range/src/key_rates.rs
@@ -20,9 +20,14 @@
         });
     }
 
-    /// Copies the rates of a range from `other`, replacing those of the same keys.
-    pub(crate) fn extend_from(&mut self, other: &KeyRates, range: KeyRange) {
-        self.0.extend(other.iter_range(range));
+    /// Copies the rates of a range from `other`, times a factor, replacing those of the same keys.
+    pub(crate) fn extend_scaled(&mut self, other: &KeyRates, factor: f64, range: KeyRange) {
+        self.0.extend(other.iter_range(range).map(|(key, rate)| (key, rate * factor)));
+    }
+
+    /// Returns whether no key has a rate.
+    pub(crate) fn is_empty(&self) -> bool {
+        self.0.is_empty()
     }
 
     /// Returns the total rate of a range.
--- a/crates/range/src/planner.rs
+++ b/crates/range/src/planner.rs
@@ -1,7 +1,7 @@
 use std::collections::BTreeMap;
 
 use crate::optimal_rates::OptimalRates;
-use crate::{Candidate, KeyLoads, KeyRange, KeyRates, OwnerId};
+use crate::{Candidate, KeyRange, KeyRates, OwnerId, RateEstimate};
 
 /// Plans moves of key ranges that bring each server's request rate closer to its optimal rate.
 #[derive(Debug, Clone, Copy)]
@@ -36,6 +36,8 @@
     rate: f64,
     /// The rate at which the mean service time of all requests is lowest.
     optimal_rate: f64,
+    /// Seconds over which the rate was measured.
+    window: f64,
 }
 
 impl ServerLoad {
@@ -51,12 +53,11 @@
     /// Returns whether the rate exceeds the optimal one by more than tolerance and noise.
     fn has_surplus(&self) -> bool {
         let tolerance = self.tolerance();
-        let expected_count = |rate: f64| rate * KeyLoads::STEADY_TIME_CONSTANT.as_secs_f64();
-        let deviation = expected_count(self.optimal_rate.max(0.0)).sqrt();
+        let deviation = (self.optimal_rate.max(0.0) / self.window).sqrt();
         let surplus = self.rate - self.optimal_rate;
         self.excess() > Planner::MIN_EXCESS * tolerance.max(Planner::MIN_TOLERANCE)
             && surplus > self.optimal_rate * Planner::MIN_SURPLUS_SHARE * tolerance
-            && expected_count(surplus) > deviation * Planner::NOISE_DEVIATIONS * tolerance
+            && surplus > deviation * Planner::NOISE_DEVIATIONS * tolerance
     }
 
     /// Returns how much imbalance is harmless at this server: 1 while queueing is negligible, and
@@ -78,8 +79,8 @@
     /// Lower bound of the tolerance of an excess. Without it, keys would move without end while all
     /// servers are overloaded.
     const MIN_TOLERANCE: f64 = 0.5;
-    /// Standard deviations of a server's request count below which a surplus counts as noise, at
-    /// full tolerance.
+    /// Standard deviations of a server's rate below which a surplus counts as noise, at full
+    /// tolerance.
     const NOISE_DEVIATIONS: f64 = 2.5;
     /// Ratio by which one move may exceed the rate that is to move.
     const MAX_OVERSHOOT_RATIO: f64 = 1.2;
@@ -101,10 +102,11 @@
 
     /// Plans moves between eligible warm servers; empty if there are fewer than two of them.
     pub fn plan(
-        rates: &KeyRates,
+        estimate: &RateEstimate,
         owned_ranges: &[OwnedRange],
         candidates: &[Candidate],
     ) -> Vec<Move> {
+        let rates = &estimate.rates;
         let mean_service_ms = Planner::mean_service_ms(candidates);
         let recipients: Vec<&Candidate> =
             candidates.iter().filter(|each| each.eligible && !each.cold).collect();
@@ -113,11 +115,13 @@
         }
         let optimal_rates = OptimalRates::new(rates.total(), &recipients, mean_service_ms);
         let empty_load = |each: &&Candidate| {
-            let optimal_rate = optimal_rates.rate(each.owner);
-            (
-                each.owner,
-                ServerLoad { capacity: each.capacity(mean_service_ms), rate: 0.0, optimal_rate },
-            )
+            let load = ServerLoad {
+                capacity: each.capacity(mean_service_ms),
+                rate: 0.0,
+                optimal_rate: optimal_rates.rate(each.owner),
+                window: estimate.window(each.owner),
+            };
+            (each.owner, load)
         };
         let mut server_loads: BTreeMap<OwnerId, ServerLoad> =
             recipients.iter().map(empty_load).collect();
--- a/crates/range/tests/planner.rs
+++ b/crates/range/tests/planner.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeMap;
 use std::time::Duration;
 
-use bay_range::{KeyRange, KeyRates, Move, OwnedRange, OwnerId, Planner};
+use bay_range::{KeyRange, KeyRates, Move, OwnedRange, OwnerId, Planner, RateEstimate};
 use rand::RngExt;
 use support::World;
 
@@ -74,7 +74,7 @@
     let candidates: Vec<_> = world.servers.iter().map(|server| server.candidate).collect();
     let before = utilisations(&world, &held, &rates);
     assert!(before.values().any(|share| *share > 8.0));
-    for step in Planner::plan(&rates, &held, &candidates) {
+    for step in Planner::plan(&RateEstimate::exact(rates.clone()), &held, &candidates) {
         apply_move(&mut held, step);
     }
     let after = utilisations(&world, &held, &rates);
@@ -117,7 +117,7 @@
 /// Plans and applies moves until there is nothing to move.
 fn apply_plans(held: &mut Vec<OwnedRange>, rates: &KeyRates, candidates: &[bay_range::Candidate]) {
     for _ in 0..50 {
-        let moves = Planner::plan(rates, held, candidates);
+        let moves = Planner::plan(&RateEstimate::exact(rates.clone()), held, candidates);
         if moves.is_empty() {
             return;
         }
