--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -46,6 +46,8 @@
     load: LoadReport,
     /// Requests at the server that other routers sent.
     others: u32,
+    /// Moving average of such numbers in the reports up to this one.
+    mean_others: f64,
     /// When the report arrived.
     at: Time,
 }
@@ -53,8 +55,12 @@
 impl Server {
     /// Weight of a new measurement in a moving average.
     const EWMA_WEIGHT: f64 = 0.15;
-    /// Age at which the reported requests of other routers count half.
+    /// Age at which a report counts as much as the mean of the earlier ones.
     const REPORT_HALF_LIFE: Duration = Duration::from_millis(400);
+    /// Age at which the mean of the reports counts half.
+    const MEAN_HALF_LIFE: Duration = Duration::from_millis(3_000);
+    /// Time over which the reports are averaged.
+    const MEAN_TIME_CONSTANT: Duration = Duration::from_millis(1_500);
     /// Age after which a reported slowdown is ignored.
     const SLOWDOWN_MAX_AGE: Duration = Duration::from_millis(300);
     /// Share of a reported slowdown that is assumed to last for the next request.
@@ -164,12 +170,14 @@
 
     /// Estimates the requests that run or wait at the server.
     ///
-    /// This router's requests count in full. Those of others count less the older the report is.
+    /// This router's requests count in full. For those of others, the last report counts less the
+    /// older it is, and the mean of the reports takes its place.
     pub fn occupancy(&self, now: Time) -> f64 {
         let others = self.load_sample.map_or(0.0, |sample| {
-            let age = now.since(sample.at).as_secs_f64();
-            let halves = age / Server::REPORT_HALF_LIFE.as_secs_f64();
-            f64::from(sample.others) * 0.5_f64.powf(halves)
+            let age = now.since(sample.at);
+            let mean = sample.mean_others * half_life_factor(age, Server::MEAN_HALF_LIFE);
+            mean + (f64::from(sample.others) - mean)
+                * half_life_factor(age, Server::REPORT_HALF_LIFE)
         });
         self.in_flight.len() as f64 + others
     }
@@ -327,7 +335,12 @@
         let total = load.running.saturating_add(load.waiting);
         // This router's requests, the answered one included, are counted in `in_flight`.
         let others = total.saturating_sub(self.in_flight.len() as u32);
-        self.load_sample = Some(LoadSample { load, others, at: now });
+        let mean_others = self.load_sample.map_or(f64::from(others), |earlier| {
+            let age = now.since(earlier.at).as_secs_f64();
+            let weight = 1.0 - (-age / Server::MEAN_TIME_CONSTANT.as_secs_f64()).exp();
+            earlier.mean_others + weight * (f64::from(others) - earlier.mean_others)
+        });
+        self.load_sample = Some(LoadSample { load, others, mean_others, at: now });
     }
 
     /// Returns the load that the server has reported recently.
@@ -403,3 +416,8 @@
         self.backoff_until = now + backoff;
     }
 }
+
+/// Returns what is left of a value after a time in which it halves every `half_life`.
+fn half_life_factor(elapsed: Duration, half_life: Duration) -> f64 {
+    0.5_f64.powf(elapsed.as_secs_f64() / half_life.as_secs_f64())
+}
