Limit the requests for overloaded owners by what all routers see of them

Change: routers report the requests that servers tell to the granter, which compares the rate for each owner with what it can run, corrects by the queue there (target three requests a slot, over 1 s), and tells all routers the share to admit.

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use bay_capacity::CapacityTable;
-use bay_range::{Candidate, Fitness, Granter, KeyLoads, Leadership, Role};
+use bay_range::{Candidate, Fitness, Granter, KeyLoads, Leadership, OwnerLimits, Role};
 use bay_router::{
     Branch, EndedHolds, LiveRouters, MeanServiceTimes, PeerMessage, PublishPlan, RateLimitNotice,
     RouterSettings,
@@ -25,6 +25,7 @@
 mod fan_out;
 mod fitness;
 mod messages;
+mod owner_limits;
 mod publishing;
 mod tables;
 
@@ -107,12 +108,15 @@
     has_answer: bool,
     key_loads: KeyLoads,
     service_times: MeanServiceTimes,
+    owner_limits: OwnerLimits,
     /// Sequence number of the last published owner map.
     owner_sequence: u64,
     /// Whether the owners have changed since the last publication.
     owners_changed: bool,
-    /// Whether the last limits that were sent are not empty.
+    /// Whether the last limits of keys that were sent are not empty.
     has_key_limits: bool,
+    /// Whether the last limits of owners that were sent are not empty.
+    has_owner_limits: bool,
     next_log_at: Time,
 }
 
@@ -311,9 +315,11 @@
             has_answer: false,
             key_loads: KeyLoads::default(),
             service_times: MeanServiceTimes::default(),
+            owner_limits: OwnerLimits::default(),
             owner_sequence: 0,
             owners_changed: false,
             has_key_limits: false,
+            has_owner_limits: false,
             next_log_at: Time::ZERO,
         }
     }
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -12,8 +12,8 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{
-    Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, publishing,
-    server_updates,
+    Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, owner_limits,
+    publishing, server_updates,
 };
 use crate::router_shell::{config_updates, freshness, hosts, overload, permits, quotas};
 
@@ -50,6 +50,7 @@
     fan_out::fan_out(shell, &message);
     config_updates::publish(shell);
     send_key_limits(shell, now);
+    owner_limits::send_limits(shell, now);
     quotas::send_shares(shell, now);
     capacities::send_updates(shell, now);
 }
@@ -123,6 +124,7 @@
     quotas::send_usage(shell, now);
     let address =
         leader.filter(|(_, leader_term)| *leader_term == term).map(|(address, _)| address);
+    owner_limits::send_occupancies(shell, now, address);
     capacities::send_samples(shell, now, address);
 }
 
@@ -211,6 +213,12 @@
         PeerMessage::KeyLimits(service, limits) => {
             shell.router.borrow_mut().set_key_limits(now, service, limits);
         }
+        PeerMessage::Occupancies(service, servers) => {
+            owner_limits::record_occupancies(shell, now, service, &servers);
+        }
+        PeerMessage::OwnerLimits(service, limits) => {
+            shell.router.borrow_mut().set_owner_limits(now, service, limits);
+        }
         PeerMessage::EndedHolds(ended) => {
             // A delayed one of an earlier granter does not replace that of the last.
             let known = &mut shell.granter_role.borrow_mut().ended_holds;
--- a/crates/range/src/granter/planning.rs
+++ b/crates/range/src/granter/planning.rs
@@ -9,7 +9,7 @@
 use crate::planner::{OwnedRange, Planner};
 use crate::slot::Slot;
 use crate::staged_change::{Assignment, StagedChange};
-use crate::{Candidate, KeyLimit, KeyLoads, KeyRange, OwnerId};
+use crate::{Candidate, KeyLimit, KeyLoads, KeyRange, OwnerId, OwnerLimit, OwnerLimits};
 
 impl Granter {
     /// Time between two plans that join, absorb or rebalance ranges.
@@ -109,6 +109,17 @@
         key_limits(&self.owned_ranges(now), candidates, loads)
     }
 
+    /// Returns the limits of the owners that get more requests than they can run.
+    pub fn owner_limits(
+        &self,
+        now: Time,
+        limits: &mut OwnerLimits,
+        candidates: &[Candidate],
+        loads: &KeyLoads,
+    ) -> Vec<OwnerLimit> {
+        limits.update(now, &self.owned_ranges(now), candidates, loads)
+    }
+
     /// Returns the ranges in key order, as the planner sees them.
     fn owned_ranges(&self, now: Time) -> Vec<OwnedRange> {
         let owned = |slot: &Slot| {
--- a/crates/router/src/counter.rs
+++ b/crates/router/src/counter.rs
@@ -17,6 +17,8 @@
     RetryDenied,
     /// Requests refused at once because their key gets more than its owner can run.
     KeyLimited,
+    /// Requests refused at once because the owner of their key gets more than it can run.
+    OwnerLimited,
     /// Requests refused at once because of the rate limit that a server names.
     RateLimited,
     /// Requests refused at once because of their rank, while their service is short of capacity.
@@ -35,6 +37,7 @@
             Counter::RetryFailed => "retry.server-failed",
             Counter::RetryDenied => "retry.budget-spent",
             Counter::KeyLimited => "request.key-limited",
+            Counter::OwnerLimited => "request.owner-limited",
             Counter::RateLimited => "request.rate-limited",
             Counter::RankLimited => "request.rank-limited",
         }
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -6,7 +6,7 @@
 use serde::{Deserialize, Serialize};
 
 use bay_capacity::{CapacitySample, ServerCapacity};
-use bay_range::{KeyLimit, KeyRange};
+use bay_range::{KeyLimit, KeyRange, OwnerLimit, ServerOccupancy};
 
 use crate::{Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry};
 
@@ -68,6 +68,10 @@
     CapacityReport(Vec<CapacitySample>),
     /// Sends learned capacities of servers, mostly changed ones, from the granter to every router.
     ServerCapacities(Vec<ServerCapacity>),
+    /// Reports the requests at a service's owners of keys from every router to the granter.
+    Occupancies(ServiceName, Vec<ServerOccupancy>),
+    /// Sends the limits of a service's overloaded owners from the granter to every router.
+    OwnerLimits(ServiceName, Vec<OwnerLimit>),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -26,6 +26,9 @@
     pub arrived_at: Time,
     /// When the request must be answered.
     pub deadline: Time,
+    /// When the caller gives up, which may be after the route's timeout; the deadline if the caller
+    /// has not told it.
+    pub caller_deadline: Time,
     /// Number of attempts that were sent.
     pub attempts: u32,
     /// Number of attempts for which no connection could be opened.
@@ -36,6 +39,8 @@
     pub last_selected: Option<SelectedServer>,
     /// Whether the limit of the request's key was applied.
     pub passed_key_limit: bool,
+    /// Whether the limit of its key's owner was applied.
+    pub passed_owner_limit: bool,
     /// When the request was counted against its account's quota.
     pub counted_at: Option<Time>,
     /// Whether it was decided whether the request is admitted by rank.
@@ -70,11 +75,13 @@
             body_bytes: 0,
             arrived_at: now,
             deadline: now + timeout,
+            caller_deadline: now + deadline.unwrap_or(timeout),
             attempts: 0,
             failed_connects: 0,
             excluded: Vec::new(),
             last_selected: None,
             passed_key_limit: false,
+            passed_owner_limit: false,
             counted_at: None,
             passed_rank: false,
             permit: None,
@@ -89,6 +96,11 @@
         account_rank.unwrap_or(self.route.priority)
     }
 
+    /// Returns the time until the caller gives up; zero if that has passed.
+    pub fn caller_time_left(&self, now: Time) -> Duration {
+        self.caller_deadline.since(now)
+    }
+
     /// Returns the time until the deadline; zero if it has passed.
     pub fn time_left(&self, now: Time) -> Duration {
         self.deadline.since(now)
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -4,7 +4,7 @@
 use bay_account::Freshness;
 use bay_admission::LocalAdmission;
 use bay_quota::LocalQuota;
-use bay_range::{Candidate, KeyLimit, OwnerId};
+use bay_range::{Candidate, KeyLimit, OwnerId, OwnerLimit, ServerOccupancy};
 use bay_time::Time;
 use bay_types::{ErrorKind, HostName, Revision, ServerName, ServiceName, ZoneName};
 use rand::SeedableRng;
@@ -300,6 +300,13 @@
         }
     }
 
+    /// Replaces the limits of a service's overloaded owners.
+    pub fn set_owner_limits(&mut self, now: Time, service: ServiceName, limits: Vec<OwnerLimit>) {
+        if let Some(pool) = self.pools.get_mut(&service) {
+            pool.set_owner_limits(now, limits);
+        }
+    }
+
     /// Returns the services whose keys have owners.
     pub fn keyed_services(&self) -> Vec<ServiceName> {
         let keyed = self.pools.values().filter(|pool| pool.spec.keyed);
@@ -346,6 +353,21 @@
         reports
     }
 
+    /// Drains the numbers of requests that the servers of services with keys have told since the last
+    /// call.
+    pub fn drain_occupancies(&mut self) -> Vec<(ServiceName, Vec<ServerOccupancy>)> {
+        let keyed = self.pools.values().filter(|pool| pool.spec.keyed);
+        let directory = &mut self.directory;
+        let services = keyed.map(|pool| {
+            let servers = pool.servers.iter().filter_map(|name| {
+                let requests = directory.get_mut(*name)?.take_occupancy()?;
+                Some(ServerOccupancy { server: *name, requests })
+            });
+            (pool.spec.name, servers.collect::<Vec<_>>())
+        });
+        services.filter(|(_, servers)| !servers.is_empty()).collect()
+    }
+
     /// Finds the route and service of a request, and counts it.
     ///
     /// Needs only the head. The caller sets the length of the body and the digest afterwards.
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -98,6 +98,22 @@
         share.is_some_and(|share| !self.rng.random_bool(f64::from(share.clamp(0.0, 1.0))))
     }
 
+    /// Returns whether a request is among those that the owner of its key cannot run in time. This is
+    /// decided once for each request, by chance.
+    fn exceeds_owner_limit(
+        &mut self,
+        now: Time,
+        request: &mut RequestState,
+        owner: ServerName,
+    ) -> bool {
+        if std::mem::replace(&mut request.passed_owner_limit, true) {
+            return false;
+        }
+        let pool = self.pools.get(&request.service);
+        let share = pool.and_then(|pool| pool.owner_share(now, owner));
+        share.is_some_and(|share| !self.rng.random_bool(f64::from(share.clamp(0.0, 1.0))))
+    }
+
     /// Refuses a request for an overloaded key or service at once, and counts the reason.
     ///
     /// The load lasts for seconds, so that the caller is told to return as late as it may be, at a
@@ -109,7 +125,7 @@
         reason: Counter,
     ) -> RoutingDecision {
         *self.counts.entry(reason).or_default() += 1;
-        let max = request.time_left(now).mul_f64(Router::MAX_RETRY_AFTER_SHARE);
+        let max = request.caller_time_left(now).mul_f64(Router::MAX_RETRY_AFTER_SHARE);
         let after = max.mul_f64(self.rng.random_range(0.5..1.0));
         RoutingDecision::Refuse(ErrorKind::ServiceOverloaded, Some(after))
     }
@@ -140,6 +156,9 @@
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
+        if self.exceeds_owner_limit(now, request, selected.server) {
+            return self.refuse_until_later(now, request, Counter::OwnerLimited);
+        }
         if self.would_delay_urgent(now, request, &selected) {
             return self.refuse_for_urgent(now, request);
         }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -28,6 +28,8 @@
     unreported: (u16, f64),
     /// Moving average of the share of requests that the server failed or didn't run.
     failure_rate: f64,
+    /// Requests at the server by the last load report, if it has not been sent to the granter.
+    unreported_occupancy: Option<u16>,
     /// The last load report of the server.
     load_sample: Option<LoadSample>,
     /// End of the backoff after failed connections; the server gets no requests before.
@@ -91,6 +93,7 @@
             service_ms: None,
             unreported: (0, 0.0),
             failure_rate: 0.0,
+            unreported_occupancy: None,
             load_sample: None,
             backoff_until: Time::ZERO,
             connect_failures: 0,
@@ -161,6 +164,11 @@
         (count > 0).then(|| (count, sum / f64::from(count)))
     }
 
+    /// Takes the number of requests at the server by the last load report since the last call.
+    pub(crate) fn take_occupancy(&mut self) -> Option<u16> {
+        self.unreported_occupancy.take()
+    }
+
     /// Adds a service time to those that are not reported yet.
     fn record_sample(&mut self, sample_ms: f64) {
         let (count, sum) = &mut self.unreported;
@@ -333,6 +341,7 @@
     /// Records the load report of an answer.
     pub fn record_load(&mut self, now: Time, load: LoadReport) {
         let total = load.running.saturating_add(load.waiting);
+        self.unreported_occupancy = Some(total.try_into().unwrap_or(u16::MAX));
         // This router's requests, the answered one included, are counted in `in_flight`.
         let others = total.saturating_sub(self.in_flight.len() as u32);
         let mean_others = self.load_sample.map_or(f64::from(others), |earlier| {
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -2,7 +2,7 @@
 use std::time::Duration;
 
 use bay_admission::KeyShares;
-use bay_range::KeyLimit;
+use bay_range::{KeyLimit, OwnerLimit};
 use bay_time::Time;
 use bay_types::{ServerName, Term};
 
@@ -24,6 +24,8 @@
     pub(crate) owner_parts: ReassemblyBuffer<(Term, u64), OwnerMap>,
     /// Shares of the requests for overloaded keys to admit, and until when they hold.
     key_limits: (Vec<KeyLimit>, Time),
+    /// Limits of overloaded owners, and until when they hold.
+    owner_limits: (Vec<OwnerLimit>, Time),
     /// Enforces the shares exactly, if overload control is on.
     pub(crate) key_shares: KeyShares,
     /// Requests by key since the last report to the granter.
@@ -37,8 +39,8 @@
 }
 
 impl ServicePool {
-    /// Time for which key limits hold unless the granter repeats them.
-    const KEY_LIMIT_TIME: Duration = Duration::from_millis(1_000);
+    /// Time for which limits hold unless the granter repeats them.
+    const LIMIT_TIME: Duration = Duration::from_millis(1_000);
     /// Initial value of `average_ms`.
     const INITIAL_MS: f64 = 50.0;
     /// Weight of a new measurement in the moving average.
@@ -55,6 +57,7 @@
             owners: OwnerMap::default(),
             owner_parts: ReassemblyBuffer::default(),
             key_limits: (Vec::new(), Time::ZERO),
+            owner_limits: (Vec::new(), Time::ZERO),
             key_shares: KeyShares::default(),
             key_counts: HashMap::new(),
             average_ms: ServicePool::INITIAL_MS,
@@ -74,7 +77,7 @@
         limits.retain(|limit| !limit.share.is_nan());
         let is_limited = |key| limits.binary_search_by_key(&key, |limit| limit.key).is_ok();
         self.key_shares.retain(is_limited);
-        self.key_limits = (limits, now + ServicePool::KEY_LIMIT_TIME);
+        self.key_limits = (limits, now + ServicePool::LIMIT_TIME);
     }
 
     /// Returns the share of the requests for a key to admit; `None` if all are.
@@ -84,6 +87,19 @@
         (now < *until).then(|| limits[at].share)
     }
 
+    /// Replaces the limits of overloaded owners. A share that is no number is ignored.
+    pub fn set_owner_limits(&mut self, now: Time, mut limits: Vec<OwnerLimit>) {
+        limits.retain(|limit| !limit.share.is_nan());
+        self.owner_limits = (limits, now + ServicePool::LIMIT_TIME);
+    }
+
+    /// Returns the share of the requests for an owner's keys to admit; `None` if all are.
+    pub fn owner_share(&self, now: Time, owner: ServerName) -> Option<f32> {
+        let (limits, until) = &self.owner_limits;
+        let limit = limits.iter().find(|limit| limit.server == owner)?;
+        (now < *until).then_some(limit.share)
+    }
+
     /// Counts a request for a key.
     pub fn count_key(&mut self, key: u16) {
         if self.key_counts.len() < ServicePool::MAX_KEYS || self.key_counts.contains_key(&key) {
