Let requests wait briefly for a router that starts

Hypothesis: a caller that every router refuses while all of them start loses the request, as it comes back once; waiting for a few tenths of a second serves it, mostly in time.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -115,6 +115,7 @@
             router_hosts: RefCell::default(),
             config_text: RefCell::default(),
             config_parts: RefCell::default(),
+            started_at: BootClock.now(),
             phase: Cell::new(Phase::Serving),
             cutoff: Cutoff::new(),
             overload: RefCell::default(),
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -38,6 +38,16 @@
 /// `Retry-After` of a request that is refused before a server was picked for it.
 const NOT_ADMITTED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
+/// Time after the start of the process within which the router expects to become ready.
+const START_TIME: Duration = Duration::from_millis(1_500);
+
+/// Longest time that a request waits for a router that starts. Most callers repeat a refused request
+/// only once or twice, so that a refusal by each router that starts would lose it.
+const MAX_READY_WAIT: Duration = Duration::from_millis(400);
+
+/// Interval between checks whether the router is ready.
+const READY_POLL_INTERVAL: Duration = Duration::from_millis(15);
+
 /// Request of a caller with its whole body.
 #[derive(Debug)]
 pub(crate) struct IncomingRequest {
@@ -68,9 +78,7 @@
 /// Serves a request: attempts it at servers until one answers or the router gives up.
 pub(crate) async fn serve_request(shell: Rc<ShellState>, incoming: IncomingRequest) -> Reply {
     let IncomingRequest { head, body, caller } = incoming;
-    let now = BootClock.now();
-    let admitted = shell.router.borrow_mut().admit(now, &head.host, &head.path, &head.fields);
-    let mut request = match admitted {
+    let mut request = match admit_request(&shell, &head).await {
         Ok(request) => request,
         Err(kind) => {
             let retry_after = match kind {
@@ -100,6 +108,32 @@
     outcome.reply
 }
 
+/// Admits a request. While the router starts, it waits briefly for the configuration and the servers.
+///
+/// # Errors
+/// Returns the reason if the request is refused.
+async fn admit_request(shell: &ShellState, head: &RequestHead) -> Result<RequestState, ErrorKind> {
+    let arrived_at = BootClock.now();
+    loop {
+        let now = BootClock.now();
+        let admitted = shell.router.borrow_mut().admit(now, &head.host, &head.path, &head.fields);
+        let may_wait = now.since(shell.started_at) < START_TIME
+            && now.since(arrived_at) < MAX_READY_WAIT
+            && !shell.cutoff.is_raised();
+        match admitted {
+            Err(ErrorKind::NotReady) if may_wait => {
+                Timer::after(READY_POLL_INTERVAL).await;
+            }
+            admitted => {
+                return admitted.map(|mut request| {
+                    request.count_time_from(arrived_at);
+                    request
+                });
+            }
+        }
+    }
+}
+
 /// Returns a digest of the method, target, host and start of the body. It recognizes a repeated
 /// request of any caller.
 fn request_digest(head: &RequestHead, body: &[u8]) -> u64 {
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -10,6 +10,7 @@
     FeedPublisher, GranterFeed, HostRecord, ReassemblyBuffer, Router, RouterSettings, RouterWire,
 };
 use bay_stream::{ByteBudget, DeliveryPolicy};
+use bay_time::Time;
 use bay_types::HostName;
 use futures_lite::FutureExt;
 
@@ -62,6 +63,7 @@
     pub(crate) tunnel_counts: TunnelCounts,
     /// Number of callers' connections with requests in flight.
     pub(crate) active_connections: Cell<usize>,
+    pub(crate) started_at: Time,
     /// Identifies this start of the process: the time of the start in nanoseconds.
     pub(crate) incarnation: u64,
 }
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -89,6 +89,14 @@
         }
     }
 
+    /// Counts the request's time from its arrival, if it was admitted later.
+    pub fn count_time_from(&mut self, arrived_at: Time) {
+        let waited = self.arrived_at.since(arrived_at);
+        self.arrived_at = arrived_at;
+        self.deadline = self.deadline - waited;
+        self.caller_deadline = self.caller_deadline - waited;
+    }
+
     /// Returns the rank of the request, that of its account before that of its route; 0 is the
     /// highest.
     pub fn rank(&self) -> u32 {
