--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -40,8 +40,7 @@
     orders: BTreeMap<OrderId, PendingOrder>,
     last_order_id: u64,
     plan_at: Time,
-    /// Whether the last plan replaced owners, or joined or absorbed ranges. The next plan then does
-    /// not absorb, so that it gets to rebalance.
+    /// Whether the last plan found nothing to rebalance, or joined or absorbed ranges instead.
     last_plan_consolidated: bool,
     /// End of the last possible hold that an earlier granter has ordered.
     earlier_holds_until: Time,
--- a/crates/range/src/granter/planning.rs
+++ b/crates/range/src/granter/planning.rs
@@ -21,6 +21,8 @@
     const UPGRADE_COOLDOWN: Duration = Duration::from_secs(10);
     /// Time with an unchanged number of servers before the first assignment of keys.
     const FIRST_ASSIGNMENT_WAIT: Duration = Duration::from_millis(2_500);
+    /// Ranges per server above which joining and absorbing them is as urgent as rebalancing.
+    const MAX_RANGES_PER_SERVER: usize = 8;
     /// Ranges per server above which quiet ranges move to the owners of their neighbours.
     const ABSORB_RANGES_PER_SERVER: usize = 6;
     /// Ranges per server above which adjacent ranges of one owner are joined.
@@ -28,21 +30,23 @@
 
     /// Stages the next change of owners, if one is needed.
     ///
-    /// Replacing owners comes first; joining, absorbing and rebalancing follow in that order, and
-    /// only the first that finds something is staged.
+    /// Replacing owners comes first. Rebalancing, joining and absorbing follow in that order, and only
+    /// the first that finds something is staged. With too many ranges, each second plan joins or
+    /// absorbs before it rebalances.
     pub(super) fn stage_change(&mut self, now: Time, candidates: &[Candidate], loads: &KeyLoads) {
         let mut assignments = self.replace_owners(now, candidates, loads);
         if now >= self.plan_at {
             self.plan_at = now + Granter::PLAN_INTERVAL;
+            let has_many = self.slots.len() > candidates.len() * Granter::MAX_RANGES_PER_SERVER;
+            if assignments.is_empty() && !(has_many && !self.last_plan_consolidated) {
+                assignments = self.rebalance(now, candidates, loads);
+            }
+            self.last_plan_consolidated = assignments.is_empty();
             if assignments.is_empty() {
                 assignments = self.join_adjacent_ranges(candidates);
             }
-            if assignments.is_empty() && !self.last_plan_consolidated {
-                assignments = self.absorb_quiet_ranges(now, candidates, loads);
-            }
-            self.last_plan_consolidated = !assignments.is_empty();
             if assignments.is_empty() {
-                assignments = self.rebalance(now, candidates, loads);
+                assignments = self.absorb_quiet_ranges(now, candidates, loads);
             }
         }
         if assignments.is_empty() {
--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -88,6 +88,7 @@
             former_unanswered_until: until,
             blocked_until,
             served_before,
+            moved_at: Time::ZERO,
             ..Slot::new(holding, now)
         }
     }
