--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -1,7 +1,9 @@
+use std::collections::BTreeMap;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
-use bay_range::{Granter, GranterAction, HoldTimes, RangeTable};
+use bay_range::{GrantOrder, Granter, GranterAction, HoldTimes, OrderId, OwnerId, RangeTable};
 use bay_router::{OwnerMap, PeerMessage, object_key};
 use bay_store::{Precondition, StoreReply, StoreRequest};
 use bay_time::{BootClock, Clock};
@@ -81,28 +83,28 @@
 }
 
 /// Starts the actions of a service's granter: table writes, orders to servers, publications.
+///
+/// Grants to one server are sent one after the other, so that they share a connection. A release waits
+/// for its server's work, so that it goes alone.
 pub(super) fn run_actions(
     shell: &Rc<ShellState>,
     service: ServiceName,
     term: Term,
     actions: Vec<GranterAction>,
 ) {
+    let mut grants: BTreeMap<SocketAddr, Vec<SentOrder>> = BTreeMap::new();
     for action in actions {
         match action {
             GranterAction::Save(table) => {
                 shell.spawn(save_table(Rc::clone(shell), service, term, table));
             }
             GranterAction::Order { id, to, address, order } => {
-                let order_shell = Rc::clone(shell);
-                shell.spawn(async move {
-                    let result = orders::send_order(&order_shell, to, address, &order).await;
-                    log::debug!(server:% = to.server, order:? = order, result:? = result;
-                        "order finished");
-                    let now = BootClock.now();
-                    update_granter(&order_shell, service, term, |granter, out| {
-                        granter.handle_order_result(now, id, &result, out);
-                    });
-                });
+                let is_release = matches!(order, GrantOrder::Release { .. });
+                let sent = SentOrder { id, to, order };
+                match is_release {
+                    true => spawn_orders(shell, service, term, address, vec![sent]),
+                    false => grants.entry(address).or_default().push(sent),
+                }
             }
             GranterAction::Publish => {
                 let role = &mut *shell.granter_role.borrow_mut();
@@ -112,6 +114,40 @@
             }
         }
     }
+    for (address, orders) in grants {
+        spawn_orders(shell, service, term, address, orders);
+    }
+}
+
+/// An order that is about to be sent.
+struct SentOrder {
+    id: OrderId,
+    to: OwnerId,
+    order: GrantOrder,
+}
+
+/// Sends orders to a server one after the other, and reports their results to the granter. Those that
+/// would be sent too late are not sent: the granter counts holds from its decision.
+fn spawn_orders(
+    shell: &Rc<ShellState>,
+    service: ServiceName,
+    term: Term,
+    address: SocketAddr,
+    orders: Vec<SentOrder>,
+) {
+    let decided_at = BootClock.now();
+    let order_shell = Rc::clone(shell);
+    shell.spawn(async move {
+        for SentOrder { id, to, order } in orders {
+            let result = orders::send_order(&order_shell, to, address, &order, decided_at).await;
+            log::debug!(server:% = to.server, order:? = order, result:? = result;
+                "order finished");
+            let now = BootClock.now();
+            update_granter(&order_shell, service, term, |granter, out| {
+                granter.handle_order_result(now, id, &result, out);
+            });
+        }
+    });
 }
 
 /// Updates a service's granter and runs the resulting actions. Does nothing if this process is no
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use bay_range::{GrantOrder, HoldTimes, OrderResult, OwnerId};
+use bay_time::{BootClock, Clock, Time};
 use futures_lite::future;
 
 use super::http_client::send_call;
@@ -11,7 +12,7 @@
 use super::shell_state::ShellState;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
-/// Timeout for a connection or tunnel, including the wait while all are in use.
+/// Time from the decision to send an order within which it must have a connection or tunnel.
 const CONNECT_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Timeout for a server's answer to a grant.
@@ -31,17 +32,22 @@
 /// Pause between tries while all connections are in use.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
-/// Sends an order to a server. Without an answer, the result says whether the order may still take
+/// Sends an order to a server, unless too much time has passed since it was decided. Without an answer, the result says whether the order may still take
 /// effect.
 pub(crate) async fn send_order(
     shell: &Rc<ShellState>,
     owner: OwnerId,
     to: SocketAddr,
     order: &GrantOrder,
+    decided_at: Time,
 ) -> OrderResult {
     let OwnerId { server, started } = owner;
     let endpoint = ServerEndpoint { server, started, address: to };
-    let mut pooled = match connect(shell, &endpoint).await {
+    let connect_timeout = (decided_at + CONNECT_TIMEOUT).since(BootClock.now());
+    if connect_timeout.is_zero() {
+        return OrderResult::NotSent;
+    }
+    let mut pooled = match connect(shell, &endpoint, connect_timeout).await {
         Ok(pooled) => pooled,
         Err(result) => return result,
     };
@@ -73,6 +79,7 @@
 async fn connect(
     shell: &Rc<ShellState>,
     endpoint: &ServerEndpoint,
+    timeout: Duration,
 ) -> Result<PooledConnection, OrderResult> {
     let max_idle = shell.limits.reuse_timeout;
     let acquire = async {
@@ -85,7 +92,7 @@
         }
     };
     let timer = async {
-        Timer::after(CONNECT_TIMEOUT).await;
+        Timer::after(timeout).await;
         Err(OrderResult::NotSent)
     };
     future::or(acquire, timer).await
