Take no further pipelined requests once a stopping router accepts no connections

Cause: a caller who pipelines keeps its connection busy, so that a stopping router reads its requests up to the end of the grace period and answers the last ones itself. Change: from the time at which no connection is accepted, no further head is read behind requests in flight; the last answer closes the connection, and the caller sends what was not read again.

--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -273,7 +273,9 @@
             self.in_flight.pop_front();
             return Poll::Ready(ConnectionEvent::Reply(reply, close));
         }
+        // A stopping router may have to give up what it takes late. Unread requests are sent again.
         let can_read = self.deferred.is_none()
+            && self.shell.phase.get() != Phase::Closing
             && self.in_flight.len() < MAX_PIPELINE
             && self.in_flight.iter().all(|request| request.may_overlap && !request.should_close);
         if !can_read {
--- a/crates/node/tests/router.rs
+++ b/crates/node/tests/router.rs
@@ -4,6 +4,7 @@
 
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpStream};
+use std::time::Duration;
 
 use platform::{FakeStore, RunningRouter, ServerBehavior, start_router, start_server};
 use serde_json::{Value, json};
@@ -216,6 +217,29 @@
     assert!(router.stopped.recv().is_err(), "the channel closes when the stop is complete");
 }
 
+/// Guards against requests that a stopping router takes although it may have to give them up: a caller who
+/// pipelines kept its connection busy up to the end of the grace period.
+#[test]
+fn a_planned_stop_ends_a_connection_on_which_requests_overlap() {
+    let (_store, router) = start_with_bounds(&[("i-1", ServerBehavior::Delayed)], &["grace=4s"]);
+    let stream = TcpStream::connect(router.listen).unwrap();
+    let mut sender = stream.try_clone().unwrap();
+    std::thread::spawn(move || {
+        let request = "GET /read/a HTTP/1.1\r\nHost: shop\r\nRequest-Id: a\r\n\r\n";
+        while sender.write_all(request.as_bytes()).is_ok() {
+            std::thread::sleep(Duration::from_millis(100));
+        }
+    });
+    while !get(router.metrics, "/metrics").1.contains("attempt 1\n") {}
+    router.stop.send_blocking(()).unwrap();
+    let mut text = String::new();
+    // The router closes the connection with requests unread, which may reset it.
+    let _closed: std::io::Result<usize> = BufReader::new(stream).read_to_string(&mut text);
+    assert!(text.contains("HTTP/1.1 200"), "{text}");
+    assert!(!text.contains("HTTP/1.1 50"), "{text}");
+    assert!(router.stopped.recv().is_err(), "the channel closes when the stop is complete");
+}
+
 /// A server that is full may never respond. The caller then gets an answer of the router before the
 /// process ends, and it does not say that the request has not run.
 #[test]
