--- a/crates/node/src/router_shell/granter/owner_limits.rs
+++ b/crates/node/src/router_shell/granter/owner_limits.rs
@@ -6,7 +6,7 @@
 use bay_time::Time;
 use bay_types::ServiceName;
 
-use super::{ShellState, fan_out};
+use super::{KeyedService, ShellState, fan_out};
 
 /// Sends the granter the numbers of requests that servers have told this router, if there are any. The
 /// granter records its own directly.
@@ -36,6 +36,7 @@
 /// Applies the limits of overloaded owners and sends them to the other routers; empty ones once.
 pub(super) fn send_limits(shell: &Rc<ShellState>, now: Time) {
     let services = shell.router.borrow().keyed_services();
+    let routers = shell.router.borrow().router_count();
     for service in services {
         let candidates = shell.router.borrow().candidates(now, service);
         let limits = {
@@ -47,8 +48,8 @@
             let Some(granter) = &keyed.granter else {
                 continue;
             };
-            let limits =
-                granter.owner_limits(now, &mut keyed.owner_limits, &candidates, &keyed.key_loads);
+            let KeyedService { owner_limits, key_loads, .. } = keyed;
+            let limits = granter.owner_limits(now, owner_limits, &candidates, key_loads, routers);
             if limits.is_empty() && !keyed.has_owner_limits {
                 continue;
             }
--- a/crates/range/src/granter/planning.rs
+++ b/crates/range/src/granter/planning.rs
@@ -38,7 +38,8 @@
         if now >= self.plan_at {
             self.plan_at = now + Granter::PLAN_INTERVAL;
             let has_many = self.slots.len() > candidates.len() * Granter::MAX_RANGES_PER_SERVER;
-            if assignments.is_empty() && !(has_many && !self.last_plan_consolidated) {
+            let rebalances = !has_many || self.last_plan_consolidated;
+            if rebalances && assignments.is_empty() {
                 assignments = self.rebalance(now, candidates, loads);
             }
             self.last_plan_consolidated = assignments.is_empty();
@@ -113,15 +114,17 @@
         key_limits(&self.owned_ranges(now), candidates, loads)
     }
 
-    /// Returns the limits of the owners that get more requests than they can run.
+    /// Returns the limits of the owners that get more requests than they can run from this many
+    /// routers.
     pub fn owner_limits(
         &self,
         now: Time,
         limits: &mut OwnerLimits,
         candidates: &[Candidate],
         loads: &KeyLoads,
+        routers: u32,
     ) -> Vec<OwnerLimit> {
-        limits.update(now, &self.owned_ranges(now), candidates, loads)
+        limits.update(now, &self.owned_ranges(now), candidates, loads, routers)
     }
 
     /// Returns the ranges in key order, as the planner sees them.
--- a/crates/range/src/owner_limits.rs
+++ b/crates/range/src/owner_limits.rs
@@ -30,7 +30,8 @@
 ///
 /// A key has one owner, so that its requests can't go elsewhere. A router alone sees few of an owner's
 /// answers: many routers that each send a little fill its queue until every request is late, and
-/// the owner works on requests whose callers have given up.
+/// the owner works on requests whose callers have given up. Where few routers send an owner enough
+/// requests to see its load themselves, they need no limit.
 #[derive(Debug, Default)]
 pub struct OwnerLimits {
     occupancies: BTreeMap<ServerName, Occupancy>,
@@ -52,6 +53,8 @@
     /// Lower bound of the admitted requests, relative to those that an owner can run. Its answers
     /// show when the load ends.
     const MIN_INFLOW: f64 = 0.1;
+    /// Mean time between two requests of a router to an owner up to which it needs no limit.
+    const MAX_OWN_INTERVAL: Duration = Duration::from_secs(2);
     /// Age up to which a report counts.
     const MAX_REPORT_AGE: Duration = Duration::from_millis(900);
     /// Weight of a report against the earlier ones.
@@ -69,14 +72,15 @@
         known.at = now;
     }
 
-    /// Returns the limits of the owners that get more requests than they can run, and forgets servers
-    /// that are no candidates.
+    /// Returns the limits of the owners that get more requests than they can run from this many
+    /// routers, and forgets servers that are no candidates.
     pub(crate) fn update(
         &mut self,
         now: Time,
         owned_ranges: &[OwnedRange],
         candidates: &[Candidate],
         loads: &KeyLoads,
+        routers: u32,
     ) -> Vec<OwnerLimit> {
         let is_candidate =
             |name: &ServerName| candidates.iter().any(|each| each.owner.server == *name);
@@ -89,6 +93,9 @@
         let mean_service_ms = Planner::mean_service_ms(candidates);
         let limit = |each: &Candidate| {
             let rate = rates.get(&each.owner).copied()?;
+            if f64::from(routers) <= rate * OwnerLimits::MAX_OWN_INTERVAL.as_secs_f64() {
+                return None;
+            }
             let occupancy = self.occupancies.get(&each.owner.server)?;
             if now.since(occupancy.at) > OwnerLimits::MAX_REPORT_AGE {
                 return None;
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -9,7 +9,8 @@
 use bay_capacity::{CapacitySample, ServerCapacity, ServerId, TimeCode};
 use bay_quota::{AccountId, AccountShare, AccountUsage, QuotaShares, UsageEntry};
 use bay_range::{
-    EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId, RangeTable,
+    EarlierGranter, FormerOwner, Holding, KeyLimit, KeyRange, LeadershipRecord, OwnerId,
+    OwnerLimit, RangeTable, ServerOccupancy,
 };
 use bay_router::{
     ConfigPart, Crash, FeedState, Heartbeat, HostRecord, KeyCount, OwnerChanges, OwnerMap,
@@ -181,6 +182,8 @@
         ("capacity-report", PeerMessage::CapacityReport(vec![capacity_sample()])),
         ("server-capacities", PeerMessage::ServerCapacities(vec![server_capacity()])),
         ("permit-denied", PeerMessage::Permit(6, Permit::Denied(Duration::from_millis(900)))),
+        ("occupancies", PeerMessage::Occupancies(service(), vec![occupancy()])),
+        ("owner-limits", PeerMessage::OwnerLimits(service(), vec![owner_limit()])),
         ("request-vouch", PeerMessage::RequestVouch(8_412_066_120_457)),
         (
             "vouch",
@@ -195,6 +198,14 @@
     ]
 }
 
+fn occupancy() -> ServerOccupancy {
+    ServerOccupancy { server: server("i-3"), requests: 17 }
+}
+
+fn owner_limit() -> OwnerLimit {
+    OwnerLimit { server: server("i-3"), share: 0.75 }
+}
+
 fn overload_report() -> OverloadReport {
     let ranks = vec![RankCounts {
         rank: 2,
--- a/crates/router/tests/owner_load.rs
+++ b/crates/router/tests/owner_load.rs
@@ -327,7 +327,13 @@
         for candidate in &mut candidates {
             candidate.service_ms = Some(WORK_MS);
         }
-        let limits = self.granter.owner_limits(now, &mut self.limits, &candidates, &self.loads);
+        let limits = self.granter.owner_limits(
+            now,
+            &mut self.limits,
+            &candidates,
+            &self.loads,
+            ROUTERS as u32,
+        );
         for router in &mut self.routers {
             router.set_owner_limits(now, service("keyed"), limits.clone());
         }
--- a/crates/router/tests/wire_compatibility.rs
+++ b/crates/router/tests/wire_compatibility.rs
@@ -14,6 +14,7 @@
 const V_2BEA093: &str = include_str!("golden/2bea093.txt");
 const V_1EBEA53: &str = include_str!("golden/1ebea53.txt");
 const V_5D29F07: &str = include_str!("golden/5d29f07.txt");
+const V_8769CE2: &str = include_str!("golden/8769ce2.txt");
 
 /// Returns the encodings of one kind in a version's data, by name.
 fn encodings<'a>(golden: &'a str, kind: &str) -> BTreeMap<&'a str, &'a str> {
@@ -30,6 +31,7 @@
 #[test_case(V_2BEA093, 18; "2bea093")]
 #[test_case(V_1EBEA53, 22; "1ebea53")]
 #[test_case(V_5D29F07, 22; "5d29f07")]
+#[test_case(V_8769CE2, 31; "8769ce2")]
 fn messages_are_encoded_as_by_landed_versions(golden: &str, count: usize) {
     let golden = encodings(golden, "message");
     assert_eq!(golden.len(), count);
@@ -44,6 +46,7 @@
 #[test_case(V_2BEA093; "2bea093")]
 #[test_case(V_1EBEA53; "1ebea53")]
 #[test_case(V_5D29F07; "5d29f07")]
+#[test_case(V_8769CE2; "8769ce2")]
 fn records_in_the_store_are_encoded_as_by_landed_versions(golden: &str) {
     let golden = encodings(golden, "record");
     assert_eq!(golden.len(), 3);
@@ -64,6 +67,7 @@
 /// that of the last message that it knows.
 #[test_case(V_2BEA093, 14; "2bea093")]
 #[test_case(V_1EBEA53, 17; "1ebea53")]
+#[test_case(V_8769CE2, 26; "8769ce2")]
 fn new_messages_have_tags_that_an_older_version_does_not_know(golden: &str, last_tag: u8) {
     let known = encodings(golden, "message");
     let new = samples::messages().into_iter().filter(|(name, _)| !known.contains_key(name));
