--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -24,8 +24,8 @@
 mod election;
 mod fan_out;
 mod fitness;
+mod limits;
 mod messages;
-mod owner_limits;
 mod publishing;
 mod tables;
 
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -12,8 +12,8 @@
 use super::election::handle_role_change;
 use super::fan_out::{self, ReceivedHeartbeat};
 use super::{
-    Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, log_rate_limit, owner_limits,
-    publishing, server_updates,
+    Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, limits, log_rate_limit, publishing,
+    server_updates,
 };
 use crate::router_shell::{config_updates, freshness, hosts, overload, permits, quotas};
 
@@ -49,40 +49,12 @@
     };
     fan_out::fan_out(shell, &message);
     config_updates::publish(shell);
-    send_key_limits(shell, now);
-    owner_limits::send_limits(shell, now);
+    limits::send_key_limits(shell, now);
+    limits::send_owner_limits(shell, now);
     quotas::send_shares(shell, now);
     capacities::send_updates(shell, now);
 }
 
-/// Applies the limits of overloaded keys and sends them to the other routers; empty ones once.
-fn send_key_limits(shell: &Rc<ShellState>, now: Time) {
-    let services = shell.router.borrow().keyed_services();
-    for service in services {
-        let candidates = shell.router.borrow().candidates(now, service);
-        let limits = {
-            let role = &mut *shell.granter_role.borrow_mut();
-            let Some(keyed) = role.services.get_mut(&service) else {
-                continue;
-            };
-            let candidates = keyed.add_service_times(candidates);
-            let Some(granter) = &keyed.granter else {
-                continue;
-            };
-            let limits = granter.key_limits(now, &candidates, &keyed.key_loads);
-            if limits.is_empty() && !keyed.has_key_limits {
-                continue;
-            }
-            keyed.has_key_limits = !limits.is_empty();
-            limits
-        };
-        log::info!(service:% = service, keys = limits.len(),
-            first:? = limits.first().map(|limit| (limit.key, limit.share)); "key limits");
-        shell.router.borrow_mut().set_key_limits(now, service, limits.clone());
-        fan_out::fan_out(shell, &PeerMessage::KeyLimits(service, limits));
-    }
-}
-
 /// Tells the other routers that this granter has resigned, so that they elect another one before
 /// the heartbeat timeout. The heartbeat says so with the largest time since a confirmation.
 pub(super) fn send_resignation(shell: &ShellState, term: Term) {
@@ -124,7 +96,7 @@
     quotas::send_usage(shell, now);
     let address =
         leader.filter(|(_, leader_term)| *leader_term == term).map(|(address, _)| address);
-    owner_limits::send_occupancies(shell, now, address);
+    limits::send_occupancies(shell, now, address);
     capacities::send_samples(shell, now, address);
 }
 
@@ -214,7 +186,7 @@
             shell.router.borrow_mut().set_key_limits(now, service, limits);
         }
         PeerMessage::Occupancies(service, servers) => {
-            owner_limits::record_occupancies(shell, now, service, &servers);
+            limits::record_occupancies(shell, now, service, &servers);
         }
         PeerMessage::OwnerLimits(service, limits) => {
             shell.router.borrow_mut().set_owner_limits(now, service, limits);
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -92,18 +92,19 @@
     term: Term,
     actions: Vec<GranterAction>,
 ) {
-    let mut grants: BTreeMap<SocketAddr, Vec<SentOrder>> = BTreeMap::new();
+    let mut grants: BTreeMap<SocketAddr, Vec<PreparedOrder>> = BTreeMap::new();
     for action in actions {
         match action {
             GranterAction::Save(table) => {
                 shell.spawn(save_table(Rc::clone(shell), service, term, table));
             }
             GranterAction::Order { id, to, address, order } => {
-                let is_release = matches!(order, GrantOrder::Release { .. });
-                let sent = SentOrder { id, to, order };
-                match is_release {
-                    true => spawn_orders(shell, service, term, address, vec![sent]),
-                    false => grants.entry(address).or_default().push(sent),
+                let prepared = PreparedOrder { id, to, order };
+                match prepared.order {
+                    GrantOrder::Grant { .. } => grants.entry(address).or_default().push(prepared),
+                    GrantOrder::Release { .. } => {
+                        send_orders(shell, service, term, address, vec![prepared]);
+                    }
                 }
             }
             GranterAction::Publish => {
@@ -115,12 +116,12 @@
         }
     }
     for (address, orders) in grants {
-        spawn_orders(shell, service, term, address, orders);
+        send_orders(shell, service, term, address, orders);
     }
 }
 
-/// An order that is about to be sent.
-struct SentOrder {
+/// An order that waits to be sent.
+struct PreparedOrder {
     id: OrderId,
     to: OwnerId,
     order: GrantOrder,
@@ -128,17 +129,17 @@
 
 /// Sends orders to a server one after the other, and reports their results to the granter. Those that
 /// would be sent too late are not sent: the granter counts holds from its decision.
-fn spawn_orders(
+fn send_orders(
     shell: &Rc<ShellState>,
     service: ServiceName,
     term: Term,
     address: SocketAddr,
-    orders: Vec<SentOrder>,
+    orders: Vec<PreparedOrder>,
 ) {
     let decided_at = BootClock.now();
     let order_shell = Rc::clone(shell);
     shell.spawn(async move {
-        for SentOrder { id, to, order } in orders {
+        for PreparedOrder { id, to, order } in orders {
             let result = orders::send_order(&order_shell, to, address, &order, decided_at).await;
             log::debug!(server:% = to.server, order:? = order, result:? = result;
                 "order finished");
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -32,8 +32,8 @@
 /// Pause between tries while all connections are in use.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
-/// Sends an order to a server, unless too much time has passed since it was decided. Without an answer, the result says whether the order may still take
-/// effect.
+/// Sends an order to a server, unless too much time has passed since it was decided. Without an
+/// answer, the result says whether the order may still take effect.
 pub(crate) async fn send_order(
     shell: &Rc<ShellState>,
     owner: OwnerId,
--- a/crates/router/src/config.rs
+++ b/crates/router/src/config.rs
@@ -32,7 +32,7 @@
     pub kind: RouteKind,
     /// Longest time until a request is answered.
     pub timeout: Duration,
-    /// Latency objective; requests that would exceed it in a queue are refused.
+    /// Latency objective; requests that would take far longer in a queue are refused.
     pub objective: Duration,
     /// Upper bound of the attempts sent for one request.
     pub max_attempts: u32,
