--- a/crates/range/src/key_loads.rs
+++ b/crates/range/src/key_loads.rs
@@ -8,7 +8,7 @@
 
 /// Request rates by key, as exponential moving averages over several times.
 ///
-/// A long average has little noise; a short one shows a change at once. [`KeyLoads::estimate`]
+/// A long average has little noise; a short one shows a change at once. The estimate for a plan
 /// chooses between them for each server.
 #[derive(Debug, Default, Clone)]
 pub struct KeyLoads {
