--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -45,10 +45,6 @@
 /// Time after the start within which a router hears from the granter if there is one.
 const FIRST_HEARTBEAT_WAIT: Duration = Duration::from_millis(800);
 
-/// Like [`FIRST_HEARTBEAT_WAIT`], for the servers: without them the router serves nobody. A granter
-/// that runs sends its heartbeat as soon as it knows this router.
-const FIRST_SERVERS_WAIT: Duration = GRANTER_FEED_POLL;
-
 /// Longest time after the start that a router waits for the granter's feed before it watches the
 /// store itself.
 const STARTUP_WAIT: Duration = Duration::from_millis(2_500);
@@ -93,16 +89,12 @@
         // A process that starts in a running fleet soon hears from the granter, which sends it the
         // larger documents.
         let age = now.since(started);
-        let may_hear_within =
-            |wait| age < wait || (granter_feed.has_heartbeat() && age < STARTUP_WAIT);
-        let may_hear = may_hear_within(FIRST_HEARTBEAT_WAIT);
+        let may_hear =
+            age < FIRST_HEARTBEAT_WAIT || (granter_feed.has_heartbeat() && age < STARTUP_WAIT);
         match self {
             Feed::Servers if granter_feed.has_current_servers(now) => StoreRead::Skip,
             Feed::Servers if granter_feed.awaits_servers(now) => StoreRead::Skip,
-            Feed::Servers
-                if may_hear_within(FIRST_SERVERS_WAIT)
-                    && !shell.router.borrow().directory().is_loaded() =>
-            {
+            Feed::Servers if may_hear && !shell.router.borrow().directory().is_loaded() => {
                 StoreRead::Skip
             }
             Feed::Servers => StoreRead::Watch,
@@ -212,11 +204,7 @@
             StoreRead::Watch => {}
         }
         let is_list = last_revision.is_none();
-        let may_list_stale = match feed {
-            // Without a granter, nothing would bring what has changed since.
-            Feed::Servers => !is_granter && shell.granter_feed.borrow().has_heartbeat(),
-            Feed::Config | Feed::Zones | Feed::Hosts => !has_listed,
-        };
+        let may_list_stale = !has_listed || (feed == Feed::Servers && !is_granter);
         let prefix = feed.key_prefix(&shell).to_owned();
         let was_lost = shell.store.is_lost();
         let sent_at = BootClock.now();
