--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -46,7 +46,10 @@
     /// Longest expected time of a request, as a share of the latency objective.
     ///
     /// A request that is expected to take longer is refused.
-    const MAX_EXPECTED_SHARE: f64 = 2.0;
+    const MAX_EXPECTED_SHARE: f64 = 1.0;
+    /// Like [`Router::MAX_EXPECTED_SHARE`], for a request with a key. It can go to one server only, so
+    /// that it is rather served late than refused.
+    const MAX_EXPECTED_SHARE_OF_OWNER: f64 = 2.0;
 
     /// Picks the server of a request's next attempt, or decides to wait or to refuse.
     ///
@@ -413,10 +416,14 @@
         request.route.objective.as_secs_f64() * 1000.0 * Router::NEW_CONNECTION_COST
     }
 
-    /// Returns whether the expected time of a request exceeds its latency objective or its time
-    /// left.
+    /// Returns whether the expected time of a request exceeds its time left, or its latency objective
+    /// by more than is accepted.
     fn would_be_late(&self, now: Time, request: &RequestState, expected_ms: f64) -> bool {
-        let objective = request.route.objective.as_secs_f64() * 1000.0 * Router::MAX_EXPECTED_SHARE;
+        let share = match request.key {
+            Some(_) => Router::MAX_EXPECTED_SHARE_OF_OWNER,
+            None => Router::MAX_EXPECTED_SHARE,
+        };
+        let objective = request.route.objective.as_secs_f64() * 1000.0 * share;
         let left = request.time_left(now).as_secs_f64() * 1000.0;
         expected_ms > left.min(objective)
     }
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -179,11 +179,15 @@
     /// Estimates the requests that run or wait at the server.
     ///
     /// This router's requests count in full. For those of others, the last report counts less the
-    /// older it is, and the mean of the reports takes its place.
+    /// older it is, and the mean of the reports takes its place. Where capacities are learned, they
+    /// already account for lasting differences.
     pub fn occupancy(&self, now: Time) -> f64 {
         let others = self.load_sample.map_or(0.0, |sample| {
             let age = now.since(sample.at);
-            let mean = sample.mean_others * half_life_factor(age, Server::MEAN_HALF_LIFE);
+            let mean = match self.learned_capacity(now) {
+                Some(_) => 0.0,
+                None => sample.mean_others * half_life_factor(age, Server::MEAN_HALF_LIFE),
+            };
             mean + (f64::from(sample.others) - mean)
                 * half_life_factor(age, Server::REPORT_HALF_LIFE)
         });
