--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -42,6 +42,7 @@
 mod request;
 mod request_head;
 mod server_connection;
+mod server_notices;
 mod server_updates;
 mod shell_state;
 mod store_client;
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -19,6 +19,7 @@
 use super::reply::Reply;
 use super::request_head::RequestHead;
 use super::server_connection::{self, ServerEndpoint};
+use super::server_notices;
 use super::shell_state::ShellState;
 use super::stream_record::StreamRecord;
 use super::stream_source::StreamSource;
@@ -208,6 +209,7 @@
         };
         let (result, received) = run_attempt(shell, request, outgoing, &selected, caller).await;
         if let Some(received) = received {
+            server_notices::log_notices(shell, request, &selected, &received);
             let mut router = shell.router.borrow_mut();
             if let Some(load) = received.fields.load {
                 router.record_load(BootClock.now(), &selected, load);
--- a/crates/router/src/header_fields.rs
+++ b/crates/router/src/header_fields.rs
@@ -31,6 +31,10 @@
     pub load: Option<LoadReport>,
     /// Requests per second that the server takes from all routers together, while it is limited.
     pub rate_limit: Option<f64>,
+    /// Whether the server is about to stop and must get no new requests.
+    pub leaving: bool,
+    /// Time for which the server wants no requests from this router.
+    pub retry_after: Option<Duration>,
     /// Remaining warm-up time of the server.
     pub warm_up_left: Option<Duration>,
     /// Handover value that the former owner of keys passes to the next owner.
