--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -296,6 +296,30 @@
     RepeatsOrders,
 }
 
+/// Starts a server that sends what `answer` returns for each request, and returns its address.
+pub fn start_scripted_server<F>(answer: F) -> SocketAddr
+where
+    F: Fn(&Request) -> String + Clone + Send + 'static,
+{
+    listen(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        while let Some(request) = read_request(&mut reader) {
+            if (&mut &stream).write_all(answer(&request).as_bytes()).is_err() {
+                return;
+            }
+        }
+    })
+}
+
+/// Returns an answer that names its request, with these headers, each of which ends its line.
+pub fn answer_to(request: &Request, status: u16, headers: &str, body: &str) -> String {
+    let id = request.headers.get("request-id").map_or("", String::as_str);
+    let length = body.len();
+    format!(
+        "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\n{headers}Content-Length: {length}\r\n\r\n{body}"
+    )
+}
+
 /// Starts a server that accepts grants and requests, and returns its address. `id` is its name.
 pub fn start_server(id: &'static str, behavior: ServerBehavior) -> SocketAddr {
     listen(move |stream| serve_requests(&stream, id, behavior))
