Send nothing to a server whose answers say that it leaves

What callers saw: requests reached a server that had said in an answer that it leaves, and were cut when it ended. Cause: routers selected servers by their entries in the store alone. What a server says of itself in an answer reached neither the selection nor the other routers. Change: the directory keeps a standing for each process of a server, apart from its entry, so that an entry that lapses and returns does not clear it. One function, Directory::access, decides whether requests may be sent. An answer to a request or an order that says so closes the server at this router at once, ends its idle connections, and is told to the other routers, so that the granter moves its keys. A request that was already picked is checked once more before it is sent.

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -237,6 +237,10 @@
         limits.iter().for_each(|notice| log_rate_limit(notice, "answer"));
         shell.peer_socket.send(&other_routers(shell), &PeerMessage::RateLimits(limits));
     }
+    let notices = shell.router.borrow_mut().drain_notices();
+    if !notices.is_empty() {
+        shell.peer_socket.send(&other_routers(shell), &PeerMessage::ServerNotices(notices));
+    }
 }
 
 /// Logs a server's rate limit; `source` tells how this router has learned it.
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -15,7 +15,9 @@
     Document, HEARTBEAT_INTERVAL, REPORT_INTERVAL, ShellState, limits, log_rate_limit, publishing,
     server_updates,
 };
-use crate::router_shell::{config_updates, freshness, hosts, overload, permits, quotas};
+use crate::router_shell::{
+    config_updates, freshness, hosts, overload, permits, quotas, server_notices,
+};
 
 /// Maximum number of ranges of an owner map in one datagram.
 const RANGES_PER_PART: usize = 400;
@@ -164,6 +166,7 @@
                 }
             }
         }
+        PeerMessage::ServerNotices(notices) => server_notices::apply(shell, &notices),
         PeerMessage::RequestPermit(number, request) => {
             permits::handle_request(shell, from, number, &request);
         }
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -4,11 +4,13 @@
 
 use async_io::Timer;
 use bay_range::{GrantOrder, HoldTimes, OrderResult, OwnerId};
+use bay_router::ServerProcess;
 use bay_time::{BootClock, Clock, Time};
 use futures_lite::future;
 
 use super::http_client::send_call;
-use super::server_connection::{self, ServerEndpoint};
+use super::server_connection;
+use super::server_notices;
 use super::shell_state::ShellState;
 use crate::gate_shell::{ConnectError, PooledConnection};
 
@@ -42,12 +44,12 @@
     decided_at: Time,
 ) -> OrderResult {
     let OwnerId { server, started } = owner;
-    let endpoint = ServerEndpoint { server, started, address: to };
+    let process = ServerProcess { server, started, address: to };
     let connect_timeout = (decided_at + CONNECT_TIMEOUT).since(BootClock.now());
     if connect_timeout.is_zero() {
         return OrderResult::NotSent;
     }
-    let mut pooled = match connect(shell, &endpoint, connect_timeout).await {
+    let mut pooled = match connect(shell, &process, connect_timeout).await {
         Ok(pooled) => pooled,
         Err(result) => return result,
     };
@@ -66,6 +68,7 @@
         pooled.connection.set_reset_on_close();
         return OrderResult::Unanswered;
     };
+    server_notices::record_answer(shell, &process, &answer.fields);
     let result = shell.wire.parse_order_answer(order, answer.status, &answer.fields);
     // A second copy of this answer would name no request either.
     pooled.connection.set_requires_request_id();
@@ -78,13 +81,13 @@
 /// Acquires a connection to a server, waiting while all are in use.
 async fn connect(
     shell: &Rc<ShellState>,
-    endpoint: &ServerEndpoint,
+    process: &ServerProcess,
     timeout: Duration,
 ) -> Result<PooledConnection, OrderResult> {
     let max_idle = shell.limits.reuse_timeout;
     let acquire = async {
         loop {
-            match server_connection::connect(shell, endpoint, MAX_CONNECTIONS, max_idle).await {
+            match server_connection::connect(shell, process, MAX_CONNECTIONS, max_idle).await {
                 Ok(pooled) => return Ok(pooled),
                 Err(ConnectError::AtLimit) => Timer::after(CONNECTION_PAUSE).await,
                 Err(ConnectError::Refused) => return Err(OrderResult::NotListening),
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -18,7 +18,7 @@
 use super::quotas;
 use super::reply::Reply;
 use super::request_head::RequestHead;
-use super::server_connection::{self, ServerEndpoint};
+use super::server_connection;
 use super::server_notices;
 use super::shell_state::ShellState;
 use super::stream_record::StreamRecord;
@@ -209,7 +209,7 @@
         };
         let (result, received) = run_attempt(shell, request, outgoing, &selected, caller).await;
         if let Some(received) = received {
-            server_notices::log_notices(shell, request, &selected, &received);
+            server_notices::record_request_answer(shell, request, &selected, &received);
             let mut router = shell.router.borrow_mut();
             if let Some(load) = received.fields.load {
                 router.record_load(BootClock.now(), &selected, load);
@@ -263,9 +263,14 @@
         Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
     };
     let time_left = request.time_left(BootClock.now());
-    // The key may have been withdrawn while the connection was opened; the next pick refuses it then.
-    let key_check = shell.router.borrow().check_key(BootClock.now(), request);
-    if time_left.is_zero() || key_check.is_err() {
+    // The server or the API key may have become unusable while the connection was opened; the next
+    // pick decides then.
+    let now = BootClock.now();
+    let is_usable = {
+        let router = shell.router.borrow();
+        router.may_send(now, selected) && router.check_key(now, request).is_ok()
+    };
+    if time_left.is_zero() || !is_usable {
         pooled.return_to_pool();
         return (None, None);
     }
@@ -312,8 +317,7 @@
     request: &RequestState,
     selected: &SelectedServer,
 ) -> Result<PooledConnection, ConnectError> {
-    let SelectedServer { server, started, address, .. } = *selected;
-    let endpoint = ServerEndpoint { server, started, address };
+    let process = selected.process();
     let max_idle = match request.route.is_idempotent() {
         true => Duration::MAX,
         false => NON_IDEMPOTENT_REUSE_TIME,
@@ -330,7 +334,7 @@
         // Other requests keep a connection beside those that wait for slow readers.
         cap = cap.min(shell.limits.max_connections_per_target).saturating_sub(1).max(1);
     }
-    let connected = server_connection::connect(shell, &endpoint, cap, max_idle);
+    let connected = server_connection::connect(shell, &process, cap, max_idle);
     future::or(connected, timer).await
 }
 
--- a/crates/node/src/router_shell/server_connection.rs
+++ b/crates/node/src/router_shell/server_connection.rs
@@ -4,7 +4,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
-use bay_router::ServerPath;
+use bay_router::{ServerPath, ServerProcess};
 use bay_time::{BootClock, Clock};
 use bay_types::ServerName;
 use futures_lite::future;
@@ -21,15 +21,6 @@
 /// Interval between decisions whether to probe a direct connection.
 const PROBE_STEP: Duration = Duration::from_millis(100);
 
-/// A process of a server.
-#[derive(Debug, Clone, Copy)]
-pub(crate) struct ServerEndpoint {
-    pub(crate) server: ServerName,
-    /// Start time of the process.
-    pub(crate) started: u64,
-    pub(crate) address: SocketAddr,
-}
-
 /// Takes an idle connection to a server that was idle for less than `max_idle`, or opens one while
 /// fewer than `cap` are open.
 ///
@@ -37,28 +28,28 @@
 /// Returns an error if the limit is reached, or neither a direct connection nor a tunnel was opened.
 pub(crate) async fn connect(
     shell: &Rc<ShellState>,
-    endpoint: &ServerEndpoint,
+    process: &ServerProcess,
     cap: usize,
     max_idle: Duration,
 ) -> Result<PooledConnection, ConnectError> {
-    let opened = open(shell, endpoint);
-    shell.pool.acquire_or_open(endpoint.address, cap, max_idle, opened).await
+    let opened = open(shell, process);
+    shell.pool.acquire_or_open(process.address, cap, max_idle, opened).await
 }
 
-async fn open(shell: &Rc<ShellState>, endpoint: &ServerEndpoint) -> io::Result<Connection> {
+async fn open(shell: &Rc<ShellState>, process: &ServerProcess) -> io::Result<Connection> {
     let path = || shell.router.borrow().server_path();
     if path() == ServerPath::Direct {
-        let opened = open_direct(shell, endpoint.server, endpoint.address).await;
+        let opened = open_direct(shell, process.server, process.address).await;
         let opened = opened.map(|stream| Connection::new(stream, &shell.resources));
         // The failure may have shown that only a tunnel helps.
         if opened.is_ok() || path() == ServerPath::Direct {
             return opened;
         }
     }
-    match open_tunnel(shell, endpoint).await {
+    match open_tunnel(shell, process).await {
         // Without a router that opens tunnels, a direct connection is the only hope.
         Err(error) if error.kind() == io::ErrorKind::HostUnreachable => {
-            let opened = open_direct(shell, endpoint.server, endpoint.address).await;
+            let opened = open_direct(shell, process.server, process.address).await;
             opened.map(|stream| Connection::new(stream, &shell.resources))
         }
         opened => opened,
--- a/crates/node/src/router_shell/server_notices.rs
+++ b/crates/node/src/router_shell/server_notices.rs
@@ -1,4 +1,7 @@
-use bay_router::{RequestState, SelectedServer};
+use bay_router::{
+    AnswerFields, RequestState, SelectedServer, ServerNotice, ServerProcess, ServerStatement,
+};
+use bay_time::{BootClock, Clock};
 
 use super::attempt::ServerAnswer;
 use super::shell_state::ShellState;
@@ -9,8 +12,8 @@
 /// Status of an answer by a server that takes no requests.
 const UNAVAILABLE: u16 = 503;
 
-/// Logs and counts what a server says of itself in an answer.
-pub(crate) fn log_notices(
+/// Records what a server says of itself in the answer to a request.
+pub(crate) fn record_request_answer(
     shell: &ShellState,
     request: &RequestState,
     selected: &SelectedServer,
@@ -18,11 +21,7 @@
 ) {
     let SelectedServer { server, started, address, .. } = *selected;
     let fields = &answer.fields;
-    if fields.leaving {
-        shell.counters.add("answer.leaving", 1);
-        log::info!(server:% = server, started = started, status = answer.status;
-            "server says that it leaves");
-    }
+    record_answer(shell, &selected.process(), fields);
     if answer.status == MISDIRECTED {
         shell.counters.add("answer.misdirected", 1);
         log::info!(server:% = server, started = started, address:% = address,
@@ -35,3 +34,39 @@
             "server asks for a pause");
     }
 }
+
+/// Records what a server says of itself in any answer.
+pub(crate) fn record_answer(shell: &ShellState, process: &ServerProcess, fields: &AnswerFields) {
+    if fields.leaving {
+        record_statement(shell, process, ServerStatement::Leaving);
+    }
+}
+
+fn record_statement(shell: &ShellState, process: &ServerProcess, statement: ServerStatement) {
+    let now = BootClock.now();
+    if shell.router.borrow_mut().record_statement(now, *process, statement) {
+        act_on(shell, process, statement, "answer");
+    }
+}
+
+/// Applies what another router has learned of servers.
+pub(crate) fn apply(shell: &ShellState, notices: &[ServerNotice]) {
+    for notice in notices {
+        if shell.router.borrow_mut().apply_notice(BootClock.now(), notice) {
+            act_on(shell, &notice.process, notice.statement, "router");
+        }
+    }
+}
+
+/// Logs a new statement and closes the connections to the server; `source` tells how this router has
+/// learned it.
+fn act_on(shell: &ShellState, process: &ServerProcess, statement: ServerStatement, source: &str) {
+    let ServerProcess { server, started, address } = *process;
+    let counter = match statement {
+        ServerStatement::Leaving => "server.leaving",
+    };
+    shell.counters.add(counter, 1);
+    log::info!(server:% = server, started = started, address:% = address, statement:? = statement,
+        source = source; "server may get no requests");
+    shell.pool.invalidate(address);
+}
--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use async_io::{Async, Timer};
+use bay_router::ServerProcess;
 use bay_time::{BootClock, Clock};
 use bay_types::{HostName, ServerName};
 use futures_lite::future;
@@ -12,7 +13,7 @@
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
 
-use super::server_connection::{CONNECT_TIMEOUT, ServerEndpoint, open_direct};
+use super::server_connection::{CONNECT_TIMEOUT, open_direct};
 use super::shell_state::ShellState;
 use crate::http1::connection::Connection;
 
@@ -108,7 +109,7 @@
 /// Returns an error if no router that was asked has reached the server. Nothing was sent to it.
 pub(crate) async fn open_tunnel(
     shell: &Rc<ShellState>,
-    endpoint: &ServerEndpoint,
+    process: &ServerProcess,
 ) -> io::Result<Connection> {
     for _ in 0..MAX_HOSTS {
         let now = BootClock.now();
@@ -118,7 +119,7 @@
         let Some(address) = shell.router_hosts.borrow().get(&host).map(|record| record.peer) else {
             break;
         };
-        match request_tunnel(shell, address, endpoint).await {
+        match request_tunnel(shell, address, process).await {
             Ok((connection, TunnelAnswer::Open)) => {
                 shell.counters.add("tunnel.opened", 1);
                 return Ok(connection);
@@ -144,9 +145,9 @@
 async fn request_tunnel(
     shell: &ShellState,
     to: SocketAddr,
-    endpoint: &ServerEndpoint,
+    process: &ServerProcess,
 ) -> io::Result<(Connection, TunnelAnswer)> {
-    let request = TunnelRequest { server: endpoint.server, started: endpoint.started };
+    let request = TunnelRequest { server: process.server, started: process.started };
     let body = postcard::to_stdvec(&request).map_err(io::Error::other)?;
     let mut message = (body.len() as u16).to_be_bytes().to_vec();
     message.extend_from_slice(&body);
--- a/crates/node/tests/server_notices.rs
+++ b/crates/node/tests/server_notices.rs
@@ -21,7 +21,7 @@
 fn start(servers: &[(&str, &str, SocketAddr)]) -> (FakeStore, RunningRouter) {
     let (store, address) = FakeStore::start();
     let routes = [("/read/", "safe", "pool"), ("/key/", "safe", "keyed")];
-    store.write("config/main", Some(config("800ms", &routes)));
+    store.write("config/main", Some(config("200ms", &routes)));
     for (id, service, address) in servers {
         store.write(&format!("servers/{id}"), Some(server_entry(service, *address, 4)));
     }
@@ -57,14 +57,15 @@
         counter.fetch_add(1, Ordering::SeqCst);
         answer_to(request, 200, &format!("{SIGNED}Server-Leaving: 1\r\n"), "leaving")
     });
-    let mut servers = vec![("i-1", service, leaving)];
-    if has_other {
-        servers.push(("i-2", service, start_server("i-2", ServerBehavior::Echo)));
-    }
-    let (_store, router) = start(&servers);
+    let (store, router) = start(&[("i-1", service, leaving)]);
     while arrivals.load(Ordering::SeqCst) == 0 {
         request_status(router.listen, "GET", path);
     }
+    if has_other {
+        let other = start_server("i-2", ServerBehavior::Echo);
+        store.write("servers/i-2", Some(server_entry(service, other, 4)));
+        wait_until_served(&router, path);
+    }
     // The bound of the platform, `drain`.
     thread::sleep(Duration::from_secs(1));
     let before = arrivals.load(Ordering::SeqCst);
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -15,7 +15,8 @@
 use bay_router::{
     ConfigPart, Crash, FeedState, Heartbeat, HostRecord, KeyCount, OwnerChanges, OwnerMap,
     PeerMessage, Permit, PermitRequest, RateLimitNotice, RelayOrder, RelayedMessage, Report,
-    ServerEntry, ServerState, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport, Vouch,
+    ServerEntry, ServerNotice, ServerProcess, ServerState, ServerStatement, ServerTiming,
+    ServerUpdate, ServiceOwners, ServiceReport, Vouch,
 };
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, Token, ZoneName};
 
@@ -174,6 +175,7 @@
         ("config", PeerMessage::Config(config)),
         ("key-limits", PeerMessage::KeyLimits(service(), limits)),
         ("rate-limits", PeerMessage::RateLimits(vec![notice(Some(12.5)), notice(None)])),
+        ("server-notices", PeerMessage::ServerNotices(server_notices())),
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
         ("account-usage", PeerMessage::AccountUsage(account_usage(&[]))),
@@ -202,6 +204,11 @@
     ServerOccupancy { server: server("i-3"), requests: 17 }
 }
 
+fn server_notices() -> Vec<ServerNotice> {
+    let process = ServerProcess { server: server("i-3"), started: STARTED, address: address(9) };
+    vec![ServerNotice { process, statement: ServerStatement::Leaving }]
+}
+
 fn owner_limit() -> OwnerLimit {
     OwnerLimit { server: server("i-3"), share: 0.75 }
 }
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -4,7 +4,8 @@
 use bay_time::Time;
 use bay_types::{Revision, ServerName, ZoneName};
 
-use crate::{Server, ServerEntry};
+use crate::server_standing::ServerStanding;
+use crate::{Server, ServerAccess, ServerEntry, ServerProcess, ServerStatement};
 
 /// The servers that are registered in the store, and the zones that are out.
 #[derive(Debug, Default)]
@@ -24,6 +25,8 @@
     latest: Revision,
     /// Name and start time of servers that have ended since the last [`Directory::drain_ended`].
     ended: Vec<(ServerName, u64)>,
+    /// What answers have told of processes, also of those whose entries have lapsed and may return.
+    standings: BTreeMap<ServerProcess, ServerStanding>,
 }
 
 #[derive(Debug)]
@@ -51,6 +54,9 @@
     /// Time after a store outage in which lapsed entries may return (platform bound).
     const GRACE_PERIOD: Duration = Duration::from_millis(2_000);
 
+    /// Bound of the recorded standings; the oldest ones are dropped beyond it.
+    const MAX_STANDINGS: usize = 4_096;
+
     /// Bound of the recorded removals; all are dropped when it is reached.
     const MAX_REMOVED: usize = 4_096;
 
@@ -226,9 +232,57 @@
         self.iter().filter(|(_, server)| server.rate_limit(now).is_some()).count()
     }
 
-    /// Returns whether a server is ready, still registered and not in a zone that is out.
-    pub fn is_eligible(&self, now: Time, server: &Server) -> bool {
-        server.is_ready() && !server.has_lapsed(now) && !self.zones_out.contains(&server.entry.zone)
+    /// Returns whether a server is ready, still registered, not about to stop and not in a zone that
+    /// is out.
+    pub fn is_eligible(&self, now: Time, name: ServerName, server: &Server) -> bool {
+        server.is_ready()
+            && !server.has_lapsed(now)
+            && !self.zones_out.contains(&server.entry.zone)
+            && !self.standing(name, server).is_leaving
+    }
+
+    /// Returns whether requests may be sent to a server now.
+    pub fn access(&self, now: Time, name: ServerName, server: &Server) -> ServerAccess {
+        if !self.is_eligible(now, name, server) {
+            ServerAccess::Closed
+        } else if server.is_backing_off(now) {
+            ServerAccess::Unreachable
+        } else {
+            ServerAccess::Open
+        }
+    }
+
+    /// Records what an answer says of a process; returns whether that is new.
+    pub fn record_statement(
+        &mut self,
+        now: Time,
+        process: ServerProcess,
+        statement: ServerStatement,
+    ) -> bool {
+        let standing = self.standing_mut(now, process);
+        match statement {
+            ServerStatement::Leaving => !std::mem::replace(&mut standing.is_leaving, true),
+        }
+    }
+
+    fn standing(&self, name: ServerName, server: &Server) -> ServerStanding {
+        let ServerEntry { started, address, .. } = server.entry;
+        let process = ServerProcess { server: name, started, address };
+        self.standings.get(&process).copied().unwrap_or_default()
+    }
+
+    /// Returns the standing of a process for a change.
+    fn standing_mut(&mut self, now: Time, process: ServerProcess) -> &mut ServerStanding {
+        let is_full = self.standings.len() >= Directory::MAX_STANDINGS;
+        if is_full && !self.standings.contains_key(&process) {
+            let oldest = self.standings.iter().min_by_key(|(_, standing)| standing.changed_at);
+            if let Some(oldest) = oldest.map(|(process, _)| *process) {
+                self.standings.remove(&oldest);
+            }
+        }
+        let standing = self.standings.entry(process).or_default();
+        standing.changed_at = now;
+        standing
     }
 
     /// Returns whether a server is cold, or its zone returned to service recently.
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -8,7 +8,10 @@
 use bay_capacity::{CapacitySample, ServerCapacity};
 use bay_range::{KeyLimit, KeyRange, OwnerLimit, ServerOccupancy};
 
-use crate::{Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry};
+use crate::{
+    Crash, OwnerChanges, OwnerMap, Permit, PermitRequest, RateLimitNotice, ServerEntry,
+    ServerNotice,
+};
 
 /// A datagram between routers, encoded with `postcard`.
 #[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
@@ -72,6 +75,8 @@
     Occupancies(ServiceName, Vec<ServerOccupancy>),
     /// Sends the limits of a service's overloaded owners from the granter to every router.
     OwnerLimits(ServiceName, Vec<OwnerLimit>),
+    /// Sends what a router has learned of servers from their answers to every other router.
+    ServerNotices(Vec<ServerNotice>),
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,8 +13,8 @@
 use crate::{
     CallerLimits, Config, Counter, Crash, CrashDetector, Directory, DirectoryChange, KeyCount,
     OwnerChanges, OwnerMap, PlatformBounds, RateLimitNotice, RequestFields, RequestState,
-    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerPaths, ServerTiming, ServiceOwners,
-    ServicePool, ServiceReport,
+    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerNotice, ServerPaths, ServerTiming,
+    ServiceOwners, ServicePool, ServiceReport,
 };
 
 mod attempt_results;
@@ -24,6 +24,7 @@
 mod quotas;
 mod rank_admission;
 mod rate_limits;
+mod server_notices;
 mod server_selection;
 
 /// Picks servers for callers' requests, and decides on retries and refusals.
@@ -43,6 +44,8 @@
     new_crashes: Vec<Crash>,
     /// Rate limits learned since the last call of [`Router::drain_rate_limits`].
     new_rate_limits: Vec<RateLimitNotice>,
+    /// What servers have said since the last call of [`Router::drain_notices`].
+    new_notices: Vec<ServerNotice>,
     /// Hosts that run routers, sorted by name.
     hosts: Vec<HostName>,
     /// Routers that have not answered a request for a permit, and until when none is sent to them.
@@ -80,6 +83,7 @@
             crash_detector: CrashDetector::default(),
             new_crashes: Vec::new(),
             new_rate_limits: Vec::new(),
+            new_notices: Vec::new(),
             hosts: Vec::new(),
             silent_hosts: BTreeMap::new(),
             paths: ServerPaths::default(),
@@ -328,7 +332,7 @@
                 address: server.entry.address,
                 zone: server.entry.zone,
                 slots: server.entry.slots,
-                eligible: self.directory.is_eligible(now, server),
+                eligible: self.directory.is_eligible(now, *name, server),
                 cold: self.directory.may_be_cold(now, server),
                 service_ms: learned.map(|learned| learned.base_ms).or(server.service_ms()),
                 rate_limit: limits.into_iter().flatten().reduce(f64::min),
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -9,7 +9,8 @@
 use super::Router;
 use super::learned_capacity::sample_by_weight;
 use crate::{
-    Counter, RequestState, RoutingDecision, SelectedServer, Server, ServicePool, WarmUpLimiter,
+    Counter, RequestState, RoutingDecision, SelectedServer, Server, ServerAccess, ServicePool,
+    WarmUpLimiter,
 };
 
 /// Servers that are sampled per request in the router's zone, and as many in all other zones.
@@ -143,9 +144,9 @@
         let selected = owner.and_then(|owner| {
             let server = self.directory.get(owner.server)?;
             let same_incarnation = server.entry.started == owner.started;
-            let usable = same_incarnation && self.directory.is_eligible(now, server);
-            let reachable = !server.is_backing_off(now);
-            (usable && reachable).then(|| self.describe_server(now, owner.server, server, pool))
+            let access = self.directory.access(now, owner.server, server);
+            (same_incarnation && access == ServerAccess::Open)
+                .then(|| self.describe_server(now, owner.server, server, pool))
         });
         request.last_selected = selected;
         let Some(selected) = selected else {
@@ -191,8 +192,8 @@
             let Some(server) = self.directory.get(*name) else {
                 continue;
             };
-            let usable = self.directory.is_eligible(now, server) && !server.is_backing_off(now);
-            if !usable || request.excluded.contains(name) {
+            let access = self.directory.access(now, *name, server);
+            if access != ServerAccess::Open || request.excluded.contains(name) {
                 continue;
             }
             if request.permit == Some(*name) {
--- a/crates/router/src/routing_decision.rs
+++ b/crates/router/src/routing_decision.rs
@@ -4,7 +4,7 @@
 use bay_time::Time;
 use bay_types::{ErrorKind, ServerName};
 
-use crate::PermitRequest;
+use crate::{PermitRequest, ServerProcess};
 
 /// Next step of a request.
 #[derive(Debug, Clone, PartialEq)]
@@ -39,3 +39,10 @@
     /// Estimated time of the request at the server, in milliseconds.
     pub expected_ms: f64,
 }
+
+impl SelectedServer {
+    /// Returns the process of the server.
+    pub fn process(&self) -> ServerProcess {
+        ServerProcess { server: self.server, started: self.started, address: self.address }
+    }
+}
--- a/crates/router/tests/directory.rs
+++ b/crates/router/tests/directory.rs
@@ -52,7 +52,7 @@
     directory.handle_store_recovery(at(10_000));
     assert_eq!(directory.apply(at(10_100), server("s"), Revision(9), None), DirectoryChange::None);
     let is_eligible = |directory: &Directory, millis| {
-        directory.is_eligible(at(millis), directory.get(server("s")).unwrap())
+        directory.is_eligible(at(millis), server("s"), directory.get(server("s")).unwrap())
     };
     assert!(is_eligible(&directory, 11_900));
     assert!(!is_eligible(&directory, 12_000));
@@ -66,7 +66,7 @@
     directory.apply(at(10_100), server("s"), Revision(9), None);
     directory.apply(at(11_000), server("s"), Revision(10), Some(entry("p", "a", 1)));
     assert!(directory.expire(at(13_000)).is_empty());
-    assert!(directory.is_eligible(at(13_000), directory.get(server("s")).unwrap()));
+    assert!(directory.is_eligible(at(13_000), server("s"), directory.get(server("s")).unwrap()));
 }
 
 #[test]
@@ -81,10 +81,10 @@
     let mut directory = directory_with_server();
     let warm_up = Duration::from_secs(3);
     directory.set_zones_out(at(1), BTreeSet::from([zone("a")]), warm_up);
-    assert!(!directory.is_eligible(at(2), directory.get(server("s")).unwrap()));
+    assert!(!directory.is_eligible(at(2), server("s"), directory.get(server("s")).unwrap()));
     directory.set_zones_out(at(5_000), BTreeSet::new(), warm_up);
     let listed = directory.get(server("s")).unwrap();
-    assert!(directory.is_eligible(at(5_001), listed));
+    assert!(directory.is_eligible(at(5_001), server("s"), listed));
     assert!(directory.may_be_cold(at(7_999), listed));
     assert!(!directory.may_be_cold(at(8_001), listed));
 }
