Leave a server alone for the pause that it asks for

What callers saw: a server that answered 503 with Retry-After got hundreds of requests within that time; callers were sent on to it and refused by it, one after the other. Retry-After of a server was passed over; only answers to callers had one. Change: the standing of a process has the end of its pause. Within it the server gets nothing: other servers are selected, a request that can still be served in good time after it waits, any other is refused at once and told to return after the end. Then the server gets one request at a time until it has answered. A pause holds for this router only. Five tests of the state machine and of the header's values are new. Not covered: a router that answers through another router's tunnel does not tell it of the pause.

--- a/crates/node/src/router_shell/server_notices.rs
+++ b/crates/node/src/router_shell/server_notices.rs
@@ -28,11 +28,16 @@
             service:% = request.service, key:? = request.key, attempt = request.attempts;
             "request was misdirected");
     }
-    if let Some(pause) = fields.retry_after.filter(|_| answer.status == UNAVAILABLE) {
-        shell.counters.add("answer.pause", 1);
-        log::info!(server:% = server, started = started, pause_ms = pause.as_millis() as u64;
-            "server asks for a pause");
-    }
+    let now = BootClock.now();
+    let pause = fields.retry_after.filter(|_| answer.status == UNAVAILABLE);
+    let mut router = shell.router.borrow_mut();
+    let Some(pause) = pause else {
+        return router.record_unpaused_answer(now, &selected.process());
+    };
+    router.record_pause(now, selected.process(), pause);
+    drop(router);
+    log::info!(server:% = server, started = started, pause_ms = pause.as_millis() as u64;
+        "server asks for a pause");
 }
 
 /// Records what a server says of itself in any answer.
--- a/crates/router/src/counter.rs
+++ b/crates/router/src/counter.rs
@@ -21,6 +21,10 @@
     OwnerLimited,
     /// Requests refused at once because of the rate limit that a server names.
     RateLimited,
+    /// Pauses for which servers have asked this router.
+    ServerPause,
+    /// Requests refused at once because of a server's pause.
+    PauseRefused,
     /// Requests refused at once because of their rank, while their service is short of capacity.
     RankLimited,
 }
@@ -39,6 +43,8 @@
             Counter::KeyLimited => "request.key-limited",
             Counter::OwnerLimited => "request.owner-limited",
             Counter::RateLimited => "request.rate-limited",
+            Counter::ServerPause => "server.pause",
+            Counter::PauseRefused => "request.pause-refused",
             Counter::RankLimited => "request.rank-limited",
         }
     }
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -245,6 +245,10 @@
     pub fn access(&self, now: Time, name: ServerName, server: &Server) -> ServerAccess {
         if !self.is_eligible(now, name, server) {
             ServerAccess::Closed
+        } else if let Some(at) =
+            self.standing(name, server).pause_end(now, server.in_flight_count())
+        {
+            ServerAccess::Paused(at)
         } else if server.is_backing_off(now) {
             ServerAccess::Unreachable
         } else {
@@ -265,6 +269,18 @@
         }
     }
 
+    /// Records that a process has asked this router for a pause.
+    pub fn record_pause(&mut self, now: Time, process: ServerProcess, pause: Duration) {
+        self.standing_mut(now, process).record_pause(now, pause);
+    }
+
+    /// Records that a process has answered without asking for a pause.
+    pub fn record_answer(&mut self, now: Time, process: &ServerProcess) {
+        if let Some(standing) = self.standings.get_mut(process) {
+            standing.record_answer(now);
+        }
+    }
+
     fn standing(&self, name: ServerName, server: &Server) -> ServerStanding {
         let ServerEntry { started, address, .. } = server.entry;
         let process = ServerProcess { server: name, started, address };
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -34,12 +34,12 @@
     const MAX_CROSS_ZONE_COST: f64 = 0.5;
     /// Time between two lookups of a key's owner while there is none.
     const OWNER_POLL_INTERVAL: Duration = Duration::from_millis(15);
-    /// Longest wait for a key's owner, as a share of the latency objective.
-    const MAX_OWNER_WAIT_SHARE: f64 = 0.5;
+    /// Longest wait for a server, as a share of the latency objective.
+    const MAX_WAIT_SHARE: f64 = 0.5;
     /// Mean `Retry-After` of a request whose key has no owner.
     const OWNER_RETRY_AFTER: Duration = Duration::from_millis(400);
     /// Mean `Retry-After` of other refusals.
-    const LOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
+    pub(super) const LOAD_RETRY_AFTER: Duration = Duration::from_millis(250);
     /// Upper bound of `Retry-After`, as a share of the request's time left (platform bound).
     pub(super) const MAX_RETRY_AFTER_SHARE: f64 = 0.3;
     /// Share of a server's connection limit that all routers together use.
@@ -141,18 +141,22 @@
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
         let owner = pool.owners.owner(key);
-        let selected = owner.and_then(|owner| {
+        let owner = owner.and_then(|owner| {
             let server = self.directory.get(owner.server)?;
-            let same_incarnation = server.entry.started == owner.started;
-            let access = self.directory.access(now, owner.server, server);
-            (same_incarnation && access == ServerAccess::Open)
-                .then(|| self.describe_server(now, owner.server, server, pool))
+            (server.entry.started == owner.started).then_some((owner.server, server))
         });
+        let access = owner.map(|(name, server)| self.directory.access(now, name, server));
+        let selected = owner
+            .filter(|_| access == Some(ServerAccess::Open))
+            .map(|(name, server)| self.describe_server(now, name, server, pool));
         request.last_selected = selected;
         let Some(selected) = selected else {
-            let waited = now.since(request.arrived_at).as_secs_f64();
-            let max_wait = request.route.objective.as_secs_f64() * Router::MAX_OWNER_WAIT_SHARE;
-            if waited < max_wait && request.time_left(now) > Router::OWNER_POLL_INTERVAL {
+            if let Some(ServerAccess::Paused(at)) = access {
+                return self.wait_or_refuse_during_pause(now, request, at);
+            }
+            if now < Router::wait_end(request)
+                && request.time_left(now) > Router::OWNER_POLL_INTERVAL
+            {
                 return RoutingDecision::Wait(now + Router::OWNER_POLL_INTERVAL);
             }
             return self.refuse(now, request, ErrorKind::NoOwner);
@@ -175,6 +179,12 @@
         RoutingDecision::Send(selected)
     }
 
+    /// Returns until when a request may wait for a server to become available.
+    pub(super) fn wait_end(request: &RequestState) -> Time {
+        let end = request.arrived_at + request.route.objective.mul_f64(Router::MAX_WAIT_SHARE);
+        end.min(request.deadline)
+    }
+
     /// Picks the cheapest of a few sampled servers and those with an idle connection, without those
     /// excluded by earlier attempts.
     ///
@@ -188,11 +198,17 @@
         let (mut same_zone, mut other_zones, mut cold) = (Vec::new(), Vec::new(), Vec::new());
         let mut connected = Vec::new();
         let (mut permitted, mut rate_limited, mut probe) = (None, false, None);
+        // Whether the server is excluded, and the end of its pause; the first to become available.
+        let mut pause_end: Option<(bool, Time)> = None;
         for name in &pool.servers {
             let Some(server) = self.directory.get(*name) else {
                 continue;
             };
             let access = self.directory.access(now, *name, server);
+            if let ServerAccess::Paused(at) = access {
+                let is_excluded = request.excluded.contains(name);
+                pause_end = pause_end.into_iter().chain([(is_excluded, at)]).min();
+            }
             if access != ServerAccess::Open || request.excluded.contains(name) {
                 continue;
             }
@@ -269,7 +285,11 @@
             if rate_limited {
                 return self.refuse_for_rate_limit(now, request);
             }
-            return self.refuse(now, request, ErrorKind::NoTarget);
+            return match pause_end {
+                Some((false, at)) => self.wait_or_refuse_during_pause(now, request, at),
+                Some((true, at)) => self.refuse_during_pause(now, request, at),
+                None => self.refuse(now, request, ErrorKind::NoTarget),
+            };
         };
         if !selected.has_free_slot && self.would_be_late(now, request, selected.expected_ms) {
             return self.refuse(now, request, ErrorKind::ServiceOverloaded);
--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -295,6 +295,11 @@
         self.learning.pending.drain(id)
     }
 
+    /// Returns the number of this router's attempts that haven't ended.
+    pub(crate) fn in_flight_count(&self) -> usize {
+        self.in_flight.len()
+    }
+
     /// Returns when the oldest attempt that hasn't ended was decided.
     pub fn oldest_in_flight(&self) -> Option<Time> {
         self.in_flight.iter().min().copied()
--- a/crates/router/src/server_standing.rs
+++ b/crates/router/src/server_standing.rs
@@ -1,4 +1,5 @@
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bay_time::Time;
 use bay_types::ServerName;
@@ -22,15 +23,52 @@
 pub(crate) struct ServerStanding {
     /// Whether the server has said that it is about to stop.
     pub(crate) is_leaving: bool,
+    /// End of the last pause for which the server has asked this router.
+    paused_until: Time,
+    /// Whether the server has not answered since that pause.
+    is_resuming: bool,
     /// When the standing last changed.
     pub(crate) changed_at: Time,
 }
 
+impl ServerStanding {
+    /// Longest pause that is granted. A server that is away for longer should leave.
+    const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+    /// Interval at which a request checks whether a server has answered after its pause.
+    const RESUME_INTERVAL: Duration = Duration::from_millis(15);
+
+    /// Records that the server has asked for a pause. It doesn't shorten an earlier one.
+    pub(crate) fn record_pause(&mut self, now: Time, pause: Duration) {
+        self.paused_until = self.paused_until.max(now + pause.min(ServerStanding::MAX_PAUSE));
+        self.is_resuming = true;
+    }
+
+    /// Records that the server has answered without asking for a pause.
+    pub(crate) fn record_answer(&mut self, now: Time) {
+        if now >= self.paused_until {
+            self.is_resuming = false;
+        }
+    }
+
+    /// Returns until when the server gets no request, if it has asked for a pause.
+    ///
+    /// After the pause it gets one at a time until it has answered, so that the requests that have
+    /// waited don't all arrive at once.
+    pub(crate) fn pause_end(&self, now: Time, in_flight: usize) -> Option<Time> {
+        if now < self.paused_until {
+            return Some(self.paused_until);
+        }
+        (self.is_resuming && in_flight > 0).then(|| now + ServerStanding::RESUME_INTERVAL)
+    }
+}
+
 /// Whether requests may be sent to a server now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum ServerAccess {
     /// They may.
     Open,
+    /// It has asked this router for a pause up to this time.
+    Paused(Time),
     /// No connection to it could be opened a moment ago.
     Unreachable,
     /// It takes no requests, or must get none.
--- a/crates/router/tests/server_notices.rs
+++ b/crates/router/tests/server_notices.rs
@@ -87,3 +87,77 @@
     ));
     assert!(say(&mut router, at(6_001), ServerStatement::Leaving), "it was forgotten");
 }
+
+fn pause(router: &mut Router, now: Time, millis: u64) {
+    router.record_pause(now, process(), Duration::from_millis(millis));
+}
+
+#[test]
+fn a_pause_is_waited_for_if_the_request_is_still_in_good_time_then() {
+    let mut router = router(1, 0, 0);
+    pause(&mut router, at(0), 80);
+    // The latency objective is 200 ms.
+    assert_eq!(decide(&mut router, at(1)), RoutingDecision::Wait(at(80)));
+    assert_eq!(picked(decide(&mut router, at(80))).server, server("a0"));
+}
+
+#[test]
+fn a_request_that_cannot_wait_for_a_pause_is_told_when_to_return() {
+    let mut router = router(1, 0, 0);
+    pause(&mut router, at(0), 500);
+    let RoutingDecision::Refuse(ErrorKind::ServiceOverloaded, Some(after)) =
+        decide(&mut router, at(0))
+    else {
+        panic!("the request is refused at once");
+    };
+    assert!((500..=625).contains(&(after.as_millis() as u64)), "{after:?}");
+    // A third of the 2 s that the caller waits is the upper bound.
+    pause(&mut router, at(0), 60_000);
+    let decision = decide(&mut router, at(0));
+    assert!(
+        matches!(decision, RoutingDecision::Refuse(_, Some(after)) if after.as_millis() <= 600)
+    );
+}
+
+#[test]
+fn a_server_with_a_pause_is_passed_over_and_gets_one_request_at_first_after_it() {
+    let mut router = router(1, 0, 0);
+    router.apply_server(at(0), server("a1"), Revision(2), Some(entry("pool", "a", 1)));
+    pause(&mut router, at(0), 1_000);
+    for now in 1..50 {
+        assert_eq!(picked(decide(&mut router, at(now))).server, server("a1"));
+    }
+    router.apply_server(at(50), server("a1"), Revision(3), None);
+    let mut first = admit(&mut router, at(1_000), "/pool/x", None);
+    let selected = picked(router.pick_server(at(1_000), &mut first));
+    router.record_sent(at(1_000), &selected, &mut first);
+    assert_eq!(decide(&mut router, at(1_001)), RoutingDecision::Wait(at(1_016)));
+    router.record_finished(&selected);
+    router.record_unpaused_answer(at(1_050), &process());
+    for _ in 0..4 {
+        let mut request = admit(&mut router, at(1_051), "/pool/x", None);
+        let selected = picked(router.pick_server(at(1_051), &mut request));
+        router.record_sent(at(1_051), &selected, &mut request);
+    }
+}
+
+#[test]
+fn a_pause_is_not_shortened_holds_for_one_process_and_is_not_told_to_others() {
+    let mut router = router(1, 0, 0);
+    pause(&mut router, at(0), 1_000);
+    pause(&mut router, at(1), 10);
+    router.record_unpaused_answer(at(2), &process());
+    assert!(matches!(decide(&mut router, at(900)), RoutingDecision::Wait(_)));
+    assert!(router.drain_notices().is_empty());
+    let restarted = ServerEntry { started: 2, ..entry("pool", "a", 0) };
+    router.apply_server(at(901), server("a0"), Revision(7), Some(restarted));
+    assert_eq!(picked(decide(&mut router, at(902))).server, server("a0"));
+}
+
+#[test]
+fn a_pause_beyond_all_bounds_ends() {
+    let mut router = router(1, 0, 0);
+    router.record_pause(at(0), process(), Duration::MAX);
+    assert!(matches!(decide(&mut router, at(3_599_000)), RoutingDecision::Refuse(_, Some(_))));
+    assert_eq!(picked(decide(&mut router, at(3_600_001))).server, server("a0"));
+}
