Send no request twice to an address that another server has

An owner had ended and its address belonged to a server of another service. Each request got 421 and was sent to the same address again at once, from the budget of the service that it was meant for. The granter's own orders were refused there too, and it kept the keys published as served. Change: a 421 is a result of its own. A request goes at most once to an owner that does not hold its key; others for that range follow after a pause, until the owner map changes. Without keys, and by the answers to orders, the process counts as replaced: it is closed at all routers, for a time that doubles, gets no keys until its entry or an answer shows that it runs, and its keys are no longer published. A retry is taken from the budget when it is sent. The load, limit and pause in a 421 are no longer taken for those of the server that was meant.

--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -10,6 +10,7 @@
 use super::download_answer::read_download;
 use super::reply_body::{DownloadBody, ReplyBody};
 use super::request_head::{RequestHead, append_header, connection_header_names};
+use super::server_notices::MISDIRECTED;
 use super::shell_state::ShellState;
 use super::stream_source::{StreamSource, UnreadBody};
 use crate::gate_shell::PooledConnection;
@@ -287,6 +288,8 @@
             append_header(&mut out, header.name, header.value);
         }
     }
+    // Only a server that has not run the request sends this status.
+    fields.not_run |= info.status == MISDIRECTED;
     let body = ReplyBody::Whole(Vec::new());
     Some(ServerAnswer { status: info.status, head: out, body, fields })
 }
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -68,8 +68,8 @@
         pooled.connection.set_reset_on_close();
         return OrderResult::Unanswered;
     };
-    server_notices::record_answer(shell, &process, &answer.fields);
     let result = shell.wire.parse_order_answer(order, answer.status, &answer.fields);
+    server_notices::record_order_answer(shell, &process, &result, &answer.fields);
     // A second copy of this answer would name no request either.
     pooled.connection.set_requires_request_id();
     if answer.reusable {
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -19,7 +19,7 @@
 use super::reply::Reply;
 use super::request_head::RequestHead;
 use super::server_connection;
-use super::server_notices;
+use super::server_notices::{self, MISDIRECTED};
 use super::shell_state::ShellState;
 use super::stream_record::StreamRecord;
 use super::stream_source::StreamSource;
@@ -210,12 +210,6 @@
         let (result, received) = run_attempt(shell, request, outgoing, &selected, caller).await;
         if let Some(received) = received {
             server_notices::record_request_answer(shell, request, &selected, &received);
-            let mut router = shell.router.borrow_mut();
-            if let Some(load) = received.fields.load {
-                router.record_load(BootClock.now(), &selected, load);
-            }
-            router.record_rate_limit(BootClock.now(), &selected, received.fields.rate_limit);
-            drop(router);
             if received.body.is_streamed() {
                 // The result is recorded at the end of the body.
                 return deliver(received);
@@ -298,8 +292,10 @@
             if is_reusable {
                 pooled.return_to_pool();
             }
-            let result =
-                AttemptResult::Answered { status: answer.status, not_run: answer.fields.not_run };
+            let result = match answer.status {
+                MISDIRECTED => AttemptResult::Misdirected,
+                status => AttemptResult::Answered { status, not_run: answer.fields.not_run },
+            };
             (Some(result), Some(answer))
         }
         Some(Err(kind)) => (Some(AttemptResult::Lost(kind)), None),
--- a/crates/node/src/router_shell/server_notices.rs
+++ b/crates/node/src/router_shell/server_notices.rs
@@ -1,3 +1,4 @@
+use bay_range::OrderResult;
 use bay_router::{
     AnswerFields, RequestState, SelectedServer, ServerNotice, ServerProcess, ServerStatement,
 };
@@ -7,7 +8,7 @@
 use super::shell_state::ShellState;
 
 /// Status of an answer by a server that the request was not meant for, or that does not hold its key.
-const MISDIRECTED: u16 = 421;
+pub(crate) const MISDIRECTED: u16 = 421;
 
 /// Status of an answer by a server that takes no requests.
 const UNAVAILABLE: u16 = 503;
@@ -19,29 +20,61 @@
     selected: &SelectedServer,
     answer: &ServerAnswer,
 ) {
-    let SelectedServer { server, started, address, .. } = *selected;
+    let process = selected.process();
     let fields = &answer.fields;
-    record_answer(shell, &selected.process(), fields);
+    record_leaving(shell, &process, fields);
     if answer.status == MISDIRECTED {
-        shell.counters.add("answer.misdirected", 1);
-        log::info!(server:% = server, started = started, address:% = address,
-            service:% = request.service, key:? = request.key, attempt = request.attempts;
-            "request was misdirected");
+        return record_misdirected(shell, request, selected);
     }
     let now = BootClock.now();
-    let pause = fields.retry_after.filter(|_| answer.status == UNAVAILABLE);
     let mut router = shell.router.borrow_mut();
-    let Some(pause) = pause else {
-        return router.record_unpaused_answer(now, &selected.process());
-    };
-    router.record_pause(now, selected.process(), pause);
-    drop(router);
-    log::info!(server:% = server, started = started, pause_ms = pause.as_millis() as u64;
-        "server asks for a pause");
+    if let Some(load) = fields.load {
+        router.record_load(now, selected, load);
+    }
+    router.record_rate_limit(now, selected, fields.rate_limit);
+    match fields.retry_after.filter(|_| answer.status == UNAVAILABLE) {
+        Some(pause) => {
+            router.record_pause(now, process, pause);
+            log::info!(server:% = process.server, started = process.started,
+                pause_ms = pause.as_millis() as u64; "server asks for a pause");
+        }
+        None => router.record_unpaused_answer(now, &process),
+    }
+}
+
+/// Records that a request was refused as misdirected. The other headers may be those of another server.
+fn record_misdirected(shell: &ShellState, request: &RequestState, selected: &SelectedServer) {
+    let SelectedServer { server, started, address, .. } = *selected;
+    shell.counters.add("answer.misdirected", 1);
+    log::info!(server:% = server, started = started, address:% = address,
+        service:% = request.service, key:? = request.key, attempt = request.attempts;
+        "request was misdirected");
+    // An owner also refuses requests for keys that it does not hold.
+    if request.key.is_none() {
+        record_statement(shell, &selected.process(), ServerStatement::Replaced);
+    }
+}
+
+/// Records what a server says of itself in the answer to an order.
+pub(crate) fn record_order_answer(
+    shell: &ShellState,
+    process: &ServerProcess,
+    result: &OrderResult,
+    fields: &AnswerFields,
+) {
+    record_leaving(shell, process, fields);
+    match result {
+        OrderResult::OtherServer | OrderResult::NotAnOrder => {
+            record_statement(shell, process, ServerStatement::Replaced);
+        }
+        OrderResult::Granted | OrderResult::Released { .. } | OrderResult::Outdated => {
+            shell.router.borrow_mut().record_presence(process);
+        }
+        _ => {}
+    }
 }
 
-/// Records what a server says of itself in any answer.
-pub(crate) fn record_answer(shell: &ShellState, process: &ServerProcess, fields: &AnswerFields) {
+fn record_leaving(shell: &ShellState, process: &ServerProcess, fields: &AnswerFields) {
     if fields.leaving {
         record_statement(shell, process, ServerStatement::Leaving);
     }
@@ -69,6 +102,7 @@
     let ServerProcess { server, started, address } = *process;
     let counter = match statement {
         ServerStatement::Leaving => "server.leaving",
+        ServerStatement::Replaced => "server.replaced",
     };
     shell.counters.add(counter, 1);
     log::info!(server:% = server, started = started, address:% = address, statement:? = statement,
--- a/crates/node/tests/server_notices.rs
+++ b/crates/node/tests/server_notices.rs
@@ -128,17 +128,25 @@
 }
 
 /// A server has ended, and its address belongs to a server of another service, while its entry stays.
-#[test_case("pool", "/read/x"; "without keys")]
-#[test_case("keyed", "/key/x"; "with keys")]
-fn no_request_is_sent_twice_to_an_address_of_another_server(service: &str, path: &str) {
+#[test_case("pool", "/read/x", 421; "without keys")]
+#[test_case("keyed", "/key/x", 421; "with keys")]
+#[test_case("keyed", "/key/x", 400; "with keys, and orders are taken for requests")]
+fn no_request_is_sent_twice_to_an_address_of_another_server(
+    service: &str,
+    path: &str,
+    order_status: u16,
+) {
     let is_replaced = Arc::new(AtomicBool::new(false));
     let misdirected: Arc<Mutex<Vec<String>>> = Arc::default();
     let (replaced, shared) = (Arc::clone(&is_replaced), Arc::clone(&misdirected));
     let server = start_scripted_server(move |request| {
         if replaced.load(Ordering::SeqCst) {
-            if !is_order(request) {
-                shared.lock().unwrap().push(request.headers["request-id"].clone());
+            if is_order(request) {
+                return format!(
+                    "HTTP/1.1 {order_status} X\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+                );
             }
+            shared.lock().unwrap().push(request.headers["request-id"].clone());
             return answer_to(request, 421, "Not-Executed: 1\r\n", "");
         }
         if is_order(request) {
--- a/crates/range/src/grant_order.rs
+++ b/crates/range/src/grant_order.rs
@@ -45,6 +45,9 @@
     Outdated,
     /// Another server answered at the address. The addressed one has ended.
     OtherServer,
+    /// The server took the order for a request, as one without ownership of keys does. Another server is
+    /// likely at the address, but the addressed one is not known to have ended.
+    NotAnOrder,
     /// The server refused the order for another reason.
     Rejected,
     /// Nothing listens at the server's address.
--- a/crates/range/src/slot.rs
+++ b/crates/range/src/slot.rs
@@ -207,6 +207,11 @@
         result: &OrderResult,
         times: &HoldTimes,
     ) {
+        if matches!(result, OrderResult::OtherServer | OrderResult::NotAnOrder) {
+            // Requests for the keys would reach the other server.
+            self.served_before = false;
+            self.phase = Phase::grant_at(now);
+        }
         if *result != OrderResult::Granted {
             self.owner_hold_until = previous_hold_until;
             if result.may_take_effect() {
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -498,3 +498,27 @@
     assert!(busy.may_have_sent_orders());
     assert_eq!(Granter::are_all_settled(now, [None, Some(busy)]), Some(false));
 }
+
+/// Guards against keys that stay published for an owner whose address another server has, as they did
+/// while the store was down and no move could be saved.
+#[test_case(OrderResult::OtherServer)]
+#[test_case(OrderResult::NotAnOrder)]
+fn keys_of_an_owner_whose_address_another_server_has_are_not_served(answer: OrderResult) {
+    let mut world = started_world(2, 5);
+    let now = world.now + Duration::from_secs(20);
+    let granter = world.granters.iter_mut().flatten().next().unwrap();
+    let candidates: Vec<Candidate> = world.servers.iter().map(|server| server.candidate).collect();
+    let gone = candidates[0].owner;
+    assert!(granter.served_ranges().iter().any(|(_, owner)| *owner == gone));
+    let mut actions = Vec::new();
+    granter.tick(now, &candidates, &KeyLoads::default(), true, &mut actions);
+    let mut published = Vec::new();
+    for action in actions {
+        if let GranterAction::Order { id, to, .. } = action {
+            let result = if to == gone { answer.clone() } else { OrderResult::Granted };
+            granter.handle_order_result(now, id, &result, &mut published);
+        }
+    }
+    assert!(published.iter().any(|action| matches!(action, GranterAction::Publish)));
+    assert!(granter.served_ranges().iter().all(|(_, owner)| *owner != gone));
+}
--- a/crates/router/src/counter.rs
+++ b/crates/router/src/counter.rs
@@ -7,6 +7,9 @@
     Attempt,
     /// Retries after a server didn't run the request.
     RetryNotRun,
+    /// Retries after another server than the one that was meant refused the request, or an owner that
+    /// doesn't hold its key.
+    RetryMisdirected,
     /// Failed connections, before the request was sent. Retries after them cost no budget.
     RetryNotConnected,
     /// Retries of an idempotent request whose answer was lost.
@@ -36,6 +39,7 @@
             Counter::Request => "request",
             Counter::Attempt => "attempt",
             Counter::RetryNotRun => "retry.not-run",
+            Counter::RetryMisdirected => "retry.misdirected",
             Counter::RetryNotConnected => "retry.not-connected",
             Counter::RetryLost => "retry.answer-lost",
             Counter::RetryFailed => "retry.server-failed",
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -82,6 +82,11 @@
         match self.servers.get_mut(&name) {
             Some(registered) if revision <= registered.revision => DirectoryChange::None,
             Some(registered) if is_same_incarnation(&registered.server.entry, &entry) => {
+                let ServerEntry { started, address, heartbeat, .. } = entry;
+                let process = ServerProcess { server: name, started, address };
+                if let Some(standing) = self.standings.get_mut(&process) {
+                    standing.record_heartbeat(heartbeat);
+                }
                 let was_ready = registered.server.is_ready();
                 let was_warm = !registered.server.is_cold(now);
                 registered.revision = revision;
@@ -232,13 +237,22 @@
         self.iter().filter(|(_, server)| server.rate_limit(now).is_some()).count()
     }
 
-    /// Returns whether a server is ready, still registered, not about to stop and not in a zone that
-    /// is out.
+    /// Returns whether a server is ready, still registered, not about to stop, not replaced at its
+    /// address and not in a zone that is out.
     pub fn is_eligible(&self, now: Time, name: ServerName, server: &Server) -> bool {
         server.is_ready()
             && !server.has_lapsed(now)
             && !self.zones_out.contains(&server.entry.zone)
             && !self.standing(name, server).is_leaving
+            && !self.standing(name, server).is_replaced(now)
+    }
+
+    /// Returns whether keys may be assigned to a server.
+    ///
+    /// A server whose address another one may have is not tried with keys, as each try would leave
+    /// them without an owner.
+    pub fn is_assignable(&self, now: Time, name: ServerName, server: &Server) -> bool {
+        self.is_eligible(now, name, server) && !self.standing(name, server).may_be_replaced()
     }
 
     /// Returns whether requests may be sent to a server now.
@@ -263,8 +277,12 @@
         process: ServerProcess,
         statement: ServerStatement,
     ) -> bool {
+        let registered = self.get(process.server).map(|server| &server.entry);
+        let entry = registered.filter(|entry| entry.started == process.started);
+        let heartbeat = entry.map_or(0, |entry| entry.heartbeat);
         let standing = self.standing_mut(now, process);
         match statement {
+            ServerStatement::Replaced => standing.record_replaced(now, heartbeat),
             ServerStatement::Leaving => !std::mem::replace(&mut standing.is_leaving, true),
         }
     }
@@ -274,6 +292,19 @@
         self.standing_mut(now, process).record_pause(now, pause);
     }
 
+    /// Returns whether another server is taken to have the address of a registered one.
+    pub fn is_replaced(&self, now: Time, name: ServerName) -> bool {
+        let server = self.get(name);
+        server.is_some_and(|server| self.standing(name, server).is_replaced(now))
+    }
+
+    /// Records that a process itself has answered.
+    pub fn record_presence(&mut self, process: &ServerProcess) {
+        if let Some(standing) = self.standings.get_mut(process) {
+            standing.record_presence();
+        }
+    }
+
     /// Records that a process has answered without asking for a pause.
     pub fn record_answer(&mut self, now: Time, process: &ServerProcess) {
         if let Some(standing) = self.standings.get_mut(process) {
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -18,6 +18,7 @@
 mod load_report;
 mod mean_service_times;
 mod owner_map;
+mod owner_rejections;
 mod peer_message;
 mod publish_plan;
 mod rate_limit;
--- a/crates/router/src/owner_map.rs
+++ b/crates/router/src/owner_map.rs
@@ -73,9 +73,13 @@
 
     /// Returns the owner of a key, if the key is served.
     pub fn owner(&self, key: u16) -> Option<OwnerId> {
+        self.holding(key).map(|(_, owner)| owner)
+    }
+
+    /// Returns the range of a key with its owner, if the key is served.
+    pub fn holding(&self, key: u16) -> Option<(KeyRange, OwnerId)> {
         let at = self.ranges.partition_point(|(range, _)| range.last < key);
-        let (range, owner) = self.ranges.get(at)?;
-        range.contains(key).then_some(*owner)
+        self.ranges.get(at).filter(|(range, _)| range.contains(key)).copied()
     }
 }
 
--- a/crates/router/src/request_state.rs
+++ b/crates/router/src/request_state.rs
@@ -2,10 +2,11 @@
 use std::time::Duration;
 
 use bay_account::{AccountSpec, ApiKey};
+use bay_range::{KeyRange, OwnerId};
 use bay_time::Time;
 use bay_types::{ServerName, ServiceName};
 
-use crate::{RouteSpec, SelectedServer};
+use crate::{Counter, RouteSpec, SelectedServer};
 
 /// A caller's request with the state of its attempts.
 #[derive(Debug, Clone)]
@@ -31,6 +32,10 @@
     pub caller_deadline: Time,
     /// Number of attempts that were sent.
     pub attempts: u32,
+    /// Reason of a retry that is not counted yet, as nothing was sent since it was decided.
+    pub pending_retry: Option<Counter>,
+    /// Range and owner that last refused the request because the owner doesn't hold its key.
+    pub rejected_by: Option<(KeyRange, OwnerId)>,
     /// Number of attempts for which no connection could be opened.
     pub failed_connects: u32,
     /// Servers that are not picked again; stays empty for a request with a key.
@@ -77,6 +82,8 @@
             deadline: now + timeout,
             caller_deadline: now + deadline.unwrap_or(timeout),
             attempts: 0,
+            pending_retry: None,
+            rejected_by: None,
             failed_connects: 0,
             excluded: Vec::new(),
             last_selected: None,
--- a/crates/router/src/retry_budget.rs
+++ b/crates/router/src/retry_budget.rs
@@ -72,17 +72,22 @@
 
     /// Spends a retry if the budget allows one; returns whether it does.
     pub fn try_spend(&mut self, now: Time) -> bool {
+        let has_room = self.has_room(now);
+        if has_room {
+            self.current_bucket(now).retries += 1;
+        }
+        has_room
+    }
+
+    /// Returns whether the budget allows a retry.
+    pub fn has_room(&mut self, now: Time) -> bool {
         self.current_bucket(now);
         let requests: u32 = self.buckets.iter().map(|bucket| bucket.requests).sum();
         let retries: u32 = self.buckets.iter().map(|bucket| bucket.retries).sum();
         let router_count =
             self.router_counts.iter().map(|(_, count)| *count).max().unwrap_or(1).max(1);
         let allowed = f64::from(requests) * self.ratio + self.extra / f64::from(router_count);
-        if f64::from(retries) + 1.0 > allowed * RetryBudget::USED_SHARE {
-            return false;
-        }
-        self.current_bucket(now).retries += 1;
-        true
+        f64::from(retries) + 1.0 <= allowed * RetryBudget::USED_SHARE
     }
 
     /// Returns the bucket of the current time; drops those that have left the window.
--- a/crates/router/src/retry_decision.rs
+++ b/crates/router/src/retry_decision.rs
@@ -12,6 +12,9 @@
         /// Whether the server guarantees that it didn't run the request.
         not_run: bool,
     },
+    /// The server doesn't hold the request's key, or another server answered at its address. The
+    /// request has not run.
+    Misdirected,
     /// No connection could be opened; nothing was sent.
     NotConnected,
     /// The connection broke, or the answer was incomplete or malformed.
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -274,6 +274,7 @@
             return false;
         }
         pool.owners = owners;
+        pool.rejections.retain_current(&pool.owners);
         true
     }
 
@@ -289,7 +290,12 @@
 
     /// Applies changes to an owner map; returns whether they directly follow the map in force.
     pub fn apply_owner_changes(&mut self, service: ServiceName, changes: &OwnerChanges) -> bool {
-        self.pools.get_mut(&service).is_some_and(|pool| pool.owners.apply(changes))
+        let Some(pool) = self.pools.get_mut(&service) else {
+            return false;
+        };
+        let is_applied = pool.owners.apply(changes);
+        pool.rejections.retain_current(&pool.owners);
+        is_applied
     }
 
     /// Returns the owner map of a service.
@@ -332,7 +338,7 @@
                 address: server.entry.address,
                 zone: server.entry.zone,
                 slots: server.entry.slots,
-                eligible: self.directory.is_eligible(now, *name, server),
+                eligible: self.directory.is_assignable(now, *name, server),
                 cold: self.directory.may_be_cold(now, server),
                 service_ms: learned.map(|learned| learned.base_ms).or(server.service_ms()),
                 rate_limit: limits.into_iter().flatten().reduce(f64::min),
--- a/crates/router/src/router/attempt_results.rs
+++ b/crates/router/src/router/attempt_results.rs
@@ -1,5 +1,6 @@
 use std::time::Duration;
 
+use bay_range::OwnerId;
 use bay_time::Time;
 use bay_types::ErrorKind;
 
@@ -60,9 +61,14 @@
                 Counter::RetryNotRun,
                 ErrorKind::ServiceOverloaded,
             ),
+            AttemptResult::Misdirected => {
+                let kind = self.record_misdirected(now, request, selected);
+                let reason = Counter::RetryMisdirected;
+                self.retry_or_refuse(now, request, selected, reason, kind)
+            }
             AttemptResult::Answered { status: 500.., .. } if request.route.is_idempotent() => {
                 request.may_have_run = true;
-                match self.try_spend_retry(now, request, Counter::RetryFailed) {
+                match self.plan_retry(now, request, Counter::RetryFailed) {
                     true => RetryDecision::Retry,
                     false => RetryDecision::Deliver,
                 }
@@ -130,9 +136,16 @@
             _ => {}
         }
         self.record_outcome(now, request, selected, result, elapsed);
-        if matches!(result, AttemptResult::Answered { .. }) {
+        if matches!(result, AttemptResult::Answered { .. } | AttemptResult::Misdirected) {
             self.answered_at = now;
         }
+        if let (AttemptResult::Answered { not_run: false, .. }, Some(key)) = (result, request.key)
+            && let Some(pool) = self.pools.get_mut(&request.service)
+            && !pool.rejections.is_empty()
+            && let Some((range, _)) = pool.owners.holding(key)
+        {
+            pool.rejections.remove(range);
+        }
         self.record_capacity_sample(now, selected, result, elapsed);
         let Some(server) = self.directory.get_mut(selected.server) else {
             return;
@@ -153,6 +166,7 @@
                 }
             }
             AttemptResult::NotConnected => server.record_connect_failure(now),
+            AttemptResult::Misdirected => {}
             AttemptResult::TimedOut => server.record_timeout(elapsed, selected.occupancy),
         }
     }
@@ -169,7 +183,7 @@
         if request.key.is_none() {
             request.excluded.push(selected.server);
         }
-        if self.try_spend_retry(now, request, reason) {
+        if self.plan_retry(now, request, reason) {
             return RetryDecision::Retry;
         }
         if request.may_have_run {
@@ -179,11 +193,32 @@
         RetryDecision::Refuse(kind, after)
     }
 
-    /// Spends a retry on a request if its attempts, its time and the budget allow one.
+    /// Records that another server answered at a server's address, or that an owner doesn't hold a key.
+    /// Returns the error for the request if it is not retried.
+    fn record_misdirected(
+        &mut self,
+        now: Time,
+        request: &mut RequestState,
+        selected: &SelectedServer,
+    ) -> ErrorKind {
+        let Some(key) = request.key else {
+            return ErrorKind::NoTarget;
+        };
+        let owner = OwnerId { server: selected.server, started: selected.started };
+        if let Some(pool) = self.pools.get_mut(&request.service)
+            && let Some((range, _)) = pool.owners.holding(key).filter(|(_, each)| *each == owner)
+        {
+            pool.rejections.record(now, range, owner);
+            request.rejected_by = Some((range, owner));
+        }
+        ErrorKind::NoOwner
+    }
+
+    /// Plans a retry of a request if its attempts, its time and the budget allow one; returns whether
+    /// they do. The budget is spent when the retry is sent.
     ///
-    /// Returns whether they do. Counts `reason` if so, and `RetryDenied` if only the budget denies
-    /// it.
-    fn try_spend_retry(&mut self, now: Time, request: &RequestState, reason: Counter) -> bool {
+    /// Counts `RetryDenied` if only the budget denies it.
+    fn plan_retry(&mut self, now: Time, request: &mut RequestState, reason: Counter) -> bool {
         let Some(pool) = self.pools.get_mut(&request.service) else {
             return false;
         };
@@ -199,10 +234,25 @@
         {
             return false;
         }
-        let granted = pool.retry_budget.try_spend(now);
-        let counter = if granted { reason } else { Counter::RetryDenied };
+        let is_allowed = pool.retry_budget.has_room(now);
+        match is_allowed {
+            true => request.pending_retry = Some(reason),
+            false => *self.counts.entry(Counter::RetryDenied).or_default() += 1,
+        }
+        is_allowed
+    }
+
+    /// Spends the planned retry of a request that is about to be sent; returns whether the budget
+    /// allows it. A request without one may be sent.
+    pub(super) fn try_spend_retry(&mut self, now: Time, request: &mut RequestState) -> bool {
+        let Some(reason) = request.pending_retry.take() else {
+            return true;
+        };
+        let pool = self.pools.get_mut(&request.service);
+        let is_granted = pool.is_some_and(|pool| pool.retry_budget.try_spend(now));
+        let counter = if is_granted { reason } else { Counter::RetryDenied };
         *self.counts.entry(counter).or_default() += 1;
-        granted
+        is_granted
     }
 }
 
--- a/crates/router/src/router/learned_capacity.rs
+++ b/crates/router/src/router/learned_capacity.rs
@@ -45,7 +45,7 @@
                     pool.sample_shares.record_utilisation(utilisation);
                 }
             }
-            AttemptResult::Lost(_) | AttemptResult::NotConnected => {}
+            AttemptResult::Misdirected | AttemptResult::Lost(_) | AttemptResult::NotConnected => {}
         }
     }
 
--- a/crates/router/src/router/server_notices.rs
+++ b/crates/router/src/router/server_notices.rs
@@ -34,6 +34,11 @@
         self.directory.record_statement(now, notice.process, notice.statement)
     }
 
+    /// Records that a server itself has answered an order.
+    pub fn record_presence(&mut self, process: &ServerProcess) {
+        self.directory.record_presence(process);
+    }
+
     /// Records that a server has asked this router for a pause.
     pub fn record_pause(&mut self, now: Time, process: ServerProcess, pause: Duration) {
         *self.counts.entry(Counter::ServerPause).or_default() += 1;
--- a/crates/router/src/router/server_selection.rs
+++ b/crates/router/src/router/server_selection.rs
@@ -79,10 +79,14 @@
         if let Some(refusal) = self.refuse_for_quota(now, request) {
             return refusal;
         }
-        match request.key {
+        let decision = match request.key {
             Some(key) => self.pick_owner(now, request, key),
             None => self.pick_from_pool(now, request),
+        };
+        if matches!(decision, RoutingDecision::Send(_)) && !self.try_spend_retry(now, request) {
+            return self.refuse(now, request, ErrorKind::ServiceOverloaded);
         }
+        decision
     }
 
     /// Returns whether a request is among those that the owner of its key cannot run. This is decided
@@ -140,8 +144,18 @@
         let Some(pool) = self.pools.get(&request.service) else {
             return self.refuse(now, request, ErrorKind::NoTarget);
         };
-        let owner = pool.owners.owner(key);
-        let owner = owner.and_then(|owner| {
+        let holding = pool.owners.holding(key);
+        // Such a key gets another owner, which takes longer than a request can wait.
+        let may_wait = holding.is_none_or(|(range, owner)| {
+            !pool.rejections.is_lasting(range, owner)
+                && !self.directory.is_replaced(now, owner.server)
+        });
+        let holding = holding.filter(|(range, owner)| {
+            // The owner would refuse the request again.
+            !pool.rejections.contains(now, *range, *owner)
+                && request.rejected_by != Some((*range, *owner))
+        });
+        let owner = holding.and_then(|(_, owner)| {
             let server = self.directory.get(owner.server)?;
             (server.entry.started == owner.started).then_some((owner.server, server))
         });
@@ -154,7 +168,8 @@
             if let Some(ServerAccess::Paused(at)) = access {
                 return self.wait_or_refuse_during_pause(now, request, at);
             }
-            if now < Router::wait_end(request)
+            if may_wait
+                && now < Router::wait_end(request)
                 && request.time_left(now) > Router::OWNER_POLL_INTERVAL
             {
                 return RoutingDecision::Wait(now + Router::OWNER_POLL_INTERVAL);
--- a/crates/router/src/server_standing.rs
+++ b/crates/router/src/server_standing.rs
@@ -23,6 +23,12 @@
 pub(crate) struct ServerStanding {
     /// Whether the server has said that it is about to stop.
     pub(crate) is_leaving: bool,
+    /// Until when another server is taken to have its address.
+    replaced_until: Time,
+    /// Answers of another server at its address since it has last shown that it runs.
+    replaced_count: u32,
+    /// Heartbeat of its entry at the last of them.
+    replaced_heartbeat: u64,
     /// End of the last pause for which the server has asked this router.
     paused_until: Time,
     /// Whether the server has not answered since that pause.
@@ -34,9 +40,53 @@
 impl ServerStanding {
     /// Longest pause that is granted. A server that is away for longer should leave.
     const MAX_PAUSE: Duration = Duration::from_secs(3_600);
+    /// Time after the first answer of another server without requests; it doubles with each further one.
+    const BASE_REPLACED_TIME: Duration = Duration::from_secs(1);
+    /// Upper bound of the doublings.
+    const MAX_DOUBLINGS: u32 = 5;
+    /// Heartbeats of an entry that the server may have written before it ended.
+    const LATE_HEARTBEATS: u64 = 1;
     /// Interval at which a request checks whether a server has answered after its pause.
     const RESUME_INTERVAL: Duration = Duration::from_millis(15);
 
+    /// Records that another server has answered at its address; returns whether that is new.
+    ///
+    /// `heartbeat` is that of the server's entry.
+    pub(crate) fn record_replaced(&mut self, now: Time, heartbeat: u64) -> bool {
+        if self.is_replaced(now) {
+            return false;
+        }
+        let doublings = self.replaced_count.min(ServerStanding::MAX_DOUBLINGS);
+        self.replaced_until = now + ServerStanding::BASE_REPLACED_TIME * (1 << doublings);
+        self.replaced_count += 1;
+        self.replaced_heartbeat = heartbeat;
+        true
+    }
+
+    /// Returns whether the server gets no requests because another one has its address.
+    pub(crate) fn is_replaced(&self, now: Time) -> bool {
+        now < self.replaced_until
+    }
+
+    /// Returns whether another server has answered at its address, and it has not shown since that it
+    /// runs.
+    pub(crate) fn may_be_replaced(&self) -> bool {
+        self.replaced_count > 0
+    }
+
+    /// Records that the server itself has answered.
+    pub(crate) fn record_presence(&mut self) {
+        self.replaced_count = 0;
+        self.replaced_until = Time::ZERO;
+    }
+
+    /// Records a heartbeat in the server's entry.
+    pub(crate) fn record_heartbeat(&mut self, heartbeat: u64) {
+        if heartbeat > self.replaced_heartbeat.saturating_add(ServerStanding::LATE_HEARTBEATS) {
+            self.record_presence();
+        }
+    }
+
     /// Records that the server has asked for a pause. It doesn't shorten an earlier one.
     pub(crate) fn record_pause(&mut self, now: Time, pause: Duration) {
         self.paused_until = self.paused_until.max(now + pause.min(ServerStanding::MAX_PAUSE));
@@ -45,6 +95,7 @@
 
     /// Records that the server has answered without asking for a pause.
     pub(crate) fn record_answer(&mut self, now: Time) {
+        self.record_presence();
         if now >= self.paused_until {
             self.is_resuming = false;
         }
@@ -80,6 +131,8 @@
 pub enum ServerStatement {
     /// The server is about to stop and must get no new requests.
     Leaving,
+    /// Another server answers at its address, so that it has ended.
+    Replaced,
 }
 
 /// What a router has learned of a server, as it tells the other routers.
--- a/crates/router/src/service_pool.rs
+++ b/crates/router/src/service_pool.rs
@@ -6,6 +6,7 @@
 use bay_time::Time;
 use bay_types::{ServerName, Term};
 
+use crate::owner_rejections::OwnerRejections;
 use crate::sample_shares::SampleShares;
 use crate::{OwnerMap, ReassemblyBuffer, RetryBudget, ServiceSpec};
 
@@ -20,6 +21,8 @@
     pub retry_budget: RetryBudget,
     /// Owners of its keys; empty unless the service is keyed.
     pub owners: OwnerMap,
+    /// Ranges whose owners have refused requests for their keys.
+    pub(crate) rejections: OwnerRejections,
     /// Received parts of a newer owner map.
     pub(crate) owner_parts: ReassemblyBuffer<(Term, u64), OwnerMap>,
     /// Shares of the requests for overloaded keys to admit, and until when they hold.
@@ -55,6 +58,7 @@
             servers: BTreeSet::new(),
             retry_budget,
             owners: OwnerMap::default(),
+            rejections: OwnerRejections::default(),
             owner_parts: ReassemblyBuffer::default(),
             key_limits: (Vec::new(), Time::ZERO),
             owner_limits: (Vec::new(), Time::ZERO),
--- a/crates/router/tests/picking.rs
+++ b/crates/router/tests/picking.rs
@@ -6,8 +6,8 @@
 
 use bay_range::{KeyRange, OwnerId};
 use bay_router::{
-    AttemptResult, LoadReport, OwnerMap, RetryDecision, Router, RoutingDecision, ServerEntry,
-    ServerState,
+    AttemptResult, Counter, LoadReport, OwnerMap, RetryDecision, Router, RoutingDecision,
+    ServerEntry, ServerState,
 };
 use bay_types::{ErrorKind, Revision, Term};
 use support::{admit, at, entry, picked, router, server, service};
@@ -329,3 +329,43 @@
     }
     assert!(further == 0, "{further} further requests");
 }
+
+#[test]
+fn a_request_goes_at_most_once_to_an_owner_that_does_not_hold_its_key() {
+    let mut router = router(0, 0, 2);
+    assign(&mut router, 1, &[(0, 99, "k0"), (100, 65_535, "k1")]);
+    let mut request = admit(&mut router, at(0), "/keyed/x", Some(7));
+    let owner = picked(router.pick_server(at(0), &mut request));
+    router.record_sent(at(0), &owner, &mut request);
+    let result = AttemptResult::Misdirected;
+    let decision = router.handle_result(at(2), &mut request, &owner, result, Duration::ZERO);
+    assert_eq!(decision, RetryDecision::Retry);
+    // Half of the latency objective is 100 ms.
+    assert!(matches!(router.pick_server(at(2), &mut request), RoutingDecision::Wait(_)));
+    let mut other = admit(&mut router, at(3), "/keyed/x", Some(8));
+    assert!(matches!(router.pick_server(at(3), &mut other), RoutingDecision::Wait(_)));
+    let mut unaffected = admit(&mut router, at(3), "/keyed/x", Some(100));
+    picked(router.pick_server(at(3), &mut unaffected));
+    let refused = router.pick_server(at(101), &mut request);
+    assert!(matches!(refused, RoutingDecision::Refuse(ErrorKind::NoOwner, Some(_))));
+    assign(&mut router, 2, &[(0, 65_535, "k1")]);
+    assert_eq!(picked(router.pick_server(at(102), &mut request)).server, server("k1"));
+}
+
+#[test]
+fn waiting_for_an_owner_spends_nothing_of_the_retry_budget() {
+    let mut router = router(0, 0, 1);
+    assign(&mut router, 1, &[(0, 65_535, "k0")]);
+    for now in 0..200 {
+        let now = now * 500;
+        let mut request = admit(&mut router, at(now), "/keyed/x", Some(7));
+        let owner = picked(router.pick_server(at(now), &mut request));
+        router.record_sent(at(now), &owner, &mut request);
+        router.record_finished(&owner);
+        let result = AttemptResult::Misdirected;
+        router.handle_result(at(now), &mut request, &owner, result, Duration::ZERO);
+        assert!(matches!(router.pick_server(at(now), &mut request), RoutingDecision::Wait(_)));
+    }
+    assert!(!router.counts().contains_key(&Counter::RetryMisdirected));
+    assert!(!router.counts().contains_key(&Counter::RetryDenied));
+}
--- a/crates/router/tests/server_notices.rs
+++ b/crates/router/tests/server_notices.rs
@@ -161,3 +161,45 @@
     assert!(matches!(decide(&mut router, at(3_599_000)), RoutingDecision::Refuse(_, Some(_))));
     assert_eq!(picked(decide(&mut router, at(3_600_001))).server, server("a0"));
 }
+
+#[test]
+fn a_server_whose_address_another_one_has_is_tried_ever_more_seldom() {
+    let mut router = router(1, 0, 0);
+    let mut tries = Vec::new();
+    for now in 0..20_000 {
+        let mut request = admit(&mut router, at(now), "/pool/x", None);
+        if let RoutingDecision::Send(selected) = router.pick_server(at(now), &mut request) {
+            router.record_sent(at(now), &selected, &mut request);
+            router.record_finished(&selected);
+            let statement = ServerStatement::Replaced;
+            assert!(router.record_statement(at(now), selected.process(), statement));
+            tries.push(now);
+        }
+    }
+    assert_eq!(tries, [0, 1_000, 3_000, 7_000, 15_000]);
+}
+
+#[test]
+fn a_server_that_still_writes_its_entry_or_answers_was_not_replaced() {
+    let mut router = router(1, 0, 0);
+    let heartbeat = |heartbeat| Some(ServerEntry { heartbeat, ..entry("pool", "a", 0) });
+    say(&mut router, at(1), ServerStatement::Replaced);
+    router.apply_server(at(2), server("a0"), Revision(5), heartbeat(2));
+    assert!(is_refused(&decide(&mut router, at(3))), "it may have written that before its end");
+    router.apply_server(at(4), server("a0"), Revision(6), heartbeat(3));
+    assert_eq!(picked(decide(&mut router, at(5))).server, server("a0"));
+    say(&mut router, at(6), ServerStatement::Replaced);
+    router.record_presence(&process());
+    assert_eq!(picked(decide(&mut router, at(7))).server, server("a0"));
+}
+
+#[test]
+fn keys_are_not_assigned_to_a_server_that_may_be_replaced() {
+    let mut router = router(0, 0, 1);
+    let ServerEntry { started, address, .. } = entry("keyed", "a", 100);
+    let process = ServerProcess { server: server("k0"), started, address };
+    router.record_statement(at(0), process, ServerStatement::Replaced);
+    let eligible = |now| router.candidates(at(now), support::service("keyed"))[0].eligible;
+    assert!(!eligible(1));
+    assert!(!eligible(60_000), "nothing has shown that it runs");
+}
