Take no copy of an earlier refusal for the answer to the next request

A request that was running got 503, not run; a request ran at a second server. Cause: an answer without an identifier passed for the answer to the request in flight as long as its connection had seen none with one. And a retry at the owner of a key has the identifier of the earlier attempt, whose refusal may come again. Change: a connection is used again only after an answer that named its request, at the router and at the gate. A request without an identifier, and a retry of a request with a key that may run once, take a new connection.

--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -142,7 +142,7 @@
     id: &str,
     is_upload_done: bool,
 ) -> Result<TargetResponse, AttemptFailure> {
-    let (head, info) = read_head(shared, &mut pooled, request).await?;
+    let (head, mut info) = read_head(shared, &mut pooled, request).await?;
     let res = decode_response(head, &info).await.ok_or(AttemptFailure::BadAnswer)?;
     let echoed_id = res.header("bay-request").map(|values| values.as_str());
     let is_crossed = match echoed_id {
@@ -152,9 +152,9 @@
     if is_crossed {
         return Err(AttemptFailure::BadAnswer);
     }
-    if echoed_id.is_some() {
-        pooled.connection.set_requires_request_id();
-    }
+    pooled.connection.set_requires_request_id();
+    // A later copy of a response without an identifier could pass for that to the next request.
+    info.should_close |= echoed_id.is_none();
     let reader = BodyReader::new(info.framing);
     let held = shared.resources.buffer_gauge.track();
     let mut response =
--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -127,13 +127,13 @@
         }
     }
 
-    /// Records that a response on this connection without the identifier of its request cannot be the
-    /// right one: the peer has named an earlier request, or was sent one without an identifier.
+    /// Records that a further response on this connection without the identifier of its request may be
+    /// a copy of an earlier one.
     pub(crate) fn set_requires_request_id(&mut self) {
         self.requires_request_id = true;
     }
 
-    /// Returns whether a response without the identifier of its request is a late copy of an earlier
+    /// Returns whether a response without the identifier of its request may be a copy of an earlier
     /// one.
     pub(crate) fn requires_request_id(&self) -> bool {
         self.requires_request_id
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -131,18 +131,18 @@
         if info.is_interim() {
             continue;
         }
-        let matches_request = match (&answer.fields.id, &outgoing.head.fields.id) {
-            (Some(answered), Some(asked)) => answered == asked,
-            (None, Some(_)) => !pooled.connection.requires_request_id(),
-            _ => true,
+        // Servers without identifiers echo none, or an empty one.
+        let answered = answer.fields.id.as_deref().filter(|id| !id.is_empty());
+        let names_request = answered.is_some();
+        let matches_request = match answered {
+            Some(answered) => outgoing.head.fields.id.as_deref() == Some(answered),
+            None => !pooled.connection.requires_request_id(),
         };
         if !matches_request {
             log::info!(server:% = fields.server; "answer to another request dropped");
             continue;
         }
-        if answer.fields.id.is_some() {
-            pooled.connection.set_requires_request_id();
-        }
+        pooled.connection.set_requires_request_id();
         let is_unsigned = (200..300).contains(&answer.status) && !answer.fields.signed;
         if is_unsigned || info.has_content_encoding {
             return Err(ErrorKind::BadAnswer);
@@ -150,7 +150,8 @@
         pooled.set_keep_alive(info.keep_alive_seconds.map(Duration::from_secs));
         let stays_open = !info.should_close && info.framing != Framing::UntilClose;
         let has_no_leftover = rest.is_some() || pooled.connection.buffered().is_empty();
-        let is_reusable = is_sent && stays_open && has_no_leftover;
+        // A later copy of an answer without an identifier could pass for that to the next request.
+        let is_reusable = is_sent && stays_open && has_no_leftover && names_request;
         return Ok(ExchangeOutput { answer, rest, is_reusable });
     }
     Err(ErrorKind::BadAnswer)
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -251,7 +251,8 @@
     selected: &SelectedServer,
     caller: ReaderState,
 ) -> (Option<AttemptResult>, Option<ServerAnswer>) {
-    let mut pooled = match connect(shell, request, selected).await {
+    let has_id = outgoing.head.fields.id.as_deref().is_some_and(|id| !id.is_empty());
+    let mut pooled = match connect(shell, request, selected, has_id).await {
         Ok(pooled) => pooled,
         Err(ConnectError::AtLimit) => return (None, None),
         Err(ConnectError::Refused) => return (Some(AttemptResult::NotConnected), None),
@@ -312,10 +313,15 @@
     shell: &Rc<ShellState>,
     request: &RequestState,
     selected: &SelectedServer,
+    has_id: bool,
 ) -> Result<PooledConnection, ConnectError> {
     let process = selected.process();
     let max_idle = match request.route.is_idempotent() {
+        // Only the answer on a new connection is certain to be that to a request without an identifier.
+        _ if !has_id => Duration::ZERO,
         true => Duration::MAX,
+        // A late copy of the answer to an earlier attempt would name the request, too.
+        false if request.attempts > 0 && request.key.is_some() => Duration::ZERO,
         false => NON_IDEMPOTENT_REUSE_TIME,
     };
     let time_left = request.time_left(BootClock.now());
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -296,15 +296,19 @@
     RepeatsOrders,
 }
 
-/// Starts a server that sends what `answer` returns for each request, and returns its address.
+/// Starts a server that sends what `answer` returns for each request and its index on the connection,
+/// and returns its address. An empty answer closes the connection.
 pub fn start_scripted_server<F>(answer: F) -> SocketAddr
 where
-    F: Fn(&Request) -> String + Clone + Send + 'static,
+    F: Fn(&Request, usize) -> String + Clone + Send + 'static,
 {
     listen(move |stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
+        let mut index = 0;
         while let Some(request) = read_request(&mut reader) {
-            if (&mut &stream).write_all(answer(&request).as_bytes()).is_err() {
+            let text = answer(&request, index);
+            index += 1;
+            if text.is_empty() || (&mut &stream).write_all(text.as_bytes()).is_err() {
                 return;
             }
         }
--- a/crates/node/tests/server_notices.rs
+++ b/crates/node/tests/server_notices.rs
@@ -50,7 +50,7 @@
 fn a_server_that_says_it_leaves_gets_no_more_requests(service: &str, path: &str, has_other: bool) {
     let arrivals = Arc::new(AtomicUsize::new(0));
     let counter = Arc::clone(&arrivals);
-    let leaving = start_scripted_server(move |request| {
+    let leaving = start_scripted_server(move |request, _| {
         if is_order(request) {
             return acknowledge();
         }
@@ -84,7 +84,7 @@
     // Arrivals more than half a second after the server has asked and before the end of the pause.
     let early = Arc::new(AtomicUsize::new(0));
     let (shared, counter) = (Arc::clone(&asked_at), Arc::clone(&early));
-    let server = start_scripted_server(move |request| {
+    let server = start_scripted_server(move |request, _| {
         if is_order(request) {
             return acknowledge();
         }
@@ -139,7 +139,7 @@
     let is_replaced = Arc::new(AtomicBool::new(false));
     let misdirected: Arc<Mutex<Vec<String>>> = Arc::default();
     let (replaced, shared) = (Arc::clone(&is_replaced), Arc::clone(&misdirected));
-    let server = start_scripted_server(move |request| {
+    let server = start_scripted_server(move |request, _| {
         if replaced.load(Ordering::SeqCst) {
             if is_order(request) {
                 return format!(
--- a/crates/node/tests/whole_answers.rs
+++ b/crates/node/tests/whole_answers.rs
@@ -157,3 +157,28 @@
         assert_eq!(response.header("bay-error"), Some("bad-answer"), "{response:?}");
     });
 }
+
+/// Guards against a repeated response of one request that is taken for the response to the next one.
+#[test]
+fn a_connection_is_not_reused_after_a_response_that_names_no_request() {
+    let request = "POST /p HTTP/1.1\r\nhost: photos.example\r\n\r\n";
+    with_listener(short_timeout(), async |site, listener| {
+        let serve = async {
+            let mut streams = Vec::new();
+            loop {
+                let (mut stream, _) = listener.accept().await.unwrap();
+                // The head that the gate sends is longer than that of the caller.
+                stream.read_exact(&mut vec![0; request.len()]).await.unwrap();
+                let response = b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n";
+                stream.write_all(response).await.unwrap();
+                streams.push(stream);
+            }
+        };
+        let fetch = async {
+            for _ in 0..2 {
+                assert_eq!(site.fetch(request).await.status(), 200);
+            }
+        };
+        futures_lite::future::or(fetch, serve).await;
+    });
+}
