--- a/crates/router/src/server.rs
+++ b/crates/router/src/server.rs
@@ -280,7 +280,7 @@
             .load_sample
             .filter(|sample| now.since(sample.at) < Server::SAME_ANSWER_TIME)
             .map(|sample| sample.load);
-        let total = reported.map_or(0.0, |load| f64::from(load.running + load.waiting));
+        let total = reported.map_or(0.0, |load| f64::from(load.running) + f64::from(load.waiting));
         let slowdown = reported.map_or(1.0, |load| load.slowdown);
         (total.max(sent_occupancy + 1.0), slowdown)
     }
