Read a restored store by its eras

The store names its era in all answers (Store-Era), and no code read it. What callers would have seen: after a restoration from a copy, routers that kept sending to ended servers, did not see new ones, and took an evacuation back. Cause: a revision was taken to grow for ever. Entries with revisions given out again counted as outdated, and a zone that the copy did not name counted as taken back. Change: a revision is qualified by the era of the answer, so that it is above all earlier ones. A watch from another era lists again; a conditional write from another era is not sent, the object is read instead; a late answer of an earlier era, and a write that met a restoration on its way, count as unknown. An entry of the copy does not go before what is known of its server, a server that the copy lacks has two seconds to write again, a zone stays out for 5 s unless the operator decides otherwise. Mixed fleets: a granter of an earlier build sends revisions without eras, which are qualified on arrival; an earlier build that follows a new granter and then reads a store with eras itself ignores entries until a new granter sends them.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -46,6 +46,7 @@
 mod server_updates;
 mod shell_state;
 mod store_client;
+mod store_era;
 mod stream_record;
 mod stream_source;
 mod transfer;
--- a/crates/node/src/router_shell/feeds.rs
+++ b/crates/node/src/router_shell/feeds.rs
@@ -217,6 +217,7 @@
                 Ok((objects, revision)) => {
                     has_listed = true;
                     record_store_recovery(&shell, was_lost);
+                    documents.record_restorations(shell.store.restorations());
                     documents.replace_all(&shell, feed, objects, revision);
                     last_revision = Some(revision);
                     Ok(!list_is_stale)
@@ -240,7 +241,7 @@
                         if body.compacted {
                             log::info!(feed:? = feed; "store history compacted; listing again");
                             last_revision = None;
-                            allow_stale = !listed_stale;
+                            allow_stale = !listed_stale && !documents.is_restored(&shell);
                             Ok(false)
                         } else {
                             allow_stale = true;
@@ -257,6 +258,7 @@
                 }
             }
         };
+        documents.expire_kept_zones(&shell, feed);
         let is_current = match result {
             Ok(is_current) => is_current,
             Err(failure) => {
--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -1,20 +1,32 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::rc::Rc;
+use std::time::Duration;
 
 use bay_router::{DirectoryChange, HostRecord, ServerEntry};
 use bay_store::{Change, Object, ObjectKey};
-use bay_time::{BootClock, Clock};
+use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServerName, ZoneName};
 
 use super::Feed;
 use crate::router_shell::shell_state::ShellState;
 use crate::router_shell::{config_updates, hosts, server_updates};
 
+/// Time after a restoration of the store for which a zone that was out before stays out, unless the
+/// operator decides otherwise.
+const KEPT_ZONE_TIME: Duration = Duration::from_secs(5);
+
 /// Zones out of service and registered routers as read by a feed. Their changes arrive one by one,
 /// but the router is given full sets.
 #[derive(Debug, Default)]
 pub(super) struct FeedDocuments {
     zones: BTreeSet<ZoneName>,
+    /// Zones that were out before the store was restored from a copy without them, and until when they
+    /// stay out unless they are written again.
+    kept_zones: BTreeMap<ZoneName, Time>,
+    /// Number of restorations of the store up to the last list.
+    restorations: u64,
+    /// Whether the last list was the first one after a restoration.
+    follows_restoration: bool,
     hosts: BTreeMap<HostName, HostRecord>,
     /// Configurations in the store that cannot be used; what they change is not known here.
     unusable_configs: BTreeSet<ObjectKey>,
@@ -50,8 +62,14 @@
                 server_updates::publish_changes(shell, &changes);
             }
             Feed::Zones => {
-                self.zones =
+                let listed: BTreeSet<ZoneName> =
                     objects.iter().filter_map(|object| zone_from_key(&object.key)).collect();
+                if self.follows_restoration {
+                    let until = BootClock.now() + KEPT_ZONE_TIME;
+                    let missing = self.zones.difference(&listed);
+                    self.kept_zones.extend(missing.map(|zone| (*zone, until)));
+                }
+                self.zones = listed;
                 self.apply_zones(shell);
             }
             Feed::Hosts => {
@@ -83,6 +101,7 @@
                 Feed::Servers => servers.extend(apply_server_change(shell, &change)),
                 Feed::Zones => {
                     if let Some(zone) = zone_from_key(&change.key) {
+                        self.kept_zones.remove(&zone);
                         match change.body {
                             Some(_) => self.zones.insert(zone),
                             None => self.zones.remove(&zone),
@@ -132,9 +151,31 @@
         }
     }
 
+    /// Records how often the store was restored up to a list that has just arrived.
+    pub(super) fn record_restorations(&mut self, restorations: u64) {
+        self.follows_restoration = restorations > self.restorations;
+        self.restorations = restorations;
+    }
+
+    /// Returns whether the store was restored since the last list.
+    pub(super) fn is_restored(&self, shell: &ShellState) -> bool {
+        shell.store.restorations() > self.restorations
+    }
+
+    /// Takes zones back that were not written again after a restoration of the store.
+    pub(super) fn expire_kept_zones(&mut self, shell: &ShellState, feed: Feed) {
+        let before = self.kept_zones.len();
+        let now = BootClock.now();
+        self.kept_zones.retain(|_, until| now < *until);
+        if feed == Feed::Zones && self.kept_zones.len() < before {
+            self.apply_zones(shell);
+        }
+    }
+
     fn apply_zones(&self, shell: &ShellState) {
-        log::info!(zones:? = self.zones; "zones out");
-        let zones = self.zones.clone();
+        let zones: BTreeSet<ZoneName> =
+            self.zones.iter().chain(self.kept_zones.keys()).copied().collect();
+        log::info!(zones:? = zones; "zones out");
         shell.router.borrow_mut().set_zones_out(BootClock.now(), zones);
     }
 
--- a/crates/node/src/router_shell/server_updates.rs
+++ b/crates/node/src/router_shell/server_updates.rs
@@ -5,7 +5,7 @@
     DirectoryChange, FeedState, PeerMessage, ServerEntry, ServerUpdate, UpdateOutcome,
 };
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{Revision, ServerName, Term};
+use bay_types::{Revision, ServerName, StoreEra, Term};
 
 use super::feeds;
 use super::granter::{self, Document};
@@ -93,12 +93,19 @@
 }
 
 /// Applies the granter's update of servers, or requests the full list after a gap.
-pub(crate) fn handle_update(shell: &Rc<ShellState>, from: SocketAddr, update: ServerUpdate) {
+pub(crate) fn handle_update(shell: &Rc<ShellState>, from: SocketAddr, mut update: ServerUpdate) {
     if granter::granter_term(shell).is_some() {
         return;
     }
     let term: Term = update.term;
     let now = BootClock.now();
+    // An earlier build sends revisions as the store numbers them.
+    let era = shell.store.era();
+    for (_, revision, _) in &mut update.servers {
+        if revision.era() == StoreEra::default() {
+            *revision = revision.in_era(era);
+        }
+    }
     let result = shell.granter_feed.borrow_mut().apply_update(update);
     match result {
         UpdateOutcome::Unchanged => {}
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -6,12 +6,13 @@
 
 use async_io::Timer;
 use bay_router::{HttpCall, ObjectPage, RouterWire, StoreHealth};
-use bay_store::{Object, StoreError, StoreRequest, StoreResult};
+use bay_store::{ChangesBody, Object, StoreError, StoreReply, StoreRequest, StoreResult};
 use bay_time::{BootClock, Clock, Time};
-use bay_types::Revision;
+use bay_types::{Revision, StoreEra};
 use futures_lite::future;
 
 use super::http_client::{CallAnswer, send_call};
+use super::store_era::{self, LocalRequest};
 use crate::http1::connection::{Connection, ConnectionResources};
 
 /// Timeout for a connection to the store.
@@ -37,6 +38,11 @@
     is_granter: Cell<bool>,
     /// When the store last answered again after it was lost.
     recovered_at: Cell<Option<Time>>,
+    /// Era of the store, and whether an answer has told it.
+    era: Cell<StoreEra>,
+    has_era: Cell<bool>,
+    /// Number of restorations since the start of the process.
+    restorations: Cell<u64>,
 }
 
 impl StoreClient {
@@ -54,6 +60,9 @@
             health: RefCell::default(),
             is_granter: Cell::new(false),
             recovered_at: Cell::new(None),
+            era: Cell::default(),
+            has_era: Cell::new(false),
+            restorations: Cell::new(0),
         }
     }
 
@@ -66,8 +75,56 @@
             StoreRequest::Watch { wait, .. } => *wait + WATCH_MARGIN,
             _ => CALL_TIMEOUT,
         };
+        let era = self.era.get();
+        match store_era::localize(request, era) {
+            LocalRequest::Send(local) => self.send(&local, era, timeout).await,
+            LocalRequest::ListAgain => Ok(list_again()),
+            LocalRequest::ReadInstead(read) => match self.send(&read, era, timeout).await? {
+                StoreReply::Object(found) => Ok(StoreReply::Conflict(found)),
+                _ => Err(StoreError::Unknown),
+            },
+        }
+    }
+
+    /// Sends a request with revisions of an era. If the store was restored meanwhile, a watch has missed
+    /// changes, and a conditional write may have matched another object by accident.
+    async fn send(&self, request: &StoreRequest, era: StoreEra, timeout: Duration) -> StoreResult {
         let answer = self.send_with_timeout(&self.wire.store_call(request), timeout).await?;
-        self.record_outcome(self.wire.parse_store_answer(request, answer.status, &answer.body))
+        let answer_era = self.record_era(&answer)?;
+        let reply = self.wire.parse_store_answer(request, answer.status, &answer.body);
+        let reply = self.record_outcome(reply)?;
+        match request {
+            _ if answer_era == era => {}
+            StoreRequest::Watch { .. } => return Ok(list_again()),
+            StoreRequest::Put { .. } | StoreRequest::Delete { .. } => {
+                return Err(StoreError::Unknown);
+            }
+            StoreRequest::Get { .. } | StoreRequest::List { .. } | StoreRequest::Hosts => {}
+        }
+        Ok(store_era::qualify(reply, answer_era))
+    }
+
+    /// Records the era of an answer and returns it.
+    ///
+    /// # Errors
+    /// Returns `Unknown` for a late answer of an earlier era.
+    fn record_era(&self, answer: &CallAnswer) -> Result<StoreEra, StoreError> {
+        let known = self.era.get();
+        // Only the answers of a store that can be restored have an era.
+        let era = answer.fields.store_era.unwrap_or(known);
+        if era < known {
+            return Err(StoreError::Unknown);
+        }
+        if era > known {
+            // The first answer to a process tells the era that it starts in.
+            if self.has_era.get() {
+                log::warn!(store:% = self.address, era = era.0; "store restored from an older copy");
+                self.restorations.set(self.restorations.get() + 1);
+            }
+            self.era.set(era);
+        }
+        self.has_era.set(true);
+        Ok(era)
     }
 
     /// Reads all objects with a prefix page by page, and the revision from which to watch them. A
@@ -83,15 +140,22 @@
         let mut objects = Vec::new();
         let mut after: Option<String> = None;
         let mut revision = None;
+        let mut list_era = None;
         loop {
             let call = self.wire.list_call(prefix, after.as_deref(), allow_stale);
             let answer = self.send_with_timeout(&call, CALL_TIMEOUT).await?;
+            let era = self.record_era(&answer)?;
+            if *list_era.get_or_insert(era) != era {
+                return Err(StoreError::Unknown);
+            }
             let page = self.wire.parse_page(prefix, answer.status, &answer.body);
             let ObjectPage { objects: page_objects, next, revision: page_revision } =
                 self.record_outcome(page)?;
-            objects.extend(page_objects);
+            let qualified =
+                |object: Object| Object { revision: object.revision.in_era(era), ..object };
+            objects.extend(page_objects.into_iter().map(qualified));
             // A watch from the first page's revision covers changes between the pages.
-            let from = *revision.get_or_insert(page_revision);
+            let from = *revision.get_or_insert(page_revision.in_era(era));
             match next {
                 Some(name) => after = Some(name),
                 None => return Ok((objects, from)),
@@ -99,6 +163,16 @@
         }
     }
 
+    /// Returns the era of the store in its last answers.
+    pub(crate) fn era(&self) -> StoreEra {
+        self.era.get()
+    }
+
+    /// Returns how often this process has seen the store restored from an older copy.
+    pub(crate) fn restorations(&self) -> u64 {
+        self.restorations.get()
+    }
+
     /// Returns whether the store counts as lost.
     pub(crate) fn is_lost(&self) -> bool {
         self.health.borrow().is_lost()
@@ -190,3 +264,9 @@
         result
     }
 }
+
+/// Returns the reply to a watch from a revision that the store does not have.
+fn list_again() -> StoreReply {
+    let body = ChangesBody { revision: Revision(0), compacted: true, changes: Vec::new() };
+    StoreReply::Changes(body)
+}
--- a/crates/node/tests/odd_entries.rs
+++ b/crates/node/tests/odd_entries.rs
@@ -2,12 +2,9 @@
 
 mod platform;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
-
 use platform::{
     DEEPLY_NESTED, FakeStore, HUGE_NUMBER, NO_TEXT, RunningRouter, ServerBehavior, config,
-    request_status, server_entry, start_router, start_server,
+    request_body, request_status, server_entry, start_router, start_server,
 };
 use serde_json::{Value, json};
 use test_case::test_case;
@@ -58,13 +55,7 @@
 
 /// Returns the name of the server that serves a request; empty if none does.
 fn answering_server(router: &RunningRouter) -> String {
-    let mut stream = TcpStream::connect(router.listen).unwrap();
-    let request =
-        b"GET /read/x HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nConnection: close\r\n\r\n";
-    stream.write_all(request).unwrap();
-    let mut answer = String::new();
-    stream.read_to_string(&mut answer).unwrap();
-    let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+    let (status, body) = request_body(router.listen, "/read/x");
     let name = body.split(' ').next().unwrap_or_default();
-    if answer.starts_with("HTTP/1.1 200") { name.to_owned() } else { String::new() }
+    if status == 200 { name.to_owned() } else { String::new() }
 }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -79,6 +79,16 @@
     events: Vec<(u64, String, Option<Value>)>,
     /// Number of lists so far, by kind of object.
     lists: BTreeMap<String, usize>,
+    /// Number of restorations from a copy.
+    restorations: u64,
+    /// Revision from which the watch history goes back no further.
+    history_from: u64,
+}
+
+/// A copy of the store's objects.
+pub struct StoreCopy {
+    revision: u64,
+    objects: BTreeMap<String, (u64, Value)>,
 }
 
 impl FakeStore {
@@ -105,12 +115,37 @@
         revision
     }
 
+    /// Copies all objects.
+    pub fn copy(&self) -> StoreCopy {
+        let state = self.state.0.lock().unwrap();
+        StoreCopy { revision: state.revision, objects: state.objects.clone() }
+    }
+
+    /// Puts the store back to a copy. Revisions since are given out again.
+    pub fn restore(&self, copy: &StoreCopy) {
+        let (state, changed) = &*self.state;
+        let mut state = state.lock().unwrap();
+        state.revision = copy.revision;
+        state.objects = copy.objects.clone();
+        state.events.clear();
+        state.history_from = copy.revision;
+        state.restorations += 1;
+        changed.notify_all();
+    }
+
+    /// Returns the header that tells the store's era.
+    fn era_header(&self) -> String {
+        format!("Store-Era: {}\r\n", self.state.0.lock().unwrap().restorations + 3)
+    }
+
     fn serve(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_request(&mut reader) {
             let (status, body) = self.handle_request(&request);
             let body = with_unreadable_parts(&body.to_string());
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            let era = self.era_header();
+            let length = body.len();
+            let head = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {length}\r\n\r\n");
             let text = [head.into_bytes(), body].concat();
             if (&mut &*stream).write_all(&text).is_err() {
                 return;
@@ -173,9 +208,15 @@
         };
         let state = state.lock().unwrap();
         let wait = Duration::from_millis(wait_ms);
+        let is_gone = |state: &StoreState| since > state.revision || since < state.history_from;
         let (state, _) = changed
-            .wait_timeout_while(state, wait, |state| !state.events.iter().any(|e| is_newer(&e)))
+            .wait_timeout_while(state, wait, |state| {
+                !is_gone(state) && !state.events.iter().any(|e| is_newer(&e))
+            })
             .unwrap();
+        if is_gone(&state) {
+            return (410, Value::Null);
+        }
         let events: Vec<Value> = state
             .events
             .iter()
@@ -302,6 +343,21 @@
     request_head(address, method, path)[0].split(' ').nth(1).unwrap().parse().unwrap()
 }
 
+/// Sends a GET request with the identifier `q` and the key 77; returns the status and the body.
+pub fn request_body(address: SocketAddr, path: &str) -> (u16, String) {
+    let mut stream = TcpStream::connect(address).unwrap();
+    let request = format!(
+        "GET {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nShard-Key: 77\r\n\
+         Connection: close\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).unwrap();
+    let (head, body) = answer.split_once("\r\n\r\n").unwrap_or((&answer, ""));
+    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+    (status, body.to_owned())
+}
+
 /// How a server responds to requests.
 #[derive(Clone, Copy, PartialEq, Eq)]
 pub enum ServerBehavior {
--- a/crates/node/tests/platform/store_front.rs
+++ b/crates/node/tests/platform/store_front.rs
@@ -56,7 +56,8 @@
                 return;
             }
             let body = body.to_string();
-            let head = format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n\r\n", body.len());
+            let (era, length) = (self.store.era_header(), body.len());
+            let head = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {length}\r\n\r\n");
             if (&mut &*stream).write_all((head + &body).as_bytes()).is_err() {
                 return;
             }
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -21,6 +21,9 @@
     loaded: bool,
     /// Revisions at which servers were removed; an older entry doesn't restore a server.
     removed: BTreeMap<ServerName, Revision>,
+    /// Revision of the first list after the store was restored from a copy. Entries up to it may be
+    /// older than those known.
+    copied_until: Revision,
     /// The latest revision of the store up to which changes were applied.
     latest: Revision,
     /// Name and start time of servers that have ended since the last [`Directory::drain_ended`].
@@ -79,6 +82,9 @@
         let Some(entry) = entry else {
             return self.remove(now, name, revision);
         };
+        if self.is_outdated_copy(name, revision, &entry) {
+            return DirectoryChange::None;
+        }
         match self.servers.get_mut(&name) {
             Some(registered) if revision <= registered.revision => DirectoryChange::None,
             Some(registered) if is_same_incarnation(&registered.server.entry, &entry) => {
@@ -121,6 +127,11 @@
         revision: Revision,
         entries: Vec<(ServerName, Revision, ServerEntry)>,
     ) -> Vec<(ServerName, DirectoryChange)> {
+        if self.loaded && revision.era() > self.latest.era() {
+            self.copied_until = revision;
+            // Servers write entries again that the copy lacks.
+            self.handle_store_recovery(now);
+        }
         let listed: BTreeSet<ServerName> = entries.iter().map(|(name, _, _)| *name).collect();
         let missing: Vec<ServerName> =
             self.servers.keys().filter(|name| !listed.contains(name)).copied().collect();
@@ -137,6 +148,22 @@
         changes
     }
 
+    /// Returns whether an entry is that of a copy from which the store was restored, and older than what
+    /// is known of the server. A server that runs soon writes its entry again.
+    fn is_outdated_copy(&self, name: ServerName, revision: Revision, entry: &ServerEntry) -> bool {
+        if revision > self.copied_until || revision.era() != self.copied_until.era() {
+            return false;
+        }
+        match self.servers.get(&name) {
+            Some(registered) if registered.revision.era() < revision.era() => {
+                let known = &registered.server.entry;
+                !is_same_incarnation(known, entry) || entry.heartbeat < known.heartbeat
+            }
+            Some(_) => false,
+            None => self.removed.get(&name).is_some_and(|at| at.era() < revision.era()),
+        }
+    }
+
     /// Removes a server; during the grace period, a ready one is removed only at its end.
     fn remove(&mut self, now: Time, name: ServerName, revision: Revision) -> DirectoryChange {
         let Some(registered) = self.servers.get_mut(&name) else {
--- a/crates/router/src/header_fields.rs
+++ b/crates/router/src/header_fields.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bay_account::ApiKey;
-use bay_types::{AccountName, ServerName};
+use bay_types::{AccountName, ServerName, StoreEra};
 
 use crate::LoadReport;
 
@@ -37,6 +37,8 @@
     pub retry_after: Option<Duration>,
     /// Remaining warm-up time of the server.
     pub warm_up_left: Option<Duration>,
+    /// Era of the store, in its answers.
+    pub store_era: Option<StoreEra>,
     /// Handover value that the former owner of keys passes to the next owner.
     pub handover: Option<String>,
 }
--- a/crates/router/tests/directory.rs
+++ b/crates/router/tests/directory.rs
@@ -5,8 +5,8 @@
 use std::collections::BTreeSet;
 use std::time::Duration;
 
-use bay_router::{Directory, DirectoryChange, ServerState};
-use bay_types::Revision;
+use bay_router::{Directory, DirectoryChange, ServerEntry, ServerState};
+use bay_types::{Revision, StoreEra};
 use support::{at, entry, server, zone};
 
 /// A directory with the server `s` at revision 5.
@@ -107,3 +107,68 @@
     let change = directory.apply(at(2), server("s"), Revision(10), Some(entry("p", "a", 1)));
     assert_eq!(change, DirectoryChange::Started);
 }
+
+/// A revision as the store numbers it, after this many restorations.
+fn revision(era: u32, own: u64) -> Revision {
+    Revision(own).in_era(StoreEra(era))
+}
+
+/// A directory that has applied the entry with heartbeat 9 of the server `s`, and its removal if
+/// `is_removed`, before a restoration of the store.
+fn directory_before_restoration(is_removed: bool) -> Directory {
+    let mut directory = Directory::default();
+    let listed =
+        (server("s"), revision(1, 7), ServerEntry { heartbeat: 9, ..entry("pool", "a", 1) });
+    directory.replace(at(0), revision(1, 7), vec![listed]);
+    if is_removed {
+        directory.apply(at(1), server("s"), revision(1, 8), None);
+    }
+    directory
+}
+
+#[test]
+fn a_copy_of_the_store_does_not_bring_a_removed_server_back_but_the_server_does() {
+    let mut directory = directory_before_restoration(true);
+    let copied = ServerEntry { heartbeat: 8, ..entry("pool", "a", 1) };
+    let list = vec![(server("s"), revision(2, 3), copied)];
+    assert_eq!(directory.replace(at(2), revision(2, 5), list), []);
+    assert!(directory.get(server("s")).is_none());
+    let written = ServerEntry { heartbeat: 10, ..entry("pool", "a", 1) };
+    let change = directory.apply(at(3), server("s"), revision(2, 6), Some(written));
+    assert_eq!(change, DirectoryChange::Started);
+}
+
+#[test]
+fn a_copy_of_the_store_does_not_make_a_draining_server_ready() {
+    let mut directory = directory_before_restoration(false);
+    let draining =
+        ServerEntry { heartbeat: 10, state: ServerState::Draining, ..entry("pool", "a", 1) };
+    directory.apply(at(1), server("s"), revision(1, 9), Some(draining));
+    let copied = ServerEntry { heartbeat: 9, ..entry("pool", "a", 1) };
+    let list = vec![(server("s"), revision(2, 7), copied)];
+    assert_eq!(directory.replace(at(2), revision(2, 7), list), []);
+    assert!(!directory.get(server("s")).unwrap().is_ready());
+}
+
+#[test]
+fn a_server_that_a_copy_of_the_store_lacks_has_two_seconds_to_write_its_entry_again() {
+    let mut directory = directory_before_restoration(false);
+    assert_eq!(directory.replace(at(2), revision(2, 5), Vec::new()), []);
+    let is_known = |directory: &Directory, now| {
+        let server_s = directory.get(server("s"));
+        server_s.is_some_and(|listed| directory.is_eligible(at(now), server("s"), listed))
+    };
+    assert!(is_known(&directory, 2_000));
+    assert!(!is_known(&directory, 2_003));
+    let written = ServerEntry { heartbeat: 11, ..entry("pool", "a", 1) };
+    directory.apply(at(1_000), server("s"), revision(2, 6), Some(written));
+    assert!(is_known(&directory, 9_000));
+}
+
+#[test]
+fn a_revision_of_a_later_era_is_above_all_earlier_ones() {
+    assert!(revision(2, 1) > revision(1, 1 << 39));
+    assert_eq!(revision(3, 77).own(), Revision(77));
+    assert_eq!(revision(3, 77).in_era(StoreEra(5)), revision(5, 77));
+    assert_eq!(revision(0, 77), Revision(77));
+}
--- a/crates/types/src/lib.rs
+++ b/crates/types/src/lib.rs
@@ -16,4 +16,4 @@
 pub use node::{Incarnation, NodeId};
 pub use outcome::Outcome;
 pub use slice::{SliceId, SliceLayout};
-pub use version::{Revision, Term, Token};
+pub use version::{Revision, StoreEra, Term, Token};
