Keep owners and terms apart when the store is restored

What callers would have seen: the granter lost its role, its successor started from the copy's range table and granted keys that servers held by orders of the lost seconds (OWNER), or used a term once more. Change: a granter that finds no record, or one of an earlier term, writes its own again under the same term, and saves its tables again while it goes on renewing. A new term is above all that the store's earlier eras can have had. A table names the era in which it was written; a new granter that finds one of an earlier era waits until all holds that it cannot know of have expired (12 s of unconfirmed renewals and the longest hold). Partial: no exhaustive search, and the soak's store is not restored. A table of an earlier build names no era and is trusted.

--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -91,6 +91,8 @@
     spread: f64,
     /// Last recovery of the store of which the election was told.
     store_recovered_at: Option<Time>,
+    /// Restorations of the store of which the granter knows.
+    seen_restorations: u64,
     /// Empty unless this process is the granter and capacities are learned.
     capacities: CapacityTable,
 }
@@ -104,6 +106,10 @@
     revision: Option<Revision>,
     /// Whether a read of the table is in flight.
     is_loading: bool,
+    /// When the table is loaded, if servers that it does not name may hold keys until then.
+    load_at: Option<Time>,
+    /// Whether the store had a table of this granter in this term.
+    has_saved: bool,
     /// Whether the store has answered a read of the table, even with an invalid one.
     has_answer: bool,
     key_loads: KeyLoads,
@@ -142,6 +148,7 @@
             publish_plan: PublishPlan::new(now, settings.link_mbps),
             spread,
             store_recovered_at: None,
+            seen_restorations: 0,
             capacities: CapacityTable::default(),
         }
     }
@@ -269,7 +276,8 @@
         {
             let role = &mut *shell.granter_role.borrow_mut();
             let keyed = role.services.entry(service).or_insert_with(KeyedService::new);
-            if keyed.granter.is_none() && !keyed.is_loading {
+            let is_load_due = keyed.load_at.is_none_or(|at| now >= at);
+            if keyed.granter.is_none() && !keyed.is_loading && is_load_due {
                 keyed.is_loading = true;
                 shell.spawn(load_table(Rc::clone(shell), service, term));
             }
@@ -316,6 +324,8 @@
             granter: None,
             revision: None,
             is_loading: false,
+            load_at: None,
+            has_saved: false,
             has_answer: false,
             key_loads: KeyLoads::default(),
             service_times: MeanServiceTimes::default(),
--- a/crates/node/src/router_shell/granter/fitness.rs
+++ b/crates/node/src/router_shell/granter/fitness.rs
@@ -1,14 +1,22 @@
-use bay_range::Fitness;
+use bay_range::{Fitness, Granter};
 use bay_time::Time;
 
 use super::ShellState;
 use crate::router_shell::shell_state::Phase;
 
 /// Tells the election what this router knows about itself, and that the store answers again after an
-/// outage.
+/// outage or was restored from a copy.
 pub(super) fn update_fitness(shell: &ShellState, now: Time) {
     let recovered_at = shell.store.recovered_at();
     let role = &mut *shell.granter_role.borrow_mut();
+    role.leadership.record_store_era(shell.store.era());
+    let restorations = shell.store.restorations();
+    if std::mem::replace(&mut role.seen_restorations, restorations) != restorations {
+        // The record and the tables are written again.
+        role.leadership.record_store_recovery(now);
+        let granters = role.services.values_mut().filter_map(|keyed| keyed.granter.as_mut());
+        granters.for_each(Granter::record_store_restored);
+    }
     if std::mem::replace(&mut role.store_recovered_at, recovered_at) != recovered_at {
         role.leadership.record_store_recovery(now);
     }
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -6,10 +6,10 @@
 use bay_range::{GrantOrder, Granter, GranterAction, HoldTimes, OrderId, OwnerId, RangeTable};
 use bay_router::{OwnerMap, PeerMessage, object_key};
 use bay_store::{Precondition, StoreReply, StoreRequest};
-use bay_time::{BootClock, Clock};
-use bay_types::{Revision, ServiceName, Term};
+use bay_time::{BootClock, Clock, Time};
+use bay_types::{Revision, ServiceName, StoreEra, Term};
 
-use super::{ShellState, fan_out, orders};
+use super::{KeyedService, ShellState, fan_out, orders};
 
 /// Maximum number of changed ranges in one datagram, at 27 bytes for each range with an owner.
 const MAX_CHANGES: usize = 1_500;
@@ -52,6 +52,11 @@
         role.services.clear();
         return;
     }
+    if awaits_unknown_holds(keyed, now, &table, shell.store.told_era(), &times) {
+        log::warn!(service:% = service, term = term.0;
+            "range table is older than the store's restoration; waiting for unknown holds to expire");
+        return;
+    }
     log::info!(
         service:% = service,
         term = term.0,
@@ -82,6 +87,22 @@
     keyed.granter = Some(granter);
 }
 
+/// Returns whether keys may be held by servers that a table does not name, because the store was
+/// restored after it was written. Then the table is loaded again once all such holds have expired.
+///
+/// A granter of which nothing is left in the store may have moved keys and renewed their holds.
+fn awaits_unknown_holds(
+    keyed: &mut KeyedService,
+    now: Time,
+    table: &RangeTable,
+    store_era: Option<StoreEra>,
+    times: &HoldTimes,
+) -> bool {
+    let is_outdated = table.store_era.is_some() && table.store_era < store_era;
+    let wait = Granter::MAX_UNCONFIRMED_RENEWAL + times.max_after_decision();
+    is_outdated && now < *keyed.load_at.get_or_insert(now + wait)
+}
+
 /// Starts the actions of a service's granter: table writes, orders to servers, publications.
 ///
 /// Grants to one server are sent one after the other, so that they share a connection. A release waits
@@ -174,14 +195,21 @@
 
 /// Writes a service's range table with a compare-and-set on its last known revision, and reports
 /// the result to the granter.
-async fn save_table(shell: Rc<ShellState>, service: ServiceName, term: Term, table: RangeTable) {
+async fn save_table(
+    shell: Rc<ShellState>,
+    service: ServiceName,
+    term: Term,
+    mut table: RangeTable,
+) {
     let Some(key) = object_key::ranges(service) else {
         return;
     };
-    let revision = {
+    let (revision, has_saved) = {
         let role = shell.granter_role.borrow();
-        role.services.get(&service).and_then(|keyed| keyed.revision)
+        let keyed = role.services.get(&service);
+        keyed.map_or((None, false), |keyed| (keyed.revision, keyed.has_saved))
     };
+    table.store_era = shell.store.told_era();
     let precondition = revision.map_or(Precondition::Absent, Precondition::Revision);
     // Serialization of a table cannot fail.
     let body = serde_json::to_string(&table).unwrap_or_default();
@@ -195,9 +223,12 @@
                 // This table was written before, but the reply was lost.
                 Some(version) if version == table.version() => Saved::At(object.revision),
                 Some((stored, _)) if stored == term => Saved::Earlier(object.revision),
+                // The store was restored from a copy that is older than this granter's first table.
+                Some((stored, _)) if stored < term && has_saved => Saved::Earlier(object.revision),
                 _ => Saved::Overtaken,
             }
         }
+        Ok(StoreReply::Conflict(None)) if has_saved => Saved::Gone,
         Ok(StoreReply::Conflict(None)) => Saved::Overtaken,
         _ => Saved::Unknown,
     };
@@ -210,7 +241,12 @@
             && let Some(keyed) = role.services.get_mut(&service)
         {
             match saved {
-                Saved::At(revision) | Saved::Earlier(revision) => keyed.revision = Some(revision),
+                Saved::At(revision) => {
+                    keyed.revision = Some(revision);
+                    keyed.has_saved = true;
+                }
+                Saved::Earlier(revision) => keyed.revision = Some(revision),
+                Saved::Gone => keyed.revision = None,
                 // An earlier granter wrote after this one had read the table. The next step reads
                 // it again.
                 Saved::Overtaken => keyed.granter = None,
@@ -220,7 +256,9 @@
     }
     update_granter(&shell, service, term, |granter, out| match saved {
         Saved::At(_) => granter.record_save(now, change, out),
-        Saved::Earlier(_) | Saved::Overtaken | Saved::Unknown => granter.record_save_failure(),
+        Saved::Earlier(_) | Saved::Gone | Saved::Overtaken | Saved::Unknown => {
+            granter.record_save_failure();
+        }
     });
 }
 
@@ -229,8 +267,11 @@
 enum Saved {
     /// The table is in the store.
     At(Revision),
-    /// The store has another table of this term, from a write whose reply was lost.
+    /// The store has another table of this term, from a write whose reply was lost, or one from before
+    /// its restoration.
     Earlier(Revision),
+    /// The store has lost the table.
+    Gone,
     /// The store has no table or one of another term.
     Overtaken,
     /// The write may have taken effect.
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -96,10 +96,12 @@
         match request {
             _ if answer_era == era => {}
             StoreRequest::Watch { .. } => return Ok(list_again()),
-            StoreRequest::Put { .. } | StoreRequest::Delete { .. } => {
+            StoreRequest::Put { .. } | StoreRequest::Delete { .. }
+                if matches!(reply, StoreReply::Written(_)) =>
+            {
                 return Err(StoreError::Unknown);
             }
-            StoreRequest::Get { .. } | StoreRequest::List { .. } | StoreRequest::Hosts => {}
+            _ => {}
         }
         Ok(store_era::qualify(reply, answer_era))
     }
@@ -168,6 +170,11 @@
         self.era.get()
     }
 
+    /// Returns the era of the store, if it tells one.
+    pub(crate) fn told_era(&self) -> Option<StoreEra> {
+        (self.era.get() > StoreEra::default()).then(|| self.era.get())
+    }
+
     /// Returns how often this process has seen the store restored from an older copy.
     pub(crate) fn restorations(&self) -> u64 {
         self.restorations.get()
--- a/crates/node/tests/restored_store.rs
+++ b/crates/node/tests/restored_store.rs
@@ -6,9 +6,12 @@
 use std::thread;
 use std::time::Duration;
 
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
 use platform::{
-    FakeStore, RunningRouter, ServerBehavior, config, request_body, request_status, server_entry,
-    start_router, start_server,
+    FakeStore, RunningRouter, ServerBehavior, answer_to, config, request_body, request_status,
+    server_entry, start_router, start_scripted_server, start_server,
 };
 use serde_json::Value;
 
@@ -93,3 +96,82 @@
     store.write("evacuations/a", None);
     routers.iter().for_each(|router| wait_for_server(router, "i-1"));
 }
+
+/// Starts a server of keys that counts the grants and names itself in answers; returns its address.
+fn start_owner(id: &'static str, grants: &Arc<AtomicUsize>) -> std::net::SocketAddr {
+    let grants = Arc::clone(grants);
+    start_scripted_server(move |request, _| {
+        if request.request_line.contains("/api/grant") {
+            grants.fetch_add(1, Ordering::SeqCst);
+        }
+        if request.request_line.contains("/api/") {
+            return "HTTP/1.1 200 X\r\nContent-Length: 0\r\n\r\n".to_owned();
+        }
+        answer_to(request, 200, "Response-Signature: s\r\n", id)
+    })
+}
+
+fn start_with_keys() -> (FakeStore, std::net::SocketAddr) {
+    let (store, address) = FakeStore::start();
+    store.write("config/main", Some(config("200ms", &[("/key/", "safe", "keyed")])));
+    (store, address)
+}
+
+fn wait_for_owner(router: &RunningRouter, id: &str) {
+    while request_body(router.listen, "/key/x") != (200, id.to_owned()) {}
+}
+
+/// Guards against two owners of a key: the table of the copy names the former one.
+#[test]
+fn the_granter_goes_on_with_the_owners_that_the_copy_of_the_store_does_not_name() {
+    let (store, address) = start_with_keys();
+    let grants: [Arc<AtomicUsize>; 2] = Default::default();
+    let first = start_owner("i-1", &grants[0]);
+    store.write("servers/i-1", Some(server_entry("keyed", first, 4)));
+    let routers = ["h1", "h2"].map(|host| start_router(host, address, &["hold-max=10s"]));
+    routers.iter().for_each(|router| wait_for_owner(router, "i-1"));
+    let copy = store.copy();
+    let second = server_entry("keyed", start_owner("i-2", &grants[1]), 4);
+    let mut draining = server_entry("keyed", first, 4);
+    draining["state"] = "draining".into();
+    draining["sequence"] = 2.into();
+    store.write("servers/i-2", Some(second.clone()));
+    store.write("servers/i-1", Some(draining.clone()));
+    routers.iter().for_each(|router| wait_for_owner(router, "i-2"));
+    // The granter takes two changes of the table for the move.
+    thread::sleep(Duration::from_secs(1));
+    let before = grants[0].load(Ordering::SeqCst);
+    store.restore(&copy);
+    store.write("servers/i-2", Some(second));
+    store.write("servers/i-1", Some(draining));
+    let until = std::time::Instant::now() + 2 * GRACE;
+    while std::time::Instant::now() < until {
+        for router in &routers {
+            assert_eq!(request_body(router.listen, "/key/x"), (200, "i-2".to_owned()));
+        }
+    }
+    assert_eq!(grants[0].load(Ordering::SeqCst), before, "the former owner got a grant");
+    let table = store.object("bay-ranges/keyed").unwrap().to_string();
+    assert!(table.contains("i-2") && !table.contains("i-1"), "{table}");
+}
+
+/// Guards against two owners of a key: what the granter has ordered since the copy was made went with it.
+#[test]
+fn a_new_granter_waits_for_holds_that_the_copy_of_the_store_does_not_name() {
+    let (store, address) = start_with_keys();
+    let grants: Arc<AtomicUsize> = Arc::default();
+    let owner = server_entry("keyed", start_owner("i-1", &grants), 4);
+    store.write("servers/i-1", Some(owner));
+    let first = start_router("h1", address, &["hold-max=10s", "grace=2s"]);
+    wait_for_owner(&first, "i-1");
+    let copy = store.copy();
+    first.stop.send_blocking(()).unwrap();
+    assert!(first.stopped.recv().is_err(), "the channel closes when the stop is complete");
+    store.restore(&copy);
+    let before = grants.load(Ordering::SeqCst);
+    let second = start_router("h2", address, &["hold-max=10s"]);
+    while request_status(second.ready, "GET", "/api/ready") != 200 {}
+    thread::sleep(Duration::from_secs(5));
+    assert_eq!(grants.load(Ordering::SeqCst), before, "a grant before unknown holds have expired");
+    assert_eq!(request_status(second.listen, "GET", "/key/x"), 503);
+}
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -36,6 +36,8 @@
     /// Whether a table was saved since the start of the term, or since tokens were raised. No order
     /// is sent before.
     table_saved: bool,
+    /// Whether the store may have an older table than the one that was saved last.
+    is_saved_table_lost: bool,
     /// Orders in flight.
     orders: BTreeMap<OrderId, PendingOrder>,
     last_order_id: u64,
@@ -85,6 +87,7 @@
             save_in_flight: false,
             cleanup_save_at: None,
             table_saved: false,
+            is_saved_table_lost: false,
             orders: BTreeMap::new(),
             // Results of orders from an earlier term of this process may still arrive. Starting at
             // the current time keeps their ids distinct.
@@ -179,6 +182,11 @@
         is_loaded.then_some(true)
     }
 
+    /// Records that the store was restored from a copy, so that the table must be saved again.
+    pub fn record_store_restored(&mut self) {
+        self.is_saved_table_lost = true;
+    }
+
     /// Returns whether the store has a table of this granter, so that it may have sent orders.
     pub fn may_have_sent_orders(&self) -> bool {
         self.table_saved || !self.orders.is_empty()
@@ -206,6 +214,7 @@
     pub fn record_save(&mut self, now: Time, change: u64, out: &mut Vec<GranterAction>) {
         self.save_in_flight = false;
         self.table_saved = true;
+        self.is_saved_table_lost = false;
         if let Some(staged) = self.staged.take_if(|staged| staged.change <= change) {
             staged.apply(&mut self.slots, now);
         }
@@ -282,7 +291,8 @@
                 self.stage_change(now, candidates, loads);
             }
             let cleanup_due = self.cleanup_save_at.is_some_and(|at| now >= at);
-            if self.staged.is_some() || cleanup_due || !self.table_saved {
+            let must_save = !self.table_saved || self.is_saved_table_lost;
+            if self.staged.is_some() || cleanup_due || must_save {
                 self.save(out);
             }
         }
@@ -306,13 +316,14 @@
     }
 
     fn current_token(&self) -> Token {
-        RangeTable { term: self.term, change: self.change, holdings: Vec::new() }.token()
+        RangeTable { term: self.term, change: self.change, holdings: Vec::new(), store_era: None }
+            .token()
     }
 
     /// Returns the table without the staged change.
     fn current_table(&self) -> RangeTable {
         let holdings = self.slots.iter().map(|slot| slot.holding.clone()).collect();
-        RangeTable { term: self.term, change: self.change, holdings }
+        RangeTable { term: self.term, change: self.change, holdings, store_era: None }
     }
 
     fn save(&mut self, out: &mut Vec<GranterAction>) {
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bay_time::Time;
-use bay_types::{HostName, Revision, Term};
+use bay_types::{HostName, Revision, StoreEra, Term};
 
 use crate::{EarlierGranter, Fitness, LeadershipRecord, TakeoverDelay};
 
@@ -18,6 +18,8 @@
     state: State,
     /// The highest term seen in a heartbeat or in the record.
     known_term: Term,
+    /// Terms up to this one may have been used although nothing shows them.
+    term_floor: Term,
     /// Term and renewal of the last heartbeat.
     last_heard_renewal: Option<(Term, u64)>,
     /// Earlier granters that may still renew holds.
@@ -93,7 +95,8 @@
     },
     Leader {
         record: LeadershipRecord,
-        revision: Revision,
+        /// Revision of the record; `None` if the store has lost it.
+        revision: Option<Revision>,
         renew_at: Time,
         /// When the store last confirmed the granter; for a write, when it was sent.
         confirmed_at: Time,
@@ -155,6 +158,8 @@
     /// Shortest pause of a process that has handed over a term before it had loaded its tables. It
     /// doubles with each such term in a row.
     const HANDOVER_PAUSE: Duration = Duration::from_secs(2);
+    /// Bits of a term below the era of the store.
+    const ERA_SHIFT: u32 = 16;
     /// Number of doublings of the pause.
     const MAX_HANDOVER_DOUBLINGS: u32 = 4;
 
@@ -175,6 +180,7 @@
             takeover_delay: takeover_delay.into(),
             state,
             known_term: Term(0),
+            term_floor: Term(0),
             last_heard_renewal: None,
             earlier_granters: Vec::new(),
             earlier_renewals_until: now,
@@ -371,7 +377,7 @@
                 let record = LeadershipRecord {
                     host: self.host,
                     incarnation: self.incarnation,
-                    term: Term(term.max(self.known_term).0 + 1),
+                    term: Term(term.max(self.known_term).max(self.term_floor).0 + 1),
                     renewal: 0,
                     resigned: false,
                     settled: false,
@@ -387,7 +393,7 @@
                 let renewal = record.renewal + 1;
                 let earlier_granters = self.earlier_granters.clone();
                 let record = LeadershipRecord { renewal, earlier_granters, ..record.clone() };
-                LeadershipAction::Write { record, expect: Some(*revision) }
+                LeadershipAction::Write { record, expect: *revision }
             }
         };
         self.in_flight = true;
@@ -407,6 +413,9 @@
     pub fn handle_record(&mut self, now: Time, found: Option<(Revision, LeadershipRecord)>) {
         self.in_flight = false;
         let had_outage = std::mem::take(&mut self.failures) >= Leadership::OUTAGE_FAILURES;
+        if self.keep_restored_role(now, found.as_ref()) {
+            return;
+        }
         let Some((revision, record)) = found else {
             let wait = Wait::Ended;
             self.state = State::Observing { since: now, wait, retry_at: now, observed: None };
@@ -422,6 +431,7 @@
             }
             self.begin_term(now, record.term);
             let renew_at = now + Leadership::RENEW_INTERVAL;
+            let revision = Some(revision);
             self.state = State::Leader { record, revision, renew_at, confirmed_at: now };
             return;
         }
@@ -457,6 +467,33 @@
         self.state = State::Observing { since: now, wait, retry_at: now, observed };
     }
 
+    /// Keeps the role of a granter whose record is gone, or is that of an earlier term: the store was
+    /// restored from a copy. The record is written again under the same term. Returns whether that is so.
+    fn keep_restored_role(
+        &mut self,
+        now: Time,
+        found: Option<&(Revision, LeadershipRecord)>,
+    ) -> bool {
+        let known_term = self.known_term;
+        let State::Leader { record, revision, renew_at, .. } = &mut self.state else {
+            return false;
+        };
+        let is_earlier = found.is_none_or(|(_, stored)| stored.term < record.term);
+        // A later granter may have ended in the seconds that the store has lost.
+        if !is_earlier || record.term < known_term {
+            return false;
+        }
+        *revision = found.map(|(revision, _)| *revision);
+        *renew_at = now;
+        true
+    }
+
+    /// Records the era of the store. Terms of its earlier eras may have been lost, so that new terms are
+    /// above all of them.
+    pub fn record_store_era(&mut self, era: StoreEra) {
+        self.term_floor = Term(u64::from(era.0) << Leadership::ERA_SHIFT);
+    }
+
     /// Handles a write that took effect; `sent` is when it was sent, `to` the new revision.
     pub fn handle_write(&mut self, now: Time, sent: Time, record: LeadershipRecord, to: Revision) {
         self.in_flight = false;
@@ -472,7 +509,8 @@
         }
         self.begin_term(now, record.term);
         let renew_at = sent + Leadership::RENEW_INTERVAL;
-        self.state = State::Leader { record, revision: to, renew_at, confirmed_at: sent };
+        let revision = Some(to);
+        self.state = State::Leader { record, revision, renew_at, confirmed_at: sent };
     }
 
     /// Handles a read or write that failed or whose answer was lost.
@@ -507,7 +545,7 @@
         let settled = settled && self.earlier_granters.is_empty();
         let record = LeadershipRecord { renewal, resigned: true, settled, ..record.clone() };
         self.resigned_term = self.resigned_term.max(Some(record.term));
-        let action = LeadershipAction::Write { record, expect: Some(*revision) };
+        let action = LeadershipAction::Write { record, expect: *revision };
         self.become_follower(now);
         Some(action)
     }
--- a/crates/range/src/range_table.rs
+++ b/crates/range/src/range_table.rs
@@ -1,4 +1,4 @@
-use bay_types::{Term, Token};
+use bay_types::{StoreEra, Term, Token};
 use serde::{Deserialize, Serialize};
 
 use crate::{Holding, KeyRange};
@@ -18,6 +18,9 @@
     pub change: u64,
     /// Holdings in key order, without overlaps.
     pub holdings: Vec<Holding>,
+    /// Era of the store in which the table was written; `None` if the store tells none.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_era: Option<StoreEra>,
 }
 
 impl RangeTable {
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -299,6 +299,7 @@
             former: Some(first),
             has_earlier_former: false,
         }],
+        store_era: None,
     };
     let third = Candidate {
         owner: owner("third"),
@@ -418,7 +419,7 @@
         has_earlier_former: false,
     };
     let holdings = (0..4).map(holding).collect();
-    let stored = RangeTable { term: Term(1), change: 5, holdings };
+    let stored = RangeTable { term: Term(1), change: 5, holdings, store_era: None };
     let late_key = (width + 5) as u16;
     let times = HoldTimes::bounded_by(Duration::from_secs(10));
     let start = Time::from_millis(60_000);
@@ -522,3 +523,22 @@
     assert!(published.iter().any(|action| matches!(action, GranterAction::Publish)));
     assert!(granter.served_ranges().iter().all(|(_, owner)| *owner != gone));
 }
+
+#[test]
+fn a_table_is_saved_again_after_the_store_was_restored_and_holds_are_renewed_meanwhile() {
+    let mut world = started_world(2, 5);
+    world.run(Duration::from_secs(1));
+    let now = world.now + Duration::from_secs(2);
+    let granter = world.granters.iter_mut().flatten().next().unwrap();
+    granter.record_store_restored();
+    let mut actions = Vec::new();
+    granter.tick(now, &[], &KeyLoads::default(), false, &mut actions);
+    let saves = actions.iter().filter(|action| matches!(action, GranterAction::Save(_)));
+    assert_eq!(saves.count(), 1);
+    let orders = actions.iter().filter(|action| matches!(action, GranterAction::Order { .. }));
+    assert!(orders.count() > 0, "renewals do not wait for the save");
+    granter.record_save_failure();
+    actions.clear();
+    granter.tick(now, &[], &KeyLoads::default(), false, &mut actions);
+    assert!(actions.iter().any(|action| matches!(action, GranterAction::Save(_))));
+}
--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -1,10 +1,13 @@
 //! The election of the granter by compare-and-set on one stored record.
 
+use std::collections::BTreeMap;
 use std::time::Duration;
 
 use bay_range::{Leadership, LeadershipAction, LeadershipRecord, Role};
 use bay_time::Time;
-use bay_types::{HostName, Revision, Term};
+use bay_types::{HostName, Revision, StoreEra, Term};
+use rand::rngs::SmallRng;
+use rand::{RngExt, SeedableRng};
 use test_case::test_case;
 
 const STEP: Duration = Duration::from_millis(50);
@@ -30,6 +33,8 @@
     heartbeat_at: Time,
     /// Whether the granter's heartbeats arrive.
     heartbeats_arrive: bool,
+    /// Era of the store.
+    era: StoreEra,
 }
 
 impl World {
@@ -46,6 +51,7 @@
             calls: vec![0; count],
             heartbeat_at: now,
             heartbeats_arrive: true,
+            era: StoreEra::default(),
         }
     }
 
@@ -83,7 +89,8 @@
                 if expect != revision {
                     return process.handle_record(self.now, self.record.clone());
                 }
-                let next = Revision(revision.unwrap_or_default().0 + 1);
+                let own = revision.unwrap_or_default().own();
+                let next = Revision(own.0 + 1).in_era(self.era);
                 self.record = Some((next, record.clone()));
                 process.handle_write(self.now, self.now, record, next);
             }
@@ -457,3 +464,70 @@
     }
     panic!("no router has loaded its tables: {:?}", world.record);
 }
+
+#[test_case(false; "the copy has the record of an earlier granter")]
+#[test_case(true; "the copy has no record")]
+fn a_granter_writes_its_record_again_after_the_store_was_restored(is_gone: bool) {
+    let mut world = elected(3);
+    let copy = world.record.clone().filter(|_| !is_gone);
+    let first = world.leaders()[0];
+    world.processes[first].resign(world.now, Some(true));
+    world.run(Duration::from_secs(4));
+    let before = world.leaders();
+    let term = world.record.as_ref().unwrap().1.term;
+    world.record = copy.map(|(_, record)| (Revision(1).in_era(StoreEra(1)), record));
+    world.run(Duration::from_secs(5));
+    assert_eq!(world.leaders(), before);
+    assert_eq!(world.record.unwrap().1.term, term);
+}
+
+/// The store is restored again and again from copies of different age, and processes restart.
+#[test]
+fn no_term_has_two_granters_although_the_store_is_restored() {
+    for seed in 0..300 {
+        let mut random = SmallRng::seed_from_u64(seed);
+        let mut world = World::new(4);
+        let mut granters: BTreeMap<Term, (usize, u64)> = BTreeMap::new();
+        let mut copy = None;
+        let mut incarnations = [1; 4];
+        for _ in 0..300 {
+            world.run(STEP * random.random_range(1..8));
+            match random.random_range(0..16) {
+                0 => copy = world.record.clone(),
+                1 => {
+                    world.era.0 += 1;
+                    let era = world.era;
+                    let restored = |(revision, record): (Revision, LeadershipRecord)| {
+                        (revision.in_era(era), record)
+                    };
+                    world.record = copy.clone().map(restored);
+                }
+                2 => {
+                    let index = random.random_range(0..4);
+                    incarnations[index] += 1;
+                    let delay = Duration::from_millis(60 * index as u64);
+                    world.processes[index] =
+                        Leadership::new(host(index), incarnations[index], delay, world.now);
+                }
+                3 => world.heartbeats_arrive = !world.heartbeats_arrive,
+                4 => {
+                    let index = random.random_range(0..4);
+                    world.store_reachable[index] = !world.store_reachable[index];
+                }
+                _ => {}
+            }
+            // Every answer of the store tells the era.
+            for index in 0..4 {
+                if world.store_reachable[index] {
+                    world.processes[index].record_store_era(world.era);
+                }
+            }
+            for leader in world.leaders() {
+                let Role::Leader(term) = world.processes[leader].role() else { continue };
+                let granter = (leader, incarnations[leader]);
+                let known = granters.entry(term).or_insert(granter);
+                assert_eq!(*known, granter, "seed {seed}: two granters of term {}", term.0);
+            }
+        }
+    }
+}
--- a/crates/range/tests/raised_tokens.rs
+++ b/crates/range/tests/raised_tokens.rs
@@ -39,7 +39,12 @@
         former: None,
         has_earlier_former: false,
     };
-    let stored = RangeTable { term: Term(1), change: 5, holdings: (0..4).map(holding).collect() };
+    let stored = RangeTable {
+        term: Term(1),
+        change: 5,
+        holdings: (0..4).map(holding).collect(),
+        store_era: None,
+    };
     let mut granter = Granter::take_over(start(), Term(2), hold_times, stored);
     granter.record_predecessor_settled(start());
     granter
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -261,5 +261,5 @@
         former: Some(former),
         has_earlier_former: true,
     };
-    RangeTable { term: Term(7), change: 44, holdings: vec![holding] }
+    RangeTable { term: Term(7), change: 44, holdings: vec![holding], store_era: None }
 }
--- a/crates/router/tests/failover/keys.rs
+++ b/crates/router/tests/failover/keys.rs
@@ -47,7 +47,7 @@
         let ended = holdings.iter().filter(|each| gone.contains(&each.owner));
         Keys {
             ended: ended.map(|each| each.range).collect(),
-            table: RangeTable { term: Term(1), change: 7, holdings },
+            table: RangeTable { term: Term(1), change: 7, holdings, store_era: None },
             candidates: (GONE..SERVERS).map(candidate).collect(),
         }
     }
--- a/crates/router/tests/owner_load.rs
+++ b/crates/router/tests/owner_load.rs
@@ -125,7 +125,8 @@
             former: None,
             has_earlier_former: false,
         };
-        let table = RangeTable { term: Term(1), change: 1, holdings: vec![holding] };
+        let table =
+            RangeTable { term: Term(1), change: 1, holdings: vec![holding], store_era: None };
         let times = HoldTimes::bounded_by(Duration::from_secs(10));
         let granter = Granter::take_over(at(0), Term(2), times, table);
         let ranges = vec![(KeyRange::ALL, owner)];
