--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -5,7 +5,7 @@
 
 use async_io::Timer;
 use bay_capacity::CapacityTable;
-use bay_range::{Candidate, Fitness, Granter, KeyLoads, Leadership, OwnerLimits, Role};
+use bay_range::{Candidate, Fitness, Granter, HoldTimes, KeyLoads, Leadership, OwnerLimits, Role};
 use bay_router::{
     Branch, EndedHolds, LiveRouters, MeanServiceTimes, PeerMessage, PublishPlan, RateLimitNotice,
     RouterSettings,
@@ -164,8 +164,7 @@
             return;
         }
         let all_earlier_follow = self.leadership.remove_earlier_granter(host);
-        let most_follow = self.live_routers.count_within(now, MAX_REPORT_AGE) * 4 > hosts * 3;
-        if !all_earlier_follow && !most_follow {
+        if !all_earlier_follow && !self.do_most_follow(now, hosts) {
             return;
         }
         log::info!(host:% = host, all = all_earlier_follow; "no earlier granter renews holds");
@@ -178,6 +177,12 @@
         }
     }
 
+    /// Returns whether so many routers follow this granter that no other one has enough to renew holds
+    /// without the store.
+    fn do_most_follow(&self, now: Time, hosts: usize) -> bool {
+        self.live_routers.count_within(now, MAX_REPORT_AGE) * 4 > hosts * 3
+    }
+
     /// Returns whether holds may be renewed. The store must have confirmed the granter within
     /// [`Leadership::CONFIRMATION_TIMEOUT`], or half of the routers must follow it, up to
     /// [`Granter::MAX_UNCONFIRMED_RENEWAL`].
@@ -269,6 +274,8 @@
         shell.granter_role.borrow().leadership.confirmation_age(now).unwrap_or_default();
     let hosts = shell.router_hosts.borrow().len();
     let may_renew = shell.granter_role.borrow().may_renew(now, hosts);
+    let has_followers = shell.granter_role.borrow().do_most_follow(now, hosts);
+    let hold_times = HoldTimes::bounded_by(shell.settings.bounds.longest_hold);
     let services = shell.router.borrow().keyed_services();
     for service in services {
         let candidates = shell.router.borrow().candidates(now, service);
@@ -276,6 +283,9 @@
         {
             let role = &mut *shell.granter_role.borrow_mut();
             let keyed = role.services.entry(service).or_insert_with(KeyedService::new);
+            if has_followers {
+                keyed.limit_wait_for_unknown_holds(now, hold_times);
+            }
             let is_load_due = keyed.load_at.is_none_or(|at| now >= at);
             if keyed.granter.is_none() && !keyed.is_loading && is_load_due {
                 keyed.is_loading = true;
@@ -338,6 +348,14 @@
         }
     }
 
+    /// Limits the wait for holds that the stored table does not name, once no other granter can renew
+    /// them.
+    fn limit_wait_for_unknown_holds(&mut self, now: Time, times: HoldTimes) {
+        let ended_at = now + Leadership::CONFIRMATION_TIMEOUT.max(MAX_REPORT_AGE);
+        let expired_at = ended_at + times.max_after_decision();
+        self.load_at = self.load_at.map(|at| at.min(expired_at));
+    }
+
     /// Fills in the mean service times that routers have reported.
     fn add_service_times(&self, mut candidates: Vec<Candidate>) -> Vec<Candidate> {
         for candidate in &mut candidates {
