--- a/crates/node/src/router_shell/hosts.rs
+++ b/crates/node/src/router_shell/hosts.rs
@@ -20,8 +20,11 @@
 /// Pause after a failed write or a conflict.
 const RETRY_PAUSE: Duration = Duration::from_millis(150);
 
+/// Interval between checks for a restoration of the store.
+const RESTORATION_POLL: Duration = Duration::from_millis(500);
+
 /// Writes this router's record to the store, replacing that of an earlier process on the host.
-/// Retries until it succeeds.
+/// Retries until it succeeds, and writes it again after each restoration of the store.
 pub(crate) async fn register_host(shell: Rc<ShellState>) {
     let record = HostRecord {
         peer: shell.settings.peer,
@@ -37,9 +40,16 @@
     };
     let mut precondition = Precondition::Absent;
     loop {
+        let restorations = shell.store.restorations();
         let put = StoreRequest::Put { key: key.clone(), body: body.clone(), precondition };
         match shell.store.call(&put).await {
-            Ok(StoreReply::Written(_)) => return,
+            Ok(StoreReply::Written(revision)) => {
+                precondition = Precondition::Revision(revision);
+                while shell.store.restorations() == restorations {
+                    Timer::after(RESTORATION_POLL).await;
+                }
+                continue;
+            }
             Ok(StoreReply::Conflict(Some(object))) => {
                 precondition = Precondition::Revision(object.revision)
             }
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -64,6 +64,13 @@
     address
 }
 
+impl StoreCopy {
+    /// Removes an object from the copy.
+    pub fn remove(&mut self, key: &str) {
+        self.objects.remove(key);
+    }
+}
+
 /// A stand-in for the platform's object store. Replacing an object requires its current revision.
 #[derive(Clone, Default)]
 pub struct FakeStore {
--- a/crates/node/tests/restored_store.rs
+++ b/crates/node/tests/restored_store.rs
@@ -177,3 +177,17 @@
     assert_eq!(request_status(second.listen, "GET", "/key/x"), 503);
     wait_for_owner(&second, "i-1");
 }
+
+#[test]
+fn a_router_registers_again_if_the_copy_of_the_store_lacks_it() {
+    let (store, routers) = start();
+    store.write("servers/i-1", Some(entry("i-1")));
+    routers.iter().for_each(|router| wait_for_server(router, "i-1"));
+    let mut copy = store.copy();
+    copy.remove("bay-hosts/h1");
+    copy.remove("bay-hosts/h2");
+    store.restore(&copy);
+    while ["h1", "h2"].iter().any(|host| store.object(&format!("bay-hosts/{host}")).is_none()) {
+        thread::sleep(Duration::from_millis(20));
+    }
+}
