Grant keys at once after the wait for unknown holds

Traced by its logs: the new granter waited 6.8 s for holds that a restored store does not name, loaded the table, and waited 4 s more for the holds of owners whose processes had restarted, although these are among those that had expired. Change: after the wait no key counts as held.

--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -52,7 +52,8 @@
         role.services.clear();
         return;
     }
-    if awaits_unknown_holds(keyed, now, &table, shell.store.told_era(), &times) {
+    let unknown_holds = find_unknown_holds(keyed, now, &table, shell.store.told_era(), &times);
+    if unknown_holds == UnknownHolds::Possible {
         log::warn!(service:% = service, term = term.0;
             "range table is older than the store's restoration; waiting for unknown holds to expire");
         return;
@@ -64,7 +65,11 @@
         "range table loaded"
     );
     keyed.revision = revision;
+    keyed.load_at = None;
     let mut granter = Granter::take_over(now, term, times, table);
+    if unknown_holds == UnknownHolds::Expired {
+        granter.record_earlier_holds_expired(now);
+    }
     match role.leadership.earlier_granters_ended_at(now) {
         Some(_) if role.leadership.has_settled_predecessor() => {
             granter.record_predecessor_settled(now)
@@ -87,20 +92,36 @@
     keyed.granter = Some(granter);
 }
 
+/// Holds of servers that a loaded table does not name.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum UnknownHolds {
+    /// There are none.
+    None,
+    /// There may be some. The table is loaded again once all have expired.
+    Possible,
+    /// All have expired, and those that the table names with them.
+    Expired,
+}
+
 /// Returns whether keys may be held by servers that a table does not name, because the store was
-/// restored after it was written. Then the table is loaded again once all such holds have expired.
+/// restored after it was written.
 ///
 /// A granter of which nothing is left in the store may have moved keys and renewed their holds.
-fn awaits_unknown_holds(
+fn find_unknown_holds(
     keyed: &mut KeyedService,
     now: Time,
     table: &RangeTable,
     store_era: Option<StoreEra>,
     times: &HoldTimes,
-) -> bool {
-    let is_outdated = table.store_era.is_some() && table.store_era < store_era;
+) -> UnknownHolds {
+    if table.store_era.is_none() || table.store_era >= store_era {
+        return UnknownHolds::None;
+    }
     let wait = Granter::MAX_UNCONFIRMED_RENEWAL + times.max_after_decision();
-    is_outdated && now < *keyed.load_at.get_or_insert(now + wait)
+    match now < *keyed.load_at.get_or_insert(now + wait) {
+        true => UnknownHolds::Possible,
+        false => UnknownHolds::Expired,
+    }
 }
 
 /// Starts the actions of a service's granter: table writes, orders to servers, publications.
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -128,6 +128,13 @@
         self.slots.iter_mut().for_each(Slot::record_predecessor_settled);
     }
 
+    /// Records that all holds by orders of earlier granters have expired, so that the keys can be granted
+    /// to any server.
+    pub fn record_earlier_holds_expired(&mut self, now: Time) {
+        self.earlier_holds_until = now;
+        self.slots.iter_mut().for_each(|slot| slot.record_no_holder(now));
+    }
+
     /// Returns the ranges that no server can hold by any order of this granter or of an earlier one,
     /// although they have an owner: it has left, and its last possible hold has expired.
     ///
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -247,12 +247,12 @@
     assert_eq!(world.held_share(), 1.0);
 }
 
-/// Drives a granter without a world: saves succeed, and every release is answered by another server
-/// at the former owner's address. Returns the time of the first grant and the last saved table.
+/// Drives a granter without a world: saves succeed, and every release has this result. Returns the time of the first grant and the last saved table.
 fn run_until_grant(
     granter: &mut Granter,
     candidates: &[Candidate],
     start: Time,
+    release_result: &OrderResult,
 ) -> (Time, RangeTable) {
     let loads = KeyLoads::default();
     let mut now = start;
@@ -269,8 +269,7 @@
                     saved = table;
                 }
                 GranterAction::Order { id, order: GrantOrder::Release { .. }, .. } => {
-                    let result = OrderResult::OtherServer;
-                    granter.handle_order_result(now, id, &result, &mut Vec::new());
+                    granter.handle_order_result(now, id, release_result, &mut Vec::new());
                 }
                 GranterAction::Order { .. } => return (now, saved),
                 GranterAction::Publish => {}
@@ -315,13 +314,15 @@
     let start = Time::from_millis(60_000);
     let mut granter = Granter::take_over(start, Term(2), times, stored);
     granter.record_earlier_granters_ended(start);
-    let (granted_at, saved) = run_until_grant(&mut granter, &[third], start);
+    let (granted_at, saved) =
+        run_until_grant(&mut granter, &[third], start, &OrderResult::OtherServer);
     assert!(granted_at >= start + times.max_after_arrival(), "{:?}", granted_at.since(start));
 
     let fourth = Candidate { owner: owner("fourth"), address: address(4), ..third };
     let mut granter = Granter::take_over(start, Term(3), times, saved);
     granter.record_earlier_granters_ended(start);
-    let (granted_at, _) = run_until_grant(&mut granter, &[fourth], start);
+    let (granted_at, _) =
+        run_until_grant(&mut granter, &[fourth], start, &OrderResult::OtherServer);
     assert!(granted_at >= start + times.max_after_arrival(), "{:?}", granted_at.since(start));
 }
 
@@ -542,3 +543,38 @@
     granter.tick(now, &[], &KeyLoads::default(), false, &mut actions);
     assert!(actions.iter().any(|action| matches!(action, GranterAction::Save(_))));
 }
+
+/// Guards against a second wait for holds that have expired: the owner's process restarted meanwhile, so
+/// that its former process counted as a holder once more.
+#[test]
+fn keys_are_granted_at_once_after_all_earlier_holds_have_expired() {
+    let owner = |started| OwnerId { server: ServerName::new("a").unwrap(), started };
+    let address = SocketAddr::from(([10, 0, 0, 1], 1));
+    let holding = Holding {
+        range: KeyRange::ALL,
+        owner: owner(1),
+        address,
+        token: Token(1),
+        former: None,
+        has_earlier_former: false,
+    };
+    let stored = RangeTable { term: Term(1), change: 5, holdings: vec![holding], store_era: None };
+    let restarted = Candidate {
+        owner: owner(2),
+        address,
+        zone: ZoneName::new("a").unwrap(),
+        slots: 4,
+        eligible: true,
+        cold: false,
+        service_ms: None,
+        rate_limit: None,
+    };
+    let start = Time::from_millis(1_000_000);
+    let times = HoldTimes::bounded_by(Duration::from_secs(10));
+    let mut granter = Granter::take_over(start, Term(2), times, stored);
+    granter.record_earlier_holds_expired(start);
+    // The restarted process knows nothing of the keys.
+    let released = OrderResult::Released { handover: None };
+    let (granted_at, _) = run_until_grant(&mut granter, &[restarted], start, &released);
+    assert!(granted_at.since(start) < Duration::from_millis(500), "{:?}", granted_at.since(start));
+}
