--- a/review/common/standins.py
+++ b/review/common/standins.py
@@ -516,6 +516,7 @@
         self.temp = tempfile.mkdtemp(prefix="review-")
         self.network = self.claim_network()
         self.routers, self.violations, self.lock = [], [], threading.Lock()
+        self.is_over = False
         self.ids = 0
         self.record.add(f"disruption {'on' if self.trouble else 'off'}")
 
@@ -574,6 +575,7 @@
         return rid, head, whole
 
     def finish(self, verdict):
+        self.is_over = True
         for router in self.routers:
             router.end()
         self.record.add(verdict)
