Accept any name that operators, servers and the platform choose

Servers, zones, machines and accounts with such names were not used, or the process did not start.

Not the length: names with a capital, an underscore or a dash at an end fail likewise.

Change: an identifier that is no valid name is represented by a digest that is one, so that state, messages and records stay as they are for builds that have landed. A server's identifier is kept with its registration, an account's with the account; nothing else is told to others. Entries of servers named by a digest are withheld from older builds, which would send the digest, and sent in a message of their own. A route, a service or limits that can't be used cost themselves alone, with a log line; requests of such a route get 503.

--- a/crates/account/src/account_spec.rs
+++ b/crates/account/src/account_spec.rs
@@ -5,8 +5,10 @@
 /// A client account of the operator's configuration.
 #[derive(Debug, Clone, PartialEq)]
 pub struct AccountSpec {
-    /// Name of the account, which servers are told.
+    /// Name of the account.
     pub name: AccountName,
+    /// Identifier that the operator has chosen, which servers are told.
+    pub identifier: String,
     /// Keys with which its callers identify themselves.
     pub keys: Vec<ApiKey>,
     /// Rank of its requests, which takes precedence over that of the route; 0 is the highest.
--- a/crates/account/tests/accounts.rs
+++ b/crates/account/tests/accounts.rs
@@ -9,7 +9,7 @@
 
 fn account(text: &str, keys: &[&str]) -> AccountSpec {
     let keys = keys.iter().map(|key| ApiKey::new(key.as_bytes())).collect();
-    AccountSpec { name: name(text), keys, rank: None, quota: None }
+    AccountSpec { name: name(text), identifier: text.to_owned(), keys, rank: None, quota: None }
 }
 
 /// Guards against a key that opens the account of another.
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -114,6 +114,7 @@
             granter_role: RefCell::new(granter::GranterRole::new(&settings)),
             granter_feed: RefCell::default(),
             feed_publisher: RefCell::default(),
+            identified_servers: RefCell::default(),
             router_hosts: RefCell::default(),
             config_text: RefCell::default(),
             config_parts: RefCell::default(),
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -80,7 +80,7 @@
     }
 
     /// Encodes the request with the headers of one attempt.
-    fn encode(&self, wire: &dyn RouterWire, fields: &AttemptFields) -> Vec<u8> {
+    fn encode(&self, wire: &dyn RouterWire, fields: &AttemptFields<'_>) -> Vec<u8> {
         let mut out = Vec::with_capacity(self.head.bytes.len() + self.body.len() + 128);
         out.extend_from_slice(&self.head.bytes);
         if self.passes_account_headers {
@@ -116,7 +116,7 @@
     shell: &ShellState,
     pooled: &mut PooledConnection,
     outgoing: &OutgoingRequest,
-    fields: &AttemptFields,
+    fields: &AttemptFields<'_>,
     download: Option<ReaderState>,
 ) -> Result<ExchangeOutput, ErrorKind> {
     let bytes = outgoing.encode(&*shell.wire, fields);
@@ -139,7 +139,7 @@
             None => !pooled.connection.requires_request_id(),
         };
         if !matches_request {
-            log::info!(server:% = fields.server; "answer to another request dropped");
+            log::info!(server = fields.server; "answer to another request dropped");
             continue;
         }
         pooled.connection.set_requires_request_id();
--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -2,7 +2,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
-use bay_router::{DirectoryChange, HostRecord, ServerEntry};
+use bay_router::{DirectoryChange, HostRecord, ServerEntry, ServerIdentifier};
 use bay_store::{Change, Object, ObjectKey};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, Revision, ServerName, ZoneName};
@@ -49,13 +49,22 @@
                 }
             }
             Feed::Servers => {
+                let mut identifiers = Vec::new();
                 let entries = objects.iter().filter_map(|object| {
-                    let name = server_from_key(&object.key)?;
-                    Some((name, object.revision, parse_server_entry(shell, name, &object.body)?))
+                    let identifier = server_from_key(&object.key)?;
+                    let name = identifier.name();
+                    let entry = parse_server_entry(shell, name, &object.body)?;
+                    identifiers.push(identifier);
+                    Some((name, object.revision, entry))
                 });
                 let entries: Vec<_> = entries.collect();
                 let now = BootClock.now();
-                let changes = shell.router.borrow_mut().replace_servers(now, revision, entries);
+                let changes = {
+                    let mut router = shell.router.borrow_mut();
+                    let changes = router.replace_servers(now, revision, entries);
+                    identifiers.into_iter().for_each(|each| router.record_identifier(each));
+                    changes
+                };
                 for (name, change) in &changes {
                     handle_server_change(shell, *name, *change, revision);
                 }
@@ -63,7 +72,7 @@
             }
             Feed::Zones => {
                 let listed: BTreeSet<ZoneName> =
-                    objects.iter().filter_map(|object| zone_from_key(&object.key)).collect();
+                    objects.iter().map(|object| zone_from_key(&object.key)).collect();
                 if self.follows_restoration {
                     let until = BootClock.now() + KEPT_ZONE_TIME;
                     let missing = self.zones.difference(&listed);
@@ -100,13 +109,12 @@
                 },
                 Feed::Servers => servers.extend(apply_server_change(shell, &change)),
                 Feed::Zones => {
-                    if let Some(zone) = zone_from_key(&change.key) {
-                        self.kept_zones.remove(&zone);
-                        match change.body {
-                            Some(_) => self.zones.insert(zone),
-                            None => self.zones.remove(&zone),
-                        };
-                    }
+                    let zone = zone_from_key(&change.key);
+                    self.kept_zones.remove(&zone);
+                    match change.body {
+                        Some(_) => self.zones.insert(zone),
+                        None => self.zones.remove(&zone),
+                    };
                 }
                 Feed::Hosts => self.apply_host_change(change),
             }
@@ -208,7 +216,8 @@
     shell: &ShellState,
     change: &Change,
 ) -> Option<(ServerName, DirectoryChange)> {
-    let name = server_from_key(&change.key)?;
+    let identifier = server_from_key(&change.key)?;
+    let name = identifier.name();
     let entry = change.body.as_deref().map(|body| parse_server_entry(shell, name, body));
     let entry = match entry {
         // An invalid entry is ignored: it neither adds nor removes a server.
@@ -217,8 +226,12 @@
         None => None,
     };
     let now = BootClock.now();
-    let directory_change =
-        shell.router.borrow_mut().apply_server(now, name, change.revision, entry);
+    let directory_change = {
+        let mut router = shell.router.borrow_mut();
+        let directory_change = router.apply_server(now, name, change.revision, entry);
+        router.record_identifier(identifier);
+        directory_change
+    };
     handle_server_change(shell, name, directory_change, change.revision);
     (directory_change != DirectoryChange::None).then_some((name, directory_change))
 }
@@ -263,6 +276,7 @@
     let entry = router.directory().get(name).map(|server| &server.entry);
     log::info!(
         server:% = name,
+        identifier = router.directory().identifier(name).as_ref().map_or("", |each| each.as_str()),
         service = entry.map_or_else(String::new, |entry| entry.service.to_string()),
         zone = entry.map_or_else(String::new, |entry| entry.zone.to_string()),
         change:? = change,
@@ -271,20 +285,27 @@
     );
 }
 
-/// Returns the part of a key after the last slash: the name of a server, zone or host.
-fn last_segment(key: &ObjectKey) -> &str {
-    key.as_str().rsplit('/').next().unwrap_or_default()
-}
-
-fn server_from_key(key: &ObjectKey) -> Option<ServerName> {
-    ServerName::new(last_segment(key)).ok()
+/// Returns the identifier of an entry's server; `None` if requests can't name the server.
+fn server_from_key(key: &ObjectKey) -> Option<ServerIdentifier> {
+    let (_, name) = key.split();
+    let identifier = ServerIdentifier::new(name);
+    if identifier.is_none() {
+        log::warn!(server = name; "server not usable: its identifier can't be sent in a header");
+    }
+    identifier
 }
 
-fn zone_from_key(key: &ObjectKey) -> Option<ZoneName> {
-    ZoneName::new(last_segment(key)).ok()
+fn zone_from_key(key: &ObjectKey) -> ZoneName {
+    let (_, identifier) = key.split();
+    let zone = ZoneName::of(identifier);
+    if zone.is_digest() {
+        log::info!(zone = identifier, name:% = zone; "zone is named by a digest");
+    }
+    zone
 }
 
-/// Returns the host of a router's record.
+/// Returns the host of a router's record, which routers have written under its name.
 pub(crate) fn host_from_key(key: &ObjectKey) -> Option<HostName> {
-    HostName::new(last_segment(key)).ok()
+    let (_, name) = key.split();
+    HostName::new(name).ok()
 }
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -155,6 +155,12 @@
             }
         }
         PeerMessage::Servers(update) => server_updates::handle_update(shell, from, update),
+        PeerMessage::IdentifiedServers(servers) => {
+            server_updates::handle_identified(shell, servers);
+        }
+        PeerMessage::RequestIdentified(names) => {
+            server_updates::send_identified(shell, from, &names);
+        }
         PeerMessage::Crashes(crashes) => {
             let mut router = shell.router.borrow_mut();
             crashes.into_iter().for_each(|crash| router.record_crash(now, crash));
@@ -260,6 +266,8 @@
             update_zones_out(shell, now, zones);
         }
     }
+    // An older relay doesn't know the request.
+    server_updates::request_identified(shell, origin);
     let host_count = heartbeat.feed_state.as_ref().map(|state| state.host_count as usize);
     let misses_hosts = host_count.is_some_and(|count| count != shell.router_hosts.borrow().len());
     if misses_hosts && shell.granter_role.borrow().term().is_none() {
--- a/crates/node/src/router_shell/http_client.rs
+++ b/crates/node/src/router_shell/http_client.rs
@@ -82,7 +82,7 @@
     // Writing to a vector cannot fail.
     let _: std::io::Result<()> =
         write!(out, "{} {} HTTP/1.1\r\nHost: {to}\r\n", call.method.as_str(), call.path);
-    if let Some(server) = call.server {
+    if let Some(server) = &call.server {
         wire.write_server_header(server, &mut out);
     }
     if let Some((content_type, body)) = &call.body {
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -49,11 +49,14 @@
     if connect_timeout.is_zero() {
         return OrderResult::NotSent;
     }
+    let Some(identifier) = shell.router.borrow().directory().identifier(server) else {
+        return OrderResult::NotSent;
+    };
     let mut pooled = match connect(shell, &process, connect_timeout).await {
         Ok(pooled) => pooled,
         Err(result) => return result,
     };
-    let http = shell.wire.order_call(server, order);
+    let http = shell.wire.order_call(identifier, order);
     let timeout = match order {
         GrantOrder::Grant { .. } => GRANT_TIMEOUT,
         GrantOrder::Release { .. } => RELEASE_TIMEOUT,
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -1,5 +1,6 @@
 use std::fmt;
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 
 use async_io::Timer;
@@ -261,18 +262,20 @@
     // The server or the API key may have become unusable while the connection was opened; the next
     // pick decides then.
     let now = BootClock.now();
-    let is_usable = {
+    let identifier = {
         let router = shell.router.borrow();
-        router.may_send(now, selected) && router.check_key(now, request).is_ok()
+        let is_usable = router.may_send(now, selected) && router.check_key(now, request).is_ok();
+        router.directory().identifier(selected.server).filter(|_| is_usable)
     };
-    if time_left.is_zero() || !is_usable {
+    let Some(identifier) = identifier.filter(|_| !time_left.is_zero()) else {
         pooled.return_to_pool();
         return (None, None);
-    }
+    };
     shell.router.borrow_mut().record_sent(BootClock.now(), selected, request);
     let guard = AttemptGuard { shell: Rc::clone(shell), selected: *selected };
-    let account = request.account.as_ref().map(|(account, _)| account.name);
-    let fields = AttemptFields { server: selected.server, time_left, account };
+    let account = request.account.as_ref().map(|(account, _)| Arc::clone(account));
+    let account = account.as_ref().map(|account| account.identifier.as_str());
+    let fields = AttemptFields { server: identifier.as_str(), time_left, account };
     let download = (request.route.kind == RouteKind::Download).then_some(caller);
     let sent_at = BootClock.now();
     let work = exchange(shell, &mut pooled, outgoing, &fields, download);
--- a/crates/node/src/router_shell/server_updates.rs
+++ b/crates/node/src/router_shell/server_updates.rs
@@ -2,10 +2,11 @@
 use std::rc::Rc;
 
 use bay_router::{
-    DirectoryChange, FeedState, PeerMessage, ServerEntry, ServerUpdate, UpdateOutcome,
+    DirectoryChange, FeedState, IdentifiedServer, IdentifiedServers, PeerMessage, ServerChanges,
+    ServerIdentifier, ServerUpdate, UpdateOutcome,
 };
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{Revision, ServerName, StoreEra, Term};
+use bay_types::{ServerName, StoreEra, Term};
 
 use super::feeds;
 use super::granter::{self, Document};
@@ -39,7 +40,11 @@
         if !granter::may_publish(shell, BootClock.now()) {
             continue;
         }
-        let servers = current_entries(shell, changed.iter().map(|(name, _)| *name));
+        let names: Vec<ServerName> = changed.iter().map(|(name, _)| *name).collect();
+        for message in identified_servers(shell, &names) {
+            granter::fan_out(shell, &message);
+        }
+        let servers = current_entries(shell, &names);
         let update = ServerUpdate { term, sequence, part: None, servers };
         granter::fan_out(shell, &PeerMessage::Servers(update));
     }
@@ -63,33 +68,84 @@
     let parts = names.chunks(SERVERS_PER_PART).count().max(1) as u16;
     let message = |index| {
         let start = usize::from(index) * SERVERS_PER_PART;
-        let names = names.iter().skip(start).take(SERVERS_PER_PART).copied();
-        let servers = current_entries(shell, names);
+        let end = names.len().min(start + SERVERS_PER_PART);
+        let servers = current_entries(shell, &names[start..end]);
         let part = Some((index, parts));
         let update = ServerUpdate { term, sequence, part, servers };
         PeerMessage::Servers(update)
     };
-    let messages: Vec<PeerMessage> = (0..parts).map(message).collect();
+    let mut messages = identified_servers(shell, &names);
+    messages.extend((0..parts).map(message));
     granter::send_parts(shell, BootClock.now(), Document::Servers, to, &messages);
 }
 
-/// Returns the current entries of servers with their revisions; `None` for a removed server.
-fn current_entries<I>(
-    shell: &ShellState,
-    names: I,
-) -> Vec<(ServerName, Revision, Option<ServerEntry>)>
-where
-    I: Iterator<Item = ServerName>,
-{
+/// Returns messages with the entries that a [`ServerUpdate`] withholds.
+fn identified_servers(shell: &ShellState, names: &[ServerName]) -> Vec<PeerMessage> {
     let now = BootClock.now();
     let router = shell.router.borrow();
     let directory = router.directory();
-    names
-        .map(|name| {
-            let revision = directory.revision(name).unwrap_or_default();
-            (name, revision, directory.get(name).map(|server| server.current_entry(now)))
+    let servers = names.iter().filter(|name| name.is_digest()).filter_map(|name| {
+        Some(IdentifiedServer {
+            identifier: directory.identifier(*name)?.as_str().to_owned(),
+            revision: directory.revision(*name)?,
+            entry: directory.get(*name)?.current_entry(now),
         })
-        .collect()
+    });
+    let servers: Vec<IdentifiedServer> = servers.collect();
+    let messages = servers.chunks(IdentifiedServers::MAX_PER_MESSAGE);
+    messages.map(|servers| PeerMessage::IdentifiedServers(servers.to_vec())).collect()
+}
+
+/// Sends a router the entries that were withheld from it.
+pub(crate) fn send_identified(shell: &ShellState, to: SocketAddr, names: &[ServerName]) {
+    for message in identified_servers(shell, names) {
+        shell.peer_socket.send(&[to], &message);
+    }
+}
+
+/// Requests the withheld entries that this router lacks from the granter.
+pub(crate) fn request_identified(shell: &ShellState, granter: SocketAddr) {
+    let missing = shell.identified_servers.borrow().missing();
+    if !missing.is_empty() {
+        log::info!(servers = missing.len(); "entries of identified servers requested");
+        shell.peer_socket.send(&[granter], &PeerMessage::RequestIdentified(missing));
+    }
+}
+
+/// Applies entries of servers whose names are digests.
+pub(crate) fn handle_identified(shell: &ShellState, servers: Vec<IdentifiedServer>) {
+    if granter::granter_term(shell).is_some() {
+        return;
+    }
+    let now = BootClock.now();
+    for IdentifiedServer { identifier, revision, entry } in servers {
+        let Some(identifier) = ServerIdentifier::new(&identifier) else {
+            continue;
+        };
+        let name = identifier.name();
+        let change = {
+            let mut router = shell.router.borrow_mut();
+            let change = router.apply_server(now, name, revision, Some(entry));
+            router.record_identifier(identifier);
+            change
+        };
+        shell.identified_servers.borrow_mut().record_arrived(name);
+        feeds::invalidate_connections(shell, name, change);
+    }
+}
+
+/// Returns the current entries of servers with their revisions; `None` for a removed server.
+fn current_entries(shell: &ShellState, names: &[ServerName]) -> ServerChanges {
+    let now = BootClock.now();
+    let router = shell.router.borrow();
+    let directory = router.directory();
+    let current_entry = |name: &ServerName| {
+        let revision = directory.revision(*name).unwrap_or_default();
+        let entry = directory.get(*name).map(|server| server.current_entry(now));
+        let entry = entry.map(|entry| IdentifiedServers::withhold(*name, entry));
+        (*name, revision, entry)
+    };
+    names.iter().map(current_entry).collect()
 }
 
 /// Applies the granter's update of servers, or requests the full list after a gap.
@@ -111,6 +167,11 @@
         UpdateOutcome::Unchanged => {}
         UpdateOutcome::Gap => shell.peer_socket.send(&[from], &PeerMessage::RequestServers),
         UpdateOutcome::FullList(servers) => {
+            let servers = {
+                let router = shell.router.borrow();
+                let mut identified = shell.identified_servers.borrow_mut();
+                identified.filter_list(router.directory(), servers)
+            };
             let count = servers.len();
             let revision = servers.iter().map(|(_, revision, _)| *revision).max();
             let revision = revision.unwrap_or_default();
@@ -122,6 +183,11 @@
                 "servers received from the granter");
         }
         UpdateOutcome::Changes(servers) => {
+            let servers = {
+                let router = shell.router.borrow();
+                let mut identified = shell.identified_servers.borrow_mut();
+                identified.filter_changes(router.directory(), servers)
+            };
             let mut changed = 0;
             for (name, revision, entry) in servers {
                 let change = shell.router.borrow_mut().apply_server(now, name, revision, entry);
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -7,7 +7,8 @@
 use async_executor::LocalExecutor;
 use bay_obs::{Counters, LatencyHistograms};
 use bay_router::{
-    FeedPublisher, GranterFeed, HostRecord, ReassemblyBuffer, Router, RouterSettings, RouterWire,
+    FeedPublisher, GranterFeed, HostRecord, IdentifiedServers, ReassemblyBuffer, Router,
+    RouterSettings, RouterWire,
 };
 use bay_stream::{ByteBudget, DeliveryPolicy};
 use bay_time::Time;
@@ -32,6 +33,8 @@
     pub(crate) granter_role: RefCell<GranterRole>,
     /// Documents of the store as received from the granter.
     pub(crate) granter_feed: RefCell<GranterFeed>,
+    /// Servers that the granter has named by a digest only.
+    pub(crate) identified_servers: RefCell<IdentifiedServers>,
     /// Feed of documents that this router sends as the granter.
     pub(crate) feed_publisher: RefCell<FeedPublisher>,
     /// Records of all registered routers. At a follower they may lack all but the address.
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -16,7 +16,8 @@
 use serde_json::{Value, json};
 
 pub use running_router::{
-    RunningRouter, start_router, start_router_with_contracts, start_router_with_memory,
+    RunningRouter, start_router, start_router_in_zone, start_router_with_contracts,
+    start_router_with_memory,
 };
 pub use store_front::StoreFront;
 
@@ -285,7 +286,7 @@
 }
 
 fn object_json(key: &str, revision: u64, spec: Option<&Value>) -> Value {
-    let name = key.rsplit('/').next().unwrap();
+    let (_, name) = key.split_once('/').unwrap();
     json!({"metadata": {"name": name, "revision": revision}, "spec": spec, "status": null})
 }
 
--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -61,7 +61,12 @@
     bounds: &'static [&'static str],
     memory_mb: u64,
 ) -> RunningRouter {
-    start(host, store, bounds, &[], memory_mb)
+    start(host, "a", store, bounds, &[], memory_mb)
+}
+
+/// Like [`start_router`], in a zone.
+pub fn start_router_in_zone(host: &str, zone: &str, store: SocketAddr) -> RunningRouter {
+    start(host, zone, store, &[], &[], 256)
 }
 
 /// Like [`start_router`], with parts of the platform's rules in force.
@@ -70,23 +75,24 @@
     store: SocketAddr,
     contracts: &'static [&'static str],
 ) -> RunningRouter {
-    start(host, store, &[], contracts, 256)
+    start(host, "a", store, &[], contracts, 256)
 }
 
 fn start(
     host: &str,
+    zone: &str,
     store: SocketAddr,
     bounds: &'static [&'static str],
     contracts: &'static [&'static str],
     memory_mb: u64,
 ) -> RunningRouter {
-    let host = host.to_owned();
+    let (host, zone) = (host.to_owned(), zone.to_owned());
     let (tx, rx) = mpsc::channel();
     let (stop, stop_requests) = async_channel::bounded(1);
     let (stopped_tx, stopped) = mpsc::channel::<()>();
     thread::spawn(move || {
         let text = json!({
-            "node-name": host, "ip": "127.0.0.1", "zone": "a",
+            "node-name": host, "ip": "127.0.0.1", "zone": zone,
             "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
             "internal-ports": [0, 0], "heartbeat": "1s", "bounds": bounds, "contracts": contracts,
             "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": memory_mb,
--- a/crates/node/tests/platform/store_front.rs
+++ b/crates/node/tests/platform/store_front.rs
@@ -4,17 +4,18 @@
 
 use super::{FakeStore, listen, read_request};
 
-/// An address of a store at which calls about configurations can be left unanswered.
+/// An address of a store at which calls about one kind of object can be left unanswered.
 #[derive(Clone)]
 pub struct StoreFront {
     store: FakeStore,
-    is_held: Arc<(Mutex<bool>, Condvar)>,
+    /// The kind of object whose calls are held.
+    held: Arc<(Mutex<Option<&'static str>>, Condvar)>,
 }
 
 impl StoreFront {
     /// Opens another address of a store.
     pub fn start(store: &FakeStore) -> (StoreFront, SocketAddr) {
-        let front = StoreFront { store: store.clone(), is_held: Arc::default() };
+        let front = StoreFront { store: store.clone(), held: Arc::default() };
         let shared = front.clone();
         let address = listen(move |stream| shared.serve(&stream));
         (front, address)
@@ -22,37 +23,42 @@
 
     /// Leaves calls about configurations unanswered, also those that wait already.
     pub fn hold(&self) {
-        self.set_held(true);
+        self.hold_kind("config");
     }
 
-    /// Answers calls about configurations again. Answers that were held are dropped.
+    /// Leaves calls about a kind of object unanswered, also those that wait already.
+    pub fn hold_kind(&self, kind: &'static str) {
+        self.set_held(Some(kind));
+    }
+
+    /// Answers held calls again. Answers that were held are dropped.
     pub fn release(&self) {
-        self.set_held(false);
+        self.set_held(None);
     }
 
-    fn set_held(&self, held: bool) {
-        *self.is_held.0.lock().unwrap() = held;
-        self.is_held.1.notify_all();
+    fn set_held(&self, kind: Option<&'static str>) {
+        *self.held.0.lock().unwrap() = kind;
+        self.held.1.notify_all();
     }
 
-    /// Waits while calls are held; returns whether they were.
-    fn wait_while_held(&self) -> bool {
-        let (is_held, changed) = &*self.is_held;
-        let is_held = is_held.lock().unwrap();
-        let was_held = *is_held;
-        drop(changed.wait_while(is_held, |is_held| *is_held).unwrap());
+    /// Waits while a call is held; returns whether it was.
+    fn wait_while_held(&self, request_line: &str) -> bool {
+        let (held, changed) = &*self.held;
+        let is_held = |kind: &mut Option<&str>| {
+            kind.is_some_and(|kind| request_line.contains(&format!("/api/objects/{kind}")))
+        };
+        let mut held = held.lock().unwrap();
+        let was_held = is_held(&mut held);
+        drop(changed.wait_while(held, |kind| is_held(kind)).unwrap());
         was_held
     }
 
     fn serve(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_request(&mut reader) {
-            let can_be_held = request.request_line.contains("/api/objects/config");
-            if can_be_held {
-                self.wait_while_held();
-            }
+            self.wait_while_held(&request.request_line);
             let (status, body) = self.store.handle_request(&request);
-            if can_be_held && self.wait_while_held() {
+            if self.wait_while_held(&request.request_line) {
                 return;
             }
             let body = body.to_string();
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -13,9 +13,9 @@
     OwnerLimit, RangeTable, ServerOccupancy,
 };
 use bay_router::{
-    ConfigPart, Crash, FeedState, Heartbeat, HostRecord, KeyCount, OwnerChanges, OwnerMap,
-    PeerMessage, Permit, PermitRequest, RateLimitNotice, RelayOrder, RelayedMessage, Report,
-    ServerEntry, ServerNotice, ServerProcess, ServerState, ServerStatement, ServerTiming,
+    ConfigPart, Crash, FeedState, Heartbeat, HostRecord, IdentifiedServer, KeyCount, OwnerChanges,
+    OwnerMap, PeerMessage, Permit, PermitRequest, RateLimitNotice, RelayOrder, RelayedMessage,
+    Report, ServerEntry, ServerNotice, ServerProcess, ServerState, ServerStatement, ServerTiming,
     ServerUpdate, ServiceOwners, ServiceReport, Vouch,
 };
 use bay_types::{HostName, Revision, ServerName, ServiceName, Term, Token, ZoneName};
@@ -176,6 +176,8 @@
         ("key-limits", PeerMessage::KeyLimits(service(), limits)),
         ("rate-limits", PeerMessage::RateLimits(vec![notice(Some(12.5)), notice(None)])),
         ("server-notices", PeerMessage::ServerNotices(server_notices())),
+        ("identified-servers", PeerMessage::IdentifiedServers(vec![identified_server()])),
+        ("request-identified", PeerMessage::RequestIdentified(vec![server("i-3")])),
         ("request-permit", PeerMessage::RequestPermit(5, permit_request())),
         ("permit-granted", PeerMessage::Permit(5, Permit::Granted(Duration::from_millis(80)))),
         ("account-usage", PeerMessage::AccountUsage(account_usage(&[]))),
@@ -209,6 +211,11 @@
     vec![ServerNotice { process, statement: ServerStatement::Leaving }]
 }
 
+fn identified_server() -> IdentifiedServer {
+    let identifier = "Server_3".to_owned();
+    IdentifiedServer { identifier, revision: Revision(90), entry: server_entry() }
+}
+
 fn owner_limit() -> OwnerLimit {
     OwnerLimit { server: server("i-3"), share: 0.75 }
 }
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -5,7 +5,7 @@
 use bay_types::{Revision, ServerName, ZoneName};
 
 use crate::server_standing::ServerStanding;
-use crate::{Server, ServerAccess, ServerEntry, ServerProcess, ServerStatement};
+use crate::{Server, ServerAccess, ServerEntry, ServerIdentifier, ServerProcess, ServerStatement};
 
 /// The servers that are registered in the store, and the zones that are out.
 #[derive(Debug, Default)]
@@ -30,6 +30,8 @@
     ended: Vec<(ServerName, u64)>,
     /// What answers have told of processes, also of those whose entries have lapsed and may return.
     standings: BTreeMap<ServerProcess, ServerStanding>,
+    /// Identifiers of the registered servers whose names are digests.
+    identifiers: BTreeMap<ServerName, ServerIdentifier>,
 }
 
 #[derive(Debug)]
@@ -182,6 +184,7 @@
 
     /// Removes a server at once.
     fn remove_now(&mut self, name: ServerName, revision: Revision) {
+        self.identifiers.remove(&name);
         if let Some(registered) = self.servers.remove(&name) {
             self.ended.push((name, registered.server.entry.started));
         }
@@ -244,6 +247,25 @@
         self.loaded.then_some(self.latest)
     }
 
+    /// Records the identifier of a server, if the server is registered and its name doesn't tell it.
+    pub fn record_identifier(&mut self, identifier: ServerIdentifier) {
+        let name = identifier.name();
+        if name.is_digest() && self.servers.contains_key(&name) {
+            self.identifiers.insert(name, identifier);
+        }
+    }
+
+    /// Returns the identifier of a registered server; `None` if it is not registered.
+    pub fn identifier(&self, name: ServerName) -> Option<ServerIdentifier> {
+        self.get(name)?;
+        ServerIdentifier::from_name(name).or_else(|| self.identifiers.get(&name).cloned())
+    }
+
+    /// Returns how many identifiers are kept apart from their servers' names.
+    pub fn identifier_count(&self) -> usize {
+        self.identifiers.len()
+    }
+
     /// Returns a registered server.
     pub fn get(&self, name: ServerName) -> Option<&Server> {
         self.servers.get(&name).map(|registered| &registered.server)
--- a/crates/router/src/header_fields.rs
+++ b/crates/router/src/header_fields.rs
@@ -1,7 +1,7 @@
 use std::time::Duration;
 
 use bay_account::ApiKey;
-use bay_types::{AccountName, ServerName, StoreEra};
+use bay_types::StoreEra;
 
 use crate::LoadReport;
 
@@ -45,13 +45,13 @@
 
 /// Values of the headers that the router sets for an attempt.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub struct AttemptFields {
-    /// The only server that may run the request.
-    pub server: ServerName,
+pub struct AttemptFields<'a> {
+    /// Identifier of the only server that may run the request.
+    pub server: &'a str,
     /// Time left until the deadline.
     pub time_left: Duration,
-    /// Client account on whose behalf the request runs.
-    pub account: Option<AccountName>,
+    /// Identifier of the client account on whose behalf the request runs.
+    pub account: Option<&'a str>,
 }
 
 /// Treatment of a header of a caller's request.
--- a/crates/router/src/lib.rs
+++ b/crates/router/src/lib.rs
@@ -13,6 +13,7 @@
 mod feed_publisher;
 mod granter_feed;
 mod header_fields;
+mod identified_servers;
 mod learned_server_counts;
 mod live_routers;
 mod load_report;
@@ -36,6 +37,7 @@
 mod sample_shares;
 mod server;
 mod server_entry;
+mod server_identifier;
 mod server_learning;
 mod server_paths;
 mod server_standing;
@@ -55,14 +57,16 @@
 pub use feed_publisher::FeedPublisher;
 pub use granter_feed::{GranterFeed, ServerList, UpdateOutcome};
 pub use header_fields::{AnswerFields, AttemptFields, HeaderAction, RequestFields};
+pub use identified_servers::{IdentifiedServers, ServerChanges};
 pub use learned_server_counts::LearnedServerCounts;
 pub use live_routers::LiveRouters;
 pub use load_report::LoadReport;
 pub use mean_service_times::MeanServiceTimes;
 pub use owner_map::{OwnerChanges, OwnerMap};
 pub use peer_message::{
-    ConfigPart, EndedHolds, FeedState, Heartbeat, KeyCount, PeerMessage, RelayOrder,
-    RelayedMessage, Report, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport, Vouch,
+    ConfigPart, EndedHolds, FeedState, Heartbeat, IdentifiedServer, KeyCount, PeerMessage,
+    RelayOrder, RelayedMessage, Report, ServerTiming, ServerUpdate, ServiceOwners, ServiceReport,
+    Vouch,
 };
 pub use publish_plan::PublishPlan;
 pub use rate_limit::{RateLimitNotice, RateLimitState};
@@ -79,6 +83,7 @@
 pub use routing_decision::{RoutingDecision, SelectedServer};
 pub use server::Server;
 pub use server_entry::{ServerEntry, ServerState};
+pub use server_identifier::{ServerIdentifier, is_header_value};
 pub use server_paths::{ServerPath, ServerPaths, ServerSpread};
 pub use server_standing::{ServerAccess, ServerNotice, ServerProcess, ServerStatement};
 pub use service_pool::ServicePool;
--- a/crates/router/src/peer_message.rs
+++ b/crates/router/src/peer_message.rs
@@ -77,6 +77,22 @@
     OwnerLimits(ServiceName, Vec<OwnerLimit>),
     /// Sends what a router has learned of servers from their answers to every other router.
     ServerNotices(Vec<ServerNotice>),
+    /// Sends entries of servers whose names are digests, before the [`PeerMessage::Servers`] that
+    /// withholds them.
+    IdentifiedServers(Vec<IdentifiedServer>),
+    /// Requests the withheld entries of these servers from the granter.
+    RequestIdentified(Vec<ServerName>),
+}
+
+/// Entry of a server whose name is a digest of its identifier.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct IdentifiedServer {
+    /// Identifier that the server has chosen.
+    pub identifier: String,
+    /// Revision of the entry.
+    pub revision: Revision,
+    /// The entry.
+    pub entry: ServerEntry,
 }
 
 /// Ranges that no server holds, as a granter knows it when it resigns.
@@ -139,7 +155,10 @@
     pub sequence: u64,
     /// Index of the part and number of parts of a full list; `None` for changes.
     pub part: Option<(u16, u16)>,
-    /// Servers with the revision of each; a server without an entry was removed.
+    /// Servers with the revision of each; a server without an entry was removed. Where a name is a
+    /// digest, the entry only withholds the server from earlier builds, which would use the digest as its
+    /// identifier; see
+    /// [`crate::IdentifiedServers`].
     pub servers: Vec<(ServerName, Revision, Option<ServerEntry>)>,
 }
 
--- a/crates/router/src/route_map.rs
+++ b/crates/router/src/route_map.rs
@@ -2,6 +2,8 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bay_types::ServiceName;
+
 use crate::{Config, RouteSpec, WeightedSplit};
 
 /// The routes by host name and path prefix; the longest matching prefix wins.
@@ -40,20 +42,21 @@
         Some(entry.route.timeout)
     }
 
-    /// Finds the route of a request, and the service that the route's split assigns.
+    /// Finds the route of a request, and the service that the route's split assigns; `None` as the service
+    /// if none of the route's services gets requests.
     ///
     /// Host names are compared without regard to case. Each call advances the split.
     pub fn find(
         &mut self,
         host: &str,
         path: &str,
-    ) -> Option<(Arc<RouteSpec>, bay_types::ServiceName)> {
+    ) -> Option<(Arc<RouteSpec>, Option<ServiceName>)> {
         let entries = match self.hosts.get_mut(host) {
             Some(entries) => entries,
             None => self.hosts.get_mut(&host.to_ascii_lowercase())?,
         };
         let entry = entries.iter_mut().find(|entry| path.starts_with(&entry.route.prefix))?;
-        let service = entry.split.next_service()?;
+        let service = entry.split.next_service();
         Some((Arc::clone(&entry.route), service))
     }
 }
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -13,8 +13,8 @@
 use crate::{
     CallerLimits, Config, Counter, Crash, CrashDetector, Directory, DirectoryChange, KeyCount,
     OwnerChanges, OwnerMap, PlatformBounds, RateLimitNotice, RequestFields, RequestState,
-    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerNotice, ServerPaths, ServerTiming,
-    ServiceOwners, ServicePool, ServiceReport,
+    RetryBudget, RouteMap, RouterSettings, ServerEntry, ServerIdentifier, ServerNotice,
+    ServerPaths, ServerTiming, ServiceOwners, ServicePool, ServiceReport,
 };
 
 mod attempt_results;
@@ -184,6 +184,11 @@
         change
     }
 
+    /// Records the identifier of a registered server.
+    pub fn record_identifier(&mut self, identifier: ServerIdentifier) {
+        self.directory.record_identifier(identifier);
+    }
+
     /// Replaces the list of servers; returns the changes that matter to requests.
     pub fn replace_servers(
         &mut self,
@@ -396,6 +401,7 @@
             return Err(ErrorKind::NotReady);
         }
         let (route, service) = self.routes.find(host, path).ok_or(ErrorKind::NoRoute)?;
+        let service = service.ok_or(ErrorKind::NoTarget)?;
         let accounts = self.config.as_ref().and_then(|config| config.accounts.as_ref());
         let account = match accounts {
             Some(accounts) if !route.key_exempt => {
--- a/crates/router/src/wire.rs
+++ b/crates/router/src/wire.rs
@@ -3,9 +3,11 @@
 
 use bay_range::{GrantOrder, OrderResult};
 use bay_store::{Object, StoreError, StoreRequest, StoreResult};
-use bay_types::{ErrorKind, Revision, ServerName};
+use bay_types::{ErrorKind, Revision};
 
-use crate::{AnswerFields, AttemptFields, Config, HeaderAction, RequestFields, ServerEntry};
+use crate::{
+    AnswerFields, AttemptFields, Config, HeaderAction, RequestFields, ServerEntry, ServerIdentifier,
+};
 
 /// The platform's encoding of the router's types for callers, servers and the store.
 pub trait RouterWire: fmt::Debug {
@@ -18,10 +20,10 @@
     ) -> HeaderAction;
 
     /// Appends the headers of an attempt to `out`.
-    fn write_attempt_headers(&self, attempt: &AttemptFields, out: &mut Vec<u8>);
+    fn write_attempt_headers(&self, attempt: &AttemptFields<'_>, out: &mut Vec<u8>);
 
     /// Appends the header that names the only server that may accept the request.
-    fn write_server_header(&self, server: ServerName, out: &mut Vec<u8>);
+    fn write_server_header(&self, server: &ServerIdentifier, out: &mut Vec<u8>);
 
     /// Parses one header of a server's answer into `into`; `name` is in lower case.
     fn parse_answer_header(&self, name: &str, value: &[u8], into: &mut AnswerFields);
@@ -77,7 +79,7 @@
     fn parse_page(&self, prefix: &str, status: u16, body: &[u8]) -> Result<ObjectPage, StoreError>;
 
     /// Returns the HTTP call for an order to a server.
-    fn order_call(&self, server: ServerName, order: &GrantOrder) -> HttpCall;
+    fn order_call(&self, server: ServerIdentifier, order: &GrantOrder) -> HttpCall;
 
     /// Parses a server's answer to an order.
     fn parse_order_answer(
@@ -96,7 +98,7 @@
     /// Path and query.
     pub path: String,
     /// The only server that may accept the call; `None` for calls to the store.
-    pub server: Option<ServerName>,
+    pub server: Option<ServerIdentifier>,
     /// Content type and body.
     pub body: Option<(&'static str, Vec<u8>)>,
 }
--- a/crates/router/tests/accounts.rs
+++ b/crates/router/tests/accounts.rs
@@ -12,6 +12,7 @@
 fn accounts(version: u64, accounts: &[(&str, &str, Option<u32>)]) -> Config {
     let spec = |(name, key, rank): &(&str, &str, Option<u32>)| AccountSpec {
         name: AccountName::new(name).unwrap(),
+        identifier: (*name).to_owned(),
         keys: vec![ApiKey::new(key.as_bytes())],
         rank: *rank,
         quota: None,
--- a/crates/router/tests/quotas.rs
+++ b/crates/router/tests/quotas.rs
@@ -20,6 +20,7 @@
 fn with_quota(version: u64, rate: f64) -> Config {
     let spec = AccountSpec {
         name: AccountName::new("a").unwrap(),
+        identifier: "a".to_owned(),
         keys: vec![ApiKey::new(b"k")],
         rank: None,
         quota: Some(QuotaSpec { rate, burst: 0.0 }),
@@ -143,6 +144,7 @@
     // Found by search: the names have the same 32-bit hash.
     let specs = ["account-7852", "account-12856"].map(|name| AccountSpec {
         name: AccountName::new(name).unwrap(),
+        identifier: name.to_owned(),
         keys: vec![ApiKey::new(name.as_bytes())],
         rank: None,
         quota: Some(QuotaSpec {
--- a/crates/router/tests/routes.rs
+++ b/crates/router/tests/routes.rs
@@ -13,7 +13,8 @@
     let mut config = config(1);
     config.routes.push(route("shop", "/pool/deep/", RouteKind::Once, &[("keyed", 1)]));
     let mut routes = RouteMap::new(&config);
-    let find = |routes: &mut RouteMap, path: &str| routes.find("shop", path).map(|(_, name)| name);
+    let find =
+        |routes: &mut RouteMap, path: &str| routes.find("shop", path).and_then(|(_, name)| name);
     assert_eq!(find(&mut routes, "/pool/deep/x"), Some(service("keyed")));
     assert_eq!(find(&mut routes, "/pool/deeper"), Some(service("pool")));
     assert_eq!(find(&mut routes, "/pool"), None);
--- a/crates/router/tests/wire_compatibility.rs
+++ b/crates/router/tests/wire_compatibility.rs
@@ -16,6 +16,7 @@
 const V_5D29F07: &str = include_str!("golden/5d29f07.txt");
 const V_8769CE2: &str = include_str!("golden/8769ce2.txt");
 const V_0D4F469: &str = include_str!("golden/0d4f469.txt");
+const V_CD74206: &str = include_str!("golden/cd74206.txt");
 
 /// Returns the encodings of one kind in a version's data, by name.
 fn encodings<'a>(golden: &'a str, kind: &str) -> BTreeMap<&'a str, &'a str> {
@@ -34,6 +35,7 @@
 #[test_case(V_5D29F07, 22; "5d29f07")]
 #[test_case(V_8769CE2, 31; "8769ce2")]
 #[test_case(V_0D4F469, 33; "0d4f469")]
+#[test_case(V_CD74206, 34; "cd74206")]
 fn messages_are_encoded_as_by_landed_versions(golden: &str, count: usize) {
     let golden = encodings(golden, "message");
     assert_eq!(golden.len(), count);
@@ -50,6 +52,7 @@
 #[test_case(V_5D29F07; "5d29f07")]
 #[test_case(V_8769CE2; "8769ce2")]
 #[test_case(V_0D4F469; "0d4f469")]
+#[test_case(V_CD74206; "cd74206")]
 fn records_in_the_store_are_encoded_as_by_landed_versions(golden: &str) {
     let golden = encodings(golden, "record");
     assert_eq!(golden.len(), 3);
--- a/crates/router/tests/withdrawal.rs
+++ b/crates/router/tests/withdrawal.rs
@@ -26,6 +26,7 @@
 fn named_account(version: u64, name: &str, keys: &[&str]) -> Config {
     let spec = AccountSpec {
         name: AccountName::new(name).unwrap(),
+        identifier: name.to_owned(),
         keys: keys.iter().map(|key| ApiKey::new(key.as_bytes())).collect(),
         rank: None,
         quota: None,
--- a/crates/store/src/object.rs
+++ b/crates/store/src/object.rs
@@ -42,6 +42,12 @@
         valid.then(|| ObjectKey(text.to_owned()))
     }
 
+    /// Creates the key of an object that others have named; its name may be any text. `None` if the kind
+    /// is no valid part of a key.
+    pub fn of_others(kind: &str, name: &str) -> Option<ObjectKey> {
+        ObjectKey::new(kind).map(|kind| ObjectKey(format!("{}/{name}", kind.0)))
+    }
+
     /// Returns the key of a service's document.
     pub fn service(service: ServiceName) -> ObjectKey {
         ObjectKey(format!("{}{service}", ObjectKey::SERVICES))
@@ -66,6 +72,11 @@
     pub fn as_str(&self) -> &str {
         &self.0
     }
+
+    /// Returns the object's kind and its name, the parts before and after the first slash.
+    pub fn split(&self) -> (&str, &str) {
+        self.0.split_once('/').unwrap_or((&self.0, ""))
+    }
 }
 
 impl fmt::Display for ObjectKey {
--- a/crates/types/src/name.rs
+++ b/crates/types/src/name.rs
@@ -3,7 +3,13 @@
 
 use serde::{Deserialize, Deserializer, Serialize, Serializer};
 
+/// Digits of a digest.
+const HEX_DIGITS: &[u8; 16] = b"0123456789abcdef";
+
 /// A short name of 1 to 31 bytes of `a-z`, `0-9`, `-` and `.`, stored inline so that it is `Copy`.
+///
+/// An identifier that others have chosen may be longer or contain other characters. A digest then
+/// stands for it, which is a valid name itself; see [`Name::of`].
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Name {
     bytes: [u8; Name::MAX_BYTES],
@@ -13,6 +19,10 @@
 impl Name {
     /// Maximum length of a name, in bytes.
     pub const MAX_BYTES: usize = 31;
+    /// Start of a digest.
+    const DIGEST_PREFIX: &'static str = "x.";
+    /// Length of a digest without its prefix, in bytes of the hash; each is written as two digits.
+    const DIGEST_BYTES: usize = 14;
 
     /// Validates and copies a name.
     ///
@@ -40,6 +50,44 @@
         Ok(Name { bytes, len: text.len() as u8 })
     }
 
+    /// Returns the name for an identifier that others have chosen: the identifier itself if it is a valid
+    /// name, otherwise a digest of it. Every process computes the same one.
+    ///
+    /// An identifier that looks like a digest gets one, too, so that no identifier is another's digest.
+    pub fn of(identifier: &str) -> Name {
+        match Name::new(identifier) {
+            Ok(name) if !name.is_digest() => name,
+            _ => Name::digest(identifier),
+        }
+    }
+
+    fn digest(identifier: &str) -> Name {
+        let hash = blake3::hash(identifier.as_bytes());
+        let mut name = Name { bytes: [0; Name::MAX_BYTES], len: 0 };
+        name.push(Name::DIGEST_PREFIX.as_bytes());
+        for byte in &hash.as_bytes()[..Name::DIGEST_BYTES] {
+            let digit = |value: u8| HEX_DIGITS[usize::from(value)];
+            name.push(&[digit(byte >> 4), digit(byte & 0xf)]);
+        }
+        name
+    }
+
+    /// Appends valid bytes, which must fit.
+    fn push(&mut self, bytes: &[u8]) {
+        let start = usize::from(self.len);
+        self.bytes[start..start + bytes.len()].copy_from_slice(bytes);
+        self.len += bytes.len() as u8;
+    }
+
+    /// Returns whether this is the digest of an identifier, so that it isn't the identifier itself.
+    pub fn is_digest(&self) -> bool {
+        let digits = self.as_str().strip_prefix(Name::DIGEST_PREFIX);
+        digits.is_some_and(|digits| {
+            digits.len() == 2 * Name::DIGEST_BYTES
+                && digits.bytes().all(|digit| HEX_DIGITS.contains(&digit))
+        })
+    }
+
     /// Returns the name as text.
     pub fn as_str(&self) -> &str {
         std::str::from_utf8(&self.bytes[..usize::from(self.len)]).unwrap_or_default()
@@ -127,6 +175,16 @@
                 Name::new(text).map($name)
             }
 
+            /// Returns the name for an identifier that others have chosen; see [`Name::of`].
+            pub fn of(identifier: &str) -> $name {
+                $name(Name::of(identifier))
+            }
+
+            /// Returns whether this is the digest of an identifier; see [`Name::is_digest`].
+            pub fn is_digest(&self) -> bool {
+                self.0.is_digest()
+            }
+
             /// Returns the name as text.
             pub fn as_str(&self) -> &str {
                 self.0.as_str()
