Pass nothing on in a planned stop that could be cut off

What callers saw: in a planned stop, uploads that end 3.8 to 5.3 s after SIGTERM (grace 6 s) are passed on and answered 504 at 5.3 s while their server is at work, among them requests that may not be repeated (LOST).

Cause: nothing weighed, before a request is passed on, whether it can end before the cut-off. Not bodies alone: heads read in part and requests behind another did the same, and all that wait for a server go the same way. Besides, a slow resignation of the granter prolonged the time of accepting, and an answer through a stopping router's tunnel was cut between two of its parts, as the tunnel counted as idle after the first.

Change: `StopSchedule` says until when a request may be passed on. Those on the last connections accepted are; a later one only if its own time ends before the cut-off, and none that is expected to take longer. It is asked before each attempt, once the connection is open, and while a body is read, so that the refusal (503, Retry-After 0.000) comes before the body's end. The granter resigns beside the time of accepting. A tunnel is busy until no bytes have passed for 1.6 s, and is closed then.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -23,7 +23,6 @@
 mod attempt;
 mod caller;
 mod config_updates;
-mod cutoff;
 mod download_answer;
 mod feeds;
 mod freshness;
@@ -45,6 +44,7 @@
 mod server_notices;
 mod server_updates;
 mod shell_state;
+mod signal;
 mod store_client;
 mod store_era;
 mod stream_record;
@@ -53,8 +53,8 @@
 mod tunnel;
 
 use caller::serve_caller;
-use cutoff::Cutoff;
 use shell_state::{Phase, ShellState};
+use signal::Signal;
 
 /// Pause after a failure to accept a connection, such as for lack of file descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
@@ -120,7 +120,10 @@
             config_parts: RefCell::default(),
             started_at: BootClock.now(),
             phase: Cell::new(Phase::Serving),
-            cutoff: Cutoff::new(),
+            stop_schedule: Cell::default(),
+            stopping: Signal::new(),
+            closing: Signal::new(),
+            cutoff: Signal::new(),
             overload: RefCell::default(),
             permits: permits::Permits::default(),
             vouch_requests: freshness::VouchRequests::default(),
@@ -186,7 +189,11 @@
         let grace = shell.settings.bounds.stop_grace;
         let mut schedule = StopSchedule::new(BootClock.now(), grace);
         shell.phase.set(Phase::Draining);
-        granter::resign(shell).await;
+        shell.stop_schedule.set(Some(schedule));
+        shell.stopping.raise();
+        // A slow store must not prolong the time of accepting.
+        let resigning = Rc::clone(shell);
+        let resignation = shell.executor.spawn(async move { granter::resign(&resigning).await });
         while schedule.step(BootClock.now(), true) == StopStep::Accept {
             Timer::after(STOP_POLL).await;
         }
@@ -195,9 +202,12 @@
         let Err(_closed) = self.accepted.recv().await;
         schedule.record_closed(BootClock.now());
         shell.phase.set(Phase::Closing);
+        shell.closing.raise();
         loop {
             shell.resources.watchdog.expire_idle();
-            let is_busy = shell.active_connections.get() > 0 || shell.tunnel_counts.busy() > 0;
+            let is_busy = shell.active_connections.get() > 0
+                || shell.tunnel_counts.open() > 0
+                || !resignation.is_finished();
             match schedule.step(BootClock.now(), is_busy) {
                 StopStep::Accept | StopStep::Finish => {}
                 StopStep::CutOff => shell.cutoff.raise(),
--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -10,12 +10,13 @@
 use async_executor::Task;
 use async_io::Async;
 use bay_stream::{ReaderPace, ReaderState};
+use bay_time::{BootClock, Clock};
 use bay_types::ErrorKind;
-use futures_lite::FutureExt;
+use futures_lite::{FutureExt, future};
 
 use super::reply::Reply;
 use super::reply_body::DownloadBody;
-use super::request::{IncomingRequest, serve_request};
+use super::request::{IncomingRequest, STOP_RETRY_AFTER, serve_request};
 use super::request_head::RequestHead;
 use super::shell_state::{Phase, ShellState};
 use super::transfer::Transfer;
@@ -31,6 +32,9 @@
 /// with unread bytes would reset it, and the caller might lose the reply.
 const MAX_LINGER_BYTES: usize = 1 << 20;
 
+/// `Retry-After` of a request that is refused before its body was read.
+const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
+
 /// Divisor of the machine's memory that gives the limit of all buffered bodies.
 const BODY_MEMORY_SHARE: u64 = 4;
 
@@ -220,6 +224,14 @@
         if framing.len().is_some_and(|len| len > max_bytes) {
             return Err(Some(ErrorKind::BodyTooLarge));
         }
+        // A request without a route is refused soon after.
+        let max_time = {
+            let router = self.shell.router.borrow();
+            router.max_time(&head.host, &head.path, head.fields.deadline).unwrap_or_default()
+        };
+        if !self.shell.may_send(BootClock.now(), max_time, Duration::ZERO) {
+            return Err(Some(ErrorKind::NotReady));
+        }
         let limit = self.shell.settings.memory_bytes / BODY_MEMORY_SHARE;
         let mut buffered = self.shell.resources.buffer_gauge.track();
         if self.shell.resources.buffer_gauge.held_bytes() + framing.len().unwrap_or(0) > limit {
@@ -230,25 +242,33 @@
             return Err(None);
         }
         self.connection.set_timeout(self.shell.limits.body_timeout());
-        let mut reader = BodyReader::new(framing);
-        let mut body = Vec::with_capacity(framing.len().unwrap_or(0) as usize);
-        loop {
-            let count = poll_fn(|cx| reader.poll_available(&mut self.connection, cx)).await;
-            let count = count.map_err(|error| match error {
-                BodyError::Truncated => None,
-                BodyError::TimedOut => Some(ErrorKind::SlowCaller),
-                BodyError::Malformed => Some(ErrorKind::BadRequest),
-            })?;
-            if count == 0 {
-                break;
-            }
-            body.extend_from_slice(&self.connection.buffered()[..count]);
-            reader.consume(&mut self.connection, count);
-            buffered.set(body.capacity());
-            if body.len() as u64 > max_bytes {
-                return Err(Some(ErrorKind::BodyTooLarge));
+        let shell = Rc::clone(&self.shell);
+        let read = async {
+            let mut reader = BodyReader::new(framing);
+            let mut body = Vec::with_capacity(framing.len().unwrap_or(0) as usize);
+            loop {
+                let count = poll_fn(|cx| reader.poll_available(&mut self.connection, cx)).await;
+                let count = count.map_err(|error| match error {
+                    BodyError::Truncated => None,
+                    BodyError::TimedOut => Some(ErrorKind::SlowCaller),
+                    BodyError::Malformed => Some(ErrorKind::BadRequest),
+                })?;
+                if count == 0 {
+                    return Ok(body);
+                }
+                body.extend_from_slice(&self.connection.buffered()[..count]);
+                reader.consume(&mut self.connection, count);
+                buffered.set(body.capacity());
+                if body.len() as u64 > max_bytes {
+                    return Err(Some(ErrorKind::BodyTooLarge));
+                }
             }
-        }
+        };
+        let too_late = async {
+            shell.wait_until_too_late(max_time).await;
+            Err(Some(ErrorKind::NotReady))
+        };
+        let body = future::or(read, too_late).await?;
         self.connection.set_timeout(IoTimeout::Unlimited);
         Ok(body)
     }
@@ -331,7 +351,11 @@
     /// Counts a refusal, sends it and closes the connection.
     async fn refuse_and_close(mut self, kind: ErrorKind) {
         self.shell.counters.add(kind.counter(), 1);
-        let retry_after = kind.has_retry_after().then_some(Duration::from_millis(300));
+        let retry_after = match self.shell.phase.get() {
+            Phase::Serving => REFUSED_RETRY_AFTER,
+            Phase::Draining | Phase::Closing => STOP_RETRY_AFTER,
+        };
+        let retry_after = kind.has_retry_after().then_some(retry_after);
         log::info!(error = kind.as_str(); "connection closed after a refusal");
         let reply = Reply::refusal(&*self.shell.wire, kind, retry_after);
         self.send_reply(reply, true).await;
--- a/crates/node/src/router_shell/request.rs
+++ b/crates/node/src/router_shell/request.rs
@@ -28,7 +28,7 @@
 
 /// Idle time after which a connection is not reused for a request that is not idempotent. If the
 /// server has closed the connection meanwhile, it is unknown whether the request ran.
-const NON_IDEMPOTENT_REUSE_TIME: Duration = Duration::from_millis(1_500);
+pub(crate) const NON_IDEMPOTENT_REUSE_TIME: Duration = Duration::from_millis(1_500);
 
 /// Number of bytes at the start of a body that go into the request's digest.
 const DIGEST_BYTES: usize = 4 * 1024;
@@ -37,6 +37,9 @@
 /// use.
 const CONNECTION_PAUSE: Duration = Duration::from_millis(5);
 
+/// `Retry-After` of a request that a stopping router refuses; another router can take it at once.
+pub(crate) const STOP_RETRY_AFTER: Duration = Duration::ZERO;
+
 /// `Retry-After` of a request that is refused before a server was picked for it.
 const NOT_ADMITTED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
@@ -172,11 +175,11 @@
     };
     let give_up_at_stop = |request: &RequestState| match request.may_have_run {
         true => give_up(request, ErrorKind::DeadlineUnknown, None),
-        false => give_up(request, ErrorKind::NotReady, Some(NOT_ADMITTED_RETRY_AFTER)),
+        false => give_up(request, ErrorKind::NotReady, Some(STOP_RETRY_AFTER)),
     };
     loop {
         let now = BootClock.now();
-        if shell.cutoff.is_raised() {
+        if !shell.may_send(now, request.time_left(now), Duration::ZERO) {
             return match answer {
                 Some(answer) => deliver(answer),
                 None => give_up_at_stop(request),
@@ -185,6 +188,15 @@
         let decision = shell.router.borrow_mut().pick_server(now, request);
         quotas::send_urgent_usage(shell, now);
         let selected = match decision {
+            // The server is known to take too long for this router's stop.
+            RoutingDecision::Send(selected)
+                if !shell.may_send(now, request.time_left(now), selected.expected_time()) =>
+            {
+                return match answer {
+                    Some(answer) => deliver(answer),
+                    None => give_up_at_stop(request),
+                };
+            }
             RoutingDecision::Send(selected) => selected,
             RoutingDecision::Acquire(permit_request) => {
                 let permit = permits::acquire(shell, permit_request).await;
@@ -265,7 +277,8 @@
     let identifier = {
         let router = shell.router.borrow();
         let is_usable = router.may_send(now, selected) && router.check_key(now, request).is_ok();
-        router.directory().identifier(selected.server).filter(|_| is_usable)
+        let may_send = is_usable && shell.may_send(now, time_left, Duration::ZERO);
+        router.directory().identifier(selected.server).filter(|_| may_send)
     };
     let Some(identifier) = identifier.filter(|_| !time_left.is_zero()) else {
         pooled.return_to_pool();
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -3,25 +3,27 @@
 use std::panic::AssertUnwindSafe;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use async_executor::LocalExecutor;
+use async_io::Timer;
 use bay_obs::{Counters, LatencyHistograms};
 use bay_router::{
     FeedPublisher, GranterFeed, HostRecord, IdentifiedServers, ReassemblyBuffer, Router,
-    RouterSettings, RouterWire,
+    RouterSettings, RouterWire, StopSchedule,
 };
 use bay_stream::{ByteBudget, DeliveryPolicy};
-use bay_time::Time;
+use bay_time::{BootClock, Clock, Time};
 use bay_types::HostName;
 use futures_lite::FutureExt;
 
-use super::cutoff::Cutoff;
 use super::freshness::VouchRequests;
 use super::granter::GranterRole;
 use super::overload::OverloadState;
 use super::peers::PeerSocket;
 use super::permits::Permits;
 use super::quotas::Quotas;
+use super::signal::Signal;
 use super::store_client::StoreClient;
 use super::tunnel::TunnelCounts;
 use crate::gate_shell::{ConnectionPool, HttpLimits};
@@ -61,8 +63,14 @@
     pub(crate) latencies: RefCell<LatencyHistograms>,
     pub(crate) executor: Rc<LocalExecutor<'static>>,
     pub(crate) phase: Cell<Phase>,
+    /// Schedule of a planned stop, once it has begun.
+    pub(crate) stop_schedule: Cell<Option<StopSchedule>>,
+    /// Raised when a planned stop begins.
+    pub(crate) stopping: Signal,
+    /// Raised when no more connections are accepted.
+    pub(crate) closing: Signal,
     /// Ends the requests that are still in flight when the process is about to end.
-    pub(crate) cutoff: Cutoff,
+    pub(crate) cutoff: Signal,
     pub(crate) tunnel_counts: TunnelCounts,
     /// Number of callers' connections with requests in flight.
     pub(crate) active_connections: Cell<usize>,
@@ -115,6 +123,22 @@
         self.router.borrow().config().map_or(0, |config| config.version)
     }
 
+    /// Returns whether a request with this time left, which is expected to take `expected`, may be passed on
+    /// to a server. In a planned stop it may not if it could be cut off.
+    pub(crate) fn may_send(&self, now: Time, time_left: Duration, expected: Duration) -> bool {
+        let schedule = self.stop_schedule.get();
+        schedule.is_none_or(|schedule| schedule.may_send(now, time_left, expected))
+    }
+
+    /// Waits until a request with this time left may no longer be passed on because of a planned stop.
+    pub(crate) async fn wait_until_too_late(&self, time_left: Duration) {
+        self.stopping.wait().await;
+        if let Some(schedule) = self.stop_schedule.get() {
+            let latest = schedule.latest_send(time_left);
+            Timer::after(latest.since(BootClock.now())).await;
+        }
+    }
+
     /// Returns whether the balancer may send connections. A router that has just started is not ready
     /// while it would refuse all requests with API keys.
     pub(crate) fn is_ready(&self) -> bool {
--- a/crates/node/src/router_shell/cutoff.rs
+++ b/crates/node/src/router_shell/signal.rs
@@ -2,21 +2,21 @@
 
 use async_channel::{Receiver, Sender};
 
-/// Signal that ends the requests in flight shortly before a planned stop ends the process.
+/// Signal that is raised once, for all tasks that wait for it, now or later.
 #[derive(Debug)]
-pub(crate) struct Cutoff {
+pub(crate) struct Signal {
     tx: Sender<Infallible>,
     rx: Receiver<Infallible>,
 }
 
-impl Cutoff {
+impl Signal {
     /// Creates a signal that has not been raised.
-    pub(crate) fn new() -> Cutoff {
+    pub(crate) fn new() -> Signal {
         let (tx, rx) = async_channel::bounded(1);
-        Cutoff { tx, rx }
+        Signal { tx, rx }
     }
 
-    /// Raises the signal for all tasks that wait for it, now or later.
+    /// Raises the signal.
     pub(crate) fn raise(&self) {
         self.tx.close();
     }
--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -6,13 +6,14 @@
 
 use async_io::{Async, Timer};
 use bay_router::ServerProcess;
-use bay_time::{BootClock, Clock};
+use bay_time::{BootClock, Clock, Time};
 use bay_types::{HostName, ServerName};
 use futures_lite::future;
 use futures_lite::io::{AsyncRead, AsyncReadExt, AsyncWrite, AsyncWriteExt};
 use serde::{Deserialize, Serialize};
 use socket2::SockRef;
 
+use super::request::NON_IDEMPOTENT_REUSE_TIME;
 use super::server_connection::{CONNECT_TIMEOUT, open_direct};
 use super::shell_state::ShellState;
 use crate::http1::connection::Connection;
@@ -38,6 +39,13 @@
 /// Divisor of the process's file descriptors that gives the limit of its tunnels. Each takes two.
 const DESCRIPTOR_SHARE: u64 = 8;
 
+/// Time without bytes after which the last answer through a tunnel counts as complete.
+const MIN_IDLE_TIME: Duration =
+    NON_IDEMPOTENT_REUSE_TIME.saturating_add(Duration::from_millis(100));
+
+/// Interval between checks whether a tunnel is idle.
+const IDLE_POLL: Duration = Duration::from_millis(50);
+
 /// Pause after a failure to accept a connection.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(50);
 
@@ -67,38 +75,51 @@
 #[derive(Debug, Default)]
 pub(crate) struct TunnelCounts {
     open: Cell<u64>,
-    /// Tunnels whose server owes an answer.
-    busy: Cell<usize>,
 }
 
 impl TunnelCounts {
-    /// Returns the number of tunnels whose server owes an answer.
-    pub(crate) fn busy(&self) -> usize {
-        self.busy.get()
+    /// Returns the number of open tunnels.
+    pub(crate) fn open(&self) -> u64 {
+        self.open.get()
     }
 }
 
-/// Counts a tunnel until it is dropped.
+/// Counts a tunnel until it is dropped, and records its traffic.
 struct TunnelGuard<'a> {
     counts: &'a TunnelCounts,
-    is_busy: Cell<bool>,
+    /// Whether the last bytes were the client's, so that the server owes an answer.
+    awaits_answer: Cell<bool>,
+    /// When the last bytes passed.
+    active_at: Cell<Time>,
 }
 
 impl TunnelGuard<'_> {
     fn new(counts: &TunnelCounts) -> TunnelGuard<'_> {
         counts.open.set(counts.open.get() + 1);
-        TunnelGuard { counts, is_busy: Cell::new(false) }
+        let active_at = Cell::new(BootClock.now());
+        TunnelGuard { counts, awaits_answer: Cell::new(false), active_at }
     }
 
-    fn set_busy(&self, is_busy: bool) {
-        let was_busy = self.is_busy.replace(is_busy);
-        self.counts.busy.set(self.counts.busy.get() - usize::from(was_busy) + usize::from(is_busy));
+    fn record_bytes(&self, awaits_answer: bool) {
+        self.awaits_answer.set(awaits_answer);
+        self.active_at.set(BootClock.now());
+    }
+
+    /// Waits until no answer is due and none has been arriving for a while.
+    async fn wait_until_idle(&self) {
+        loop {
+            let idle_at = self.active_at.get() + MIN_IDLE_TIME;
+            let pause = idle_at.since(BootClock.now());
+            if pause.is_zero() && !self.awaits_answer.get() {
+                return;
+            }
+            Timer::after(pause.max(IDLE_POLL)).await;
+        }
     }
 }
 
 impl Drop for TunnelGuard<'_> {
     fn drop(&mut self) {
-        self.set_busy(false);
         self.counts.open.set(self.counts.open.get() - 1);
     }
 }
@@ -226,7 +247,13 @@
     // Without `TCP_NODELAY` the tunnel is slower but correct.
     let _ = client.get_ref().set_nodelay(true);
     let _ = server.get_ref().set_nodelay(true);
-    forward(&guard, &client, &server).await;
+    // What an answer still lacks is not known here, as its framing is not read. Clients no longer use a
+    // tunnel that has been idle for so long for requests that may run once only.
+    let idle_at_stop = async {
+        shell.closing.wait().await;
+        guard.wait_until_idle().await;
+    };
+    future::or(forward(&guard, &client, &server), idle_at_stop).await;
     // Bytes that the client has given up on must not reach the server later.
     if let Err(error) = SockRef::from(server.get_ref()).set_linger(Some(Duration::ZERO)) {
         log::warn!(error:% = error; "failed to make the connection reset on close");
@@ -270,8 +297,8 @@
 
 /// Forwards bytes in both directions until one ends.
 async fn forward(guard: &TunnelGuard<'_>, client: &Async<TcpStream>, server: &Async<TcpStream>) {
-    let requests = copy(client, server, || guard.set_busy(true));
-    let answers = copy(server, client, || guard.set_busy(false));
+    let requests = copy(client, server, || guard.record_bytes(true));
+    let answers = copy(server, client, || guard.record_bytes(false));
     if let Err(error) = future::or(requests, answers).await {
         log::debug!(error:% = error; "tunnel broken");
     }
--- a/crates/node/tests/tunnels.rs
+++ b/crates/node/tests/tunnels.rs
@@ -3,7 +3,9 @@
 mod platform;
 
 use std::io::{Read, Write};
-use std::net::TcpStream;
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
 
 use platform::{
     FakeStore, RunningRouter, ServerBehavior, config, request_status, server_entry, start_router,
@@ -19,6 +21,15 @@
 
 /// Starts a router that knows the servers `i-1`, which may have no listener, and `i-3`.
 fn start(has_listener: bool, behavior: ServerBehavior) -> (FakeStore, RunningRouter) {
+    start_with_bounds(has_listener, behavior, &["grace=2s", "hold-max=10s"])
+}
+
+/// Like [`start`], with bounds of the platform.
+fn start_with_bounds(
+    has_listener: bool,
+    behavior: ServerBehavior,
+    bounds: &'static [&'static str],
+) -> (FakeStore, RunningRouter) {
     let (store, address) = FakeStore::start();
     store.write("config/main", Some(config("2s", &[])));
     let server = match has_listener {
@@ -29,7 +40,7 @@
     for (name, address) in [("i-1", server), ("i-3", start_server("i-3", behavior))] {
         store.write(&format!("servers/{name}"), Some(server_entry("pool", address, 4)));
     }
-    let router = start_router("h1", address, &["grace=2s", "hold-max=10s"]);
+    let router = start_router("h1", address, bounds);
     while !is_ready(&router) {}
     (store, router)
 }
@@ -111,3 +122,53 @@
     stream.read_exact(&mut head).unwrap();
     assert!(head.ends_with(b"200"));
 }
+
+/// Guards against a stop that ends the process between two parts of an answer that another router gets
+/// through it.
+#[test]
+fn a_planned_stop_completes_the_answers_in_tunnels() {
+    let (store, router) = start_with_bounds(true, ServerBehavior::Echo, &["grace=6s"]);
+    let server = start_slow_writer();
+    store.write("servers/i-4", Some(server_entry("pool", server, 4)));
+    let mut tunnel = request_tunnel(&router, "i-4", 1);
+    while tunnel.1 == Some(UNKNOWN_SERVER) {
+        tunnel = request_tunnel(&router, "i-4", 1);
+    }
+    let (mut stream, answer) = tunnel;
+    assert_eq!(answer, Some(OPEN));
+    router.stop.send_blocking(()).unwrap();
+    while is_ready(&router) {}
+    stream.write_all(REQUEST).unwrap();
+    let mut text = String::new();
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    let _ends_with_the_tunnel = stream.read_to_string(&mut text);
+    assert!(text.ends_with(&SLOW_PARTS.concat()), "{text}");
+    assert!(router.stopped.recv().is_err(), "the channel closes when the stop is complete");
+}
+
+/// Parts of an answer, between which its server pauses.
+const SLOW_PARTS: [&str; 3] = ["HTTP/1.1 200 X\r\nContent-Length: 8\r\n\r\n", "half", "half"];
+
+/// Pause after each part. The last one follows when a router without other work would end.
+const PART_INTERVAL: Duration = Duration::from_millis(1_300);
+
+/// Time without a further part of an answer after which a test gives up.
+const READ_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Starts a server that writes an answer in parts as soon as a connection is open, and closes it then.
+fn start_slow_writer() -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        for mut stream in listener.incoming().flatten() {
+            thread::spawn(move || {
+                let _ = stream.read(&mut [0; 512]);
+                for part in SLOW_PARTS {
+                    let _ = stream.write_all(part.as_bytes());
+                    thread::sleep(PART_INTERVAL);
+                }
+            });
+        }
+    });
+    address
+}
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -1,5 +1,6 @@
 use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::sync::Arc;
+use std::time::Duration;
 
 use bay_account::Freshness;
 use bay_admission::LocalAdmission;
@@ -383,6 +384,12 @@
         services.filter(|(_, servers)| !servers.is_empty()).collect()
     }
 
+    /// Returns the longest time that a request may take; `deadline` is how long its caller waits. `None`
+    /// without a route and a deadline.
+    pub fn max_time(&self, host: &str, path: &str, deadline: Option<Duration>) -> Option<Duration> {
+        deadline.into_iter().chain(self.routes.timeout(host, path)).min()
+    }
+
     /// Finds the route and service of a request, and counts it.
     ///
     /// Needs only the head. The caller sets the length of the body and the digest afterwards.
--- a/crates/router/src/router/key_proof.rs
+++ b/crates/router/src/router/key_proof.rs
@@ -123,8 +123,7 @@
         path: &str,
         deadline: Option<Duration>,
     ) -> Duration {
-        let timeout = self.routes.timeout(host, path);
-        let time_left = deadline.into_iter().chain(timeout).min();
+        let time_left = self.max_time(host, path, deadline);
         let max = time_left.map(|time| time.mul_f64(Router::MAX_RETRY_AFTER_SHARE));
         let spread = self.rng.random_range(Router::KEYS_OUTDATED_SPREAD);
         max.map_or(Router::KEYS_OUTDATED_RETRY_AFTER, |max| {
--- a/crates/router/src/routing_decision.rs
+++ b/crates/router/src/routing_decision.rs
@@ -41,6 +41,11 @@
 }
 
 impl SelectedServer {
+    /// Returns the estimated time of the request at the server.
+    pub fn expected_time(&self) -> Duration {
+        Duration::try_from_secs_f64(self.expected_ms / 1000.0).unwrap_or_default()
+    }
+
     /// Returns the process of the server.
     pub fn process(&self) -> ServerProcess {
         ServerProcess { server: self.server, started: self.started, address: self.address }
--- a/crates/router/src/stop_schedule.rs
+++ b/crates/router/src/stop_schedule.rs
@@ -43,6 +43,33 @@
         StopSchedule { started: now, grace, closed_at: None }
     }
 
+    /// Returns when the requests still in flight are cut off.
+    fn cutoff_at(&self) -> Time {
+        self.started + self.grace.saturating_sub(StopSchedule::CUTOFF_LEAD)
+    }
+
+    /// Returns for how long connections are accepted.
+    fn accept_time(&self) -> Duration {
+        StopSchedule::ACCEPT_TIME.min(self.grace / 2)
+    }
+
+    /// Returns the latest time at which a request may be passed on to a server, if its caller and its
+    /// route wait for `time_left` from then on.
+    ///
+    /// Requests on the last connections accepted are passed on in any case. A later one is only passed on
+    /// if its own time ends before the cut-off: it would otherwise be broken off at a server that is at
+    /// work, while another router can still take it.
+    pub fn latest_send(&self, time_left: Duration) -> Time {
+        let settled_at = self.started + self.accept_time() + StopSchedule::SETTLE_TIME;
+        settled_at.max(self.cutoff_at() - time_left)
+    }
+
+    /// Returns whether a request that is expected to take `expected` at a server, and has `time_left` at
+    /// most, may be passed on now.
+    pub fn may_send(&self, now: Time, time_left: Duration, expected: Duration) -> bool {
+        now <= self.latest_send(time_left) && now + expected.min(time_left) <= self.cutoff_at()
+    }
+
     /// Records that the last connection was accepted.
     pub fn record_closed(&mut self, now: Time) {
         self.closed_at = Some(now);
@@ -52,7 +79,7 @@
     pub fn step(&self, now: Time, is_busy: bool) -> StopStep {
         let elapsed = now.since(self.started);
         let Some(closed_at) = self.closed_at else {
-            return match elapsed < StopSchedule::ACCEPT_TIME.min(self.grace / 2) {
+            return match elapsed < self.accept_time() {
                 true => StopStep::Accept,
                 false => StopStep::Finish,
             };
--- a/crates/router/tests/stop_schedule.rs
+++ b/crates/router/tests/stop_schedule.rs
@@ -40,3 +40,33 @@
     assert_eq!(schedule.step(at(499), false), StopStep::Accept);
     assert_eq!(schedule.step(at(500), false), StopStep::Finish);
 }
+
+/// Guards against a request that is broken off at a server that is at work, as it was passed on late.
+#[test]
+fn a_late_request_is_sent_only_if_its_own_time_ends_before_the_cut_off() {
+    let schedule = StopSchedule::new(at(0), Duration::from_secs(6));
+    let may_send = |now, time_left_ms| {
+        schedule.may_send(at(now), Duration::from_millis(time_left_ms), Duration::ZERO)
+    };
+    // Requests on the last connections accepted.
+    assert!(may_send(2_450, 60_000));
+    assert!(!may_send(2_451, 60_000));
+    assert!(may_send(4_300, 1_000));
+    assert!(!may_send(4_301, 1_000));
+    assert!(!may_send(5_301, 0));
+    assert_eq!(schedule.latest_send(Duration::MAX), at(2_450));
+}
+
+/// Guards against a request that is passed on although its server is known to take too long.
+#[test]
+fn a_request_that_is_expected_to_outlast_the_stop_is_not_sent() {
+    let schedule = StopSchedule::new(at(0), Duration::from_secs(6));
+    let may_send = |now, time_left_ms, expected_ms| {
+        let time_left = Duration::from_millis(time_left_ms);
+        schedule.may_send(at(now), time_left, Duration::from_millis(expected_ms))
+    };
+    assert!(may_send(2_000, 60_000, 3_300));
+    assert!(!may_send(2_000, 60_000, 3_301));
+    // Its caller waits no longer than that.
+    assert!(may_send(2_000, 1_000, 4_000));
+}
