--- a/crates/node/src/router_shell/server_updates.rs
+++ b/crates/node/src/router_shell/server_updates.rs
@@ -123,12 +123,17 @@
             continue;
         };
         let name = identifier.name();
+        let text = identifier.as_str().to_owned();
         let change = {
             let mut router = shell.router.borrow_mut();
             let change = router.apply_server(now, name, revision, Some(entry));
             router.record_identifier(identifier);
             change
         };
+        if change != DirectoryChange::None {
+            log::info!(server:% = name, identifier = text, change:? = change,
+                revision = revision.0; "identified server changed by the granter");
+        }
         shell.identified_servers.borrow_mut().record_arrived(name);
         feeds::invalidate_connections(shell, name, change);
     }
