--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -1031,7 +1031,7 @@
 }
 
 /// Starts the router with the command of the deploy file; its output goes to the work folder.
-fn spawn_router(name: &str, path: &PathBuf) -> Child {
+fn spawn_router(name: &str, path: &PathBuf, is_piped: bool) -> Child {
     let log = work_folder().join(format!("{name}.log"));
     let log = std::fs::OpenOptions::new().append(true).create(true).open(log).expect("log opened");
     let errors = log.try_clone().unwrap();
@@ -1040,7 +1040,7 @@
         .arg("router")
         .env("DRAGONFLYBAY_CONFIG", path)
         .stdin(Stdio::null())
-        .stdout(log)
+        .stdout(if is_piped { Stdio::piped() } else { Stdio::from(log) })
         .stderr(errors)
         .spawn()
         .expect("router starts")
@@ -1054,6 +1054,22 @@
 impl Router {
     /// Starts `target/release/dragonflybay router` on a loopback address of its own.
     pub fn start(index: usize, name: &str, zone: &str, store: SocketAddr) -> Router {
+        Router::start_with_log(index, name, zone, store, false)
+    }
+
+    /// Takes the pipe to which the router writes its log.
+    pub fn take_log(&mut self) -> Option<std::process::ChildStdout> {
+        self.child.stdout.take()
+    }
+
+    /// Like [`Router::start`]; `is_piped` tells whether the log goes to a pipe.
+    pub fn start_with_log(
+        index: usize,
+        name: &str,
+        zone: &str,
+        store: SocketAddr,
+        is_piped: bool,
+    ) -> Router {
         let base = 20 + (std::process::id() % 200) as usize;
         let ip: IpAddr = format!("127.{}.{}.{}", base, 10 + index, 1 + std::process::id() % 250)
             .parse()
@@ -1078,14 +1094,14 @@
         let folder = work_folder();
         let path = folder.join(format!("{name}.json"));
         std::fs::write(&path, settings).expect("settings written");
-        let child = spawn_router(name, &path);
+        let child = spawn_router(name, &path, is_piped);
         Router { name: name.to_owned(), front, ready, child, path }
     }
 
     /// Starts a process that has ended again, as the platform does.
     pub fn restart(&mut self) {
         let _ = self.child.wait();
-        self.child = spawn_router(&self.name, &self.path);
+        self.child = spawn_router(&self.name, &self.path, false);
     }
 
     pub fn is_ready(&self) -> bool {
