Drop three review cases that earlier ones show, and number the rest

The restored store without a table becomes case 6, and the stalled log case 7. Nothing was measured anew.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,199 +1,159 @@
-//! The store comes back from a copy that is some seconds old. The system had just been started then.
+//! The reader of a router's log stops for some seconds, while some requests have long paths that no
+//! route has.
 
 #[path = "../common-2/lib.rs"]
 mod lib;
 
-use std::collections::BTreeMap;
-use std::sync::atomic::{AtomicBool, AtomicU64, Ordering};
+use std::io::{BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
 use std::time::{Duration, Instant};
 
-use lib::{Router, Run, Server, ServerOptions, Store, finish, has_trouble, note, now_s, sleep_ms};
+use lib::{Router, Run, Server, ServerOptions, Store, finish, has_trouble, note, sleep_ms};
 
-/// Keys that are watched and asked for.
-const WATCHED: usize = 128;
+/// Timeout of the route (see `upload_config`), and the time after it by which an answer is due.
+const ROUTE_TIMEOUT: f64 = 2.5;
+const SLACK: f64 = 0.5;
 
-/// Time for which two servers may hold a key together (rule OWNER).
-const MAX_OVERLAP: f64 = 0.5;
+/// Length of the paths that no route has; the configuration allows heads of 16 KiB.
+const LONG_PATH_BYTES: usize = 6_000;
 
-/// Times for which the store is away, one for each round. Each round starts the system anew.
-const AWAY_MS: [u64; 5] = [1_500, 2_500, 1_500, 2_500, 1_500];
-
-/// Rounds without a drill, with `TROUBLE=0`.
-const CALM_ROUNDS: usize = 2;
+/// Time for which the log is not read.
+const STALL_MS: u64 = 15_000;
 
 fn main() {
-    let rounds = if has_trouble() { AWAY_MS.len() } else { CALM_ROUNDS };
-    let mut texts = Vec::new();
-    for (round, away_ms) in AWAY_MS.into_iter().enumerate().take(rounds) {
-        let (is_broken, text) = play(round, away_ms);
-        if is_broken {
-            finish(Vec::new(), 1, &format!("OWNER broken in round {}: {text}", round + 1));
-        }
-        texts.push(text);
-    }
-    finish(Vec::new(), 0, &format!("OWNER held in {} rounds: {}", texts.len(), texts.join("; ")));
-}
-
-/// Starts the system, plays one drill and ends the system; returns whether the rule was broken, and what
-/// was seen.
-fn play(round: usize, away_ms: u64) -> (bool, String) {
-    note(format!("round {}", round + 1));
-    let (store, links) = Store::start(4, 1);
-    store.write("config", "main", Some(lib::keyed_config(7)));
+    let (store, links) = Store::start(1, 1);
+    store.write("config", "main", Some(lib::upload_config(7)));
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let options =
-        ServerOptions { work: Duration::from_millis(60), late_copy_share: 0.0, is_keyed: true };
-    let start = |id: &str, zone: &str| {
-        let server = Server::start(id, options, Arc::clone(&runs));
-        server.register(&store, "tagboard", zone);
-        server
-    };
-    let mut servers = vec![start("i-a1", "a"), start("i-b1", "b")];
-    // The copy of the drill: from the time at which the system starts.
-    let copy = store.copy();
-    let copied_at = now_s();
-    note("the copy of the drill is taken");
-    let mut routers: Vec<Router> = links
-        .iter()
-        .enumerate()
-        .map(|(i, link)| {
-            Router::start(4 * round + i, &format!("edge-{i}"), ["a", "b", "a", "b"][i], *link)
-        })
-        .collect();
+        ServerOptions { work: Duration::from_millis(260), late_copy_share: 0.0, is_keyed: false };
+    for (id, zone) in [("i-a1", "a"), ("i-a2", "a"), ("i-b1", "b"), ("i-b2", "b")] {
+        Server::start(id, options, Arc::clone(&runs)).register(&store, "proofvault", zone);
+    }
+    let mut router = Router::start_with_log(0, "edge-0", "a", links[0], true);
+    let log = router.take_log().expect("pipe of the log");
+    let is_stalled = Arc::new(AtomicBool::new(false));
+    {
+        let is_stalled = Arc::clone(&is_stalled);
+        thread::spawn(move || read_log(log, &is_stalled));
+    }
+    let front = router.front;
+    let ready = router.ready;
+    let routers = vec![router];
     if !lib::wait_until_ready(&routers, 10) {
-        finish(routers, 2, "the routers did not become ready");
+        finish(routers, 2, "the router did not become ready");
     }
-    // Empty servers are added (planned work).
-    sleep_ms(1_000);
-    servers.push(start("i-a2", "a"));
-    servers.push(start("i-b2", "b"));
-    let servers = Arc::new(servers);
     let stop = Arc::new(AtomicBool::new(false));
-    let served = Arc::new(AtomicU64::new(0));
-    let mut threads = Vec::new();
-    for client in 0..12_usize {
-        let fronts: Vec<_> = routers.iter().map(|router| router.front).collect();
-        let (stop, served) = (Arc::clone(&stop), Arc::clone(&served));
-        threads.push(thread::spawn(move || {
-            let mut sent = 0_usize;
-            while !stop.load(Ordering::SeqCst) {
-                let key = (client * 7 + sent * 11) % WATCHED * (65_536 / WATCHED);
-                let id = format!("r-{round}-{client}-{sent}");
-                let front = fronts[(client + sent) % fronts.len()];
-                let status = lib::request_key(front, &id, key);
-                note(format!("client {client} got {status:?} for {id} on key {key}"));
-                if status == Some(200) {
-                    served.fetch_add(1, Ordering::SeqCst);
+    // Time that each booking took, and its status if it was answered.
+    let times: Arc<Mutex<Vec<(f64, Option<u16>)>>> = Arc::default();
+    let mut clients = Vec::new();
+    for client in 0..8_usize {
+        let (stop, times) = (Arc::clone(&stop), Arc::clone(&times));
+        clients.push(thread::spawn(move || {
+            let mut kept = None;
+            for sent in 0.. {
+                if stop.load(Ordering::SeqCst) {
+                    return;
                 }
-                sent += 1;
-                sleep_ms(15);
+                let id = format!("book-{client}-{sent}");
+                let started = Instant::now();
+                let status = book(front, &mut kept, &id);
+                let took = started.elapsed().as_secs_f64();
+                note(format!("{id} got {status:?} after {took:.2} s"));
+                times.lock().unwrap().push((took, status));
+                sleep_ms(40);
             }
         }));
     }
-    // Watches who holds the keys.
-    let overlaps: Arc<Mutex<Vec<Overlap>>> = Arc::default();
     {
-        let (servers, stop, overlaps) =
-            (Arc::clone(&servers), Arc::clone(&stop), Arc::clone(&overlaps));
-        threads.push(thread::spawn(move || watch_holders(&servers, &stop, &overlaps)));
+        let stop = Arc::clone(&stop);
+        clients.push(thread::spawn(move || {
+            while !stop.load(Ordering::SeqCst) {
+                let path = "x".repeat(LONG_PATH_BYTES);
+                let text = format!(
+                    "GET /none/{path} HTTP/1.1\r\nHost: none.example\r\nRequest-Id: n-1\r\n\
+                     Deadline-Ms: 1000\r\nConnection: close\r\n\r\n"
+                );
+                let answer = lib::exchange(front, text.as_bytes(), Duration::from_secs(1));
+                note(format!("a request without a route got {:?}", answer.map(|each| each.status)));
+                sleep_ms(200);
+            }
+        }));
     }
-    sleep_ms(3_500);
+    sleep_ms(4_000);
     if has_trouble() {
-        note("the drill begins: the store is away");
-        store.set_down(true);
-        sleep_ms(away_ms);
-        store.restore(&copy);
-        store.set_down(false);
-        note(format!("the store is back from a copy that is {:.1} s old", now_s() - copied_at));
+        note("the log is no longer read");
+        is_stalled.store(true, Ordering::SeqCst);
     }
-    sleep_ms(7_500);
+    sleep_ms(STALL_MS - 1_500);
+    let request = format!("GET /api/ready HTTP/1.1\r\nHost: {ready}\r\n\r\n");
+    let answer = lib::exchange(ready, request.as_bytes(), Duration::from_secs(1));
+    note(format!("the readiness check got {:?}", answer.map(|each| each.status)));
+    sleep_ms(500);
+    if has_trouble() {
+        note("the log is read again");
+        is_stalled.store(false, Ordering::SeqCst);
+    }
+    sleep_ms(2_000);
     stop.store(true, Ordering::SeqCst);
-    for each in threads {
-        let _ = each.join();
+    clients.into_iter().for_each(|client| drop(client.join()));
+    let times = times.lock().unwrap();
+    let answered = times.iter().filter(|(_, status)| status.is_some()).count();
+    let late = times.iter().filter(|(took, _)| *took > ROUTE_TIMEOUT).count();
+    let unanswered = times.iter().filter(|(took, _)| *took > ROUTE_TIMEOUT + SLACK).count();
+    note(format!(
+        "{answered} of {} requests answered; {late} had no answer at their route's timeout, \
+        {unanswered} of them none {SLACK} s later",
+        times.len()
+    ));
+    if answered < 50 {
+        finish(routers, 2, "too few requests were answered");
     }
-    let served = served.load(Ordering::SeqCst);
-    note(format!("{served} requests served"));
-    if served < 100 {
-        finish(routers, 2, "too few requests were served");
+    match late >= 8 && unanswered * 2 > late {
+        true => {
+            let text = format!(
+                "CONFIG broken: of {late} requests without an answer at their route's \
+                timeout, {unanswered} had none {SLACK} s later"
+            );
+            finish(routers, 1, &text)
+        }
+        false => finish(routers, 0, "CONFIG held"),
     }
-    routers.iter_mut().for_each(Router::kill);
-    let overlaps = overlaps.lock().unwrap();
-    let longest = overlaps.iter().map(|each| each.end - each.begin).fold(0.0, f64::max);
-    // Both servers begin requests on a key in the time in which both hold it.
-    let runs = runs.lock().unwrap();
-    let has_run = |server: &str, overlap: &Overlap| {
-        runs.iter().any(|run| {
-            run.server == server
-                && run.key == overlap.key
-                && run.begin >= overlap.begin
-                && run.begin <= overlap.end
-        })
-    };
-    let both =
-        overlaps.iter().filter(|each| has_run(&each.first, each) && has_run(&each.second, each));
-    let both = both.count();
-    let long = overlaps.iter().filter(|each| each.end - each.begin > MAX_OVERLAP).count();
-    let text = format!(
-        "{long} times two servers held one of {WATCHED} watched keys for over {MAX_OVERLAP} s, \
-         the longest {longest:.2} s; {both} times both began requests on it"
-    );
-    note(&text);
-    (long > 0 || both > 0, text)
 }
 
-/// A time in which two servers held a key.
-#[derive(Clone)]
-struct Overlap {
-    key: usize,
-    first: String,
-    second: String,
-    begin: f64,
-    end: f64,
+/// Reads the log, except while the reader is stalled.
+fn read_log(mut log: std::process::ChildStdout, is_stalled: &AtomicBool) {
+    let mut buf = [0; 4096];
+    loop {
+        while is_stalled.load(Ordering::SeqCst) {
+            sleep_ms(10);
+        }
+        if log.read(&mut buf).unwrap_or(0) == 0 {
+            return;
+        }
+    }
 }
 
-fn watch_holders(servers: &[Server], stop: &AtomicBool, found: &Mutex<Vec<Overlap>>) {
-    let mut open: BTreeMap<(usize, usize, usize), Overlap> = BTreeMap::new();
-    while !stop.load(Ordering::SeqCst) {
-        let started = Instant::now();
-        for index in 0..WATCHED {
-            let key = index * (65_536 / WATCHED);
-            for a in 0..servers.len() {
-                for b in a + 1..servers.len() {
-                    let at = now_s();
-                    if servers[a].holds(key) && servers[b].holds(key) {
-                        let overlap = open.entry((key, a, b)).or_insert_with(|| {
-                            if index % 16 == 0 {
-                                note(format!(
-                                    "{} and {} both hold key {key}",
-                                    servers[a].id, servers[b].id
-                                ));
-                            }
-                            Overlap {
-                                key,
-                                first: servers[a].id.clone(),
-                                second: servers[b].id.clone(),
-                                begin: at,
-                                end: at,
-                            }
-                        });
-                        overlap.end = at;
-                    } else if let Some(overlap) = open.remove(&(key, a, b)) {
-                        if index % 16 == 0 {
-                            note(format!(
-                                "{} and {} no longer both hold key {key}: {:.2} s",
-                                servers[a].id,
-                                servers[b].id,
-                                overlap.end - overlap.begin
-                            ));
-                        }
-                        found.lock().unwrap().push(overlap);
-                    }
-                }
-            }
+/// Sends a booking on a kept connection; returns the status of the answer.
+fn book(to: SocketAddr, kept: &mut Option<BufReader<TcpStream>>, id: &str) -> Option<u16> {
+    let mut connection = match kept.take() {
+        Some(connection) => connection,
+        None => {
+            let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
+            stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
+            BufReader::new(stream)
         }
-        thread::sleep(Duration::from_millis(20).saturating_sub(started.elapsed()));
+    };
+    let text = format!(
+        "POST /book/x HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
+         Content-Length: 5\r\n\r\ntag-7"
+    );
+    connection.get_mut().write_all(text.as_bytes()).ok()?;
+    let answer = lib::read_answer(&mut connection)?;
+    if answer.headers.get("connection").is_none_or(|value| value != "close") {
+        *kept = Some(connection);
     }
-    found.lock().unwrap().extend(open.into_values());
+    Some(answer.status)
 }
