Review case 7: long heads close connections with requests in flight

A head longer than the buffer of 16 KiB, which the operator's limit may allow, is taken for the end of the connection, so that the requests in flight on it are dropped.

Adds the script.

--- a/review/7/case.rs
+++ b/review/7/case.rs
@@ -1,159 +1,156 @@
-//! The reader of a router's log stops for some seconds, while some requests have long paths that no
-//! route has.
+//! The operator's configuration allows longer heads, and clients send them behind a request that has not
+//! been answered yet.
 
 #[path = "../common-2/lib.rs"]
 mod lib;
 
-use std::io::{BufReader, Read, Write};
+use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
-use std::sync::atomic::{AtomicBool, Ordering};
 use std::sync::{Arc, Mutex};
 use std::thread;
-use std::time::{Duration, Instant};
+use std::time::Duration;
 
 use lib::{Router, Run, Server, ServerOptions, Store, finish, has_trouble, note, sleep_ms};
 
-/// Timeout of the route (see `upload_config`), and the time after it by which an answer is due.
-const ROUTE_TIMEOUT: f64 = 2.5;
-const SLACK: f64 = 0.5;
+/// Limit of a head in the first configuration, as in the pages' example, and in the second one.
+const FIRST_LIMIT: usize = 16_384;
+const SECOND_LIMIT: usize = 65_536;
 
-/// Length of the paths that no route has; the configuration allows heads of 16 KiB.
-const LONG_PATH_BYTES: usize = 6_000;
+/// Length of the header that some requests carry, before and after the change of the configuration.
+const USUAL_HEADER: usize = 8_000;
+const LONG_HEADER: usize = 20_000;
 
-/// Time for which the log is not read.
-const STALL_MS: u64 = 15_000;
+/// Requests that may end without an answer (rule LOST).
+const MAX_LOST: usize = 3;
+
+/// Result of one client: the requests without an answer, and the number of answers.
+type ClientResult = (Vec<String>, usize);
 
 fn main() {
-    let (store, links) = Store::start(1, 1);
-    store.write("config", "main", Some(lib::upload_config(7)));
+    let (store, links) = Store::start(2, 1);
+    store.write("config", "main", Some(lib::lookup_config(7, FIRST_LIMIT)));
     let runs: Arc<Mutex<Vec<Run>>> = Arc::default();
     let options =
         ServerOptions { work: Duration::from_millis(260), late_copy_share: 0.0, is_keyed: false };
     for (id, zone) in [("i-a1", "a"), ("i-a2", "a"), ("i-b1", "b"), ("i-b2", "b")] {
-        Server::start(id, options, Arc::clone(&runs)).register(&store, "proofvault", zone);
-    }
-    let mut router = Router::start_with_log(0, "edge-0", "a", links[0], true);
-    let log = router.take_log().expect("pipe of the log");
-    let is_stalled = Arc::new(AtomicBool::new(false));
-    {
-        let is_stalled = Arc::clone(&is_stalled);
-        thread::spawn(move || read_log(log, &is_stalled));
+        Server::start(id, options, Arc::clone(&runs)).register(&store, "tagboard", zone);
     }
-    let front = router.front;
-    let ready = router.ready;
-    let routers = vec![router];
+    let routers: Vec<Router> = links
+        .iter()
+        .enumerate()
+        .map(|(i, link)| Router::start(i, &format!("edge-{i}"), ["a", "b"][i], *link))
+        .collect();
     if !lib::wait_until_ready(&routers, 10) {
-        finish(routers, 2, "the router did not become ready");
-    }
-    let stop = Arc::new(AtomicBool::new(false));
-    // Time that each booking took, and its status if it was answered.
-    let times: Arc<Mutex<Vec<(f64, Option<u16>)>>> = Arc::default();
-    let mut clients = Vec::new();
-    for client in 0..8_usize {
-        let (stop, times) = (Arc::clone(&stop), Arc::clone(&times));
-        clients.push(thread::spawn(move || {
-            let mut kept = None;
-            for sent in 0.. {
-                if stop.load(Ordering::SeqCst) {
-                    return;
-                }
-                let id = format!("book-{client}-{sent}");
-                let started = Instant::now();
-                let status = book(front, &mut kept, &id);
-                let took = started.elapsed().as_secs_f64();
-                note(format!("{id} got {status:?} after {took:.2} s"));
-                times.lock().unwrap().push((took, status));
-                sleep_ms(40);
-            }
-        }));
+        finish(routers, 2, "the routers did not become ready");
     }
-    {
-        let stop = Arc::clone(&stop);
-        clients.push(thread::spawn(move || {
-            while !stop.load(Ordering::SeqCst) {
-                let path = "x".repeat(LONG_PATH_BYTES);
-                let text = format!(
-                    "GET /none/{path} HTTP/1.1\r\nHost: none.example\r\nRequest-Id: n-1\r\n\
-                     Deadline-Ms: 1000\r\nConnection: close\r\n\r\n"
-                );
-                let answer = lib::exchange(front, text.as_bytes(), Duration::from_secs(1));
-                note(format!("a request without a route got {:?}", answer.map(|each| each.status)));
-                sleep_ms(200);
-            }
-        }));
+    let fronts: Vec<SocketAddr> = routers.iter().map(|router| router.front).collect();
+    let (unanswered, answered) = play(&fronts, "before", USUAL_HEADER);
+    note(format!("before the change: {answered} answers, without one: {unanswered:?}"));
+    if !unanswered.is_empty() {
+        finish(routers, 2, "requests had no answer before the change");
     }
-    sleep_ms(4_000);
-    if has_trouble() {
-        note("the log is no longer read");
-        is_stalled.store(true, Ordering::SeqCst);
-    }
-    sleep_ms(STALL_MS - 1_500);
-    let request = format!("GET /api/ready HTTP/1.1\r\nHost: {ready}\r\n\r\n");
-    let answer = lib::exchange(ready, request.as_bytes(), Duration::from_secs(1));
-    note(format!("the readiness check got {:?}", answer.map(|each| each.status)));
-    sleep_ms(500);
-    if has_trouble() {
-        note("the log is read again");
-        is_stalled.store(false, Ordering::SeqCst);
-    }
-    sleep_ms(2_000);
-    stop.store(true, Ordering::SeqCst);
-    clients.into_iter().for_each(|client| drop(client.join()));
-    let times = times.lock().unwrap();
-    let answered = times.iter().filter(|(_, status)| status.is_some()).count();
-    let late = times.iter().filter(|(took, _)| *took > ROUTE_TIMEOUT).count();
-    let unanswered = times.iter().filter(|(took, _)| *took > ROUTE_TIMEOUT + SLACK).count();
+    let header = if has_trouble() {
+        note(format!("the operator raises max-header-bytes from {FIRST_LIMIT} to {SECOND_LIMIT}"));
+        store.write("config", "main", Some(lib::lookup_config(9, SECOND_LIMIT)));
+        LONG_HEADER
+    } else {
+        USUAL_HEADER
+    };
+    // `config-apply` is 2 s.
+    sleep_ms(6_000);
+    let (unanswered, answered) = play(&fronts, "after", header);
+    let runs = runs.lock().unwrap();
+    let has_run = |id: &String| runs.iter().any(|run| run.id == *id);
+    let lost: Vec<&String> = unanswered.iter().filter(|id| has_run(id)).collect();
     note(format!(
-        "{answered} of {} requests answered; {late} had no answer at their route's timeout, \
-        {unanswered} of them none {SLACK} s later",
-        times.len()
+        "after the change: {answered} answers; {} requests without one, of which servers had begun {}",
+        unanswered.len(),
+        lost.len()
     ));
-    if answered < 50 {
-        finish(routers, 2, "too few requests were answered");
-    }
-    match late >= 8 && unanswered * 2 > late {
+    match lost.len() > MAX_LOST {
         true => {
             let text = format!(
-                "CONFIG broken: of {late} requests without an answer at their route's \
-                timeout, {unanswered} had none {SLACK} s later"
+                "LOST broken: {} requests were passed on to servers, and their connections closed \
+                 without an answer; {} more had no answer",
+                lost.len(),
+                unanswered.len() - lost.len()
             );
             finish(routers, 1, &text)
         }
-        false => finish(routers, 0, "CONFIG held"),
+        false => finish(routers, 0, "LOST held"),
     }
 }
 
-/// Reads the log, except while the reader is stalled.
-fn read_log(mut log: std::process::ChildStdout, is_stalled: &AtomicBool) {
-    let mut buf = [0; 4096];
-    loop {
-        while is_stalled.load(Ordering::SeqCst) {
-            sleep_ms(10);
-        }
-        if log.read(&mut buf).unwrap_or(0) == 0 {
-            return;
-        }
+/// Lets clients send requests on kept connections, each second one behind an unanswered one.
+fn play(fronts: &[SocketAddr], name: &str, header: usize) -> ClientResult {
+    let clients: Vec<_> = (0..6_usize)
+        .map(|client| {
+            let front = fronts[client % fronts.len()];
+            let name = format!("{name}-{client}");
+            thread::spawn(move || run_client(front, &name, header))
+        })
+        .collect();
+    let mut all: ClientResult = (Vec::new(), 0);
+    for client in clients {
+        let (unanswered, answered) = client.join().expect("client ends");
+        all.0.extend(unanswered);
+        all.1 += answered;
     }
+    all
 }
 
-/// Sends a booking on a kept connection; returns the status of the answer.
-fn book(to: SocketAddr, kept: &mut Option<BufReader<TcpStream>>, id: &str) -> Option<u16> {
-    let mut connection = match kept.take() {
-        Some(connection) => connection,
-        None => {
-            let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
-            stream.set_read_timeout(Some(Duration::from_secs(5))).ok()?;
-            BufReader::new(stream)
+fn run_client(front: SocketAddr, name: &str, header: usize) -> ClientResult {
+    let mut unanswered = Vec::new();
+    let mut answered = 0;
+    let mut kept: Option<BufReader<TcpStream>> = None;
+    for pair in 0..4 {
+        let mut connection = match kept.take() {
+            Some(connection) => connection,
+            None => {
+                let stream = TcpStream::connect_timeout(&front, Duration::from_secs(1))
+                    .expect("router accepts");
+                stream.set_read_timeout(Some(Duration::from_secs(5))).unwrap();
+                BufReader::new(stream)
+            }
+        };
+        // A first request alone, so that the connection is a kept one.
+        let ids = ["alone", "first", "second"].map(|which| format!("{name}-{pair}-{which}"));
+        let plain = |id: &str| format!("{}\r\n", head(id));
+        let long = |id: &str| format!("{}X-Note: {}\r\n\r\n", head(id), "n".repeat(header));
+        let mut answers = 0;
+        if connection.get_mut().write_all(plain(&ids[0]).as_bytes()).is_ok()
+            && read_status(&mut connection, &ids[0]).is_some()
+        {
+            answers = 1;
+            // The first request is with a server when the second one follows.
+            let _ = connection.get_mut().write_all(plain(&ids[1]).as_bytes());
+            sleep_ms(60);
+            let _ = connection.get_mut().write_all(long(&ids[2]).as_bytes());
+            for id in &ids[1..] {
+                match read_status(&mut connection, id) {
+                    Some(_) => answers += 1,
+                    None => break,
+                }
+            }
+        }
+        answered += answers;
+        unanswered.extend_from_slice(&ids[answers..]);
+        if answers == ids.len() {
+            kept = Some(connection);
         }
-    };
-    let text = format!(
-        "POST /book/x HTTP/1.1\r\nHost: crews.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
-         Content-Length: 5\r\n\r\ntag-7"
-    );
-    connection.get_mut().write_all(text.as_bytes()).ok()?;
-    let answer = lib::read_answer(&mut connection)?;
-    if answer.headers.get("connection").is_none_or(|value| value != "close") {
-        *kept = Some(connection);
     }
-    Some(answer.status)
+    (unanswered, answered)
+}
+
+/// Returns the start of a request, without the empty line at its end.
+fn head(id: &str) -> String {
+    format!(
+        "GET /jobs/x HTTP/1.1\r\nHost: jobs.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 4000\r\n"
+    )
+}
+
+fn read_status(connection: &mut BufReader<TcpStream>, id: &str) -> Option<u16> {
+    let status = lib::read_answer(connection).map(|answer| answer.status);
+    note(format!("{id} got {status:?}"));
+    status
 }
--- a/review/common-2/lib.rs
+++ b/review/common-2/lib.rs
@@ -1147,6 +1147,18 @@
     exchange(front, text.as_bytes(), Duration::from_secs(5)).map(|answer| answer.status)
 }
 
+/// Returns the operator's configuration: a route for lookups, with this limit of a head.
+pub fn lookup_config(version: u64, max_header_bytes: usize) -> Json {
+    let text = format!(
+        r#"{{"version":"r{version}","routes":{{"columns":["name","host","path-prefix","route-type","timeout","target-latency","priority","traffic-split","max-attempts","service"],
+"rows":[["r-jobs","jobs.example","/jobs/","safe","2000ms","600ms",2,null,2,"tagboard"]]}},
+"services":{{"columns":["name","health-path","max-conns","protocol","tls","warmup","warmup-per-s","sharded","warm","grants"],
+"rows":[["tagboard","/health",110,"h1",false,"3s",5.0,null,null,null]]}},
+"limits":{{"max-header-bytes":{max_header_bytes},"max-body-bytes":67108864,"header-timeout":"3000ms","idle-timeout":"15000ms"}}}}"#
+    );
+    Json::parse(&text).expect("valid configuration")
+}
+
 /// Returns the operator's configuration: a route for uploads and one for bookings.
 pub fn upload_config(version: u64) -> Json {
     let text = format!(
