Refuse answers whose status is not one of HTTP's

Callers got answers of a server in trouble with the status 000, 099, 600 or 999, 000 as "HTTP/1.1 0 OK". The same statuses in answers to orders and from the store counted as the end of a sound answer: the connection was used on.

Cause: httparse takes any three digits for a status, and check_response, through which all answers to requests, orders and calls of the store go, took over what it returned. It now refuses a status outside of 100 to 599 like any other malformed head; callers get 502. Statuses with two or four digits, letters or a sign were refused before. The gate refused 000 and 600 before, since its HTTP library knows neither; it has a test now.

Before the change 6 of the 10 cases in broken_answers fail: the four statuses are passed on, 3 of 4 orders come on used connections. After it all pass.

--- a/crates/node/src/http1/response_check.rs
+++ b/crates/node/src/http1/response_check.rs
@@ -1,6 +1,11 @@
+use std::ops::RangeInclusive;
+
 use super::framing::Framing;
 use super::request_check::parse_length;
 
+/// Statuses that HTTP defines a class for (RFC 9110, section 15). The parser accepts any three digits.
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
+
 /// Maximum number of headers that the parser accepts.
 const MAX_HEADERS: usize = 128;
 
@@ -39,7 +44,7 @@
 /// Checks the raw head of a response; `to_head_request` means that no body follows.
 ///
 /// # Errors
-/// Returns an error if two parsers could read the head differently.
+/// Returns an error if the status is not one of HTTP's, or two parsers could read the head differently.
 pub(crate) fn check_response(head: &[u8], to_head_request: bool) -> Result<ResponseInfo, BadHead> {
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
@@ -51,7 +56,7 @@
     if response.version != Some(1) || !head.is_ascii() {
         return Err(BadHead);
     }
-    let status = response.code.ok_or(BadHead)?;
+    let status = response.code.filter(|code| VALID_STATUSES.contains(code)).ok_or(BadHead)?;
     let mut info = ResponseInfo {
         status,
         framing: Framing::Empty,
--- /dev/null
+++ b/crates/node/tests/broken_answers.rs
@@ -0,0 +1,107 @@
+//! Broken answers of servers and of the store never pass for sound ones.
+
+mod platform;
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+use platform::{
+    FakeStore, Request, RunningRouter, config, request_status, server_entry, start_router,
+    start_scripted_server,
+};
+use test_case::test_case;
+
+/// Number of orders or calls of the store after which a test has seen enough of them.
+const ENOUGH_CALLS: usize = 4;
+
+/// Starts a router in front of one server, which is also the only owner of keys.
+fn start(server: SocketAddr) -> (FakeStore, RunningRouter) {
+    let (store, address) = FakeStore::start();
+    let routes =
+        [("/read/", "safe", "pool"), ("/book/", "unsafe", "pool"), ("/load/", "download", "pool")];
+    store.write("config/main", Some(config("1s", &routes)));
+    for service in ["pool", "keyed"] {
+        store.write(&format!("servers/i-{service}"), Some(server_entry(service, server, 4)));
+    }
+    let router = start_router("h1", address, &["hold-max=10s"]);
+    while request_status(router.ready, "GET", "/api/ready") != 200 {}
+    (store, router)
+}
+
+/// Sends a request; returns all bytes of the answer.
+fn send(router: &RunningRouter, method: &str, path: &str) -> String {
+    let mut stream = TcpStream::connect(router.listen).unwrap();
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nHost: shop\r\nRequest-Id: q\r\nConnection: close\r\n\
+         Content-Length: 0\r\n\r\n"
+    );
+    stream.write_all(request.as_bytes()).unwrap();
+    let mut answer = Vec::new();
+    stream.read_to_end(&mut answer).unwrap();
+    String::from_utf8_lossy(&answer).into_owned()
+}
+
+/// Returns an answer to a request or a call, well framed and signed, with this status.
+fn answer_with_status(request: &Request, status: &str) -> String {
+    let id = request.headers.get("request-id").map_or("", String::as_str);
+    format!(
+        "HTTP/1.1 {status} X\r\nRequest-Id: {id}\r\nResponse-Signature: s\r\nStore-Era: 3\r\n\
+         Content-Length: 4\r\n\r\nbody"
+    )
+}
+
+fn is_order(request: &Request) -> bool {
+    request.request_line.contains("/api/grant") || request.request_line.contains("/api/release")
+}
+
+/// Guards against statuses that are not HTTP's in what callers get.
+#[test_case("000")]
+#[test_case("099")]
+#[test_case("600")]
+#[test_case("999")]
+#[test_case("20")]
+#[test_case("2000")]
+#[test_case("20x")]
+#[test_case("+200")]
+fn an_answer_with_an_invalid_status_is_not_passed_on(status: &'static str) {
+    let server = start_scripted_server(|request, _| match is_order(request) {
+        true => answer_with_status(request, "200"),
+        false => answer_with_status(request, status),
+    });
+    let (_store, router) = start(server);
+    for (method, path) in [("GET", "/read/x"), ("POST", "/book/x"), ("GET", "/load/x")] {
+        let answer = send(&router, method, path);
+        let is_error = ["502", "503", "504"].contains(&&answer[9..12]);
+        assert!(is_error && !answer.contains("body"), "{method} {path}: {answer}");
+    }
+}
+
+/// Guards against a connection that is used on after an answer whose end can't be trusted.
+#[test_case("000"; "below all classes")]
+#[test_case("600"; "above all classes")]
+fn a_connection_is_not_reused_after_an_invalid_status(status: &'static str) {
+    let orders = Arc::new(AtomicUsize::new(0));
+    let reused = Arc::new(AtomicUsize::new(0));
+    let (order_count, reuse_count) = (Arc::clone(&orders), Arc::clone(&reused));
+    let server = start_scripted_server(move |request, index| {
+        order_count.fetch_add(usize::from(is_order(request)), Ordering::Relaxed);
+        reuse_count.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+        answer_with_status(request, status)
+    });
+    let _running = start(server);
+    while orders.load(Ordering::Relaxed) < ENOUGH_CALLS {}
+    assert_eq!(reused.load(Ordering::Relaxed), 0, "orders on used connections");
+
+    let calls = Arc::new(AtomicUsize::new(0));
+    let (call_count, reuse_count) = (Arc::clone(&calls), Arc::clone(&reused));
+    let store = start_scripted_server(move |request, index| {
+        call_count.fetch_add(1, Ordering::Relaxed);
+        reuse_count.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+        answer_with_status(request, status)
+    });
+    let _router = start_router("h2", store, &[]);
+    while calls.load(Ordering::Relaxed) < ENOUGH_CALLS {}
+    assert_eq!(reused.load(Ordering::Relaxed), 0, "calls of the store on used connections");
+}
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -149,18 +149,21 @@
     fn serve(&self, stream: &TcpStream) {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_request(&mut reader) {
-            let (status, body) = self.handle_request(&request);
-            let body = with_unreadable_parts(&body.to_string());
-            let era = self.era_header();
-            let length = body.len();
-            let head = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {length}\r\n\r\n");
-            let text = [head.into_bytes(), body].concat();
-            if (&mut &*stream).write_all(&text).is_err() {
+            if (&mut &*stream).write_all(&self.answer(&request)).is_err() {
                 return;
             }
         }
     }
 
+    /// Carries out a request; returns the encoded answer.
+    pub fn answer(&self, request: &Request) -> Vec<u8> {
+        let (status, body) = self.handle_request(request);
+        let body = with_unreadable_parts(&body.to_string());
+        let (era, length) = (self.era_header(), body.len());
+        let head = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {length}\r\n\r\n");
+        [head.into_bytes(), body].concat()
+    }
+
     fn handle_request(&self, request: &Request) -> (u16, Value) {
         let mut words = request.request_line.split(' ');
         let (method, target) = (words.next().unwrap(), words.next().unwrap());
--- a/crates/node/tests/platform/store_front.rs
+++ b/crates/node/tests/platform/store_front.rs
@@ -57,14 +57,11 @@
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         while let Some(request) = read_request(&mut reader) {
             self.wait_while_held(&request.request_line);
-            let (status, body) = self.store.handle_request(&request);
+            let answer = self.store.answer(&request);
             if self.wait_while_held(&request.request_line) {
                 return;
             }
-            let body = body.to_string();
-            let (era, length) = (self.store.era_header(), body.len());
-            let head = format!("HTTP/1.1 {status} X\r\n{era}Content-Length: {length}\r\n\r\n");
-            if (&mut &*stream).write_all((head + &body).as_bytes()).is_err() {
+            if (&mut &*stream).write_all(&answer).is_err() {
                 return;
             }
         }
--- a/crates/node/tests/whole_answers.rs
+++ b/crates/node/tests/whole_answers.rs
@@ -144,14 +144,16 @@
     });
 }
 
-#[test]
-fn a_response_without_length_and_body_is_an_error() {
+#[test_case("HTTP/1.1 200 OK\r\n\r\n"; "no length and no body")]
+#[test_case("HTTP/1.1 000 X\r\nContent-Length: 0\r\n\r\n"; "a status below all classes")]
+#[test_case("HTTP/1.1 600 X\r\nContent-Length: 0\r\n\r\n"; "a status above all classes")]
+fn a_response_with_an_invalid_head_is_an_error(head: &'static str) {
     let request = "POST /p HTTP/1.1\r\nhost: photos.example\r\n\r\n";
     with_listener(short_timeout(), async |site, listener| {
         let serve = async {
             let (mut stream, _) = listener.accept().await.unwrap();
             stream.read_exact(&mut vec![0; request.len()]).await.unwrap();
-            stream.write_all(b"HTTP/1.1 200 OK\r\n\r\n").await.unwrap();
+            stream.write_all(head.as_bytes()).await.unwrap();
         };
         let (response, ()) = futures_lite::future::zip(site.fetch(request), serve).await;
         assert_eq!(response.header("bay-error"), Some("bad-answer"), "{response:?}");
