Keep a reset that a write has seen for the reader of the answer

Cause: the system reports a reset once, to the first read or write after it. If the router was writing the upload, the write got the error, which poll_send takes for the end of the upload only. The reads after it got the part that had arrived and then the end of the connection, as after a clean close, where an answer without a length ends. A reset that poll_fill had seen was lost in the same way.

Connection now keeps the first error, other than that of a closed peer (EPIPE), and fails with it where the peer's bytes end. So it reaches all who read answers through it: requests, downloads, orders, the store and the gate. What came before the reset is still read: an answer that is whole by its length or chunks is passed on. EPIPE is left out because it follows the peer's own end, so that all its bytes have arrived; counted as an error it would refuse sound answers.

--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -40,6 +40,9 @@
     filled_len: usize,
     /// Whether the peer has closed its side.
     is_read_closed: bool,
+    /// Error by which the connection broke. The system reports it once, to the first read or write, and
+    /// then ends the peer's bytes as if the peer had closed its side.
+    broken_by: Option<io::ErrorKind>,
     /// Whether a response without the identifier of its request is a late copy of an earlier one.
     requires_request_id: bool,
     timer: Arc<PeerTimer>,
@@ -78,6 +81,7 @@
             consumed_len: 0,
             filled_len: 0,
             is_read_closed: false,
+            broken_by: None,
             requires_request_id: false,
             timer,
             pool,
@@ -168,6 +172,9 @@
     }
 
     /// Reads more bytes into the buffer; zero means that the peer has closed its side.
+    ///
+    /// What has arrived before the connection broke is read first, then this fails, also if a write has
+    /// failed before.
     pub(crate) fn poll_fill(&mut self, cx: &mut Context<'_>) -> Poll<io::Result<usize>> {
         if self.is_read_closed {
             return Poll::Ready(Ok(0));
@@ -189,7 +196,11 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                Err(error) => {
+                    self.broken_by.get_or_insert(error.kind());
+                    return Poll::Ready(Err(error));
+                }
+                Ok(0) if let Some(kind) = self.broken_by => return Poll::Ready(Err(kind.into())),
                 Ok(count) => {
                     self.is_read_closed = count == 0;
                     self.timer.record_progress(count);
@@ -256,7 +267,14 @@
                     }
                 }
                 Err(error) if error.kind() == io::ErrorKind::Interrupted => {}
-                Err(error) => return Poll::Ready(Err(error)),
+                // The peer had closed its side before, so all of its bytes have arrived.
+                Err(error) if error.kind() == io::ErrorKind::BrokenPipe => {
+                    return Poll::Ready(Err(error));
+                }
+                Err(error) => {
+                    self.broken_by.get_or_insert(error.kind());
+                    return Poll::Ready(Err(error));
+                }
                 Ok(0) => return Poll::Ready(Err(io::ErrorKind::WriteZero.into())),
                 Ok(count) => {
                     self.timer.record_progress(count);
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -31,6 +31,15 @@
 /// Reads a request. Returns `None` if the connection fails, or closes before the request line or
 /// within the body. If it closes within the headers, these count as complete.
 pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Request> {
+    let request = read_head(reader)?;
+    let length = request.headers.get("content-length").and_then(|text| text.parse().ok());
+    let mut body = vec![0; length.unwrap_or(0)];
+    reader.read_exact(&mut body).ok()?;
+    Some(Request { body, ..request })
+}
+
+/// Like [`read_request`], up to the body, which is empty in the result.
+pub fn read_head(reader: &mut BufReader<TcpStream>) -> Option<Request> {
     let mut line = String::new();
     if reader.read_line(&mut line).ok()? == 0 {
         return None;
@@ -44,13 +53,11 @@
         };
         headers.insert(name.to_ascii_lowercase(), value.trim().to_owned());
     }
-    let length = headers.get("content-length").and_then(|text| text.parse().ok()).unwrap_or(0);
-    let mut body = vec![0; length];
-    reader.read_exact(&mut body).ok()?;
-    Some(Request { request_line: line.trim().to_owned(), headers, body })
+    Some(Request { request_line: line.trim().to_owned(), headers, body: Vec::new() })
 }
 
-fn listen<F>(serve: F) -> SocketAddr
+/// Starts a server that runs `serve` for each connection, and returns its address.
+pub fn start_raw_server<F>(serve: F) -> SocketAddr
 where
     F: Fn(TcpStream) + Clone + Send + 'static,
 {
@@ -104,7 +111,7 @@
     pub fn start() -> (FakeStore, SocketAddr) {
         let store = FakeStore::default();
         let shared = store.clone();
-        let address = listen(move |stream| shared.serve(&stream));
+        let address = start_raw_server(move |stream| shared.serve(&stream));
         (store, address)
     }
 
@@ -401,7 +408,7 @@
 where
     F: Fn(&Request, usize) -> String + Clone + Send + 'static,
 {
-    listen(move |stream| {
+    start_raw_server(move |stream| {
         let mut reader = BufReader::new(stream.try_clone().unwrap());
         let mut index = 0;
         while let Some(request) = read_request(&mut reader) {
@@ -425,7 +432,7 @@
 
 /// Starts a server that accepts grants and requests, and returns its address. `id` is its name.
 pub fn start_server(id: &'static str, behavior: ServerBehavior) -> SocketAddr {
-    listen(move |stream| serve_requests(&stream, id, behavior))
+    start_raw_server(move |stream| serve_requests(&stream, id, behavior))
 }
 
 fn serve_requests(stream: &TcpStream, id: &str, behavior: ServerBehavior) {
--- a/crates/node/tests/platform/store_front.rs
+++ b/crates/node/tests/platform/store_front.rs
@@ -2,7 +2,7 @@
 use std::net::{SocketAddr, TcpStream};
 use std::sync::{Arc, Condvar, Mutex};
 
-use super::{FakeStore, listen, read_request};
+use super::{FakeStore, read_request, start_raw_server};
 
 /// An address of a store at which calls about one kind of object can be left unanswered.
 #[derive(Clone)]
@@ -17,7 +17,7 @@
     pub fn start(store: &FakeStore) -> (StoreFront, SocketAddr) {
         let front = StoreFront { store: store.clone(), held: Arc::default() };
         let shared = front.clone();
-        let address = listen(move |stream| shared.serve(&stream));
+        let address = start_raw_server(move |stream| shared.serve(&stream));
         (front, address)
     }
 
--- a/crates/node/tests/uploads.rs
+++ b/crates/node/tests/uploads.rs
@@ -7,6 +7,7 @@
 use async_net::{TcpListener, TcpStream};
 use bay_node::HttpLimits;
 use futures_lite::{AsyncReadExt, AsyncWriteExt};
+use socket2::SockRef;
 use support::{Caller, Site, SiteOptions, wait_until, with_listener, with_site};
 use test_case::test_case;
 
@@ -160,6 +161,23 @@
     });
 }
 
+#[test_case("\r\npart", "bad-answer"; "without a length")]
+#[test_case("content-length: 9\r\n\r\npart", "answer-cut"; "with a length")]
+#[test_case("transfer-encoding: chunked\r\n\r\n4\r\npart\r\n", "answer-cut"; "in chunks")]
+fn a_response_cut_by_a_reset_during_an_upload_is_an_error(rest: &'static str, error: &str) {
+    with_listener(options(), async |site, listener| {
+        let mut caller = start_upload(&site, "content-length: 4000000\r\n").await;
+        caller.send(&[b'x'; 100_000]).await;
+        let mut stream = read_upload_part(&listener).await;
+        SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+        stream.write_all(format!("HTTP/1.1 200 X\r\n{rest}").as_bytes()).await.unwrap();
+        drop(stream);
+        caller.send(&[b'x'; 100_000]).await;
+        let response = caller.read_response().await;
+        assert_eq!(response.header("bay-error"), Some(error), "{response:?}");
+    });
+}
+
 #[test]
 fn a_response_during_an_upload_is_forwarded() {
     with_listener(options(), async |site, listener| {
