Pass the end of a server's connection on through tunnels as it was

Cause: the tunnel ended with any end of either side and dropped the client's connection, which closes it like a server that has sent everything. So did a planned stop in the middle of an answer, and a killed process.

The client's connection is now reset on close from the start, and closed only behind a close by the server.

--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -71,6 +71,24 @@
     ServerUnreachable,
 }
 
+/// How the forwarding of a tunnel's bytes ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum TunnelEnd {
+    /// The server has closed the connection; all of its bytes were forwarded.
+    Closed,
+    /// The connection to the server broke, or this router gave it up.
+    Broken,
+    /// The client has closed the connection, or it broke.
+    ClientGone,
+}
+
+/// Reason why copying ended before the source's end.
+#[derive(Debug)]
+enum CopyError {
+    Read(io::Error),
+    Write(io::Error),
+}
+
 /// Counts of the tunnels that this router serves.
 #[derive(Debug, Default)]
 pub(crate) struct TunnelCounts {
@@ -247,16 +265,45 @@
     // Without `TCP_NODELAY` the tunnel is slower but correct.
     let _ = client.get_ref().set_nodelay(true);
     let _ = server.get_ref().set_nodelay(true);
+    // Unless the server closes its connection, the client's is reset, also if this process is killed.
+    // Otherwise a part of an answer without a length would look whole.
+    set_reset_on_close(&client, true);
     // What an answer still lacks is not known here, as its framing is not read. Clients no longer use a
     // tunnel that has been idle for so long for requests that may run once only.
     let idle_at_stop = async {
         shell.closing.wait().await;
         guard.wait_until_idle().await;
+        TunnelEnd::Broken
     };
-    future::or(forward(&guard, &client, &server), idle_at_stop).await;
+    let end = future::or(forward(&guard, &client, &server), idle_at_stop).await;
     // Bytes that the client has given up on must not reach the server later.
-    if let Err(error) = SockRef::from(server.get_ref()).set_linger(Some(Duration::ZERO)) {
-        log::warn!(error:% = error; "failed to make the connection reset on close");
+    set_reset_on_close(&server, true);
+    drop(server);
+    match end {
+        TunnelEnd::Closed => set_reset_on_close(&client, false),
+        TunnelEnd::Broken => wait_until_sent(&client).await,
+        TunnelEnd::ClientGone => {}
+    }
+}
+
+/// Chooses whether closing a connection resets it, so bytes that have not arrived are never delivered.
+fn set_reset_on_close(stream: &Async<TcpStream>, is_reset: bool) {
+    let linger = is_reset.then_some(Duration::ZERO);
+    if let Err(error) = SockRef::from(stream.get_ref()).set_linger(linger) {
+        log::warn!(error:% = error; "failed to choose how a connection of a tunnel closes");
+    }
+}
+
+/// Waits until the system has sent all bytes, or the connection breaks.
+async fn wait_until_sent(stream: &Async<TcpStream>) {
+    // Without unsent bytes the stream is writable.
+    let set = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(1);
+    let sent = match set {
+        Ok(()) => stream.writable().await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = sent {
+        log::warn!(error:% = error; "a tunnel may have lost the end of an answer");
     }
 }
 
@@ -296,16 +343,35 @@
 }
 
 /// Forwards bytes in both directions until one ends.
-async fn forward(guard: &TunnelGuard<'_>, client: &Async<TcpStream>, server: &Async<TcpStream>) {
-    let requests = copy(client, server, || guard.record_bytes(true));
-    let answers = copy(server, client, || guard.record_bytes(false));
-    if let Err(error) = future::or(requests, answers).await {
-        log::debug!(error:% = error; "tunnel broken");
-    }
+async fn forward(
+    guard: &TunnelGuard<'_>,
+    client: &Async<TcpStream>,
+    server: &Async<TcpStream>,
+) -> TunnelEnd {
+    let requests = async {
+        match copy(client, server, || guard.record_bytes(true)).await {
+            Ok(()) => TunnelEnd::ClientGone,
+            Err(CopyError::Read(error)) => log_broken(TunnelEnd::ClientGone, &error),
+            Err(CopyError::Write(error)) => log_broken(TunnelEnd::Broken, &error),
+        }
+    };
+    let answers = async {
+        match copy(server, client, || guard.record_bytes(false)).await {
+            Ok(()) => TunnelEnd::Closed,
+            Err(CopyError::Read(error)) => log_broken(TunnelEnd::Broken, &error),
+            Err(CopyError::Write(error)) => log_broken(TunnelEnd::ClientGone, &error),
+        }
+    };
+    future::or(requests, answers).await
+}
+
+fn log_broken(end: TunnelEnd, error: &io::Error) -> TunnelEnd {
+    log::debug!(end:? = end, error:% = error; "tunnel broken");
+    end
 }
 
 /// Copies bytes until the source ends; calls `on_bytes` for each portion.
-async fn copy<R, W, F>(mut from: R, mut to: W, on_bytes: F) -> io::Result<()>
+async fn copy<R, W, F>(mut from: R, mut to: W, on_bytes: F) -> Result<(), CopyError>
 where
     R: AsyncRead + Unpin,
     W: AsyncWrite + Unpin,
@@ -313,11 +379,11 @@
 {
     let mut buf = vec![0; BUFFER_BYTES];
     loop {
-        let count = from.read(&mut buf).await?;
+        let count = from.read(&mut buf).await.map_err(CopyError::Read)?;
         if count == 0 {
             return Ok(());
         }
         on_bytes();
-        to.write_all(&buf[..count]).await?;
+        to.write_all(&buf[..count]).await.map_err(CopyError::Write)?;
     }
 }
--- a/crates/node/tests/tunnels.rs
+++ b/crates/node/tests/tunnels.rs
@@ -2,15 +2,16 @@
 
 mod platform;
 
-use std::io::{Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::io::{BufReader, ErrorKind, Read, Write};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use platform::{
-    FakeStore, RunningRouter, ServerBehavior, config, request_status, server_entry, start_router,
-    start_server,
+    FakeStore, RunningRouter, ServerBehavior, config, read_head, request_status, server_entry,
+    start_raw_server, start_router, start_server,
 };
+use socket2::SockRef;
 use test_case::test_case;
 
 /// Encoded answers of a router.
@@ -123,19 +124,23 @@
     assert!(head.ends_with(b"200"));
 }
 
+/// Opens a tunnel to a server that the router does not know yet.
+fn open_tunnel_to(store: &FakeStore, router: &RunningRouter, server: SocketAddr) -> TcpStream {
+    store.write("servers/i-4", Some(server_entry("pool", server, 4)));
+    let mut tunnel = request_tunnel(router, "i-4", 1);
+    while tunnel.1 == Some(UNKNOWN_SERVER) {
+        tunnel = request_tunnel(router, "i-4", 1);
+    }
+    assert_eq!(tunnel.1, Some(OPEN));
+    tunnel.0
+}
+
 /// Guards against a stop that ends the process between two parts of an answer that another router gets
 /// through it.
 #[test]
 fn a_planned_stop_completes_the_answers_in_tunnels() {
     let (store, router) = start_with_bounds(true, ServerBehavior::Echo, &["grace=6s"]);
-    let server = start_slow_writer();
-    store.write("servers/i-4", Some(server_entry("pool", server, 4)));
-    let mut tunnel = request_tunnel(&router, "i-4", 1);
-    while tunnel.1 == Some(UNKNOWN_SERVER) {
-        tunnel = request_tunnel(&router, "i-4", 1);
-    }
-    let (mut stream, answer) = tunnel;
-    assert_eq!(answer, Some(OPEN));
+    let mut stream = open_tunnel_to(&store, &router, start_slow_writer());
     router.stop.send_blocking(()).unwrap();
     while is_ready(&router) {}
     stream.write_all(REQUEST).unwrap();
@@ -157,18 +162,95 @@
 
 /// Starts a server that writes an answer in parts as soon as a connection is open, and closes it then.
 fn start_slow_writer() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    thread::spawn(move || {
-        for mut stream in listener.incoming().flatten() {
-            thread::spawn(move || {
-                let _ = stream.read(&mut [0; 512]);
-                for part in SLOW_PARTS {
-                    let _ = stream.write_all(part.as_bytes());
-                    thread::sleep(PART_INTERVAL);
-                }
-            });
+    start_raw_server(|mut stream| {
+        let _ = stream.read(&mut [0; 512]);
+        for part in SLOW_PARTS {
+            let _ = stream.write_all(part.as_bytes());
+            thread::sleep(PART_INTERVAL);
+        }
+    })
+}
+
+/// How a server ends its connection after an answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum End {
+    /// It ends its sending side, and reads what still comes.
+    Closed,
+    /// It resets the connection.
+    Reset,
+    /// It keeps the connection open.
+    Kept,
+}
+
+/// Time after which the router has forwarded what it takes, or waits for the other side.
+const FORWARD_PAUSE: Duration = Duration::from_millis(300);
+
+/// Starts a server that writes so many bytes after the head of each request, and ends the connection.
+fn start_ending_server(answer_bytes: usize, end: End) -> SocketAddr {
+    start_raw_server(move |stream| {
+        let mut reader = BufReader::new(stream.try_clone().unwrap());
+        if read_head(&mut reader).is_none() {
+            return;
+        }
+        thread::sleep(FORWARD_PAUSE);
+        let _closed: std::io::Result<()> = (&mut &stream).write_all(&vec![b'a'; answer_bytes]);
+        match end {
+            End::Closed => {
+                let _closed: std::io::Result<()> = stream.shutdown(Shutdown::Write);
+            }
+            End::Reset => {
+                thread::sleep(FORWARD_PAUSE);
+                SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
+                return;
+            }
+            End::Kept => {}
         }
+        let _closed: std::io::Result<u64> = std::io::copy(&mut reader, &mut std::io::sink());
+    })
+}
+
+/// Length of an answer that is forwarded whole while its client reads nothing, in bytes.
+const ANSWER_BYTES: usize = 400 * 1024;
+
+/// Sends a request through a tunnel and reads nothing for a while; returns the number of bytes of the
+/// answer, and whether the connection was reset behind them.
+fn exchange(mut stream: TcpStream) -> (usize, bool) {
+    stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+    stream.write_all(REQUEST).unwrap();
+    thread::sleep(4 * FORWARD_PAUSE);
+    let mut answer = Vec::new();
+    let result = stream.read_to_end(&mut answer);
+    let is_reset = result.is_err_and(|error| {
+        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
+        true
     });
-    address
+    (answer.len(), is_reset)
+}
+
+/// Guards against a part of an answer without a length that passes for the whole at another router,
+/// and against the loss of what came before the reset.
+#[test]
+fn a_reset_by_the_server_reaches_the_client_behind_all_bytes() {
+    let (store, router) = start(true, ServerBehavior::Echo);
+    let server = start_ending_server(ANSWER_BYTES, End::Reset);
+    let stream = open_tunnel_to(&store, &router, server);
+    assert_eq!(exchange(stream), (ANSWER_BYTES, true));
+}
+
+#[test]
+fn a_close_by_the_server_reaches_the_client_behind_all_bytes() {
+    let (store, router) = start(true, ServerBehavior::Echo);
+    let server = start_ending_server(ANSWER_BYTES, End::Closed);
+    let stream = open_tunnel_to(&store, &router, server);
+    assert_eq!(exchange(stream), (ANSWER_BYTES, false));
+}
+
+/// Guards against the same when this router ends while the server is still at work.
+#[test]
+fn a_planned_stop_resets_tunnels_in_the_middle_of_an_answer() {
+    let (store, router) = start_with_bounds(true, ServerBehavior::Echo, &["grace=6s"]);
+    let server = start_ending_server(ANSWER_BYTES, End::Kept);
+    let stream = open_tunnel_to(&store, &router, server);
+    router.stop.send_blocking(()).unwrap();
+    assert_eq!(exchange(stream), (ANSWER_BYTES, true));
 }
