Pass early answers to uploads on through tunnels

A server may answer an upload before it has read it, and take no more of it. If the upload came through another router's tunnel, the caller got 502 in place of the whole answer.

Cause: a write to the server that failed ended the tunnel while the answer was still unread; and a close by the server closed the client's connection with the rest of the upload unread, which makes the system reset it.

A failed write now ends only the direction of requests; the answer is forwarded up to its end, which counts as a reset if the write has seen one. Behind a close by the server the tunnel ends its sending side first, and discards what the client still sends until it closes or sends nothing for a second.

--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -1,6 +1,6 @@
 use std::cell::Cell;
 use std::io;
-use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -43,6 +43,9 @@
 const MIN_IDLE_TIME: Duration =
     NON_IDEMPOTENT_REUSE_TIME.saturating_add(Duration::from_millis(100));
 
+/// Time without bytes from a client after which its connection is closed behind an answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Interval between checks whether a tunnel is idle.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -280,7 +283,10 @@
     set_reset_on_close(&server, true);
     drop(server);
     match end {
-        TunnelEnd::Closed => set_reset_on_close(&client, false),
+        TunnelEnd::Closed => {
+            set_reset_on_close(&client, false);
+            close_behind_answer(client).await;
+        }
         TunnelEnd::Broken => wait_until_sent(&client).await,
         TunnelEnd::ClientGone => {}
     }
@@ -294,6 +300,16 @@
     }
 }
 
+/// Closes the connection to a client that may still be sending.
+///
+/// Closing it with unread bytes would reset it, and the client might lose the end of the answer.
+async fn close_behind_answer(mut client: Async<TcpStream>) {
+    // Fails if the client has already closed the connection.
+    let _ = client.get_ref().shutdown(Shutdown::Write);
+    let mut buf = vec![0; BUFFER_BYTES];
+    while let Ok(1..) = within(CLOSE_TIMEOUT, client.read(&mut buf)).await {}
+}
+
 /// Waits until the system has sent all bytes, or the connection breaks.
 async fn wait_until_sent(stream: &Async<TcpStream>) {
     // Without unsent bytes the stream is writable.
@@ -348,15 +364,24 @@
     client: &Async<TcpStream>,
     server: &Async<TcpStream>,
 ) -> TunnelEnd {
+    // The system reports a reset once; the end of the server's bytes may follow as if it had closed.
+    let is_server_broken = Cell::new(false);
     let requests = async {
         match copy(client, server, || guard.record_bytes(true)).await {
             Ok(()) => TunnelEnd::ClientGone,
             Err(CopyError::Read(error)) => log_broken(TunnelEnd::ClientGone, &error),
-            Err(CopyError::Write(error)) => log_broken(TunnelEnd::Broken, &error),
+            Err(CopyError::Write(error)) => {
+                log::debug!(error:% = error; "server takes no more of a request in a tunnel");
+                // Behind the server's own end a write fails with `BrokenPipe`.
+                is_server_broken.set(error.kind() != io::ErrorKind::BrokenPipe);
+                // The server may have answered before.
+                future::pending().await
+            }
         }
     };
     let answers = async {
         match copy(server, client, || guard.record_bytes(false)).await {
+            Ok(()) if is_server_broken.get() => TunnelEnd::Broken,
             Ok(()) => TunnelEnd::Closed,
             Err(CopyError::Read(error)) => log_broken(TunnelEnd::Broken, &error),
             Err(CopyError::Write(error)) => log_broken(TunnelEnd::ClientGone, &error),
--- a/crates/node/tests/early_answers.rs
+++ b/crates/node/tests/early_answers.rs
@@ -18,6 +18,9 @@
 /// Length of a request's body, in bytes. It exceeds what the system buffers of a connection take.
 const REQUEST_BYTES: usize = 24 << 20;
 
+/// Address that refuses connections.
+const UNREACHABLE: &str = "127.0.0.1:9";
+
 /// Body of the answers.
 const BODY: &[u8] = &[b'a'; 10_000];
 
@@ -85,16 +88,49 @@
     })
 }
 
-fn start(server: SocketAddr) -> (FakeStore, RunningRouter) {
+/// A router, and what it needs to run.
+struct Site {
+    router: RunningRouter,
+    _stores: Vec<FakeStore>,
+    /// The router that opens tunnels.
+    _helper: Option<RunningRouter>,
+}
+
+/// Starts a router in front of a server.
+fn start(server: SocketAddr) -> Site {
+    let (store, address) = start_store(server);
+    let router = start_router("h1", address, &[]);
+    while request_status(router.ready, "GET", "/api/ready") != 200 {}
+    Site { router, _stores: vec![store], _helper: None }
+}
+
+/// Starts a router that reaches a server only through the tunnels of another. The routers have stores
+/// of their own, so that each knows the server by another address.
+fn start_behind_tunnel(server: SocketAddr) -> Site {
+    let helper = start(server);
+    let (store, address) = start_store(UNREACHABLE.parse().unwrap());
+    let record = json!({"peer": helper.router.peer, "incarnation": 1, "zone": "a", "size": 1.0});
+    store.write("bay-hosts/h1", Some(record));
+    let router = start_router("h2", address, &[]);
+    while request_status(router.ready, "GET", "/api/ready") != 200 {}
+    // Connections that fail show that only a tunnel helps.
+    while router.metric("tunnel_opened").is_none() {
+        upload(&router, "/up/x");
+    }
+    let stores = helper._stores.into_iter().chain([store]).collect();
+    Site { router, _stores: stores, _helper: Some(helper.router) }
+}
+
+fn start_store(server: SocketAddr) -> (FakeStore, SocketAddr) {
     let (store, address) = FakeStore::start();
     let routes = [("/up/", "upload", "pool"), ("/load/", "download", "pool")];
     let mut config = config("1s", &routes);
     config["limits"]["max-body-bytes"] = json!(REQUEST_BYTES);
     store.write("config/main", Some(config));
-    store.write("servers/i-1", Some(server_entry("pool", server, 4)));
-    let router = start_router("h1", address, &[]);
-    while request_status(router.ready, "GET", "/api/ready") != 200 {}
-    (store, router)
+    for name in ["i-1", "i-2"] {
+        store.write(&format!("servers/{name}"), Some(server_entry("pool", server, 4)));
+    }
+    (store, address)
 }
 
 /// Uploads a body; returns the status and the body of the answer.
@@ -112,18 +148,34 @@
     (status, answer.split_off(head_end))
 }
 
+fn assert_not_passed_on(router: &RunningRouter) {
+    for path in ["/up/x", "/load/x", "/up/x", "/load/x"] {
+        let (status, body) = upload(router, path);
+        let is_error = [502, 503].contains(&status);
+        assert!(is_error && !body.starts_with(BODY), "{status}, {} bytes, {path}", body.len());
+    }
+}
+
+fn assert_passed_on(router: &RunningRouter) {
+    for path in ["/up/x", "/load/x"] {
+        let (status, body) = upload(router, path);
+        assert!(status == 200 && body == BODY, "{status}, {} bytes, {path}", body.len());
+    }
+}
+
 /// Guards against a part of an answer that passes for the whole: the write that a reset interrupts
 /// must not hide the reset from the reader of the answer.
 #[test_case(Sent::Lengthless; "without a length")]
 #[test_case(Sent::CutWithLength; "with a length")]
 #[test_case(Sent::CutInChunks; "in chunks")]
 fn an_early_answer_cut_by_a_reset_is_not_passed_on(sent: Sent) {
-    let (_store, router) = start(start_server(sent, End::Reset));
-    for path in ["/up/x", "/load/x", "/up/x", "/load/x"] {
-        let (status, body) = upload(&router, path);
-        let is_error = [502, 503].contains(&status);
-        assert!(is_error && !body.starts_with(BODY), "{status}, {} bytes, {path}", body.len());
-    }
+    assert_not_passed_on(&start(start_server(sent, End::Reset)).router);
+}
+
+#[test_case(Sent::Lengthless; "without a length")]
+#[test_case(Sent::CutWithLength; "with a length")]
+fn an_early_answer_cut_by_a_reset_is_not_passed_on_through_a_tunnel(sent: Sent) {
+    assert_not_passed_on(&start_behind_tunnel(start_server(sent, End::Reset)).router);
 }
 
 #[test_case(Sent::Lengthless, End::Closed; "without a length, then closed")]
@@ -133,9 +185,12 @@
 #[test_case(Sent::InChunks, End::Closed; "in chunks, then closed")]
 #[test_case(Sent::InChunks, End::Reset; "in chunks, then reset")]
 fn a_whole_early_answer_is_passed_on(sent: Sent, end: End) {
-    let (_store, router) = start(start_server(sent, end));
-    for path in ["/up/x", "/load/x"] {
-        let (status, body) = upload(&router, path);
-        assert!(status == 200 && body == BODY, "{status}, {} bytes, {path}", body.len());
-    }
+    assert_passed_on(&start(start_server(sent, end)).router);
+}
+
+#[test_case(Sent::Lengthless, End::Closed; "without a length, then closed")]
+#[test_case(Sent::Lengthless, End::ClosedAndReset; "without a length, then closed and reset")]
+#[test_case(Sent::WithLength, End::Reset; "with a length, then reset")]
+fn a_whole_early_answer_is_passed_on_through_a_tunnel(sent: Sent, end: End) {
+    assert_passed_on(&start_behind_tunnel(start_server(sent, end)).router);
 }
--- a/crates/node/tests/tunnels.rs
+++ b/crates/node/tests/tunnels.rs
@@ -176,8 +176,10 @@
 enum End {
     /// It ends its sending side, and reads what still comes.
     Closed,
-    /// It resets the connection.
+    /// It resets the connection once everything has been forwarded.
     Reset,
+    /// It resets the connection right behind the answer.
+    ResetAtOnce,
     /// It keeps the connection open.
     Kept,
 }
@@ -198,8 +200,10 @@
             End::Closed => {
                 let _closed: std::io::Result<()> = stream.shutdown(Shutdown::Write);
             }
-            End::Reset => {
-                thread::sleep(FORWARD_PAUSE);
+            End::Reset | End::ResetAtOnce => {
+                if end == End::Reset {
+                    thread::sleep(FORWARD_PAUSE);
+                }
                 SockRef::from(&stream).set_linger(Some(Duration::ZERO)).unwrap();
                 return;
             }
@@ -212,19 +216,27 @@
 /// Length of an answer that is forwarded whole while its client reads nothing, in bytes.
 const ANSWER_BYTES: usize = 400 * 1024;
 
-/// Sends a request through a tunnel and reads nothing for a while; returns the number of bytes of the
-/// answer, and whether the connection was reset behind them.
-fn exchange(mut stream: TcpStream) -> (usize, bool) {
+/// Length of an answer that its server writes at once, in bytes.
+const SHORT_ANSWER_BYTES: usize = 10_000;
+
+/// Length of an upload that exceeds what the system buffers of both connections take, in bytes.
+const UPLOAD_BYTES: usize = 24 << 20;
+
+/// Sends a request through a tunnel, with bytes of a body behind it, and reads nothing for a while;
+/// returns the number of bytes of the answer, and whether the connection was reset behind them.
+fn exchange(mut stream: TcpStream, body_bytes: usize) -> (usize, bool) {
+    let is_reset = |result: std::io::Result<()>| {
+        result.is_err_and(|error| error.kind() == ErrorKind::ConnectionReset)
+    };
+    let mut writer = stream.try_clone().unwrap();
     stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
     stream.write_all(REQUEST).unwrap();
+    // The system reports a reset once, to this thread or the other.
+    let written = thread::spawn(move || is_reset(writer.write_all(&vec![b'b'; body_bytes])));
     thread::sleep(4 * FORWARD_PAUSE);
     let mut answer = Vec::new();
-    let result = stream.read_to_end(&mut answer);
-    let is_reset = result.is_err_and(|error| {
-        assert_eq!(error.kind(), ErrorKind::ConnectionReset);
-        true
-    });
-    (answer.len(), is_reset)
+    let has_failed = is_reset(stream.read_to_end(&mut answer).map(|_| ()));
+    (answer.len(), written.join().unwrap() || has_failed)
 }
 
 /// Guards against a part of an answer without a length that passes for the whole at another router,
@@ -234,7 +246,7 @@
     let (store, router) = start(true, ServerBehavior::Echo);
     let server = start_ending_server(ANSWER_BYTES, End::Reset);
     let stream = open_tunnel_to(&store, &router, server);
-    assert_eq!(exchange(stream), (ANSWER_BYTES, true));
+    assert_eq!(exchange(stream, 0), (ANSWER_BYTES, true));
 }
 
 #[test]
@@ -242,7 +254,7 @@
     let (store, router) = start(true, ServerBehavior::Echo);
     let server = start_ending_server(ANSWER_BYTES, End::Closed);
     let stream = open_tunnel_to(&store, &router, server);
-    assert_eq!(exchange(stream), (ANSWER_BYTES, false));
+    assert_eq!(exchange(stream, 0), (ANSWER_BYTES, false));
 }
 
 /// Guards against the same when this router ends while the server is still at work.
@@ -252,5 +264,18 @@
     let server = start_ending_server(ANSWER_BYTES, End::Kept);
     let stream = open_tunnel_to(&store, &router, server);
     router.stop.send_blocking(()).unwrap();
-    assert_eq!(exchange(stream), (ANSWER_BYTES, true));
+    assert_eq!(exchange(stream, 0), (ANSWER_BYTES, true));
+}
+
+/// Guards against early answers that are lost, or lose how they ended, when a server takes no more of
+/// the request.
+#[test_case(End::Closed, false; "closed")]
+#[test_case(End::ResetAtOnce, true; "reset")]
+fn an_early_answer_to_an_upload_reaches_the_client_with_its_end(end: End, is_reset: bool) {
+    let (store, router) = start(true, ServerBehavior::Echo);
+    let server = start_ending_server(SHORT_ANSWER_BYTES, end);
+    for _ in 0..4 {
+        let stream = open_tunnel_to(&store, &router, server);
+        assert_eq!(exchange(stream, UPLOAD_BYTES), (SHORT_ANSWER_BYTES, is_reset));
+    }
 }
