Bound the answers to orders and from the store

Cause: http_client, which reads the answers to orders and to calls of the store, had a body loop of its own, without the bounds of that for requests: 16 MiB, and 256 KiB while memory is short. Time alone ended it (0.6 s to seconds).

The loop of requests is now read_body in answer_body, and both use it. Orders share the limit of the requests' buffers, a quarter of the memory; the store's answers have one of their own, an eighth, so that uploads can't keep a router from its configuration. A body declared as too long is refused at once. A watch whose answer is too long lists again, as lists come in pages: with the refusal alone, a router that had missed 20 MiB of changes never got the last one (the test of that fails, 20 s).

Endless heads and noise were bounded before.

--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -20,6 +20,7 @@
 use crate::wall_clock::wall_nanos;
 
 mod account_headers;
+mod answer_body;
 mod attempt;
 mod caller;
 mod config_updates;
@@ -110,7 +111,7 @@
         let shell = Rc::new(ShellState {
             router: RefCell::new(Router::new(settings.clone(), seed)),
             pool: Arc::new(ConnectionPool::new(limits.clone(), Arc::clone(&resources))),
-            store: store_client::StoreClient::new(settings.store, Rc::clone(&wire), &resources),
+            store: store_client::StoreClient::new(&settings, Rc::clone(&wire), &resources),
             granter_role: RefCell::new(granter::GranterRole::new(&settings)),
             granter_feed: RefCell::default(),
             feed_publisher: RefCell::default(),
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -7,6 +7,7 @@
 use bay_stream::ReaderState;
 use bay_types::ErrorKind;
 
+use super::answer_body::{ReadError, read_body};
 use super::download_answer::read_download;
 use super::reply_body::{DownloadBody, ReplyBody};
 use super::request_head::{RequestHead, append_header, connection_header_names};
@@ -15,7 +16,7 @@
 use super::stream_source::{StreamSource, UnreadBody};
 use crate::gate_shell::PooledConnection;
 use crate::http1::connection::Connection;
-use crate::http1::framing::{BodyError, BodyReader, Framing};
+use crate::http1::framing::{BodyError, Framing};
 use crate::http1::hop_headers::is_forwarded;
 use crate::http1::raw_head::{RawHeadError, read_raw_head};
 use crate::http1::response_check::{ResponseInfo, check_response};
@@ -23,16 +24,6 @@
 /// Maximum size of the head of an answer, in bytes.
 const MAX_HEAD: usize = 16 * 1024;
 
-/// Maximum size of the body of an answer, in bytes.
-const MAX_BODY: usize = 16 * 1024 * 1024;
-
-/// Divisor of the machine's memory that gives the limit of all buffers, from which an answer with a
-/// large body is given up.
-const ANSWER_MEMORY_SHARE: u64 = 4;
-
-/// Length from which a body is large, in bytes. Smaller ones are read whatever the others take.
-const LARGE_BODY: usize = 256 * 1024;
-
 /// Maximum number of headers in an answer.
 const MAX_HEADERS: usize = 128;
 
@@ -211,7 +202,14 @@
             rest = unread;
         }
         None => {
-            let body = read_body(shell, connection, info.framing).await?;
+            let body = read_body(connection, info.framing, shell.answer_limit()).await;
+            let body = body.map_err(|error| match error {
+                ReadError::Broken(error) => body_error(error),
+                ReadError::TooLong => {
+                    shell.counters.add("answer.too-long", 1);
+                    ErrorKind::BadAnswer
+                }
+            })?;
             length = length.or(Some(body.len() as u64));
             answer.body = ReplyBody::Whole(body);
         }
@@ -231,37 +229,6 @@
         && !info.has_content_encoding
 }
 
-/// Reads a whole body.
-///
-/// # Errors
-/// Returns an error if the body is malformed, breaks off or is too long.
-async fn read_body(
-    shell: &ShellState,
-    connection: &mut Connection,
-    framing: Framing,
-) -> Result<Vec<u8>, ErrorKind> {
-    let mut reader = BodyReader::new(framing);
-    let mut body = Vec::with_capacity(framing.len().unwrap_or(0).min(1 << 16) as usize);
-    let gauge = &shell.resources.buffer_gauge;
-    let mut held = gauge.track();
-    loop {
-        let count = poll_fn(|cx| reader.poll_available(connection, cx)).await;
-        let count = count.map_err(body_error)?;
-        if count == 0 {
-            return Ok(body);
-        }
-        body.extend_from_slice(&connection.buffered()[..count]);
-        reader.consume(connection, count);
-        held.set(body.capacity());
-        let is_memory_short =
-            gauge.held_bytes() > shell.settings.memory_bytes / ANSWER_MEMORY_SHARE;
-        if body.len() > MAX_BODY || (body.len() > LARGE_BODY && is_memory_short) {
-            shell.counters.add("answer.too-long", 1);
-            return Err(ErrorKind::BadAnswer);
-        }
-    }
-}
-
 /// Returns the kind of error for a body that cannot be read.
 pub(crate) fn body_error(error: BodyError) -> ErrorKind {
     match error {
--- a/crates/node/src/router_shell/http_client.rs
+++ b/crates/node/src/router_shell/http_client.rs
@@ -1,11 +1,11 @@
-use std::future::poll_fn;
 use std::io::Write;
 use std::net::SocketAddr;
 
 use bay_router::{AnswerFields, HttpCall, RouterWire};
 
+use super::answer_body::{BodyLimit, ReadError, read_body};
 use crate::http1::connection::Connection;
-use crate::http1::framing::{BodyReader, Framing};
+use crate::http1::framing::Framing;
 use crate::http1::raw_head::read_raw_head;
 use crate::http1::response_check::check_response;
 
@@ -28,52 +28,63 @@
     pub(crate) reusable: bool,
 }
 
-/// Sends a call and reads its answer. Returns `None` if there is no complete, valid answer; the
-/// call may have taken effect.
+/// Reason why a call has no answer. It may have taken effect.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum CallError {
+    /// There is no complete, valid answer in time.
+    Lost,
+    /// The body of the answer is too long, or too long for the memory left.
+    TooLong,
+}
+
+/// Sends a call and reads its answer.
 ///
 /// An answer that names a request is a late copy of one that was sent before on the connection; calls
 /// have no identifier.
+///
+/// # Errors
+/// Returns an error if there is no complete, valid answer within the limit.
 pub(crate) async fn send_call(
     wire: &dyn RouterWire,
     connection: &mut Connection,
     to: SocketAddr,
     call: &HttpCall,
-) -> Option<CallAnswer> {
-    connection.write_all(&encode_call(wire, to, call)).await.ok()?;
+    limit: BodyLimit<'_>,
+) -> Result<CallAnswer, CallError> {
+    let sent = connection.write_all(&encode_call(wire, to, call)).await;
+    sent.map_err(|_| CallError::Lost)?;
     for _ in 0..MAX_SKIPPED {
-        let answer = read_answer(wire, connection).await?;
+        let answer = read_answer(wire, connection, limit).await?;
         if answer.fields.id.as_deref().is_none_or(str::is_empty) {
-            return Some(answer);
+            return Ok(answer);
         }
         log::info!(to:% = to, status = answer.status; "answer to another request dropped");
     }
-    None
+    Err(CallError::Lost)
 }
 
 /// Reads one whole answer.
-async fn read_answer(wire: &dyn RouterWire, connection: &mut Connection) -> Option<CallAnswer> {
-    let head = read_raw_head(connection, MAX_HEAD).await.ok()?;
-    let info = check_response(&head, false).ok()?;
-    let mut reader = BodyReader::new(info.framing);
-    let mut body = Vec::with_capacity(info.framing.len().unwrap_or(0).min(1 << 16) as usize);
-    loop {
-        let count = poll_fn(|cx| reader.poll_available(connection, cx)).await.ok()?;
-        if count == 0 {
-            break;
-        }
-        body.extend_from_slice(&connection.buffered()[..count]);
-        reader.consume(connection, count);
-    }
+async fn read_answer(
+    wire: &dyn RouterWire,
+    connection: &mut Connection,
+    limit: BodyLimit<'_>,
+) -> Result<CallAnswer, CallError> {
+    let head = read_raw_head(connection, MAX_HEAD).await.map_err(|_| CallError::Lost)?;
+    let info = check_response(&head, false).map_err(|_| CallError::Lost)?;
+    let body = read_body(connection, info.framing, limit).await.map_err(|error| match error {
+        ReadError::Broken(_) => CallError::Lost,
+        ReadError::TooLong => CallError::TooLong,
+    })?;
     let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut response = httparse::Response::new(&mut headers);
-    response.parse(&head).ok()?;
+    response.parse(&head).map_err(|_| CallError::Lost)?;
     let mut fields = AnswerFields::default();
     for header in response.headers.iter() {
         wire.parse_answer_header(&header.name.to_ascii_lowercase(), header.value, &mut fields);
     }
     let stays_open = !info.should_close && info.framing != Framing::UntilClose;
     let reusable = stays_open && connection.buffered().is_empty();
-    Some(CallAnswer { status: info.status, fields, body, reusable })
+    Ok(CallAnswer { status: info.status, fields, body, reusable })
 }
 
 /// Encodes a call as an HTTP request.
--- a/crates/node/src/router_shell/orders.rs
+++ b/crates/node/src/router_shell/orders.rs
@@ -8,7 +8,7 @@
 use bay_time::{BootClock, Clock, Time};
 use futures_lite::future;
 
-use super::http_client::send_call;
+use super::http_client::{CallError, send_call};
 use super::server_connection;
 use super::server_notices;
 use super::shell_state::ShellState;
@@ -61,15 +61,23 @@
         GrantOrder::Grant { .. } => GRANT_TIMEOUT,
         GrantOrder::Release { .. } => RELEASE_TIMEOUT,
     };
-    let work = send_call(&*shell.wire, &mut pooled.connection, to, &http);
+    let limit = shell.answer_limit();
+    let work = send_call(&*shell.wire, &mut pooled.connection, to, &http, limit);
     let timer = async {
         Timer::after(timeout).await;
-        None
+        Err(CallError::Lost)
     };
-    let Some(answer) = future::or(work, timer).await else {
-        // The reset discards what is still unsent, so this part of the order cannot arrive late.
-        pooled.connection.set_reset_on_close();
-        return OrderResult::Unanswered;
+    let answer = match future::or(work, timer).await {
+        Ok(answer) => answer,
+        Err(error) => {
+            if error == CallError::TooLong {
+                shell.counters.add("answer.too-long", 1);
+                log::warn!(server:% = server; "answer to an order is too long");
+            }
+            // The reset discards what is still unsent, so this part of the order cannot arrive late.
+            pooled.connection.set_reset_on_close();
+            return OrderResult::Unanswered;
+        }
     };
     let result = shell.wire.parse_order_answer(order, answer.status, &answer.fields);
     server_notices::record_order_answer(shell, &process, &result, &answer.fields);
--- a/crates/node/src/router_shell/shell_state.rs
+++ b/crates/node/src/router_shell/shell_state.rs
@@ -17,6 +17,7 @@
 use bay_types::HostName;
 use futures_lite::FutureExt;
 
+use super::answer_body::BodyLimit;
 use super::freshness::VouchRequests;
 use super::granter::GranterRole;
 use super::overload::OverloadState;
@@ -29,6 +30,10 @@
 use crate::gate_shell::{ConnectionPool, HttpLimits};
 use crate::http1::connection::ConnectionResources;
 
+/// Divisor of the machine's memory that gives the limit of all buffers, from which an answer of a server
+/// with a large body is given up.
+const ANSWER_MEMORY_SHARE: u64 = 4;
+
 /// State shared by all tasks of a router.
 pub(crate) struct ShellState {
     pub(crate) router: RefCell<Router>,
@@ -91,6 +96,14 @@
 }
 
 impl ShellState {
+    /// Returns the limit on the bodies of servers' answers, which they share with all other buffers.
+    pub(crate) fn answer_limit(&self) -> BodyLimit<'_> {
+        BodyLimit {
+            gauge: &self.resources.buffer_gauge,
+            max_held_bytes: self.settings.memory_bytes / ANSWER_MEMORY_SHARE,
+        }
+    }
+
     /// Spawns a detached task.
     pub(crate) fn spawn<F>(&self, work: F)
     where
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -5,14 +5,16 @@
 use std::time::Duration;
 
 use async_io::Timer;
-use bay_router::{HttpCall, ObjectPage, RouterWire, StoreHealth};
+use bay_router::{HttpCall, ObjectPage, RouterSettings, RouterWire, StoreHealth};
 use bay_store::{ChangesBody, Object, StoreError, StoreReply, StoreRequest, StoreResult};
 use bay_time::{BootClock, Clock, Time};
 use bay_types::{Revision, StoreEra};
 use futures_lite::future;
 
-use super::http_client::{CallAnswer, send_call};
+use super::answer_body::BodyLimit;
+use super::http_client::{CallAnswer, CallError, send_call};
 use super::store_era::{self, LocalRequest};
+use crate::http1::buffer_gauge::BufferGauge;
 use crate::http1::connection::{Connection, ConnectionResources};
 
 /// Timeout for a connection to the store.
@@ -24,6 +26,10 @@
 /// Time that is added to a watch's wait for its timeout.
 const WATCH_MARGIN: Duration = Duration::from_millis(700);
 
+/// Divisor of the machine's memory that gives the limit of all answers that are being read, from which
+/// a large one is given up.
+const ANSWER_MEMORY_SHARE: u64 = 8;
+
 /// Maximum number of idle connections.
 const MAX_IDLE: usize = 3;
 
@@ -32,6 +38,9 @@
     address: SocketAddr,
     wire: Rc<dyn RouterWire>,
     resources: Arc<ConnectionResources>,
+    /// Counts the answers that are being read, apart from the buffers of requests.
+    answer_gauge: Arc<BufferGauge>,
+    max_answer_bytes: u64,
     idle_connections: RefCell<Vec<Connection>>,
     health: RefCell<StoreHealth>,
     /// Whether this router is the granter; the others rely on its calls.
@@ -45,17 +54,37 @@
     restorations: Cell<u64>,
 }
 
+/// Reason why a call has no answer.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum SendError {
+    /// The call failed.
+    Failed(StoreError),
+    /// The answer is too long, or too long for the memory left.
+    TooLong,
+}
+
+impl From<SendError> for StoreError {
+    fn from(error: SendError) -> StoreError {
+        match error {
+            SendError::Failed(error) => error,
+            SendError::TooLong => StoreError::Unknown,
+        }
+    }
+}
+
 impl StoreClient {
-    /// Creates a client of the store at an address.
+    /// Creates a client of the store.
     pub(crate) fn new(
-        address: SocketAddr,
+        settings: &RouterSettings,
         wire: Rc<dyn RouterWire>,
         resources: &Arc<ConnectionResources>,
     ) -> StoreClient {
         StoreClient {
-            address,
+            address: settings.store,
             wire,
             resources: Arc::clone(resources),
+            answer_gauge: Arc::default(),
+            max_answer_bytes: settings.memory_bytes / ANSWER_MEMORY_SHARE,
             idle_connections: RefCell::default(),
             health: RefCell::default(),
             is_granter: Cell::new(false),
@@ -89,7 +118,12 @@
     /// Sends a request with revisions of an era. If the store was restored meanwhile, a watch has missed
     /// changes, and a conditional write may have matched another object by accident.
     async fn send(&self, request: &StoreRequest, era: StoreEra, timeout: Duration) -> StoreResult {
-        let answer = self.send_with_timeout(&self.wire.store_call(request), timeout).await?;
+        let sent = self.send_with_timeout(&self.wire.store_call(request), timeout).await;
+        let answer = match (sent, request) {
+            // Lists come in pages.
+            (Err(SendError::TooLong), StoreRequest::Watch { .. }) => return Ok(list_again()),
+            (sent, _) => sent.map_err(StoreError::from)?,
+        };
         let answer_era = self.record_era(&answer)?;
         let reply = self.wire.parse_store_answer(request, answer.status, &answer.body);
         let reply = self.record_outcome(reply)?;
@@ -145,7 +179,8 @@
         let mut list_era = None;
         loop {
             let call = self.wire.list_call(prefix, after.as_deref(), allow_stale);
-            let answer = self.send_with_timeout(&call, CALL_TIMEOUT).await?;
+            let sent = self.send_with_timeout(&call, CALL_TIMEOUT).await;
+            let answer = sent.map_err(StoreError::from)?;
             let era = self.record_era(&answer)?;
             if *list_era.get_or_insert(era) != era {
                 return Err(StoreError::Unknown);
@@ -205,22 +240,32 @@
         &self,
         http: &HttpCall,
         timeout: Duration,
-    ) -> Result<CallAnswer, StoreError> {
+    ) -> Result<CallAnswer, SendError> {
         if !self.health.borrow_mut().allow_call(BootClock.now(), self.is_granter.get()) {
-            return Err(StoreError::Suspended);
+            return Err(SendError::Failed(StoreError::Suspended));
         }
         let Some(mut connection) = self.connect().await else {
-            return self.record_outcome(Err(StoreError::Unreachable));
+            return self.record_outcome(Err(SendError::Failed(StoreError::Unreachable)));
         };
-        let work = send_call(&*self.wire, &mut connection, self.address, http);
+        let limit = BodyLimit { gauge: &self.answer_gauge, max_held_bytes: self.max_answer_bytes };
+        let work = send_call(&*self.wire, &mut connection, self.address, http, limit);
         let timer = async {
             Timer::after(timeout).await;
-            None
+            Err(CallError::Lost)
         };
-        let Some(answer) = future::or(work, timer).await else {
-            // The idle connections may be dead too.
-            self.idle_connections.borrow_mut().clear();
-            return self.record_outcome(Err(StoreError::Unknown));
+        let answer = match future::or(work, timer).await {
+            Ok(answer) => answer,
+            Err(error) => {
+                // The idle connections may be dead too.
+                self.idle_connections.borrow_mut().clear();
+                return self.record_outcome(Err(match error {
+                    CallError::Lost => SendError::Failed(StoreError::Unknown),
+                    CallError::TooLong => {
+                        log::warn!(path = http.path; "answer of the store is too long");
+                        SendError::TooLong
+                    }
+                }));
+            }
         };
         let mut idle = self.idle_connections.borrow_mut();
         if answer.reusable && idle.len() < MAX_IDLE {
@@ -254,8 +299,11 @@
     }
 
     /// Records in the circuit breaker whether the store has answered; a rejection is an answer too.
-    fn record_outcome<T>(&self, result: Result<T, StoreError>) -> Result<T, StoreError> {
-        match &result {
+    fn record_outcome<T, E>(&self, result: Result<T, E>) -> Result<T, E>
+    where
+        E: Copy + Into<StoreError>,
+    {
+        match result.as_ref().map_err(|error| (*error).into()) {
             Ok(_) | Err(StoreError::Rejected) => {
                 if self.health.borrow_mut().record_success() {
                     self.recovered_at.set(Some(BootClock.now()));
--- a/crates/node/tests/config_delivery.rs
+++ b/crates/node/tests/config_delivery.rs
@@ -65,6 +65,23 @@
     record.and_then(|record| Some(record["host"].as_str()?.to_owned())).unwrap_or_default()
 }
 
+/// Guards against a limit on answers that ends a watch for good: the changes of a while may be longer
+/// than all that the store holds.
+#[test]
+fn a_watch_that_is_too_long_is_replaced_by_a_list() {
+    let store = start_store(start_server("i-1", ServerBehavior::Echo));
+    let member = Member::start(&store, "h1");
+    member.front.hold();
+    let mut long = config("2s", &[("/first/", "safe", "pool")]);
+    long["filler"] = "a".repeat(1 << 20).into();
+    for _ in 0..20 {
+        store.write("config/main", Some(long.clone()));
+    }
+    write_second_config(&store);
+    member.front.release();
+    assert!(member.serves_second());
+}
+
 #[test]
 fn followers_get_a_configuration_that_the_granter_cannot_read() {
     let store = start_store(start_server("i-1", ServerBehavior::Echo));
