Bound the responses that stewards and bayctl read

A store, a back end or a steward in trouble that sends a line or a body without end makes the steward, or bayctl, keep it all until the time is over.

Cause: the HTTP library read these responses from the connection. It looks at the length of a head only at a line end, and at a body not at all. The declared length was compared when the body had been read.

exchange in bay-store now reads them for all three: a head up to its empty line, at most 8 KiB, which the library decodes from memory; then as many bytes as it declares, at most 16 MiB, which a response without a length never had passed. It replaces three copies of the comparison. The stand-in for servers that send any bytes, and the measurement of memory, are in bay-fakes.

The orders of stewards use the same function and have no test of their own.

--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -4,6 +4,7 @@
 
 use async_io::Timer;
 use async_net::TcpStream;
+use bay_store::{ExchangeError, exchange};
 use bay_wire::{ClusterStatus, ItemVersion, LaggingProcess, Role};
 use futures_lite::future;
 use http_types::{Method, Request, StatusCode, Url};
@@ -31,17 +32,14 @@
     let url = url.map_err(|_| status_error("invalid address"))?;
     let stream = TcpStream::connect(steward).await;
     let stream = stream.map_err(|_| status_error("cannot connect; check --steward"))?;
-    let res = async_h1::connect(stream, Request::new(Method::Get, url)).await;
-    let mut res = res.map_err(|_| status_error("invalid HTTP response"))?;
+    let exchanged = exchange(stream, Request::new(Method::Get, url)).await;
+    let (res, body) = exchanged.map_err(|error| match error {
+        ExchangeError::Incomplete => status_error("incomplete response"),
+        ExchangeError::Invalid => status_error("invalid HTTP response"),
+    })?;
     if res.status() != StatusCode::Ok {
         return Err(status_error("not the admin address of a steward"));
     }
-    let declared = res.len();
-    let body = res.body_string().await.map_err(|_| status_error("incomplete response"))?;
-    // async-h1 reports a truncated body as success.
-    if declared != Some(body.len()) {
-        return Err(status_error("incomplete response"));
-    }
     serde_json::from_str(&body).map_err(|_| {
         status_error("invalid status; bayctl and the steward must have the same version")
     })
--- a/crates/node/src/order_client.rs
+++ b/crates/node/src/order_client.rs
@@ -1,6 +1,7 @@
 use std::net::SocketAddr;
 
 use async_net::TcpStream;
+use bay_store::exchange;
 use bay_wire::{Order, OrderReply};
 use http_types::{Method, Request, StatusCode, Url};
 
@@ -10,14 +11,9 @@
     let mut req = Request::new(Method::Post, url);
     req.set_body(serde_json::to_string(order).ok()?);
     let stream = TcpStream::connect(to).await.ok()?;
-    let mut res = async_h1::connect(stream, req).await.ok()?;
+    let (res, body) = exchange(stream, req).await.ok()?;
     if res.status() != StatusCode::Ok {
         return None;
     }
-    let declared = res.len();
-    let body = res.body_string().await.ok()?;
-    if declared != Some(body.len()) {
-        return None;
-    }
     serde_json::from_str(&body).ok()
 }
--- a/crates/node/tests/endless_answers.rs
+++ b/crates/node/tests/endless_answers.rs
@@ -2,10 +2,10 @@
 
 mod platform;
 
-use std::fs;
 use std::sync::atomic::Ordering;
 use std::thread;
 
+use bay_fakes::peak_resident_bytes;
 use platform::{
     ENDLESS_CLOSED, FakeStore, RunningRouter, ServerBehavior, config, request_status, server_entry,
     start_router_with_memory, start_server,
@@ -30,13 +30,6 @@
     (store, router)
 }
 
-/// Returns the most memory that this process has had resident, in bytes.
-fn peak_memory() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1_024
-}
-
 /// One test, as memory is measured for the whole process.
 #[test]
 fn endless_answers_are_given_up_within_the_memory_of_the_machine() {
@@ -67,7 +60,7 @@
         }
         assert!(failed > 0 && failed + refused == CONCURRENT);
         while ENDLESS_CLOSED.load(Ordering::Relaxed) < failed as u64 {}
-        let bytes = peak_memory();
+        let bytes = peak_resident_bytes().unwrap();
 
         assert!(bytes < MEMORY_MB << 20, "{bytes} bytes of memory for {head:?}, {rest:?}");
     }
--- a/crates/node/tests/endless_calls.rs
+++ b/crates/node/tests/endless_calls.rs
@@ -2,12 +2,12 @@
 
 mod platform;
 
-use std::fs;
 use std::io::{BufReader, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Arc;
 use std::sync::atomic::{AtomicUsize, Ordering};
 
+use bay_fakes::peak_resident_bytes;
 use platform::{
     FakeStore, answer_to, config, read_request, server_entry, start_raw_server,
     start_router_with_memory,
@@ -64,16 +64,9 @@
     })
 }
 
-/// Returns the most memory that this process has had resident, in bytes.
-fn peak_memory() -> u64 {
-    let status = fs::read_to_string("/proc/self/status").unwrap();
-    let line = status.lines().find(|line| line.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse::<u64>().unwrap() * 1_024
-}
-
 fn assert_given_up(closed: &AtomicUsize, case: &str) {
     while closed.load(Ordering::Relaxed) < ANSWERS {}
-    let bytes = peak_memory();
+    let bytes = peak_resident_bytes().unwrap();
     assert!(bytes < MEMORY_MB << 20, "{bytes} bytes of memory for {case}");
 }
 
--- a/crates/store/src/http_store.rs
+++ b/crates/store/src/http_store.rs
@@ -9,7 +9,7 @@
 use serde::Serialize;
 use serde::de::DeserializeOwned;
 
-use crate::{Object, StoreError, StoreReply, StoreRequest, StoreResult, encode_request};
+use crate::{Object, StoreError, StoreReply, StoreRequest, StoreResult, encode_request, exchange};
 
 /// Name of the header with an object's revision.
 pub(crate) const REVISION_HEADER: &str = "bay-revision";
@@ -42,8 +42,8 @@
         };
         let connect = async { TcpStream::connect(self.address).await.ok() };
         let stream = with_timeout(self.timeout, connect).await.ok_or(StoreError::Unreachable)?;
-        let exchange = async { Some(exchange(self.address, stream, request).await) };
-        let answer = with_timeout(self.timeout + wait, exchange).await;
+        let reply = async { Some(send(self.address, stream, request).await) };
+        let answer = with_timeout(self.timeout + wait, reply).await;
         answer.unwrap_or(Err(StoreError::Unknown))
     }
 }
@@ -59,15 +59,9 @@
     future::or(work, expiration).await
 }
 
-async fn exchange(address: SocketAddr, stream: TcpStream, request: StoreRequest) -> StoreResult {
+async fn send(address: SocketAddr, stream: TcpStream, request: StoreRequest) -> StoreResult {
     let req = encode_request(address, request.clone())?;
-    let mut res = async_h1::connect(stream, req).await.map_err(|_| StoreError::Unknown)?;
-    let declared = res.len();
-    let body = res.body_string().await.map_err(|_| StoreError::Unknown)?;
-    // async-h1 reports a truncated body as success.
-    if declared != Some(body.len()) {
-        return Err(StoreError::Unknown);
-    }
+    let (res, body) = exchange(stream, req).await.map_err(|_| StoreError::Unknown)?;
     decode_reply(&request, &res, body)
 }
 
--- a/crates/store/src/lib.rs
+++ b/crates/store/src/lib.rs
@@ -2,6 +2,7 @@
 
 mod codec;
 mod error;
+mod exchange;
 mod http_store;
 mod object;
 mod reply;
@@ -9,6 +10,7 @@
 
 pub use codec::{decode_request, encode_request, request_path};
 pub use error::StoreError;
+pub use exchange::{ExchangeError, exchange};
 pub use http_store::{HttpStore, encode_reply};
 pub use object::{Change, Host, HostState, Object, ObjectKey};
 pub use reply::{ChangesBody, ObjectsBody, StoreReply, StoreResult};
