Refuse responses with header values beyond ASCII before they are decoded

A store, back end or steward that sends a byte beyond ASCII in a header's value makes the steward, or bayctl, panic; no work of a steward is isolated, so that the process ends.

Cause: HttpStore, the orders of stewards and bayctl's status let the HTTP library decode heads that nobody had checked. It unwraps the conversion of a value, which fails beyond ASCII.

exchange refuses such a head. Statuses that are not HTTP's, names with a blank, a control byte or a byte beyond ASCII, a blank before the colon and responses that break off were errors before; their cases stay.

--- a/crates/store/src/exchange.rs
+++ b/crates/store/src/exchange.rs
@@ -23,7 +23,7 @@
 /// Sends a request on a new connection; returns the response and its body, at most 16 MiB.
 ///
 /// The HTTP library gets only the head: it would keep a line or a body without end, and report a truncated
-/// body as success.
+/// body as success. It panics on header values that are not ASCII.
 ///
 /// # Errors
 /// Returns an error if there is no whole response with a declared length. Its sender may never stop
@@ -35,6 +35,9 @@
     let mut req = async_h1::client::Encoder::new(req);
     io::copy(&mut req, &mut stream).await.map_err(|_| ExchangeError::Incomplete)?;
     let (head, mut body) = read_head(&mut stream).await?;
+    if !head.is_ascii() {
+        return Err(ExchangeError::Invalid);
+    }
     let res = async_h1::client::decode(Cursor::new(head)).await;
     let res = res.map_err(|_| ExchangeError::Invalid)?;
     let length = res.len().filter(|length| *length <= MAX_BODY_BYTES);
