Test that the gate keeps no endless response

Noise, blank lines, heads, interim responses and bodies without end: the caller of a gate gets an error, or a body that breaks off, and the gate buffers at most 512 KiB for it. The counts of calls in broken_answers have a type of their own.

--- a/crates/node/tests/broken_answers.rs
+++ b/crates/node/tests/broken_answers.rs
@@ -63,9 +63,27 @@
     )
 }
 
-fn wait_for_calls(count: &AtomicUsize) {
-    while count.load(Ordering::Relaxed) < ENOUGH_CALLS {
-        thread::sleep(Duration::from_millis(10));
+/// Calls that a stand-in has got.
+#[derive(Clone, Default)]
+struct CallCounts {
+    /// Orders, or calls of the store.
+    calls: Arc<AtomicUsize>,
+    /// Calls and requests that were not the first on their connection.
+    on_used_connections: Arc<AtomicUsize>,
+}
+
+impl CallCounts {
+    fn record(&self, is_call: bool, index: usize) {
+        self.calls.fetch_add(usize::from(is_call), Ordering::Relaxed);
+        self.on_used_connections.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+    }
+
+    /// Waits for some calls, and checks that each has come on a connection of its own.
+    fn assert_none_on_used_connections(&self) {
+        while self.calls.load(Ordering::Relaxed) < ENOUGH_CALLS {
+            thread::sleep(Duration::from_millis(10));
+        }
+        assert_eq!(self.on_used_connections.load(Ordering::Relaxed), 0);
     }
 }
 
@@ -115,12 +133,10 @@
 #[test_case("X: \0"; "a zero byte in a value")]
 #[test_case("X: a\rY: b"; "a lone carriage return in a value")]
 fn an_answer_with_an_invalid_field_is_not_passed_on(line: &'static str) {
-    let orders = Arc::new(AtomicUsize::new(0));
-    let reused = Arc::new(AtomicUsize::new(0));
-    let (order_count, reuse_count) = (Arc::clone(&orders), Arc::clone(&reused));
+    let counts = CallCounts::default();
+    let recorded = counts.clone();
     let server = start_scripted_server(move |request, index| {
-        order_count.fetch_add(usize::from(is_order(request)), Ordering::Relaxed);
-        reuse_count.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+        recorded.record(is_order(request), index);
         answer_with_line(request, line)
     });
     let (_store, router) = start(server);
@@ -130,34 +146,28 @@
         assert!(is_error && !answer.contains("body"), "{method} {path}: {answer}");
     }
     // A grant that counts as accepted is not sent again before most of the hold is over.
-    wait_for_calls(&orders);
-    assert_eq!(reused.load(Ordering::Relaxed), 0, "requests or orders on used connections");
+    counts.assert_none_on_used_connections();
 }
 
 /// Guards against a connection that is used on after an answer whose end can't be trusted.
 #[test_case("000"; "below all classes")]
 #[test_case("600"; "above all classes")]
 fn a_connection_is_not_reused_after_an_invalid_status(status: &'static str) {
-    let orders = Arc::new(AtomicUsize::new(0));
-    let reused = Arc::new(AtomicUsize::new(0));
-    let (order_count, reuse_count) = (Arc::clone(&orders), Arc::clone(&reused));
+    let counts = CallCounts::default();
+    let recorded = counts.clone();
     let server = start_scripted_server(move |request, index| {
-        order_count.fetch_add(usize::from(is_order(request)), Ordering::Relaxed);
-        reuse_count.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+        recorded.record(is_order(request), index);
         answer_with_status(request, status)
     });
     let _running = start(server);
-    wait_for_calls(&orders);
-    assert_eq!(reused.load(Ordering::Relaxed), 0, "orders on used connections");
+    counts.assert_none_on_used_connections();
 
-    let calls = Arc::new(AtomicUsize::new(0));
-    let (call_count, reuse_count) = (Arc::clone(&calls), Arc::clone(&reused));
+    let counts = CallCounts::default();
+    let recorded = counts.clone();
     let store = start_scripted_server(move |request, index| {
-        call_count.fetch_add(1, Ordering::Relaxed);
-        reuse_count.fetch_add(usize::from(index > 0), Ordering::Relaxed);
+        recorded.record(true, index);
         answer_with_status(request, status)
     });
     let _router = start_router("h2", store, &[]);
-    wait_for_calls(&calls);
-    assert_eq!(reused.load(Ordering::Relaxed), 0, "calls of the store on used connections");
+    counts.assert_none_on_used_connections();
 }
--- a/crates/node/tests/whole_answers.rs
+++ b/crates/node/tests/whole_answers.rs
@@ -163,6 +163,41 @@
     });
 }
 
+/// Maximum number of bytes that the gate buffers for one request and its response.
+const MAX_BYTES_PER_REQUEST: u64 = 512 * 1024;
+
+/// Guards against a target that fills the memory of the gate.
+#[test_case("", "no response at all "; "noise")]
+#[test_case("", "\r\n"; "blank lines")]
+#[test_case("HTTP/1.1 200 OK\r\n", "x-filler: aaaaaaaaaaaaaaaa\r\n"; "a head")]
+#[test_case("", "HTTP/1.1 100 Continue\r\n\r\n"; "interim responses")]
+#[test_case("HTTP/1.1 200 OK\r\n\r\n", "body "; "a body without a length")]
+#[test_case("HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n", "4\r\nbody\r\n"; "chunks")]
+fn an_endless_response_is_not_kept(head: &'static str, repeated: &'static str) {
+    let request = "POST /p HTTP/1.1\r\nhost: photos.example\r\n\r\n";
+    with_listener(short_timeout(), async |site, listener| {
+        let serve = async {
+            let (mut stream, _) = listener.accept().await.unwrap();
+            let portion = repeated.repeat(10_000);
+            let mut result = stream.write_all(head.as_bytes()).await;
+            while result.is_ok() {
+                result = stream.write_all(portion.as_bytes()).await;
+            }
+        };
+        let call = async {
+            let mut caller = site.connect().await;
+            caller.send(request.as_bytes()).await;
+            // The status of a body in chunks is passed on before the body breaks off.
+            let response = caller.read_response().await;
+            let is_error = response.header("bay-error") == Some("bad-answer");
+            assert!(is_error || !response.is_complete, "{}", response.head);
+        };
+        futures_lite::future::zip(call, serve).await;
+        let bytes = site.gate.peak_buffered_bytes();
+        assert!(bytes <= MAX_BYTES_PER_REQUEST, "{bytes} bytes");
+    });
+}
+
 /// Guards against a repeated response of one request that is taken for the response to the next one.
 #[test]
 fn a_connection_is_not_reused_after_a_response_that_names_no_request() {
