Test that a killed router resets its tunnels

The reset on close, set when a tunnel opens, is for processes that end without any warning, too; a test kills the binary in the middle of an answer and sees the reset. The option to reset on close is set in one place for connections and tunnels.

--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -68,6 +68,13 @@
     }
 }
 
+/// Chooses whether closing a connection resets it, so bytes that have not arrived yet are never delivered.
+pub(crate) fn set_reset_on_close(stream: &TcpStream, is_reset: bool) {
+    if let Err(error) = SockRef::from(stream).set_linger(is_reset.then_some(Duration::ZERO)) {
+        log::warn!(error:% = error; "failed to choose whether a connection resets on close");
+    }
+}
+
 impl Connection {
     /// Wraps a stream, without a timeout.
     pub(crate) fn new(stream: Async<TcpStream>, resources: &ConnectionResources) -> Connection {
@@ -117,9 +124,7 @@
 
     /// Makes closing reset the connection, so bytes that have not arrived yet are never delivered.
     pub(crate) fn set_reset_on_close(&self) {
-        if let Err(error) = SockRef::from(self.stream.get_ref()).set_linger(Some(Duration::ZERO)) {
-            log::warn!(error:% = error; "failed to make the connection reset on close");
-        }
+        set_reset_on_close(self.stream.get_ref(), true);
     }
 
     /// Limits the bytes that the system holds unsent for the peer (`TCP_NOTSENT_LOWAT`); those beyond
--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -16,7 +16,7 @@
 use super::request::NON_IDEMPOTENT_REUSE_TIME;
 use super::server_connection::{CONNECT_TIMEOUT, open_direct};
 use super::shell_state::ShellState;
-use crate::http1::connection::Connection;
+use crate::http1::connection::{Connection, set_reset_on_close};
 
 /// Timeout for a connection to another router.
 const HOST_CONNECT_TIMEOUT: Duration = Duration::from_millis(150);
@@ -270,7 +270,7 @@
     let _ = server.get_ref().set_nodelay(true);
     // Unless the server closes its connection, the client's is reset, also if this process is killed.
     // Otherwise a part of an answer without a length would look whole.
-    set_reset_on_close(&client, true);
+    set_reset_on_close(client.get_ref(), true);
     // What an answer still lacks is not known here, as its framing is not read. Clients no longer use a
     // tunnel that has been idle for so long for requests that may run once only.
     let idle_at_stop = async {
@@ -280,11 +280,11 @@
     };
     let end = future::or(forward(&guard, &client, &server), idle_at_stop).await;
     // Bytes that the client has given up on must not reach the server later.
-    set_reset_on_close(&server, true);
+    set_reset_on_close(server.get_ref(), true);
     drop(server);
     match end {
         TunnelEnd::Closed => {
-            set_reset_on_close(&client, false);
+            set_reset_on_close(client.get_ref(), false);
             close_behind_answer(client).await;
         }
         TunnelEnd::Broken => wait_until_sent(&client).await,
@@ -292,14 +292,6 @@
     }
 }
 
-/// Chooses whether closing a connection resets it, so bytes that have not arrived are never delivered.
-fn set_reset_on_close(stream: &Async<TcpStream>, is_reset: bool) {
-    let linger = is_reset.then_some(Duration::ZERO);
-    if let Err(error) = SockRef::from(stream.get_ref()).set_linger(linger) {
-        log::warn!(error:% = error; "failed to choose how a connection of a tunnel closes");
-    }
-}
-
 /// Closes the connection to a client that may still be sending.
 ///
 /// Closing it with unread bytes would reset it, and the client might lose the end of the answer.
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -16,7 +16,7 @@
 use serde_json::{Value, json};
 
 pub use running_router::{
-    RunningRouter, start_router, start_router_in_zone, start_router_with_contracts,
+    RunningRouter, settings_json, start_router, start_router_in_zone, start_router_with_contracts,
     start_router_with_memory,
 };
 pub use store_front::StoreFront;
--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -8,7 +8,7 @@
 use bay_node::RouterShell;
 use bay_obs::Counters;
 use bay_platform::{PlatformWire, parse_settings};
-use serde_json::json;
+use serde_json::{Value, json};
 
 /// A router on its own thread, with its addresses.
 pub struct RunningRouter {
@@ -78,6 +78,24 @@
     start(host, "a", store, &[], contracts, 256)
 }
 
+/// Returns the platform's settings of a router with these addresses, without bounds.
+pub fn settings_json(
+    host: &str,
+    listen: SocketAddr,
+    ready: SocketAddr,
+    peer: SocketAddr,
+    store: SocketAddr,
+) -> Value {
+    json!({
+        "node-name": host, "ip": peer.ip(), "zone": "a",
+        "listen": {"front": listen, "ready": ready},
+        "internal-ports": [peer.port(), peer.port()], "heartbeat": "1s", "bounds": [],
+        "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": 256,
+                   "max-fds": 1024},
+        "platform": {"address": store},
+    })
+}
+
 fn start(
     host: &str,
     zone: &str,
@@ -91,14 +109,12 @@
     let (stop, stop_requests) = async_channel::bounded(1);
     let (stopped_tx, stopped) = mpsc::channel::<()>();
     thread::spawn(move || {
-        let text = json!({
-            "node-name": host, "ip": "127.0.0.1", "zone": zone,
-            "listen": {"front": "127.0.0.1:0", "ready": "127.0.0.1:0"},
-            "internal-ports": [0, 0], "heartbeat": "1s", "bounds": bounds, "contracts": contracts,
-            "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": memory_mb,
-                       "max-fds": 1024},
-            "platform": {"address": store},
-        });
+        let any = "127.0.0.1:0".parse().unwrap();
+        let mut text = settings_json(&host, any, any, any, store);
+        text["zone"] = json!(zone);
+        text["bounds"] = json!(bounds);
+        text["contracts"] = json!(contracts);
+        text["limits"]["memory-mb"] = json!(memory_mb);
         let mut settings = parse_settings(&text.to_string()).unwrap();
         settings.metrics.set_port(0);
         let executor = Rc::new(LocalExecutor::new());
--- a/crates/node/tests/process/mod.rs
+++ b/crates/node/tests/process/mod.rs
@@ -53,6 +53,14 @@
     Process(command.spawn().unwrap())
 }
 
+/// Starts a router with a file of settings.
+pub fn start_router(settings: &Path) -> Process {
+    let mut command = Command::new(binary("dragonflybay"));
+    command.arg("router").env("DRAGONFLYBAY_CONFIG", settings);
+    command.stdin(Stdio::null()).stdout(Stdio::null()).stderr(Stdio::null());
+    Process(command.spawn().unwrap())
+}
+
 /// Starts a stand-in and waits until it reports that it listens.
 pub fn start_stand_in(name: &str, args: &[&str]) -> Process {
     let mut process = start(name, args);
--- a/crates/node/tests/tunnels.rs
+++ b/crates/node/tests/tunnels.rs
@@ -1,6 +1,7 @@
 //! The side of a tunnel that other routers connect to.
 
 mod platform;
+mod process;
 
 use std::io::{BufReader, ErrorKind, Read, Write};
 use std::net::{Shutdown, SocketAddr, TcpStream};
@@ -9,7 +10,7 @@
 
 use platform::{
     FakeStore, RunningRouter, ServerBehavior, config, read_head, request_status, server_entry,
-    start_raw_server, start_router, start_server,
+    settings_json, start_raw_server, start_router, start_server,
 };
 use socket2::SockRef;
 use test_case::test_case;
@@ -51,17 +52,17 @@
 }
 
 /// Asks for a tunnel to a server's process; returns the answer, if there is one.
-fn request_tunnel(router: &RunningRouter, server: &str, started: u8) -> (TcpStream, Option<u8>) {
+fn request_tunnel(peer: SocketAddr, server: &str, started: u8) -> (TcpStream, Option<u8>) {
     let mut body = vec![server.len() as u8];
     body.extend_from_slice(server.as_bytes());
     body.push(started);
     let mut message = (body.len() as u16).to_be_bytes().to_vec();
     message.extend_from_slice(&body);
-    send(router, &message)
+    send(peer, &message)
 }
 
-fn send(router: &RunningRouter, message: &[u8]) -> (TcpStream, Option<u8>) {
-    let mut stream = TcpStream::connect(router.peer).unwrap();
+fn send(peer: SocketAddr, message: &[u8]) -> (TcpStream, Option<u8>) {
+    let mut stream = TcpStream::connect(peer).unwrap();
     stream.write_all(message).unwrap();
     let mut answer = [0; 1];
     let count = stream.read(&mut answer).unwrap_or(0);
@@ -73,7 +74,7 @@
 #[test]
 fn bytes_pass_in_both_directions_until_the_client_closes() {
     let (_store, router) = start(true, ServerBehavior::Echo);
-    let (mut stream, answer) = request_tunnel(&router, "i-1", 1);
+    let (mut stream, answer) = request_tunnel(router.peer, "i-1", 1);
     assert_eq!(answer, Some(OPEN));
     for _ in 0..3 {
         stream.write_all(REQUEST).unwrap();
@@ -96,7 +97,7 @@
     expected: u8,
 ) {
     let (_store, router) = start(has_listener, ServerBehavior::Echo);
-    let (mut stream, answer) = request_tunnel(&router, server, started);
+    let (mut stream, answer) = request_tunnel(router.peer, server, started);
     assert_eq!(answer, Some(expected));
     assert_eq!(stream.read(&mut [0; 1]).unwrap_or(0), 0, "the connection is closed");
 }
@@ -105,18 +106,18 @@
 #[test_case(&[0, 3, 9, 9, 9]; "not a request")]
 fn a_malformed_request_for_a_tunnel_gets_no_answer(message: &[u8]) {
     let (_store, router) = start(true, ServerBehavior::Echo);
-    assert_eq!(send(&router, message).1, None);
-    assert_eq!(request_tunnel(&router, "i-1", 1).1, Some(OPEN), "the router serves others");
+    assert_eq!(send(router.peer, message).1, None);
+    assert_eq!(request_tunnel(router.peer, "i-1", 1).1, Some(OPEN), "the router serves others");
 }
 
 #[test]
 fn a_planned_stop_finishes_the_requests_in_tunnels() {
     let (_store, router) = start(true, ServerBehavior::Delayed);
-    let (mut stream, answer) = request_tunnel(&router, "i-1", 1);
+    let (mut stream, answer) = request_tunnel(router.peer, "i-1", 1);
     assert_eq!(answer, Some(OPEN));
     router.stop.send_blocking(()).unwrap();
     while is_ready(&router) {}
-    let (_, answer) = request_tunnel(&router, "i-1", 1);
+    let (_, answer) = request_tunnel(router.peer, "i-1", 1);
     assert_eq!(answer, Some(UNAVAILABLE), "a stopping router opens no more tunnels");
     stream.write_all(REQUEST).unwrap();
     let mut head = [0; 12];
@@ -125,11 +126,11 @@
 }
 
 /// Opens a tunnel to a server that the router does not know yet.
-fn open_tunnel_to(store: &FakeStore, router: &RunningRouter, server: SocketAddr) -> TcpStream {
+fn open_tunnel_to(store: &FakeStore, peer: SocketAddr, server: SocketAddr) -> TcpStream {
     store.write("servers/i-4", Some(server_entry("pool", server, 4)));
-    let mut tunnel = request_tunnel(router, "i-4", 1);
+    let mut tunnel = request_tunnel(peer, "i-4", 1);
     while tunnel.1 == Some(UNKNOWN_SERVER) {
-        tunnel = request_tunnel(router, "i-4", 1);
+        tunnel = request_tunnel(peer, "i-4", 1);
     }
     assert_eq!(tunnel.1, Some(OPEN));
     tunnel.0
@@ -140,7 +141,7 @@
 #[test]
 fn a_planned_stop_completes_the_answers_in_tunnels() {
     let (store, router) = start_with_bounds(true, ServerBehavior::Echo, &["grace=6s"]);
-    let mut stream = open_tunnel_to(&store, &router, start_slow_writer());
+    let mut stream = open_tunnel_to(&store, router.peer, start_slow_writer());
     router.stop.send_blocking(()).unwrap();
     while is_ready(&router) {}
     stream.write_all(REQUEST).unwrap();
@@ -245,7 +246,7 @@
 fn a_reset_by_the_server_reaches_the_client_behind_all_bytes() {
     let (store, router) = start(true, ServerBehavior::Echo);
     let server = start_ending_server(ANSWER_BYTES, End::Reset);
-    let stream = open_tunnel_to(&store, &router, server);
+    let stream = open_tunnel_to(&store, router.peer, server);
     assert_eq!(exchange(stream, 0), (ANSWER_BYTES, true));
 }
 
@@ -253,7 +254,7 @@
 fn a_close_by_the_server_reaches_the_client_behind_all_bytes() {
     let (store, router) = start(true, ServerBehavior::Echo);
     let server = start_ending_server(ANSWER_BYTES, End::Closed);
-    let stream = open_tunnel_to(&store, &router, server);
+    let stream = open_tunnel_to(&store, router.peer, server);
     assert_eq!(exchange(stream, 0), (ANSWER_BYTES, false));
 }
 
@@ -262,11 +263,35 @@
 fn a_planned_stop_resets_tunnels_in_the_middle_of_an_answer() {
     let (store, router) = start_with_bounds(true, ServerBehavior::Echo, &["grace=6s"]);
     let server = start_ending_server(ANSWER_BYTES, End::Kept);
-    let stream = open_tunnel_to(&store, &router, server);
+    let stream = open_tunnel_to(&store, router.peer, server);
     router.stop.send_blocking(()).unwrap();
     assert_eq!(exchange(stream, 0), (ANSWER_BYTES, true));
 }
 
+/// Guards against the same when the process of this router ends without any warning.
+#[test]
+fn a_killed_router_resets_its_tunnels() {
+    let (store, store_address) = FakeStore::start();
+    store.write("config/main", Some(config("2s", &[])));
+    let server = start_ending_server(SHORT_ANSWER_BYTES, End::Kept);
+    let [listen, ready, peer] = [8080, 8081, 7540].map(|port| process::address(1, port));
+    let settings = settings_json("h1", listen, ready, peer, store_address);
+    let path = std::env::temp_dir().join(format!("bay-tunnels-{}.json", std::process::id()));
+    std::fs::write(&path, settings.to_string()).unwrap();
+    let mut killed = process::start_router(&path);
+    while TcpStream::connect(ready).is_err() {
+        thread::sleep(FORWARD_PAUSE);
+    }
+    while request_status(ready, "GET", "/api/ready") != 200 {}
+    let stream = open_tunnel_to(&store, peer, server);
+    thread::spawn(move || {
+        thread::sleep(3 * FORWARD_PAUSE);
+        killed.kill();
+    });
+    assert_eq!(exchange(stream, 0), (SHORT_ANSWER_BYTES, true));
+    std::fs::remove_file(&path).unwrap();
+}
+
 /// Guards against early answers that are lost, or lose how they ended, when a server takes no more of
 /// the request.
 #[test_case(End::Closed, false; "closed")]
@@ -275,7 +300,7 @@
     let (store, router) = start(true, ServerBehavior::Echo);
     let server = start_ending_server(SHORT_ANSWER_BYTES, end);
     for _ in 0..4 {
-        let stream = open_tunnel_to(&store, &router, server);
+        let stream = open_tunnel_to(&store, router.peer, server);
         assert_eq!(exchange(stream, UPLOAD_BYTES), (SHORT_ANSWER_BYTES, is_reset));
     }
 }
