Bound the time for which a broken tunnel waits for its client

A client that is cut off never takes the rest of an answer; the tunnel would keep its descriptors until the system gives the connection up. It now waits 60 s.

--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -46,6 +46,9 @@
 /// Time without bytes from a client after which its connection is closed behind an answer.
 const CLOSE_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time in which a client must take what its server had sent before the connection broke.
+const SEND_TIMEOUT: Duration = Duration::from_secs(60);
+
 /// Interval between checks whether a tunnel is idle.
 const IDLE_POLL: Duration = Duration::from_millis(50);
 
@@ -302,12 +305,12 @@
     while let Ok(1..) = within(CLOSE_TIMEOUT, client.read(&mut buf)).await {}
 }
 
-/// Waits until the system has sent all bytes, or the connection breaks.
+/// Waits until the system has sent all bytes, the connection breaks, or too much time has passed.
 async fn wait_until_sent(stream: &Async<TcpStream>) {
     // Without unsent bytes the stream is writable.
     let set = SockRef::from(stream.get_ref()).set_tcp_notsent_lowat(1);
     let sent = match set {
-        Ok(()) => stream.writable().await,
+        Ok(()) => within(SEND_TIMEOUT, stream.writable()).await,
         Err(error) => Err(error),
     };
     if let Err(error) = sent {
