--- a/crates/node/src/router_shell/tunnel.rs
+++ b/crates/node/src/router_shell/tunnel.rs
@@ -353,7 +353,7 @@
     }
 }
 
-/// Forwards bytes in both directions until one ends.
+/// Forwards bytes in both directions until the server has sent all, or the client is gone.
 async fn forward(
     guard: &TunnelGuard<'_>,
     client: &Async<TcpStream>,
