--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -83,6 +83,10 @@
             }
             Feed::Hosts => {
                 self.hosts = objects.iter().filter_map(hosts::parse_host_record).collect();
+                if self.follows_restoration {
+                    let missing = hosts::keep_missing_hosts(shell, &self.hosts);
+                    self.hosts.extend(missing);
+                }
                 self.apply_hosts(shell);
             }
         }
--- a/crates/node/src/router_shell/granter.rs
+++ b/crates/node/src/router_shell/granter.rs
@@ -11,7 +11,7 @@
     RouterSettings,
 };
 use bay_time::{BootClock, Clock, Time};
-use bay_types::{HostName, Revision, ServiceName, Term};
+use bay_types::{HostName, Revision, ServiceName, StoreEra, Term};
 use xxhash_rust::xxh3::xxh3_64;
 
 use super::orders;
@@ -54,7 +54,7 @@
 const REPORT_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Age up to which a router's report counts as proof that it follows this granter.
-const MAX_REPORT_AGE: Duration = Duration::from_millis(1_000);
+const MAX_REPORT_AGE: Duration = Leadership::MAX_REPORT_AGE;
 
 /// Age of the store's last confirmation of the granter after which holds are only renewed and no
 /// range moves.
@@ -106,8 +106,9 @@
     revision: Option<Revision>,
     /// Whether a read of the table is in flight.
     is_loading: bool,
-    /// When the table is loaded, if servers that it does not name may hold keys until then.
-    load_at: Option<Time>,
+    /// When to load the table again after it was not used, as servers that it does not name may hold
+    /// keys.
+    next_load_at: Option<Time>,
     /// Whether the store had a table of this granter in this term.
     has_saved: bool,
     /// Whether the store has answered a read of the table, even with an invalid one.
@@ -133,8 +134,12 @@
         let spread = takeover_spread(settings);
         let delay = Fitness::of_size(settings.relative_size()).takeover_delay(spread);
         let incarnation = crate::wall_clock::wall_nanos();
+        let mut leadership = Leadership::new(settings.host, incarnation, delay, now);
+        if settings.is_first_start {
+            leadership.record_first_start(now);
+        }
         GranterRole {
-            leadership: Leadership::new(settings.host, incarnation, delay, now),
+            leadership,
             services: BTreeMap::new(),
             live_routers: LiveRouters::default(),
             leader: None,
@@ -156,8 +161,8 @@
     /// Records that `host` follows this granter, and stops waiting for earlier granters once none
     /// of them can renew holds.
     ///
-    /// That is the case when every earlier granter follows this one, or when more than three
-    /// quarters of the hosts do: without the store, an earlier granter needs the reports of half of
+    /// That is the case when every earlier granter follows this one, or when three quarters of the
+    /// hosts do: without the store, an earlier granter needs the reports of half of
     /// the routers to renew.
     fn update_earlier_granters(&mut self, now: Time, host: HostName, hosts: usize) {
         if !self.leadership.has_earlier_granters() {
@@ -180,7 +185,7 @@
     /// Returns whether so many routers follow this granter that no other one has enough to renew holds
     /// without the store.
     fn do_most_follow(&self, now: Time, hosts: usize) -> bool {
-        self.live_routers.count_within(now, MAX_REPORT_AGE) * 4 > hosts * 3
+        hosts > 0 && self.live_routers.count_within(now, MAX_REPORT_AGE) * 4 >= hosts * 3
     }
 
     /// Returns whether holds may be renewed. The store must have confirmed the granter within
@@ -274,7 +279,11 @@
         shell.granter_role.borrow().leadership.confirmation_age(now).unwrap_or_default();
     let hosts = shell.router_hosts.borrow().len();
     let may_renew = shell.granter_role.borrow().may_renew(now, hosts);
-    let has_followers = shell.granter_role.borrow().do_most_follow(now, hosts);
+    {
+        let role = &mut *shell.granter_role.borrow_mut();
+        let do_most_follow = role.do_most_follow(now, hosts);
+        role.leadership.record_followers(now, do_most_follow);
+    }
     let hold_times = HoldTimes::bounded_by(shell.settings.bounds.longest_hold);
     let services = shell.router.borrow().keyed_services();
     for service in services {
@@ -282,11 +291,9 @@
         let mut actions = Vec::new();
         {
             let role = &mut *shell.granter_role.borrow_mut();
+            let may_prove = role.leadership.may_prove_tables(now, &hold_times);
             let keyed = role.services.entry(service).or_insert_with(KeyedService::new);
-            if has_followers {
-                keyed.limit_wait_for_unknown_holds(now, hold_times);
-            }
-            let is_load_due = keyed.load_at.is_none_or(|at| now >= at);
+            let is_load_due = keyed.next_load_at.is_none_or(|at| may_prove && now >= at);
             if keyed.granter.is_none() && !keyed.is_loading && is_load_due {
                 keyed.is_loading = true;
                 shell.spawn(load_table(Rc::clone(shell), service, term));
@@ -308,10 +315,25 @@
     if election::hand_over_if_stuck(shell, now) {
         return;
     }
+    record_saved_tables(shell, now);
     send_heartbeat(shell, now, term, unconfirmed);
     publishing::send_queued(shell, now);
 }
 
+/// Tells the election once the store has the tables of all services, written in its present era.
+fn record_saved_tables(shell: &ShellState, now: Time) {
+    let services = shell.router.borrow().keyed_services();
+    let era = shell.store.era();
+    let role = &mut *shell.granter_role.borrow_mut();
+    let is_saved = |service| {
+        let keyed = role.services.get(service);
+        keyed.is_some_and(|keyed| keyed.is_saved_in(era))
+    };
+    if !services.is_empty() && services.iter().all(is_saved) {
+        role.leadership.record_tables_saved(now);
+    }
+}
+
 /// Logs ranges without a serving owner, with the reason of each.
 fn log_unserved(service: ServiceName, granter: &Granter) {
     for (holding, reason) in granter.unserved_ranges().take(MAX_LOGGED_RANGES) {
@@ -334,7 +356,7 @@
             granter: None,
             revision: None,
             is_loading: false,
-            load_at: None,
+            next_load_at: None,
             has_saved: false,
             has_answer: false,
             key_loads: KeyLoads::default(),
@@ -348,12 +370,10 @@
         }
     }
 
-    /// Limits the wait for holds that the stored table does not name, once no other granter can renew
-    /// them.
-    fn limit_wait_for_unknown_holds(&mut self, now: Time, times: HoldTimes) {
-        let ended_at = now + Leadership::CONFIRMATION_TIMEOUT.max(MAX_REPORT_AGE);
-        let expired_at = ended_at + times.max_after_decision();
-        self.load_at = self.load_at.map(|at| at.min(expired_at));
+    /// Returns whether the store has the table of this granter, written in the given era.
+    fn is_saved_in(&self, era: StoreEra) -> bool {
+        let is_written = self.revision.is_some_and(|revision| revision.era() == era);
+        self.granter.is_some() && self.has_saved && is_written
     }
 
     /// Fills in the mean service times that routers have reported.
--- a/crates/node/src/router_shell/granter/fitness.rs
+++ b/crates/node/src/router_shell/granter/fitness.rs
@@ -9,7 +9,7 @@
 pub(super) fn update_fitness(shell: &ShellState, now: Time) {
     let recovered_at = shell.store.recovered_at();
     let role = &mut *shell.granter_role.borrow_mut();
-    role.leadership.record_store_era(shell.store.era());
+    role.leadership.record_store_era(now, shell.store.told_era());
     let restorations = shell.store.restorations();
     if std::mem::replace(&mut role.seen_restorations, restorations) != restorations {
         // The record and the tables are written again.
--- a/crates/node/src/router_shell/granter/messages.rs
+++ b/crates/node/src/router_shell/granter/messages.rs
@@ -102,10 +102,20 @@
     capacities::send_samples(shell, now, address);
 }
 
-/// Applies a router's report of the granter's current term; others are ignored.
+/// Tells a new granter that there was one before it, by a report of the earlier term. It may have
+/// started without knowledge of it, from a store that was restored from a copy.
+fn send_earlier_term(shell: &ShellState, granter: SocketAddr, term: Term) {
+    let report = Report { host: shell.settings.host, term, services: Vec::new() };
+    shell.peer_socket.send(&[granter], &PeerMessage::Report(report));
+}
+
+/// Applies a router's report of the granter's current term. One of another term only shows that there
+/// was another granter.
 fn apply_report(shell: &ShellState, now: Time, report: &Report) {
     let role = &mut *shell.granter_role.borrow_mut();
     if role.term() != Some(report.term) {
+        // The granter of that term may have granted keys.
+        role.leadership.record_other_term();
         return;
     }
     role.live_routers.record_report(now, report.host);
@@ -149,11 +159,7 @@
         PeerMessage::Owners(owners) => {
             shell.router.borrow_mut().add_owners_part(owners);
         }
-        PeerMessage::Report(report) => {
-            if shell.granter_role.borrow().term().is_some() {
-                apply_report(shell, now, &report);
-            }
-        }
+        PeerMessage::Report(report) => apply_report(shell, now, &report),
         PeerMessage::Servers(update) => server_updates::handle_update(shell, from, update),
         PeerMessage::IdentifiedServers(servers) => {
             server_updates::handle_identified(shell, servers);
@@ -241,11 +247,15 @@
     heartbeat: &Heartbeat,
 ) {
     let previous_term = shell.granter_role.borrow().term();
+    let last_known = shell.granter_role.borrow().leadership.known_term();
+    if heartbeat.term < last_known {
+        return;
+    }
+    if heartbeat.term > last_known && last_known > Term(0) {
+        send_earlier_term(shell, origin, last_known);
+    }
     {
         let role = &mut *shell.granter_role.borrow_mut();
-        if heartbeat.term < role.leadership.known_term() {
-            return;
-        }
         let unconfirmed = Duration::from_millis(u64::from(heartbeat.unconfirmed_ms));
         role.leadership.handle_heartbeat(now, heartbeat.term, heartbeat.renewal, unconfirmed);
         let changed = role.leader.is_none_or(|(_, term)| term != heartbeat.term);
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -6,14 +6,17 @@
 use bay_range::{GrantOrder, Granter, GranterAction, HoldTimes, OrderId, OwnerId, RangeTable};
 use bay_router::{OwnerMap, PeerMessage, object_key};
 use bay_store::{Precondition, StoreReply, StoreRequest};
-use bay_time::{BootClock, Clock, Time};
-use bay_types::{Revision, ServiceName, StoreEra, Term};
+use bay_time::{BootClock, Clock};
+use bay_types::{Revision, ServiceName, Term};
 
-use super::{KeyedService, ShellState, fan_out, orders};
+use super::{ShellState, fan_out, orders};
 
 /// Maximum number of changed ranges in one datagram, at 27 bytes for each range with an owner.
 const MAX_CHANGES: usize = 1_500;
 
+/// Interval between reads of a table that may not name all holds.
+const LOAD_RETRY_INTERVAL: Duration = Duration::from_millis(250);
+
 /// Reads a service's range table from the store and starts its granter for the term.
 ///
 /// After a failure the next step of the granter tries again. A table of a later term shows that
@@ -35,9 +38,9 @@
     keyed.is_loading = false;
     keyed.has_answer |= matches!(result, Ok(StoreReply::Object(_)));
     let (table, revision) = match result {
-        Ok(StoreReply::Object(None)) => (RangeTable::default(), None),
+        Ok(StoreReply::Object(None)) => (None, None),
         Ok(StoreReply::Object(Some(object))) => match serde_json::from_str(&object.body) {
-            Ok(table) => (table, Some(object.revision)),
+            Ok(table) => (Some(table), Some(object.revision)),
             Err(error) => {
                 log::error!(service:% = service, error:% = error;
                     "invalid range table in the store");
@@ -46,30 +49,33 @@
         },
         _ => return,
     };
-    if table.term > term {
-        log::warn!(service:% = service, term = table.term.0; "range table has a later term");
-        role.leadership.handle_heartbeat(now, table.term, 0, Duration::ZERO);
+    let table: Option<RangeTable> = table;
+    if let Some(later) = table.as_ref().map(|table| table.term).filter(|each| *each > term) {
+        log::warn!(service:% = service, term = later.0; "range table has a later term");
+        role.leadership.handle_heartbeat(now, later, 0, Duration::ZERO);
         role.services.clear();
         return;
     }
-    let unknown_holds = find_unknown_holds(keyed, now, &table, shell.store.told_era(), &times);
-    if unknown_holds == UnknownHolds::Possible {
-        log::warn!(service:% = service, term = term.0;
-            "range table is older than the store's restoration; waiting for unknown holds to expire");
+    let era = shell.store.told_era();
+    let ranges = table.as_ref().map_or(0, |table| table.holdings.len());
+    let Some(proven) = role.leadership.prove_table(now, era, table, &times) else {
+        if keyed.next_load_at.replace(now + LOAD_RETRY_INTERVAL).is_none() {
+            log::warn!(service:% = service, term = term.0, era:? = era, ranges = ranges;
+                "range table may not name all holds; waiting until they have expired");
+        }
         return;
-    }
+    };
     log::info!(
         service:% = service,
         term = term.0,
-        ranges = table.holdings.len();
+        era:? = era,
+        ranges = ranges,
+        proof:? = proven.proof();
         "range table loaded"
     );
     keyed.revision = revision;
-    keyed.load_at = None;
-    let mut granter = Granter::take_over(now, term, times, table);
-    if unknown_holds == UnknownHolds::Expired {
-        granter.record_earlier_holds_expired(now);
-    }
+    keyed.next_load_at = None;
+    let mut granter = Granter::take_over(now, term, times, proven);
     match role.leadership.earlier_granters_ended_at(now) {
         Some(_) if role.leadership.has_settled_predecessor() => {
             granter.record_predecessor_settled(now)
@@ -92,38 +98,6 @@
     keyed.granter = Some(granter);
 }
 
-/// Holds of servers that a loaded table does not name.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum UnknownHolds {
-    /// There are none.
-    None,
-    /// There may be some. The table is loaded again once all have expired.
-    Possible,
-    /// All have expired, and those that the table names with them.
-    Expired,
-}
-
-/// Returns whether keys may be held by servers that a table does not name, because the store was
-/// restored after it was written.
-///
-/// A granter of which nothing is left in the store may have moved keys and renewed their holds.
-fn find_unknown_holds(
-    keyed: &mut KeyedService,
-    now: Time,
-    table: &RangeTable,
-    store_era: Option<StoreEra>,
-    times: &HoldTimes,
-) -> UnknownHolds {
-    if table.store_era.is_none() || table.store_era >= store_era {
-        return UnknownHolds::None;
-    }
-    let wait = Granter::MAX_UNCONFIRMED_RENEWAL + times.max_after_decision();
-    match now < *keyed.load_at.get_or_insert(now + wait) {
-        true => UnknownHolds::Possible,
-        false => UnknownHolds::Expired,
-    }
-}
-
 /// Starts the actions of a service's granter: table writes, orders to servers, publications.
 ///
 /// Grants to one server are sent one after the other, so that they share a connection. A release waits
--- a/crates/node/src/router_shell/hosts.rs
+++ b/crates/node/src/router_shell/hosts.rs
@@ -60,6 +60,37 @@
     }
 }
 
+/// Returns known routers that a list of a restored store lacks. The granter writes their records again, as
+/// routers that follow it make no calls that would tell them of the restoration.
+pub(crate) fn keep_missing_hosts(
+    shell: &Rc<ShellState>,
+    listed: &BTreeMap<HostName, HostRecord>,
+) -> Vec<(HostName, HostRecord)> {
+    let known = shell.router_hosts.borrow().clone();
+    let missing: Vec<_> =
+        known.into_iter().filter(|(host, _)| !listed.contains_key(host)).collect();
+    if granter::granter_term(shell).is_some() {
+        for (host, record) in &missing {
+            shell.spawn(write_record_again(Rc::clone(shell), *host, record.clone()));
+        }
+    }
+    missing
+}
+
+/// Writes a router's record for it unless there is one; retries while this router is the granter.
+async fn write_record_again(shell: Rc<ShellState>, host: HostName, record: HostRecord) {
+    let (Some(key), Ok(body)) = (object_key::host(host), serde_json::to_string(&record)) else {
+        return;
+    };
+    let put = StoreRequest::Put { key, body, precondition: Precondition::Absent };
+    while granter::granter_term(&shell).is_some() {
+        if let Ok(StoreReply::Written(_) | StoreReply::Conflict(_)) = shell.store.call(&put).await {
+            return;
+        }
+        Timer::after(RETRY_PAUSE).await;
+    }
+}
+
 /// Parses a router's record; `None` if it is invalid.
 pub(crate) fn parse_host_record(object: &Object) -> Option<(HostName, HostRecord)> {
     let record = serde_json::from_str(&object.body).ok()?;
--- a/crates/node/src/router_shell/store_client.rs
+++ b/crates/node/src/router_shell/store_client.rs
@@ -47,9 +47,10 @@
     is_granter: Cell<bool>,
     /// When the store last answered again after it was lost.
     recovered_at: Cell<Option<Time>>,
-    /// Era of the store, and whether an answer has told it.
-    era: Cell<StoreEra>,
-    has_era: Cell<bool>,
+    /// Era of the store, if an answer has told it.
+    told_era: Cell<Option<StoreEra>>,
+    /// Whether the store has answered this process.
+    has_answered: Cell<bool>,
     /// Number of restorations since the start of the process.
     restorations: Cell<u64>,
 }
@@ -89,8 +90,8 @@
             health: RefCell::default(),
             is_granter: Cell::new(false),
             recovered_at: Cell::new(None),
-            era: Cell::default(),
-            has_era: Cell::new(false),
+            told_era: Cell::default(),
+            has_answered: Cell::new(false),
             restorations: Cell::new(0),
         }
     }
@@ -104,7 +105,7 @@
             StoreRequest::Watch { wait, .. } => *wait + WATCH_MARGIN,
             _ => CALL_TIMEOUT,
         };
-        let era = self.era.get();
+        let era = self.era();
         match store_era::localize(request, era) {
             LocalRequest::Send(local) => self.send(&local, era, timeout).await,
             LocalRequest::ListAgain => Ok(list_again()),
@@ -145,21 +146,20 @@
     /// # Errors
     /// Returns `Unknown` for a late answer of an earlier era.
     fn record_era(&self, answer: &CallAnswer) -> Result<StoreEra, StoreError> {
-        let known = self.era.get();
+        let known = self.era();
         // Only the answers of a store that can be restored have an era.
-        let era = answer.fields.store_era.unwrap_or(known);
+        let told = answer.fields.store_era.or(self.told_era.get());
+        let era = told.unwrap_or_default();
         if era < known {
             return Err(StoreError::Unknown);
         }
-        if era > known {
-            // The first answer to a process tells the era that it starts in.
-            if self.has_era.get() {
-                log::warn!(store:% = self.address, era = era.0; "store restored from an older copy");
-                self.restorations.set(self.restorations.get() + 1);
-            }
-            self.era.set(era);
+        // The first answer to a process tells the era that it starts in.
+        if era > known && self.has_answered.get() {
+            log::warn!(store:% = self.address, era = era.0; "store restored from an older copy");
+            self.restorations.set(self.restorations.get() + 1);
         }
-        self.has_era.set(true);
+        self.told_era.set(told);
+        self.has_answered.set(true);
         Ok(era)
     }
 
@@ -202,12 +202,12 @@
 
     /// Returns the era of the store in its last answers.
     pub(crate) fn era(&self) -> StoreEra {
-        self.era.get()
+        self.told_era.get().unwrap_or_default()
     }
 
-    /// Returns the era of the store, if it tells one.
+    /// Returns the era of the store, if it tells one; the first one may be zero.
     pub(crate) fn told_era(&self) -> Option<StoreEra> {
-        (self.era.get() > StoreEra::default()).then(|| self.era.get())
+        self.told_era.get()
     }
 
     /// Returns how often this process has seen the store restored from an older copy.
--- a/crates/node/tests/platform/mod.rs
+++ b/crates/node/tests/platform/mod.rs
@@ -150,7 +150,7 @@
 
     /// Returns the header that tells the store's era.
     fn era_header(&self) -> String {
-        format!("Store-Era: {}\r\n", self.state.0.lock().unwrap().restorations + 3)
+        format!("Store-Era: {}\r\n", self.state.0.lock().unwrap().restorations + 1)
     }
 
     fn serve(&self, stream: &TcpStream) {
@@ -253,10 +253,12 @@
         let expected = body["metadata"]["revision"].as_u64();
         {
             let state = self.state.0.lock().unwrap();
-            if let Some((revision, spec)) = state.objects.get(&key)
-                && expected != Some(*revision)
-            {
-                return (409, object_json(&key, *revision, Some(spec)));
+            match state.objects.get(&key) {
+                Some((revision, spec)) if expected != Some(*revision) => {
+                    return (409, object_json(&key, *revision, Some(spec)));
+                }
+                None if expected.is_some() => return (404, Value::Null),
+                _ => {}
             }
         }
         let revision = self.write(&key, Some(body["spec"].clone()));
--- a/crates/node/tests/platform/running_router.rs
+++ b/crates/node/tests/platform/running_router.rs
@@ -112,6 +112,7 @@
         let any = "127.0.0.1:0".parse().unwrap();
         let mut text = settings_json(&host, any, any, any, store);
         text["zone"] = json!(zone);
+        text["bootstrap"] = json!(true);
         text["bounds"] = json!(bounds);
         text["contracts"] = json!(contracts);
         text["limits"]["memory-mb"] = json!(memory_mb);
--- a/crates/range/src/granter.rs
+++ b/crates/range/src/granter.rs
@@ -8,8 +8,8 @@
 use crate::slot::{Phase, Slot};
 use crate::staged_change::StagedChange;
 use crate::{
-    Candidate, FormerOwner, GrantOrder, HoldTimes, Holding, KeyLoads, KeyRange, OrderId,
-    OrderResult, OwnerId, RangeTable,
+    Candidate, FormerOwner, GrantOrder, HoldProof, HoldTimes, Holding, KeyLoads, KeyRange, OrderId,
+    OrderResult, OwnerId, ProvenTable, RangeTable,
 };
 
 mod planning;
@@ -74,7 +74,8 @@
     ///
     /// Every holding keeps its owner and gets a new fencing token. Servers that have seen it refuse
     /// orders of earlier granters.
-    pub fn take_over(now: Time, term: Term, hold_times: HoldTimes, stored: RangeTable) -> Granter {
+    pub fn take_over(now: Time, term: Term, hold_times: HoldTimes, proven: ProvenTable) -> Granter {
+        let (stored, proof) = proven.into_parts();
         // Until a server has acknowledged the new term, an earlier granter may renew its holds.
         let until = now + Granter::MAX_UNCONFIRMED_RENEWAL + hold_times.max_after_arrival();
         let mut granter = Granter {
@@ -107,6 +108,10 @@
                 _ => granter.slots.push(Slot::from_stored(holding, now, until)),
             }
         }
+        match proof {
+            HoldProof::Complete => {}
+            HoldProof::Expired => granter.record_earlier_holds_expired(now),
+        }
         granter
     }
 
@@ -130,7 +135,7 @@
 
     /// Records that all holds by orders of earlier granters have expired, so that the keys can be granted
     /// to any server.
-    pub fn record_earlier_holds_expired(&mut self, now: Time) {
+    fn record_earlier_holds_expired(&mut self, now: Time) {
         self.earlier_holds_until = now;
         self.slots.iter_mut().for_each(|slot| slot.record_no_holder(now));
     }
--- a/crates/range/src/leadership.rs
+++ b/crates/range/src/leadership.rs
@@ -3,7 +3,10 @@
 use bay_time::Time;
 use bay_types::{HostName, Revision, StoreEra, Term};
 
-use crate::{EarlierGranter, Fitness, LeadershipRecord, TakeoverDelay};
+use crate::{
+    EarlierGranter, Fitness, HoldTimes, KnownHolds, LeadershipRecord, ProvenTable, RangeTable,
+    TakeoverDelay,
+};
 
 /// Elects the granter by compare-and-set on one object of the store.
 ///
@@ -52,6 +55,10 @@
     /// Terms in a row, of all granters, that ended by a resignation before their tables can have been
     /// loaded.
     short_terms: u32,
+    /// What this process knows as the granter about holds that earlier ones have given.
+    known_holds: KnownHolds,
+    /// Whether so many routers follow this granter that no other one can renew holds without the store.
+    do_most_follow: bool,
 }
 
 /// The role of a process in granting keys.
@@ -111,6 +118,8 @@
     /// Others that are fitter and learn later that an outage of the store is over; before that, a
     /// granter that is still heard, for its renewal.
     Outage { grace: Duration },
+    /// The granter, which is heard, for writing its record again: the store has lost it.
+    Rewrite,
     /// The granter, for its renewal.
     Renewal,
 }
@@ -121,6 +130,7 @@
         match self {
             Wait::Ended => Duration::ZERO,
             Wait::Outage { grace } => grace + delay.after_outage,
+            Wait::Rewrite => Leadership::REWRITE_GRACE + delay.after_outage,
             Wait::Renewal => Leadership::HEARTBEAT_TIMEOUT + delay.usual,
         }
     }
@@ -149,6 +159,11 @@
     const OUTAGE_FAILURES: u32 = 2;
     /// Time after an outage that a follower leaves to the granter for a renewal.
     const OUTAGE_GRACE: Duration = Duration::from_millis(700);
+    /// Time that a follower leaves to a granter that it hears for writing its lost record again. Until
+    /// then the granter renews holds; a successor has to wait until they have expired.
+    const REWRITE_GRACE: Duration = Duration::from_millis(4_000);
+    /// Age up to which a router's report counts as proof that it follows the granter.
+    pub const MAX_REPORT_AGE: Duration = Duration::from_millis(1_000);
     /// Time after winning within which a granter has to load its tables. At 200 Mbit/s a table of 545
     /// ranges takes 0.2 s.
     pub const START_TIMEOUT: Duration = Duration::from_millis(600);
@@ -196,9 +211,16 @@
             paused_until: now,
             heard_term_since: (Term(0), now),
             short_terms: 0,
+            known_holds: KnownHolds::new(now, false),
+            do_most_follow: false,
         }
     }
 
+    /// Records that this process was started with the whole system, which has never run before.
+    pub fn record_first_start(&mut self, now: Time) {
+        self.known_holds = KnownHolds::new(now, true);
+    }
+
     /// Sets the takeover delay by the router's present fitness; it also counts for a wait under way.
     pub fn set_fitness(&mut self, fitness: Fitness, spread: f64) {
         self.takeover_delay = fitness.takeover_delay(spread);
@@ -311,6 +333,7 @@
     ///
     /// `unconfirmed` is the sender's [`Leadership::confirmation_age`].
     pub fn handle_heartbeat(&mut self, now: Time, term: Term, renewal: u64, unconfirmed: Duration) {
+        self.known_holds.record_other_granter();
         if term < self.known_term {
             return;
         }
@@ -338,6 +361,9 @@
             {
                 *wait = Wait::Outage { grace: Duration::ZERO };
             }
+            State::Observing { wait, .. } if has_resigned && *wait == Wait::Rewrite => {
+                *wait = Wait::Outage { grace: Duration::ZERO };
+            }
             _ if is_unconfirmed => {}
             _ => self.become_follower(now),
         }
@@ -350,6 +376,7 @@
             return None;
         }
         let resigned_term = self.resigned_term;
+        let is_heard = self.is_granter_heard(now);
         let action = match &mut self.state {
             State::Follower { silent_since, retry_at } => {
                 let is_silent = now.since(*silent_since)
@@ -360,6 +387,10 @@
                 LeadershipAction::Read
             }
             State::Observing { since, wait, retry_at, observed } => {
+                if *wait == Wait::Rewrite && !is_heard {
+                    *wait = Wait::Outage { grace: Duration::ZERO };
+                    *since = now;
+                }
                 if now < *since + wait.length(self.takeover_delay) || now < *retry_at {
                     return None;
                 }
@@ -374,6 +405,8 @@
                 self.settled_predecessor =
                     observed.as_ref().is_some_and(|(_, observed)| observed.settled);
                 self.predecessor_term = observed.as_ref().map(|(_, observed)| observed.term);
+                let replaced = observed.as_ref().map(|(revision, record)| (*revision, record));
+                self.known_holds.begin_term(now, replaced);
                 let record = LeadershipRecord {
                     host: self.host,
                     incarnation: self.incarnation,
@@ -382,6 +415,8 @@
                     resigned: false,
                     settled: false,
                     earlier_granters,
+                    store_era: self.known_holds.era(),
+                    holds_known_in: self.known_holds.complete_in(),
                 };
                 LeadershipAction::Write { record, expect }
             }
@@ -391,8 +426,13 @@
                 }
                 *renew_at = now + Leadership::RENEW_INTERVAL;
                 let renewal = record.renewal + 1;
-                let earlier_granters = self.earlier_granters.clone();
-                let record = LeadershipRecord { renewal, earlier_granters, ..record.clone() };
+                let record = LeadershipRecord {
+                    renewal,
+                    earlier_granters: self.earlier_granters.clone(),
+                    store_era: self.known_holds.era(),
+                    holds_known_in: self.known_holds.complete_in(),
+                    ..record.clone()
+                };
                 LeadershipAction::Write { record, expect: *revision }
             }
         };
@@ -410,12 +450,19 @@
     /// After an outage of the store, the follower that reaches it first would take over from a granter
     /// that is about to renew, or before the fitter machines. So it leaves a granter that it still hears
     /// some time, and the others its takeover delay, also if the granter has resigned.
+    ///
+    /// A record that is gone, or of an earlier term than is known, is that of a copy from which the store
+    /// was restored. It says nothing about the granter, which is given time to write its own again.
     pub fn handle_record(&mut self, now: Time, found: Option<(Revision, LeadershipRecord)>) {
         self.in_flight = false;
         let had_outage = std::mem::take(&mut self.failures) >= Leadership::OUTAGE_FAILURES;
         if self.keep_restored_role(now, found.as_ref()) {
             return;
         }
+        let found_term = found.as_ref().map_or(Term(0), |(_, record)| record.term);
+        if found_term < self.known_term {
+            return self.handle_lost_record(now, found, had_outage);
+        }
         let Some((revision, record)) = found else {
             let wait = Wait::Ended;
             self.state = State::Observing { since: now, wait, retry_at: now, observed: None };
@@ -435,9 +482,7 @@
             self.state = State::Leader { record, revision, renew_at, confirmed_at: now };
             return;
         }
-        if let State::Follower { silent_since, .. } = self.state
-            && now.since(silent_since) < Leadership::HEARTBEAT_TIMEOUT
-        {
+        if self.has_heard_lately(now) {
             // A heartbeat arrived while the call was in flight.
             return;
         }
@@ -454,8 +499,7 @@
             if *before == observed);
         let wait = match has_ended || is_silent || unchanged {
             true if had_outage && (has_resigned || !has_ended) => {
-                let is_heard = |at| now.since(at) < Leadership::HEARTBEAT_TIMEOUT;
-                let grace = match self.last_heard_at.is_some_and(is_heard) && !has_resigned {
+                let grace = match self.is_granter_heard(now) && !has_resigned {
                     true => Leadership::OUTAGE_GRACE,
                     false => Duration::ZERO,
                 };
@@ -468,30 +512,123 @@
     }
 
     /// Keeps the role of a granter whose record is gone, or is that of an earlier term: the store was
-    /// restored from a copy. The record is written again under the same term. Returns whether that is so.
+    /// restored from a copy. The record is written again under the same term. Returns whether nothing
+    /// else is to be done.
+    ///
+    /// The role is given up if another granter, whose record is lost as well, may have replaced this one:
+    /// it was unconfirmed for long enough, and too few routers follow it to rule that out.
     fn keep_restored_role(
         &mut self,
         now: Time,
         found: Option<&(Revision, LeadershipRecord)>,
     ) -> bool {
         let known_term = self.known_term;
-        let State::Leader { record, revision, renew_at, .. } = &mut self.state else {
+        let State::Leader { record, revision, renew_at, confirmed_at } = &mut self.state else {
             return false;
         };
-        let is_earlier = found.is_none_or(|(_, stored)| stored.term < record.term);
-        // A later granter may have ended in the seconds that the store has lost.
-        if !is_earlier || record.term < known_term {
+        let is_copy = found.is_none_or(|(at, stored)| {
+            let is_own = stored.host == record.host && stored.incarnation == record.incarnation;
+            let is_of_later_era = revision.is_none_or(|known| at.era() > known.era());
+            stored.term < record.term || (stored.term == record.term && is_own && is_of_later_era)
+        });
+        if !is_copy || record.term < known_term {
             return false;
         }
+        let is_replaceable = now.since(*confirmed_at) >= Leadership::HEARTBEAT_TIMEOUT;
+        if is_replaceable && !self.do_most_follow {
+            self.resigned_term = self.resigned_term.max(Some(record.term));
+            self.become_follower(now);
+            return true;
+        }
         *revision = found.map(|(revision, _)| *revision);
         *renew_at = now;
         true
     }
 
-    /// Records the era of the store. Terms of its earlier eras may have been lost, so that new terms are
-    /// above all of them.
-    pub fn record_store_era(&mut self, era: StoreEra) {
-        self.term_floor = Term(u64::from(era.0) << Leadership::ERA_SHIFT);
+    /// Handles a record that shows that the store has lost that of the last known granter.
+    fn handle_lost_record(
+        &mut self,
+        now: Time,
+        observed: Option<(Revision, LeadershipRecord)>,
+        had_outage: bool,
+    ) {
+        if self.has_heard_lately(now) {
+            return;
+        }
+        let wait = match self.is_granter_heard(now) && !self.has_resigned(self.known_term) {
+            true => Wait::Rewrite,
+            false if had_outage => Wait::Outage { grace: Duration::ZERO },
+            false => Wait::Ended,
+        };
+        self.state = State::Observing { since: now, wait, retry_at: now, observed };
+    }
+
+    /// Returns whether this follower has no reason to replace the granter.
+    fn has_heard_lately(&self, now: Time) -> bool {
+        matches!(self.state, State::Follower { silent_since, .. }
+            if now.since(silent_since) < Leadership::HEARTBEAT_TIMEOUT)
+    }
+
+    /// Returns whether heartbeats of a granter that has not resigned arrive, confirmed by the store or not.
+    fn is_granter_heard(&self, now: Time) -> bool {
+        self.last_heard_at.is_some_and(|at| now.since(at) < Leadership::HEARTBEAT_TIMEOUT)
+    }
+
+    /// Records whether so many routers follow this granter that no other one can renew holds without the
+    /// store.
+    pub fn record_followers(&mut self, now: Time, do_most_follow: bool) {
+        self.do_most_follow = do_most_follow;
+        let was_complete = self.known_holds.is_complete();
+        self.known_holds.record_followers(now, do_most_follow);
+        self.renew_if_completed(now, was_complete);
+    }
+
+    /// Records that a router has followed the granter of another term.
+    pub fn record_other_term(&mut self) {
+        self.known_holds.record_other_granter();
+    }
+
+    /// Records that the store has all range tables as this granter knows them, written in its present
+    /// era.
+    pub fn record_tables_saved(&mut self, now: Time) {
+        let was_complete = self.known_holds.is_complete();
+        self.known_holds.record_tables_saved();
+        self.renew_if_completed(now, was_complete);
+    }
+
+    /// Writes the record at once when it can say for the first time that the tables name all holds.
+    fn renew_if_completed(&mut self, now: Time, was_complete: bool) {
+        if let State::Leader { renew_at, .. } = &mut self.state
+            && self.known_holds.is_complete()
+            && !was_complete
+        {
+            *renew_at = (*renew_at).min(now);
+        }
+    }
+
+    /// Returns the range table to start from, if no server can hold keys without this granter's
+    /// knowledge. `stored` is the table that the store has in this era.
+    pub fn prove_table(
+        &mut self,
+        now: Time,
+        era: Option<StoreEra>,
+        stored: Option<RangeTable>,
+        times: &HoldTimes,
+    ) -> Option<ProvenTable> {
+        self.record_store_era(now, era);
+        self.known_holds.prove(now, stored, times)
+    }
+
+    /// Returns whether a table that could not be proven may be by now.
+    pub fn may_prove_tables(&self, now: Time, times: &HoldTimes) -> bool {
+        self.known_holds.is_complete() || self.known_holds.have_expired(now, times)
+    }
+
+    /// Records the era of the store, if it tells one. Terms of its earlier eras may have been lost, so
+    /// that new terms are above all of them.
+    pub fn record_store_era(&mut self, now: Time, era: Option<StoreEra>) {
+        self.known_holds.record_era(now, era);
+        self.term_floor = Term(u64::from(era.unwrap_or_default().0) << Leadership::ERA_SHIFT);
     }
 
     /// Handles a write that took effect; `sent` is when it was sent, `to` the new revision.
@@ -542,7 +679,7 @@
         };
         let renewal = record.renewal + 1;
         let settled = settled.unwrap_or(self.settled_predecessor);
-        let settled = settled && self.earlier_granters.is_empty();
+        let settled = settled && self.earlier_granters.is_empty() && self.known_holds.is_complete();
         let record = LeadershipRecord { renewal, resigned: true, settled, ..record.clone() };
         self.resigned_term = self.resigned_term.max(Some(record.term));
         let action = LeadershipAction::Write { record, expect: *revision };
--- a/crates/range/src/leadership_record.rs
+++ b/crates/range/src/leadership_record.rs
@@ -1,4 +1,4 @@
-use bay_types::{HostName, Term};
+use bay_types::{HostName, StoreEra, Term};
 use serde::{Deserialize, Serialize};
 
 /// The stored object that names the granter, replaced by compare-and-set only.
@@ -20,6 +20,13 @@
     /// Earlier granters that may still renew holds.
     #[serde(rename = "lingering")]
     pub earlier_granters: Vec<EarlierGranter>,
+    /// Era of the store in which the record was written; `None` if the store tells none, or the granter
+    /// is of an earlier build.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub store_era: Option<StoreEra>,
+    /// Era of the store in which the range tables name all holds, as far as the granter knows.
+    #[serde(default, skip_serializing_if = "Option::is_none")]
+    pub holds_known_in: Option<StoreEra>,
 }
 
 /// A granter of an earlier term.
--- a/crates/range/tests/granter.rs
+++ b/crates/range/tests/granter.rs
@@ -6,13 +6,13 @@
 use std::time::Duration;
 
 use bay_range::{
-    Candidate, FormerOwner, GrantOrder, Granter, GranterAction, HoldTimes, Holding, KeyLoads,
-    KeyRange, OrderResult, OwnerId, RangeTable,
+    Candidate, FormerOwner, GrantOrder, Granter, GranterAction, HoldProof, HoldTimes, Holding,
+    KeyLoads, KeyRange, KnownHolds, OrderResult, OwnerId, RangeTable,
 };
 use bay_time::Time;
-use bay_types::{ServerName, Term, Token, ZoneName};
+use bay_types::{ServerName, StoreEra, Term, Token, ZoneName};
 use rand::RngExt;
-use support::{Faults, World};
+use support::{Faults, World, proven};
 use test_case::test_case;
 
 /// Time after which a new granter has granted all keys.
@@ -312,14 +312,14 @@
     };
     let times = HoldTimes::bounded_by(Duration::from_secs(10));
     let start = Time::from_millis(60_000);
-    let mut granter = Granter::take_over(start, Term(2), times, stored);
+    let mut granter = Granter::take_over(start, Term(2), times, proven(stored));
     granter.record_earlier_granters_ended(start);
     let (granted_at, saved) =
         run_until_grant(&mut granter, &[third], start, &OrderResult::OtherServer);
     assert!(granted_at >= start + times.max_after_arrival(), "{:?}", granted_at.since(start));
 
     let fourth = Candidate { owner: owner("fourth"), address: address(4), ..third };
-    let mut granter = Granter::take_over(start, Term(3), times, saved);
+    let mut granter = Granter::take_over(start, Term(3), times, proven(saved));
     granter.record_earlier_granters_ended(start);
     let (granted_at, _) =
         run_until_grant(&mut granter, &[fourth], start, &OrderResult::OtherServer);
@@ -384,7 +384,7 @@
     let now = world.now;
     let stored = world.stored.clone();
     let served = |by: Term| {
-        let mut granter = Granter::take_over(now, Term(3), world.times, stored.clone());
+        let mut granter = Granter::take_over(now, Term(3), world.times, proven(stored.clone()));
         granter.record_ended_holds(now, by, &[KeyRange::ALL]);
         granter.served_ranges().len()
     };
@@ -426,7 +426,7 @@
     let start = Time::from_millis(60_000);
     let (early, late_at) = (Duration::from_millis(200), Duration::from_millis(800));
     let gone_at = Duration::from_millis(1_600);
-    let mut granter = Granter::take_over(start, Term(2), times, stored);
+    let mut granter = Granter::take_over(start, Term(2), times, proven(stored));
     granter.record_predecessor_settled(start);
     let (mut now, mut last_granted, mut was_joined) = (start, start, false);
     loop {
@@ -571,8 +571,12 @@
     };
     let start = Time::from_millis(1_000_000);
     let times = HoldTimes::bounded_by(Duration::from_secs(10));
-    let mut granter = Granter::take_over(start, Term(2), times, stored);
-    granter.record_earlier_holds_expired(start);
+    let began = start - Duration::from_secs(20);
+    let mut known_holds = KnownHolds::new(began, false);
+    known_holds.record_era(began, Some(StoreEra(2)));
+    let proven = known_holds.prove(start, Some(stored), &times).unwrap();
+    assert_eq!(proven.proof(), HoldProof::Expired);
+    let mut granter = Granter::take_over(start, Term(2), times, proven);
     // The restarted process knows nothing of the keys.
     let released = OrderResult::Released { handover: None };
     let (granted_at, _) = run_until_grant(&mut granter, &[restarted], start, &released);
--- a/crates/range/tests/leadership.rs
+++ b/crates/range/tests/leadership.rs
@@ -255,6 +255,8 @@
         resigned: false,
         settled: false,
         earlier_granters: Vec::new(),
+        store_era: None,
+        holds_known_in: None,
     };
     world.record = Some((Revision(5), record));
     let small = Duration::from_millis(900);
@@ -519,7 +521,7 @@
             // Every answer of the store tells the era.
             for index in 0..4 {
                 if world.store_reachable[index] {
-                    world.processes[index].record_store_era(world.era);
+                    world.processes[index].record_store_era(world.now, Some(world.era));
                 }
             }
             for leader in world.leaders() {
--- a/crates/range/tests/raised_tokens.rs
+++ b/crates/range/tests/raised_tokens.rs
@@ -5,8 +5,8 @@
 use std::time::Duration;
 
 use bay_range::{
-    Candidate, GrantOrder, Granter, GranterAction, HoldTimes, Holding, KeyLoads, KeyRange, OrderId,
-    OrderResult, OwnerId, RangeTable,
+    Candidate, GrantOrder, Granter, GranterAction, HoldTimes, Holding, KeyLoads, KeyRange,
+    KnownHolds, OrderId, OrderResult, OwnerId, RangeTable,
 };
 use bay_time::Time;
 use bay_types::{ServerName, Term, Token, ZoneName};
@@ -45,7 +45,8 @@
         holdings: (0..4).map(holding).collect(),
         store_era: None,
     };
-    let mut granter = Granter::take_over(start(), Term(2), hold_times, stored);
+    let proven = KnownHolds::new(start(), false).prove(start(), Some(stored), &hold_times).unwrap();
+    let mut granter = Granter::take_over(start(), Term(2), hold_times, proven);
     granter.record_predecessor_settled(start());
     granter
 }
--- a/crates/range/tests/support/mod.rs
+++ b/crates/range/tests/support/mod.rs
@@ -7,7 +7,7 @@
 
 use bay_range::{
     Candidate, GrantOrder, Granter, GranterAction, HoldTimes, KeyLimit, KeyLoads, KeyRange,
-    OrderId, OrderResult, OwnerId, RangeTable,
+    KnownHolds, OrderId, OrderResult, OwnerId, ProvenTable, RangeTable,
 };
 use bay_time::Time;
 use bay_types::{ServerName, Term, Token, ZoneName};
@@ -143,7 +143,7 @@
     fn take_over(&mut self, index: usize) {
         let term = Term(index as u64 + 1);
         let stored = self.stored.clone();
-        let mut granter = Granter::take_over(self.now, term, self.times, stored);
+        let mut granter = Granter::take_over(self.now, term, self.times, proven(stored));
         if index == 0 {
             // The first granter has no predecessors.
             granter.record_earlier_granters_ended(self.now);
@@ -439,6 +439,12 @@
     }
 }
 
+/// Returns the table of a store that is never restored.
+pub fn proven(table: RangeTable) -> ProvenTable {
+    let times = HoldTimes::bounded_by(Duration::from_secs(10));
+    KnownHolds::new(Time::ZERO, false).prove(Time::ZERO, Some(table), &times).unwrap()
+}
+
 /// Creates a ready, warm server without holds.
 fn fake_server(index: usize, started: u64) -> FakeServer {
     let name = format!("s{index}");
--- a/crates/router/examples/wire_samples/samples.rs
+++ b/crates/router/examples/wire_samples/samples.rs
@@ -249,6 +249,8 @@
         resigned: true,
         settled: true,
         earlier_granters: vec![EarlierGranter { host: host("edge-2"), incarnation: STARTED }],
+        store_era: None,
+        holds_known_in: None,
     }
 }
 
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -30,6 +30,8 @@
     pub descriptors: u64,
     /// Time between two heartbeats of a server.
     pub server_heartbeat: Duration,
+    /// Whether the process is started with the whole system, which has never run before.
+    pub is_first_start: bool,
     /// Bounds that the platform sets.
     pub bounds: PlatformBounds,
     /// Whether requests are admitted by rank while a service is short of capacity.
--- a/crates/router/tests/failover/keys.rs
+++ b/crates/router/tests/failover/keys.rs
@@ -3,8 +3,8 @@
 use std::time::Duration;
 
 use bay_range::{
-    Candidate, GrantOrder, Granter, GranterAction, HoldTimes, Holding, KeyLoads, KeyRange, OrderId,
-    OrderResult, OwnerId, RangeTable,
+    Candidate, GrantOrder, Granter, GranterAction, HoldTimes, Holding, KeyLoads, KeyRange,
+    KnownHolds, OrderId, OrderResult, OwnerId, RangeTable,
 };
 use bay_time::Time;
 use bay_types::{ServerName, Term, Token, ZoneName};
@@ -55,7 +55,9 @@
     /// Starts the granter of a term; `is_told` says whether it has heard what its predecessor knew.
     pub fn take_over(&self, now: Time, term: Term, is_told: bool) -> NewGranter {
         let times = HoldTimes::bounded_by(Duration::from_secs(10));
-        let mut granter = Granter::take_over(now, term, times, self.table.clone());
+        let known_holds = KnownHolds::new(now, false);
+        let proven = known_holds.prove(now, Some(self.table.clone()), &times).unwrap();
+        let mut granter = Granter::take_over(now, term, times, proven);
         granter.record_earlier_granters_ended(now);
         if is_told {
             granter.record_ended_holds(now, self.table.term, &self.ended);
--- a/crates/router/tests/limited_service.rs
+++ b/crates/router/tests/limited_service.rs
@@ -16,7 +16,7 @@
 use bay_types::{HostName, Revision, ServerName, Term};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use support::{admit, at, config, entry, server, service, settings};
+use support::{admit, at, config, entry, proven, server, service, settings};
 use test_case::test_case;
 
 const ROUTERS: usize = 8;
@@ -91,7 +91,7 @@
             router
         });
         let times = HoldTimes::bounded_by(Duration::from_secs(10));
-        let mut granter = Granter::take_over(at(0), Term(1), times, RangeTable::default());
+        let mut granter = Granter::take_over(at(0), Term(1), times, proven(RangeTable::default()));
         granter.record_predecessor_settled(at(0));
         let mut keys: Vec<f64> = Vec::new();
         let mut sum = 0.0;
--- a/crates/router/tests/owner_load.rs
+++ b/crates/router/tests/owner_load.rs
@@ -16,7 +16,7 @@
 use bay_types::{ErrorKind, HostName, Revision, Term, Token};
 use rand::rngs::SmallRng;
 use rand::{RngExt, SeedableRng};
-use support::{at, config, entry, server, service, settings};
+use support::{at, config, entry, proven, server, service, settings};
 
 const ROUTERS: usize = 86;
 const SLOTS: usize = 4;
@@ -128,7 +128,7 @@
         let table =
             RangeTable { term: Term(1), change: 1, holdings: vec![holding], store_era: None };
         let times = HoldTimes::bounded_by(Duration::from_secs(10));
-        let granter = Granter::take_over(at(0), Term(2), times, table);
+        let granter = Granter::take_over(at(0), Term(2), times, proven(table));
         let ranges = vec![(KeyRange::ALL, owner)];
         let routers = hosts.iter().enumerate().map(|(index, host)| {
             let mut router = Router::new(settings(host.as_str()), index as u64);
--- a/crates/router/tests/support/mod.rs
+++ b/crates/router/tests/support/mod.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddr;
 use std::time::Duration;
 
+use bay_range::{HoldTimes, KnownHolds, ProvenTable, RangeTable};
 use bay_router::{
     CallerLimits, Config, PlatformBounds, RequestFields, RequestState, RouteKind, RouteSpec,
     Router, RouterSettings, RoutingDecision, ServerEntry, ServerState, ServiceSpec,
@@ -27,6 +28,12 @@
     ServerName::new(name).unwrap()
 }
 
+/// Returns the table of a store that is never restored.
+pub fn proven(table: RangeTable) -> ProvenTable {
+    let times = HoldTimes::bounded_by(Duration::from_secs(10));
+    KnownHolds::new(Time::ZERO, false).prove(Time::ZERO, Some(table), &times).unwrap()
+}
+
 pub fn settings(host: &str) -> RouterSettings {
     let address = |port| SocketAddr::from(([10, 0, 0, 1], port));
     RouterSettings {
@@ -41,6 +48,7 @@
         link_mbps: 1_000.0,
         memory_bytes: 256 << 20,
         descriptors: 4_096,
+        is_first_start: false,
         server_heartbeat: Duration::from_secs(1),
         bounds: PlatformBounds { retry_ratio: 0.2, retry_extra: 50.0, ..PlatformBounds::default() },
         overload_control: false,
