--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -256,8 +256,6 @@
     loop {
         Timer::after(CLEANUP_INTERVAL).await;
         shell.pool.close_expired();
-        for server in shell.router.borrow_mut().expire_servers(BootClock.now()) {
-            log::info!(server:% = server; "server removed: its entry did not come back");
-        }
+        server_updates::expire_servers(&shell, BootClock.now());
     }
 }
--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -256,7 +256,7 @@
     name: ServerName,
     change: DirectoryChange,
 ) {
-    if matches!(change, DirectoryChange::None | DirectoryChange::Back) {
+    if matches!(change, DirectoryChange::None | DirectoryChange::Back | DirectoryChange::Returned) {
         return;
     }
     if let Some(server) = shell.router.borrow().directory().get(name) {
--- a/crates/node/src/router_shell/server_updates.rs
+++ b/crates/node/src/router_shell/server_updates.rs
@@ -1,5 +1,6 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::Duration;
 
 use bay_router::{
     DirectoryChange, FeedState, IdentifiedServer, IdentifiedServers, PeerMessage, ServerChanges,
@@ -15,6 +16,10 @@
 /// Maximum number of servers in one datagram.
 const SERVERS_PER_PART: usize = 80;
 
+/// Time after which a follower asks for the granter's list of servers if it has not heard whether an entry
+/// that has lapsed has come back.
+const GRANTER_EXPIRY_WAIT: Duration = Duration::from_millis(1_500);
+
 /// Returns the state of the feed for a heartbeat; `None` until the configuration, the servers and
 /// the zones were read.
 pub(crate) fn feed_state(shell: &ShellState, now: Time) -> Option<FeedState> {
@@ -50,6 +55,26 @@
     }
 }
 
+/// Removes servers whose entries have lapsed and not come back. While the granter's list of servers is
+/// current, the granter is asked first: this router may have read an older one.
+pub(crate) fn expire_servers(shell: &Rc<ShellState>, now: Time) {
+    let is_granter = granter::granter_term(shell).is_some();
+    let mut lapsed_by = now;
+    if !is_granter && shell.granter_feed.borrow().has_current_servers(now) {
+        let is_unheard = shell.router.borrow().directory().has_lapsed(now - GRANTER_EXPIRY_WAIT);
+        if let Some(from) = granter::heartbeat_sender(shell).filter(|_| is_unheard) {
+            shell.peer_socket.send(&[from], &PeerMessage::RequestServers);
+        }
+        lapsed_by = now - 2 * GRANTER_EXPIRY_WAIT;
+    }
+    let expired = shell.router.borrow_mut().expire_servers(now, lapsed_by);
+    for server in &expired {
+        log::info!(server:% = server; "server removed: its entry did not come back");
+    }
+    let removed: Vec<_> = expired.into_iter().map(|name| (name, DirectoryChange::Left)).collect();
+    publish_changes(shell, &removed);
+}
+
 /// Sends a router the full list of servers in parts, if this router is the granter or knows all that
 /// the granter has sent.
 pub(crate) fn send_all_servers(shell: &ShellState, to: SocketAddr) {
--- a/crates/node/tests/restored_store.rs
+++ b/crates/node/tests/restored_store.rs
@@ -10,8 +10,8 @@
 use std::sync::atomic::{AtomicUsize, Ordering};
 
 use platform::{
-    FakeStore, RunningRouter, ServerBehavior, answer_to, config, request_body, request_status,
-    server_entry, start_router, start_scripted_server, start_server,
+    FakeStore, RunningRouter, ServerBehavior, StoreFront, answer_to, config, request_body,
+    request_status, server_entry, start_router, start_scripted_server, start_server,
 };
 use serde_json::Value;
 
@@ -178,6 +178,59 @@
     wait_for_owner(&second, "i-1");
 }
 
+/// Guards against requests to a server that is gone: only the granter took the entry, which the copy lacks,
+/// for gone.
+#[test]
+fn all_routers_drop_a_server_whose_entry_does_not_come_back() {
+    let (store, routers) = start();
+    let copy = store.copy();
+    store.write("servers/i-1", Some(entry("i-1")));
+    routers.iter().for_each(|router| wait_for_server(router, "i-1"));
+    wait_until_followed(&routers);
+    store.restore(&copy);
+    let until = std::time::Instant::now() + 3 * GRACE;
+    while routers.iter().any(|router| answering_server(router) == "i-1") {
+        assert!(std::time::Instant::now() < until, "its entry is still missing");
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Guards against a router without a server that all others use: it has read the list before the entry
+/// came back, and then followed the granter, for which nothing had changed.
+#[test]
+fn a_router_that_starts_after_a_restoration_keeps_a_server_whose_entry_comes_back() {
+    let (store, address) = FakeStore::start();
+    store.write("config/main", Some(config("200ms", &[("/read/", "safe", "pool")])));
+    let copy = store.copy();
+    let entry = entry("i-1");
+    store.write("servers/i-1", Some(entry.clone()));
+    let (front, front_address) = StoreFront::start(&store);
+    let first = ["h1", "h2"].map(|host| start_router(host, front_address, &[]));
+    first.iter().for_each(|router| wait_for_server(router, "i-1"));
+    wait_until_followed(&first);
+    front.hold_kind("");
+    thread::sleep(Duration::from_millis(1_500));
+    store.restore(&copy);
+    front.release();
+    let late = start_router("h3", address, &[]);
+    thread::sleep(Duration::from_millis(800));
+    store.write("servers/i-1", Some(entry));
+    wait_for_server(&late, "i-1");
+    let until = std::time::Instant::now() + 3 * GRACE;
+    while std::time::Instant::now() < until {
+        assert_eq!(answering_server(&late), "i-1", "{:?}", until - std::time::Instant::now());
+        thread::sleep(Duration::from_millis(50));
+    }
+}
+
+/// Waits until routers get the servers from the granter, and none reads them itself.
+fn wait_until_followed(routers: &[RunningRouter]) {
+    for router in routers {
+        while router.metric("routers_known") != Some(routers.len() as u64) {}
+    }
+    thread::sleep(Duration::from_secs(3));
+}
+
 #[test]
 fn a_router_registers_again_if_the_copy_of_the_store_lacks_it() {
     let (store, routers) = start();
--- a/crates/router/src/directory.rs
+++ b/crates/router/src/directory.rs
@@ -53,6 +53,8 @@
     Back,
     /// A server turned cold without a restart.
     Cold,
+    /// An entry that was missing from the store came back, or was written again after a restoration.
+    Returned,
 }
 
 impl Directory {
@@ -97,13 +99,15 @@
                 }
                 let was_ready = registered.server.is_ready();
                 let was_warm = !registered.server.is_cold(now);
+                let was_removed = registered.server.removal_at.take().is_some();
+                let is_rewritten = registered.revision.era() < revision.era();
                 registered.revision = revision;
-                registered.server.removal_at = None;
                 registered.server.update(now, entry);
                 match (was_ready, registered.server.is_ready()) {
                     (true, false) => DirectoryChange::Left,
                     (false, true) => DirectoryChange::Back,
                     _ if was_warm && registered.server.is_cold(now) => DirectoryChange::Cold,
+                    _ if was_removed || is_rewritten => DirectoryChange::Returned,
                     _ => DirectoryChange::None,
                 }
             }
@@ -205,6 +209,11 @@
         self.grace_until = now + Directory::GRACE_PERIOD;
     }
 
+    /// Returns whether a server's entry should have returned by `now`, and has not.
+    pub fn has_lapsed(&self, now: Time) -> bool {
+        self.servers.values().any(|registered| registered.server.has_lapsed(now))
+    }
+
     /// Removes the servers whose entries didn't return in time; returns their names.
     pub fn expire(&mut self, now: Time) -> Vec<ServerName> {
         let is_due = |registered: &RegisteredServer| registered.server.has_lapsed(now);
--- a/crates/router/src/router.rs
+++ b/crates/router/src/router.rs
@@ -210,9 +210,9 @@
         self.directory.handle_store_recovery(now);
     }
 
-    /// Removes servers whose entries lapsed and didn't return in time; returns their names.
-    pub fn expire_servers(&mut self, now: Time) -> Vec<ServerName> {
-        let expired = self.directory.expire(now);
+    /// Removes servers whose entries lapsed and should have returned by `lapsed_by`; returns their names.
+    pub fn expire_servers(&mut self, now: Time, lapsed_by: Time) -> Vec<ServerName> {
+        let expired = self.directory.expire(lapsed_by);
         for name in &expired {
             self.reindex_server(*name);
         }
