--- a/crates/node/src/gate_shell/attempt.rs
+++ b/crates/node/src/gate_shell/attempt.rs
@@ -190,7 +190,7 @@
         RawHeadError::Closed => AttemptFailure::Lost,
         RawHeadError::Truncated => AttemptFailure::Cut,
         RawHeadError::TimedOut => AttemptFailure::Silent,
-        RawHeadError::TooLarge => AttemptFailure::BadAnswer,
+        RawHeadError::TooLarge | RawHeadError::NoMemory => AttemptFailure::BadAnswer,
     }
 }
 
--- a/crates/node/src/gate_shell/caller.rs
+++ b/crates/node/src/gate_shell/caller.rs
@@ -121,6 +121,7 @@
         Ok(head) => head,
         Err(RawHeadError::TimedOut) => return Err(Rejection::Refuse(ErrorKind::SlowCaller)),
         Err(RawHeadError::TooLarge) => return Err(Rejection::Refuse(ErrorKind::HeadTooLarge)),
+        Err(RawHeadError::NoMemory) => return Err(Rejection::Refuse(ErrorKind::GateOverloaded)),
         Err(RawHeadError::Closed | RawHeadError::Truncated) => return Err(Rejection::Close),
     };
     connection.set_timeout(IoTimeout::Unlimited);
--- a/crates/node/src/http1.rs
+++ b/crates/node/src/http1.rs
@@ -6,6 +6,7 @@
 pub(crate) mod buffer_pool;
 pub(crate) mod connection;
 pub(crate) mod framing;
+pub(crate) mod header_slots;
 pub(crate) mod hop_headers;
 pub(crate) mod raw_head;
 pub(crate) mod request_check;
--- a/crates/node/src/http1/connection.rs
+++ b/crates/node/src/http1/connection.rs
@@ -12,8 +12,8 @@
 use super::buffer_pool::{Buffer, BufferPool};
 use super::watchdog::{IoTimeout, PeerTimer, Watchdog};
 
-/// Length of a connection's buffer, in bytes. A longer head cannot be read, whatever its limit.
-const BUFFER_BYTES: usize = 16 * 1024;
+/// Usual length of a connection's buffer, in bytes. It grows while a longer head is read.
+pub(crate) const BUFFER_BYTES: usize = 16 * 1024;
 
 /// Time without bytes from the peer before the first keepalive probe.
 const PROBE_AFTER: Duration = Duration::from_secs(1);
@@ -62,9 +62,21 @@
 
 impl Default for ConnectionResources {
     fn default() -> ConnectionResources {
+        ConnectionResources::with_memory(u64::MAX)
+    }
+}
+
+impl ConnectionResources {
+    /// Creates resources whose buffers grow only while all of them together take less than this many
+    /// bytes.
+    pub(crate) fn with_memory(max_held_bytes: u64) -> ConnectionResources {
         let buffer_gauge = Arc::new(BufferGauge::default());
-        let buffer_pool = Arc::new(BufferPool::new(BUFFER_BYTES, Arc::clone(&buffer_gauge)));
-        ConnectionResources { watchdog: Watchdog::default(), buffer_gauge, buffer_pool }
+        let pool = BufferPool::new(BUFFER_BYTES, max_held_bytes, Arc::clone(&buffer_gauge));
+        ConnectionResources {
+            watchdog: Watchdog::default(),
+            buffer_gauge,
+            buffer_pool: Arc::new(pool),
+        }
     }
 }
 
@@ -230,7 +242,7 @@
             self.consumed_len = 0;
         }
         if self.filled_len == buffer.bytes.len() {
-            // Happens if a limit on unconsumed bytes exceeds the buffer's length.
+            // Only a reader of heads makes the buffer grow; others consume what is buffered.
             return Err(io::ErrorKind::OutOfMemory.into());
         }
         let count = self.stream.get_ref().read(&mut buffer.bytes[self.filled_len..])?;
@@ -238,6 +250,23 @@
         Ok(count)
     }
 
+    /// Makes room for more unconsumed bytes if the buffer is full; it grows to `max_bytes` at most.
+    /// Returns whether there is room.
+    pub(crate) fn make_room(&mut self, max_bytes: usize) -> bool {
+        let unconsumed_len = self.filled_len - self.consumed_len;
+        let Some(buffer) = self.buffer.as_mut().filter(|each| each.bytes.len() == unconsumed_len)
+        else {
+            return true;
+        };
+        let length = (buffer.bytes.len() * 2).min(max_bytes);
+        let Some(mut larger) = self.pool.acquire_larger(length, unconsumed_len) else {
+            return false;
+        };
+        larger.bytes[..unconsumed_len].copy_from_slice(&buffer.bytes);
+        self.pool.release(std::mem::replace(buffer, larger));
+        true
+    }
+
     /// Returns the buffer to the pool if it is empty.
     pub(crate) fn release_buffer(&mut self) {
         if self.consumed_len == self.filled_len {
--- a/crates/node/src/http1/raw_head.rs
+++ b/crates/node/src/http1/raw_head.rs
@@ -17,6 +17,8 @@
     TimedOut,
     /// The head is longer than `max_bytes`.
     TooLarge,
+    /// The buffers of all connections leave no memory for the rest of the head.
+    NoMemory,
 }
 
 /// Reads and consumes a head, including the empty line at its end.
@@ -56,6 +58,9 @@
             return Poll::Ready(Err(RawHeadError::TooLarge));
         }
         let has_started = !buffered.is_empty();
+        if !connection.make_room(max_bytes) {
+            return Poll::Ready(Err(RawHeadError::NoMemory));
+        }
         match ready!(connection.poll_fill(cx)) {
             Ok(0) if !has_started => return Poll::Ready(Err(RawHeadError::Closed)),
             Ok(0) => return Poll::Ready(Err(RawHeadError::Truncated)),
--- a/crates/node/src/http1/request_check.rs
+++ b/crates/node/src/http1/request_check.rs
@@ -2,9 +2,7 @@
 use bay_types::ErrorKind;
 
 use super::framing::Framing;
-
-/// Maximum number of headers that the parser accepts.
-const MAX_HEADERS: usize = 128;
+use super::header_slots::HeaderSlots;
 
 /// Replacement for the name of the `Expect` header, which the gate or router handles itself.
 /// Headers that start with `bay-` are not forwarded.
@@ -29,11 +27,10 @@
 /// Returns the kind of error with which the request is refused.
 pub(crate) fn check_request(head: &mut [u8], max_headers: usize) -> Result<RequestInfo, ErrorKind> {
     check_lines(head)?;
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut request = httparse::Request::new(&mut headers);
+    let mut headers = HeaderSlots::for_head(head);
+    let mut request = httparse::Request::new(headers.slots());
     match request.parse(head) {
         Ok(httparse::Status::Complete(len)) if len == head.len() => {}
-        Err(httparse::Error::TooManyHeaders) => return Err(ErrorKind::HeadTooLarge),
         _ => return Err(ErrorKind::BadRequest),
     }
     if request.headers.len() > max_headers {
--- a/crates/node/src/http1/response_check.rs
+++ b/crates/node/src/http1/response_check.rs
@@ -1,14 +1,12 @@
 use std::ops::RangeInclusive;
 
 use super::framing::Framing;
+use super::header_slots::HeaderSlots;
 use super::request_check::parse_length;
 
 /// Statuses that HTTP defines a class for (RFC 9110, section 15). The parser accepts any three digits.
 const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 
-/// Maximum number of headers that the parser accepts.
-const MAX_HEADERS: usize = 128;
-
 /// Values from a response's raw head that the HTTP library does not report.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) struct ResponseInfo {
@@ -46,8 +44,8 @@
 /// # Errors
 /// Returns an error if the status is not one of HTTP's, or two parsers could read the head differently.
 pub(crate) fn check_response(head: &[u8], to_head_request: bool) -> Result<ResponseInfo, BadHead> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut headers);
+    let mut headers = HeaderSlots::for_head(head);
+    let mut response = httparse::Response::new(headers.slots());
     match response.parse(head) {
         Ok(httparse::Status::Complete(len)) if len == head.len() => {}
         _ => return Err(BadHead),
--- a/crates/node/src/router_shell.rs
+++ b/crates/node/src/router_shell.rs
@@ -102,7 +102,9 @@
         settings.metrics =
             metrics.get_ref().local_addr().map_err(listen_error(settings.metrics))?;
         settings.peer = peer_address;
-        let resources = Arc::new(ConnectionResources::default());
+        let resources = Arc::new(ConnectionResources::with_memory(
+            settings.memory_bytes / caller::BODY_MEMORY_SHARE,
+        ));
         // In a large fleet a router may open one connection per server. It is kept idle although
         // the limit is reached; otherwise each request would need a new one.
         let limits = HttpLimits { extra_idle_connections: 1, ..HttpLimits::default() };
--- a/crates/node/src/router_shell/attempt.rs
+++ b/crates/node/src/router_shell/attempt.rs
@@ -17,15 +17,13 @@
 use crate::gate_shell::PooledConnection;
 use crate::http1::connection::Connection;
 use crate::http1::framing::{BodyError, Framing};
+use crate::http1::header_slots::HeaderSlots;
 use crate::http1::hop_headers::is_forwarded;
 use crate::http1::raw_head::{RawHeadError, read_raw_head};
 use crate::http1::response_check::{ResponseInfo, check_response};
 
 /// Maximum size of the head of an answer, in bytes.
-const MAX_HEAD: usize = 16 * 1024;
-
-/// Maximum number of headers in an answer.
-const MAX_HEADERS: usize = 128;
+const MAX_HEAD: usize = 256 * 1024;
 
 /// Number of answers after which an attempt fails if all of them were interim or belonged to other
 /// requests.
@@ -178,7 +176,10 @@
     download: Option<ReaderState>,
 ) -> Result<(ServerAnswer, ResponseInfo, Option<UnreadBody>), ErrorKind> {
     let head = read_raw_head(connection, MAX_HEAD).await.map_err(|error| match error {
-        RawHeadError::TooLarge => ErrorKind::BadAnswer,
+        RawHeadError::TooLarge | RawHeadError::NoMemory => {
+            shell.counters.add("answer.too-long", 1);
+            ErrorKind::BadAnswer
+        }
         _ => ErrorKind::ConnectionLost,
     })?;
     let info = check_response(&head, request.is_head_request).map_err(|_| ErrorKind::BadAnswer)?;
@@ -240,8 +241,8 @@
 /// Parses a head and encodes it for the caller without its framing: hop-by-hop headers are dropped.
 /// Returns `None` for a malformed head.
 fn parse_answer(wire: &dyn RouterWire, head: &[u8], info: &ResponseInfo) -> Option<ServerAnswer> {
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut headers);
+    let mut headers = HeaderSlots::for_head(head);
+    let mut response = httparse::Response::new(headers.slots());
     response.parse(head).ok()?;
     let mut out = Vec::with_capacity(head.len() + 32);
     // Writing to a vector cannot fail.
--- a/crates/node/src/router_shell/caller.rs
+++ b/crates/node/src/router_shell/caller.rs
@@ -20,7 +20,8 @@
 use super::request_head::RequestHead;
 use super::shell_state::{Phase, ShellState};
 use super::transfer::Transfer;
-use crate::http1::connection::Connection;
+use crate::http1::buffer_gauge::HeldBytes;
+use crate::http1::connection::{BUFFER_BYTES, Connection};
 use crate::http1::framing::{BodyError, BodyReader, Framing};
 use crate::http1::raw_head::{RawHeadError, poll_raw_head, read_raw_head};
 use crate::http1::watchdog::IoTimeout;
@@ -35,8 +36,8 @@
 /// `Retry-After` of a request that is refused before its body was read.
 const REFUSED_RETRY_AFTER: Duration = Duration::from_millis(300);
 
-/// Divisor of the machine's memory that gives the limit of all buffered bodies.
-const BODY_MEMORY_SHARE: u64 = 4;
+/// Divisor of the machine's memory that gives the limit of all buffered bodies and long heads.
+pub(crate) const BODY_MEMORY_SHARE: u64 = 4;
 
 /// Interim response that asks a caller to send its body.
 const CONTINUE_RESPONSE: &[u8] = b"HTTP/1.1 100 Continue\r\n\r\n";
@@ -127,22 +128,21 @@
                     ConnectionEvent::Head(head) => {
                         match RequestHead::parse(head, &*self.shell.wire) {
                             Ok(head) if self.can_start(&head) => {
-                                // Only reading a body can fail, and this request has none.
-                                if self.start_request(head).await.is_err() {
-                                    return;
+                                match self.start_request(head).await {
+                                    Ok(()) => {}
+                                    Err(Some(kind)) => self.enqueue_refusal(kind),
+                                    Err(None) => return,
                                 }
                             }
                             Ok(head) => self.deferred = Some(head),
-                            Err(kind) => {
-                                let reply = Reply::refusal(&*self.shell.wire, kind, None);
-                                self.enqueue_refusal(reply);
-                            }
+                            Err(kind) => self.enqueue_refusal(kind),
                         }
                     }
                     ConnectionEvent::HeadError(RawHeadError::TooLarge) => {
-                        let kind = ErrorKind::HeadTooLarge;
-                        let reply = Reply::refusal(&*self.shell.wire, kind, None);
-                        self.enqueue_refusal(reply);
+                        self.enqueue_refusal(ErrorKind::HeadTooLarge);
+                    }
+                    ConnectionEvent::HeadError(RawHeadError::NoMemory) => {
+                        self.enqueue_refusal(ErrorKind::GateOverloaded);
                     }
                     // Dropping the tasks cancels the requests in flight.
                     ConnectionEvent::HeadError(_) | ConnectionEvent::Disconnected => return,
@@ -174,6 +174,7 @@
             Ok(head) => head,
             Err(RawHeadError::TimedOut) => return Err(ErrorKind::SlowCaller),
             Err(RawHeadError::TooLarge) => return Err(ErrorKind::HeadTooLarge),
+            Err(RawHeadError::NoMemory) => return Err(ErrorKind::GateOverloaded),
             Err(RawHeadError::Closed | RawHeadError::Truncated) => return Ok(None),
         };
         self.connection.set_timeout(IoTimeout::Unlimited);
@@ -193,6 +194,7 @@
     async fn start_request(&mut self, head: RequestHead) -> Result<(), Option<ErrorKind>> {
         let may_overlap = head.may_overlap();
         let should_close = head.info.should_close;
+        let long_head = self.track_long_head(&head)?;
         let body = self.read_body(&head).await?;
         let is_behind_others = !self.in_flight.is_empty();
         let caller = ReaderState { pace: self.pace, is_behind_others };
@@ -200,6 +202,7 @@
         let work = serve_request(Rc::clone(&self.shell), incoming);
         let shell = Rc::clone(&self.shell);
         let task = self.shell.executor.spawn(async move {
+            let _long_head = long_head;
             AssertUnwindSafe(work).catch_unwind().await.unwrap_or_else(|_| {
                 shell.record_panic("request");
                 // A server may have run the request.
@@ -211,6 +214,24 @@
         Ok(())
     }
 
+    /// Counts a head that is longer than a connection's buffer as long as its request is in flight.
+    ///
+    /// # Errors
+    /// Returns an error if the buffers of all requests leave no memory for it.
+    fn track_long_head(&self, head: &RequestHead) -> Result<Option<HeldBytes>, Option<ErrorKind>> {
+        if head.bytes.len() <= BUFFER_BYTES {
+            return Ok(None);
+        }
+        let gauge = &self.shell.resources.buffer_gauge;
+        let limit = self.shell.settings.memory_bytes / BODY_MEMORY_SHARE;
+        if gauge.held_bytes() + head.bytes.len() as u64 > limit {
+            return Err(Some(ErrorKind::GateOverloaded));
+        }
+        let mut held = gauge.track();
+        held.set(head.bytes.len());
+        Ok(Some(held))
+    }
+
     /// Reads a request's body within the limits of its length and of all buffers.
     ///
     /// # Errors
@@ -274,7 +295,8 @@
     }
 
     /// Queues a refusal behind the requests in flight; the connection is closed after it.
-    fn enqueue_refusal(&mut self, reply: Reply) {
+    fn enqueue_refusal(&mut self, kind: ErrorKind) {
+        let reply = self.refuse(kind);
         let task = self.shell.executor.spawn(async move { reply });
         self.in_flight.push_back(InFlightRequest { task, may_overlap: false, should_close: true });
     }
@@ -350,6 +372,12 @@
 
     /// Counts a refusal, sends it and closes the connection.
     async fn refuse_and_close(mut self, kind: ErrorKind) {
+        let reply = self.refuse(kind);
+        self.send_reply(reply, true).await;
+    }
+
+    /// Counts a refusal and returns its reply, after which the connection is closed.
+    fn refuse(&self, kind: ErrorKind) -> Reply {
         self.shell.counters.add(kind.counter(), 1);
         let retry_after = match self.shell.phase.get() {
             Phase::Serving => REFUSED_RETRY_AFTER,
@@ -357,8 +385,7 @@
         };
         let retry_after = kind.has_retry_after().then_some(retry_after);
         log::info!(error = kind.as_str(); "connection closed after a refusal");
-        let reply = Reply::refusal(&*self.shell.wire, kind, retry_after);
-        self.send_reply(reply, true).await;
+        Reply::refusal(&*self.shell.wire, kind, retry_after)
     }
 
     /// Keeps the connection until the caller has had time to read the reply.
--- a/crates/node/src/router_shell/feeds/documents.rs
+++ b/crates/node/src/router_shell/feeds/documents.rs
@@ -199,8 +199,14 @@
 /// Applies a configuration if it is newer than the one in force; returns whether it is valid.
 pub(crate) fn apply_config_text(shell: &ShellState, body: &str) -> bool {
     match shell.wire.parse_config(body) {
-        Ok(config) => {
+        Ok(mut config) => {
             let version = config.version;
+            let max_head_bytes = shell.settings.max_head_bytes();
+            if config.limits.head_bytes > max_head_bytes {
+                log::warn!(version = version, limit = config.limits.head_bytes,
+                    in_force = max_head_bytes; "limit of heads exceeds what the memory allows");
+                config.limits.head_bytes = max_head_bytes;
+            }
             let in_force = shell.router.borrow_mut().apply_config(config);
             log::info!(version = version, in_force = in_force; "configuration received");
             if in_force {
--- a/crates/node/src/router_shell/http_client.rs
+++ b/crates/node/src/router_shell/http_client.rs
@@ -6,14 +6,12 @@
 use super::answer_body::{BodyLimit, ReadError, read_body};
 use crate::http1::connection::Connection;
 use crate::http1::framing::Framing;
+use crate::http1::header_slots::HeaderSlots;
 use crate::http1::raw_head::read_raw_head;
 use crate::http1::response_check::check_response;
 
 /// Maximum size of the head of an answer, in bytes.
-const MAX_HEAD: usize = 8 * 1024;
-
-/// Maximum number of headers in an answer.
-const MAX_HEADERS: usize = 64;
+const MAX_HEAD: usize = 256 * 1024;
 
 /// Number of answers to requests after which a call on the same connection fails.
 const MAX_SKIPPED: usize = 8;
@@ -75,8 +73,8 @@
         ReadError::Broken(_) => CallError::Lost,
         ReadError::TooLong => CallError::TooLong,
     })?;
-    let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-    let mut response = httparse::Response::new(&mut headers);
+    let mut headers = HeaderSlots::for_head(&head);
+    let mut response = httparse::Response::new(headers.slots());
     response.parse(&head).map_err(|_| CallError::Lost)?;
     let mut fields = AnswerFields::default();
     for header in response.headers.iter() {
--- a/crates/node/src/router_shell/request_head.rs
+++ b/crates/node/src/router_shell/request_head.rs
@@ -3,12 +3,10 @@
 
 use super::account_headers::AccountHeaders;
 use crate::http1::framing::Framing;
+use crate::http1::header_slots::HeaderSlots;
 use crate::http1::hop_headers::{connection_options, is_forwarded};
 use crate::http1::request_check::{RequestInfo, check_request};
 
-/// Maximum number of headers in a request.
-const MAX_HEADERS: usize = 100;
-
 /// Head of a caller's request.
 #[derive(Debug)]
 pub(crate) struct RequestHead {
@@ -39,9 +37,9 @@
         mut head: Vec<u8>,
         wire: &dyn RouterWire,
     ) -> Result<RequestHead, ErrorKind> {
-        let info = check_request(&mut head, MAX_HEADERS)?;
-        let mut headers = [httparse::EMPTY_HEADER; MAX_HEADERS];
-        let mut request = httparse::Request::new(&mut headers);
+        let info = check_request(&mut head, usize::MAX)?;
+        let mut headers = HeaderSlots::for_head(&head);
+        let mut request = httparse::Request::new(headers.slots());
         request.parse(&head).map_err(|_| ErrorKind::BadRequest)?;
         let (Some(method), Some(target)) = (request.method, request.path) else {
             return Err(ErrorKind::BadRequest);
--- a/crates/router/src/settings.rs
+++ b/crates/router/src/settings.rs
@@ -43,9 +43,16 @@
 impl RouterSettings {
     /// CPU cores from which a machine is large enough to serve a large fleet as the granter.
     const SUFFICIENT_CORES: f64 = 0.2;
+    /// Divisor of the machine's memory that gives the longest head that it can take.
+    const HEAD_MEMORY_SHARE: u64 = 64;
     /// Link rate from which a machine is large enough, in megabits per second.
     const SUFFICIENT_LINK_MBPS: f64 = 100.0;
 
+    /// Returns the length of the longest head of a request that the machine can take, in bytes.
+    pub fn max_head_bytes(&self) -> usize {
+        (self.memory_bytes / RouterSettings::HEAD_MEMORY_SHARE) as usize
+    }
+
     /// Returns the size of the machine relative to one that is large enough to serve a large fleet
     /// as the granter; 1 at most.
     pub fn relative_size(&self) -> f64 {
