--- a/crates/node/src/router_shell/granter/election.rs
+++ b/crates/node/src/router_shell/granter/election.rs
@@ -86,11 +86,12 @@
 /// Gives up the granter's role before a planned stop.
 ///
 /// The caller has stopped the granter's steps, so no new orders are sent. If all orders are
-/// answered within [`RESIGN_WAIT`], the record says so and the successor does not have to wait for
+/// answered within [`RESIGN_WAIT`], or half of the grace period, the record says so and the successor does not have to wait for
 /// orders that might still take effect.
 pub(crate) async fn resign(shell: &Rc<ShellState>) {
     let started = BootClock.now();
-    while are_orders_settled(shell) == Some(false) && BootClock.now().since(started) < RESIGN_WAIT {
+    let max_wait = RESIGN_WAIT.min(shell.settings.bounds.stop_grace / 2);
+    while are_orders_settled(shell) == Some(false) && BootClock.now().since(started) < max_wait {
         Timer::after(RESIGN_POLL).await;
     }
     let settled = are_orders_settled(shell);
--- a/crates/node/tests/late_requests.rs
+++ b/crates/node/tests/late_requests.rs
@@ -112,6 +112,22 @@
     thread::sleep(at.saturating_duration_since(Instant::now()));
 }
 
+/// Guards against an answer of the router's own in place of the server's: in a short grace period requests
+/// in flight were broken off long before its last sixth.
+#[test_case(&["grace=1s"], 600)]
+#[test_case(&["grace=2s"], 1_400)]
+fn work_that_ends_in_a_short_grace_period_is_answered(
+    bounds: &'static [&'static str],
+    work_ms: u64,
+) {
+    let site = Site::start_with_grace(Duration::from_millis(work_ms), bounds);
+    let mut caller = Caller::connect(site.router.listen);
+    caller.send("GET /read/x HTTP/1.1\r\nHost: shop\r\nRequest-Id: a\r\n\r\n");
+    site.wait_for_attempts(1);
+    site.stop();
+    assert_eq!(caller.read_answer().0, 200);
+}
+
 /// Guards against an upload that is passed on when its server can no longer answer in time, and against
 /// a caller who goes on sending what will be refused.
 #[test_case("Content-Length: 20", "0"; "with a length")]
--- a/crates/router/src/stop_schedule.rs
+++ b/crates/router/src/stop_schedule.rs
@@ -6,7 +6,10 @@
 #[derive(Debug, Clone, Copy)]
 pub struct StopSchedule {
     started: Time,
-    grace: Duration,
+    /// Time from the start to the end of the process.
+    length: Duration,
+    /// Time before the end at which the requests still in flight are cut off.
+    cutoff_lead: Duration,
     /// When the last connection was accepted; `None` while connections are accepted.
     closed_at: Option<Time>,
 }
@@ -31,26 +34,37 @@
     /// Time after the last connection was accepted before which the process does not end. The request
     /// on a connection that has just been accepted is not counted as in flight before it is read.
     const SETTLE_TIME: Duration = Duration::from_millis(150);
-    /// Part of the grace period that is reserved for the process to exit.
-    const MARGIN: Duration = Duration::from_millis(300);
-    /// Time before the end of the stop at which the requests still in flight are answered by the
+    /// Longest part of the grace period that is reserved for the process to exit.
+    const MAX_MARGIN: Duration = Duration::from_millis(300);
+    /// Longest time before the end of the stop at which the requests still in flight are answered by the
     /// router itself, so that their callers don't lose the connection without an answer.
-    const CUTOFF_LEAD: Duration = Duration::from_millis(400);
+    const MAX_CUTOFF_LEAD: Duration = Duration::from_millis(400);
+    /// The last part of the grace period, a sixth, in which requests may be broken off although their
+    /// servers are at work. Cut-off and exit lie within it.
+    const LAST_PARTS: u32 = 6;
+    /// Share of the last part that is reserved for the process to exit.
+    const MARGIN_SHARE: f64 = 0.3;
+    /// Share of the last part between the cut-off and the end. The rest, before the cut-off, is for the
+    /// answers of servers that have just ended their work.
+    const CUTOFF_SHARE: f64 = 0.4;
 
     /// Creates the schedule of a stop that starts now and ends within the grace period.
     pub fn new(now: Time, grace: Duration) -> StopSchedule {
-        let grace = grace.saturating_sub(StopSchedule::MARGIN);
-        StopSchedule { started: now, grace, closed_at: None }
+        let last_part = grace / StopSchedule::LAST_PARTS;
+        let margin = last_part.mul_f64(StopSchedule::MARGIN_SHARE).min(StopSchedule::MAX_MARGIN);
+        let cutoff_lead =
+            last_part.mul_f64(StopSchedule::CUTOFF_SHARE).min(StopSchedule::MAX_CUTOFF_LEAD);
+        StopSchedule { started: now, length: grace - margin, cutoff_lead, closed_at: None }
     }
 
     /// Returns when the requests still in flight are cut off.
     fn cutoff_at(&self) -> Time {
-        self.started + self.grace.saturating_sub(StopSchedule::CUTOFF_LEAD)
+        self.started + (self.length - self.cutoff_lead)
     }
 
     /// Returns for how long connections are accepted.
     fn accept_time(&self) -> Duration {
-        StopSchedule::ACCEPT_TIME.min(self.grace / 2)
+        StopSchedule::ACCEPT_TIME.min(self.length / 2)
     }
 
     /// Returns the latest time at which a request may be passed on to a server, if its caller and its
@@ -85,10 +99,10 @@
             };
         };
         let is_settled = now.since(closed_at) >= StopSchedule::SETTLE_TIME;
-        if elapsed >= self.grace || (is_settled && !is_busy) {
+        if elapsed >= self.length || (is_settled && !is_busy) {
             return StopStep::End;
         }
-        match elapsed + StopSchedule::CUTOFF_LEAD >= self.grace {
+        match elapsed + self.cutoff_lead >= self.length {
             true => StopStep::CutOff,
             false => StopStep::Finish,
         }
