--- a/crates/node/examples/soak/faults.rs
+++ b/crates/node/examples/soak/faults.rs
@@ -46,6 +46,8 @@
     PauseServer(usize),
     /// The store comes back from a copy when the fault ends, which is made when it starts.
     RestoreStore,
+    /// The same with a copy from before the start of the routers.
+    RestoreFirstCopy,
     /// Zone `b` is evacuated, and the watch history of the store is dropped.
     EvacuateZone,
 }
@@ -55,6 +57,8 @@
     pub routers: &'a mut [Router],
     pub servers: &'a Arc<Servers>,
     pub store: &'a Store,
+    /// Copy of the store from before the start of the routers.
+    pub first_copy: StoreCopy,
 }
 
 impl Cluster<'_> {
@@ -94,12 +98,23 @@
             _ => Fault::RestoreStore,
         };
         let duration = Duration::from_millis(random.random_range(1_000..5_000));
+        let fault = match fault {
+            // The remainder is as good as a draw, and leaves the other faults of a seed as they are.
+            Fault::RestoreStore if duration.as_millis().is_multiple_of(2) => {
+                Fault::RestoreFirstCopy
+            }
+            fault => fault,
+        };
         self.start_fault(now, fault, duration)
     }
 
     fn start_fault(&mut self, now: Time, fault: Fault, duration: Duration) -> ActiveFault {
         println!("{:8.3} fault started: {fault:?}", as_seconds(now));
-        let copy = (fault == Fault::RestoreStore).then(|| self.store.copy());
+        let copy = match fault {
+            Fault::RestoreStore => Some(self.store.copy()),
+            Fault::RestoreFirstCopy => Some(self.first_copy.clone()),
+            _ => None,
+        };
         self.apply(fault, duration);
         ActiveFault { ends_at: now + duration, kind: fault, copy }
     }
@@ -128,7 +143,7 @@
             Fault::PauseServer(index) => {
                 self.servers.all[index].set_notice(Some(NoticeKind::Pause(duration)));
             }
-            Fault::RestoreStore => {}
+            Fault::RestoreStore | Fault::RestoreFirstCopy => {}
             Fault::EvacuateZone => {
                 self.store.write("evacuations/b", Some(serde_json::json!({})));
                 self.store.compact();
@@ -162,7 +177,7 @@
                 self.servers.all[index].sends_heartbeats.store(true, Ordering::SeqCst);
             }
             Fault::PauseServer(index) => self.servers.all[index].set_notice(None),
-            Fault::RestoreStore => {
+            Fault::RestoreStore | Fault::RestoreFirstCopy => {
                 if let Some(copy) = fault.copy {
                     self.store.restore(copy);
                 }
--- a/crates/node/examples/soak/main.rs
+++ b/crates/node/examples/soak/main.rs
@@ -163,6 +163,7 @@
     let mut routers: Vec<Router> = (0..arguments.routers)
         .map(|index| Router::new(index, first_binary.clone(), folder.to_owned(), store_address))
         .collect();
+    let first_copy = store.copy();
     routers.iter_mut().for_each(Router::start);
     thread::park_timeout(STARTUP_TIME);
     let clients: Vec<_> = (0..arguments.clients)
@@ -172,7 +173,8 @@
             thread::spawn(move || client::run(index, seed, routers, &checker, &stop))
         })
         .collect();
-    let mut cluster = Cluster { routers: &mut routers, servers: &servers, store: &store };
+    let mut cluster =
+        Cluster { routers: &mut routers, servers: &servers, store: &store, first_copy };
     let last_version = inject_faults(arguments, &mut cluster);
     let measured_from = BootClock.now() + RECOVERY_TIME.saturating_sub(MEASURED_TIME);
     while BootClock.now() < measured_from {
--- a/crates/node/examples/soak/router.rs
+++ b/crates/node/examples/soak/router.rs
@@ -38,6 +38,8 @@
     binary: PathBuf,
     folder: PathBuf,
     child: Option<Child>,
+    /// Whether a process has been started before.
+    has_run: bool,
     /// The proxy between this router and the store.
     pub store_proxy: Proxy,
 }
@@ -45,7 +47,14 @@
 impl Router {
     /// Creates a router without starting its process.
     pub fn new(index: usize, binary: PathBuf, folder: PathBuf, store: SocketAddr) -> Router {
-        Router { index, binary, folder, child: None, store_proxy: Proxy::start(store) }
+        Router {
+            index,
+            binary,
+            folder,
+            child: None,
+            has_run: false,
+            store_proxy: Proxy::start(store),
+        }
     }
 
     /// Returns the address at which clients reach this router.
@@ -78,8 +87,9 @@
             "heartbeat": "1s", "bounds": ["hold-max=10s", "grace=4s", "retry-budget-extra=50"],
             "limits": {"cpu-share": 1.0, "cores": 1, "link-mbps": 1000, "memory-mb": 256,
                        "max-fds": 1024},
-            "platform": {"address": self.store_proxy.address},
+            "platform": {"address": self.store_proxy.address}, "bootstrap": !self.has_run,
         });
+        self.has_run = true;
         let path = self.folder.join(format!("r{}.json", self.index));
         fs::write(&path, settings.to_string()).expect("the log folder is writable");
         let log = self.folder.join(format!("r{}.log", self.index));
--- a/crates/router/tests/wire_compatibility.rs
+++ b/crates/router/tests/wire_compatibility.rs
@@ -17,6 +17,7 @@
 const V_8769CE2: &str = include_str!("golden/8769ce2.txt");
 const V_0D4F469: &str = include_str!("golden/0d4f469.txt");
 const V_CD74206: &str = include_str!("golden/cd74206.txt");
+const V_F6145CE: &str = include_str!("golden/f6145ce.txt");
 
 /// Returns the encodings of one kind in a version's data, by name.
 fn encodings<'a>(golden: &'a str, kind: &str) -> BTreeMap<&'a str, &'a str> {
@@ -36,6 +37,7 @@
 #[test_case(V_8769CE2, 31; "8769ce2")]
 #[test_case(V_0D4F469, 33; "0d4f469")]
 #[test_case(V_CD74206, 34; "cd74206")]
+#[test_case(V_F6145CE, 36; "f6145ce")]
 fn messages_are_encoded_as_by_landed_versions(golden: &str, count: usize) {
     let golden = encodings(golden, "message");
     assert_eq!(golden.len(), count);
@@ -53,6 +55,7 @@
 #[test_case(V_8769CE2; "8769ce2")]
 #[test_case(V_0D4F469; "0d4f469")]
 #[test_case(V_CD74206; "cd74206")]
+#[test_case(V_F6145CE; "f6145ce")]
 fn records_in_the_store_are_encoded_as_by_landed_versions(golden: &str) {
     let golden = encodings(golden, "record");
     assert_eq!(golden.len(), 3);
