--- a/crates/node/src/router_shell/granter/election.rs
+++ b/crates/node/src/router_shell/granter/election.rs
@@ -86,8 +86,8 @@
 /// Gives up the granter's role before a planned stop.
 ///
 /// The caller has stopped the granter's steps, so no new orders are sent. If all orders are
-/// answered within [`RESIGN_WAIT`], or half of the grace period, the record says so and the successor does not have to wait for
-/// orders that might still take effect.
+/// answered within [`RESIGN_WAIT`], half of the grace period at most, the record says so and the
+/// successor does not have to wait for orders that might still take effect.
 pub(crate) async fn resign(shell: &Rc<ShellState>) {
     let started = BootClock.now();
     let max_wait = RESIGN_WAIT.min(shell.settings.bounds.stop_grace / 2);
--- a/crates/node/src/router_shell/granter/tables.rs
+++ b/crates/node/src/router_shell/granter/tables.rs
@@ -37,7 +37,7 @@
     };
     keyed.is_loading = false;
     keyed.has_answer |= matches!(result, Ok(StoreReply::Object(_)));
-    let (table, revision) = match result {
+    let (table, revision): (Option<RangeTable>, Option<Revision>) = match result {
         Ok(StoreReply::Object(None)) => (None, None),
         Ok(StoreReply::Object(Some(object))) => match serde_json::from_str(&object.body) {
             Ok(table) => (Some(table), Some(object.revision)),
@@ -49,8 +49,7 @@
         },
         _ => return,
     };
-    let table: Option<RangeTable> = table;
-    if let Some(later) = table.as_ref().map(|table| table.term).filter(|each| *each > term) {
+    if let Some(later) = table.as_ref().map(|table| table.term).filter(|later| *later > term) {
         log::warn!(service:% = service, term = later.0; "range table has a later term");
         role.leadership.handle_heartbeat(now, later, 0, Duration::ZERO);
         role.services.clear();
