--- a/crates/range/src/known_holds.rs
+++ b/crates/range/src/known_holds.rs
@@ -47,8 +47,8 @@
 }
 
 impl KnownHolds {
-    /// The highest era with which a store may begin: the number of restorations, or of copies.
-    const LAST_FIRST_ERA: StoreEra = StoreEra(1);
+    /// The highest era of a store that may never have been restored: eras count from zero or one.
+    const MAX_INITIAL_ERA: StoreEra = StoreEra(1);
     /// Time for which a first granter listens for routers that know an earlier one.
     const FIRST_START_WATCH: Duration = Duration::from_millis(2_000);
 
@@ -86,10 +86,10 @@
         if era == self.era {
             return;
         }
-        // The first answer tells the era that the process starts in. A higher one than the first shows
-        // that the system has run before.
-        let is_first_era = era.is_none_or(|era| era <= KnownHolds::LAST_FIRST_ERA);
-        self.may_be_first_start &= self.era.is_none() && is_first_era;
+        // The first answer tells the era that the process starts in. One that only a restoration can have
+        // brought about shows that the system has run before.
+        let is_initial_era = era.is_none_or(|era| era <= KnownHolds::MAX_INITIAL_ERA);
+        self.may_be_first_start &= self.era.is_none() && is_initial_era;
         self.era = era;
         self.follows_older_build = false;
         self.unconfirmed_since = now;
