--- a/review/common-3/standins.rs
+++ b/review/common-3/standins.rs
@@ -1010,7 +1010,37 @@
 }
 
 /// A client's connection, which it keeps for further requests.
+/// Bytes that a client sends at once over a shared link.
+const LINK_PORTION: usize = 64 * 1024;
+
+/// The network link of a machine, which clients share.
+pub struct Link {
+    bytes_per_second: f64,
+    /// When all bytes sent so far have passed.
+    free_at: Mutex<Instant>,
+}
+
+impl Link {
+    pub fn new(megabits_per_second: f64) -> Link {
+        let bytes_per_second = megabits_per_second * 1e6 / 8.0;
+        Link { bytes_per_second, free_at: Mutex::new(Instant::now()) }
+    }
+
+    /// Waits until so many bytes have passed.
+    fn pass(&self, bytes: usize) {
+        let passed_at = {
+            let mut free_at = lock(&self.free_at);
+            let length = Duration::from_secs_f64(bytes as f64 / self.bytes_per_second);
+            *free_at = (*free_at).max(Instant::now()) + length;
+            *free_at
+        };
+        thread::sleep(passed_at.saturating_duration_since(Instant::now()));
+    }
+}
+
 pub struct Connection {
+    /// Link over which bodies are sent; `None` sends them at once.
+    pub link: Option<Arc<Link>>,
     reader: BufReader<TcpStream>,
     /// Whether a request was answered on it before.
     pub is_kept: bool,
@@ -1020,7 +1050,7 @@
     pub fn open(to: SocketAddr) -> Option<Connection> {
         let stream = TcpStream::connect_timeout(&to, Duration::from_secs(1)).ok()?;
         let _ = stream.set_nodelay(true);
-        Some(Connection { reader: BufReader::new(stream), is_kept: false })
+        Some(Connection { link: None, reader: BufReader::new(stream), is_kept: false })
     }
 
     /// Sends a request and waits for its answer until `limit` has passed.
@@ -1031,7 +1061,17 @@
         let _ = stream.set_write_timeout(Some(limit));
         let mut writer = self.reader.get_ref();
         // The router may have answered before it has taken the whole request.
-        let _ = writer.write_all(head.as_bytes()).and_then(|()| writer.write_all(body));
+        let mut sent = writer.write_all(head.as_bytes());
+        let portion = if self.link.is_some() { LINK_PORTION } else { body.len().max(1) };
+        for bytes in body.chunks(portion) {
+            if let Some(link) = &self.link {
+                link.pass(bytes.len());
+            }
+            sent = sent.and_then(|()| writer.write_all(bytes));
+            if sent.is_err() {
+                break;
+            }
+        }
         let answer = read_head(&mut self.reader);
         let body = answer.as_ref().and_then(|head| skip_body(&mut self.reader, head.length()));
         match (answer, body) {
